workspace: carry a request through separate processes

A caller's prompt goes in at a daemon and its tokens come out of a stand-in engine; a prompt larger than one engine runs on a group; a plain service is called once; an edit committed by the command line is followed by two daemons. The library decides without I/O, edges carry it out, the daemon and the command line connect them, and stand-ins take the platform's and the servers' place.

--- /dev/null
+++ b/cli/src/command_line.rs
@@ -0,0 +1,97 @@
+//! The command line as a whole.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use crate::commands::explain::ExplainArgs;
+use crate::commands::explain::cmd_explain;
+use crate::commands::key_digest::KeyDigestArgs;
+use crate::commands::key_digest::cmd_key_digest;
+use crate::commands::settings::SettingsArgs;
+use crate::commands::settings::cmd_settings;
+use crate::commands::status::StatusArgs;
+use crate::commands::status::cmd_status;
+use crate::exit::CommandError;
+use crate::exit::CommandResult;
+use crate::exit::Failure;
+use crate::session::Session;
+
+/// Variable that stands in for `--platform`.
+const PLATFORM_VARIABLE: &str = "BADGERFERRY_PLATFORM";
+
+/// Drives badgerferry: everything is done by editing the settings tree.
+#[derive(FromArgs)]
+struct CommandLine {
+    /// the platform's address, as 10.0.0.1:8080; else the variable `BADGERFERRY_PLATFORM`
+    #[argh(option)]
+    platform: Option<String>,
+    /// seconds to wait for the platform or the boxes (30)
+    #[argh(option, default = "30")]
+    patience: u64,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Settings(SettingsArgs),
+    Status(StatusArgs),
+    Explain(ExplainArgs),
+    KeyDigest(KeyDigestArgs),
+}
+
+/// Runs the command that the process was started with.
+pub fn run() -> ExitCode {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let parsed = CommandLine::from_args(&["badgerferry"], words.get(1..).unwrap_or_default());
+    let line = match parsed {
+        Ok(line) => line,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => {
+            let message = early.output.trim_end().to_owned();
+            return CommandError::new(Failure::Usage, message)
+                .hint("badgerferry --help")
+                .report();
+        }
+    };
+    match run_line(line) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => error.report(),
+    }
+}
+
+fn run_line(line: CommandLine) -> CommandResult {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|cause| CommandError::new(Failure::Refused, cause))?;
+    let platform = line
+        .platform
+        .or_else(|| std::env::var(PLATFORM_VARIABLE).ok());
+    let patience = Duration::from_secs(line.patience);
+    let session = || match &platform {
+        Some(address) => Ok(Session::new(address, patience)),
+        None => Err(
+            CommandError::new(Failure::Usage, "the platform's address is not given")
+                .hint(format!("use --platform ADDRESS or set {PLATFORM_VARIABLE}")),
+        ),
+    };
+    runtime.block_on(async {
+        match line.command {
+            Command::Settings(args) => cmd_settings(session, patience, args).await,
+            Command::Status(args) => cmd_status(&session()?, args).await,
+            Command::Explain(args) => cmd_explain(&session()?, args).await,
+            Command::KeyDigest(args) => {
+                cmd_key_digest(&args);
+                Ok(())
+            }
+        }
+    })
+}
--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,21 @@
+//! One file for each command: its arguments and what it does.
+
+pub mod explain;
+pub mod key_digest;
+pub mod settings;
+pub mod settings_add;
+pub mod settings_check;
+pub mod settings_diff;
+pub mod settings_edit;
+pub mod settings_export;
+pub mod settings_get;
+pub mod settings_import;
+pub mod settings_keys;
+pub mod settings_log;
+pub mod settings_move;
+pub mod settings_remove;
+pub mod settings_set;
+pub mod settings_show;
+pub mod settings_unset;
+pub mod settings_wait;
+pub mod status;
--- /dev/null
+++ b/cli/src/commands/settings_check.rs
@@ -0,0 +1,62 @@
+//! `badgerferry settings check`
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use badgerferry_lib::settings_tree::SettingsTree;
+
+use crate::exit::CommandError;
+use crate::exit::CommandResult;
+use crate::exit::Failure;
+
+/// Check a tree in a file, without the platform.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct SettingsCheckArgs {
+    /// the file, as `settings show --json` prints it
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Checks the file.
+pub fn cmd_settings_check(args: &SettingsCheckArgs) -> CommandResult {
+    let tree = read_tree(&args.file)?;
+    println!(
+        "{}: good, {} nodes",
+        args.file.display(),
+        tree.nodes().len()
+    );
+    Ok(())
+}
+
+/// Reads a tree and tells all its faults at once.
+pub fn read_tree(path: &Path) -> Result<SettingsTree, CommandError> {
+    let text = read_file(path)?;
+    let tree: SettingsTree = serde_json::from_str(&text).map_err(|cause| {
+        CommandError::new(Failure::Refused, format!("{}: {cause}", path.display()))
+            .hint("`badgerferry settings show --json` prints a tree in this form")
+    })?;
+    let faults: Vec<_> = tree.faults().iter().map(ToString::to_string).collect();
+    if faults.is_empty() {
+        return Ok(tree);
+    }
+    let message = format!(
+        "{}: {} faults:\n  {}",
+        path.display(),
+        faults.len(),
+        faults.join("\n  ")
+    );
+    Err(CommandError::new(Failure::Refused, message)
+        .hint("`badgerferry settings keys` lists the settings"))
+}
+
+/// Reads a file.
+pub fn read_file(path: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path).map_err(|cause| {
+        CommandError::new(
+            Failure::Refused,
+            format!("failed to read {}: {cause}", path.display()),
+        )
+    })
+}
--- /dev/null
+++ b/cli/src/commands/settings_import.rs
@@ -0,0 +1,53 @@
+//! `badgerferry settings import`
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use badgerferry_lib::settings_snapshot::SettingsSnapshot;
+
+use crate::commands::settings::commit_changes;
+use crate::commands::settings_check::read_file;
+use crate::commands::settings_diff::change_line;
+use crate::exit::CommandError;
+use crate::exit::CommandResult;
+use crate::exit::Failure;
+use crate::session::Session;
+
+/// Put a backup's tree in force again, as a new revision.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "import")]
+pub struct SettingsImportArgs {
+    /// the file that `settings export` wrote
+    #[argh(positional)]
+    file: PathBuf,
+    /// only show what would change
+    #[argh(switch)]
+    dry_run: bool,
+}
+
+/// Commits what differs from the backup.
+pub async fn cmd_settings_import(session: &Session, args: SettingsImportArgs) -> CommandResult {
+    let text = read_file(&args.file)?;
+    let snapshot = SettingsSnapshot::from_text(&text).map_err(|cause| {
+        CommandError::new(
+            Failure::Refused,
+            format!("{}: {cause}", args.file.display()),
+        )
+        .hint("nothing was changed")
+    })?;
+    let current = session.current().await?;
+    let changes = current.tree.changes_to(snapshot.tree());
+    for change in &changes {
+        println!("{}", change_line(change));
+    }
+    match (changes.is_empty(), args.dry_run) {
+        (true, _) => {
+            println!("nothing differs from revision {}", current.head.revision);
+            Ok(())
+        }
+        (false, true) => Ok(()),
+        (false, false) => {
+            commit_changes(session, changes, Some(current.head.revision.0), None).await
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/commands/settings_log.rs
@@ -0,0 +1,52 @@
+//! `badgerferry settings log`
+
+use argh::FromArgs;
+use badgerferry_lib::settings_head::Committed;
+
+use crate::commands::settings_diff::change_line;
+use crate::exit::CommandResult;
+use crate::output::Format;
+use crate::session::Session;
+
+/// Print the latest edits, newest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+pub struct SettingsLogArgs {
+    /// most edits to print (20)
+    #[argh(option, default = "20")]
+    limit: usize,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Prints the edits.
+pub async fn cmd_settings_log(session: &Session, args: SettingsLogArgs) -> CommandResult {
+    let current = session.current().await?;
+    let mut edits: Vec<Committed> = current.head.edits;
+    edits.reverse();
+    let mut before = current.checkpoint;
+    while let Some(checkpoint) = before.take().filter(|_| edits.len() < args.limit) {
+        edits.extend(checkpoint.edits.into_iter().rev());
+        if let Some(previous) = checkpoint.previous {
+            before = session.checkpoint(&previous.key).await?;
+        }
+    }
+    edits.truncate(args.limit);
+    Format::from_switch(args.json).print(&edits, || edits.iter().map(entry).collect());
+    Ok(())
+}
+
+fn entry(committed: &Committed) -> String {
+    let edit = &committed.edit;
+    let mut text = format!(
+        "revision {}  edit {}  by {}\n",
+        committed.revision, edit.id, edit.author
+    );
+    for change in &edit.changes {
+        text.push_str("    ");
+        text.push_str(&change_line(change));
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/daemon/src/api_error.rs
@@ -0,0 +1,216 @@
+//! Errors as callers see them: JSON of the shape that clients of `OpenAI` know.
+//!
+//! Each has a stable `code`, says whether the request ran, and tells when to come back
+//! where that is known. `docs/callers.md` lists them.
+
+use std::time::Duration;
+
+use badgerferry_lib::outcome::FailureReason;
+use badgerferry_lib::outcome::Outcome;
+use badgerferry_lib::outcome::RefusalReason;
+use hyper::StatusCode;
+use serde::Serialize;
+use viz::IntoResponse;
+use viz::Response;
+
+/// Header that says whether the request ran: `no`, `maybe` or `yes`.
+pub const RAN_HEADER: &str = "x-badgerferry-ran";
+
+/// Whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// Certainly not.
+    No,
+    /// It may have.
+    Maybe,
+    /// To its end.
+    Yes,
+}
+
+impl Ran {
+    /// Text of the header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Maybe => "maybe",
+            Self::Yes => "yes",
+        }
+    }
+}
+
+/// An error for a caller.
+#[derive(Debug, Clone)]
+pub struct ApiError {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+    ran: Ran,
+    retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    error: Detail<'a>,
+}
+
+#[derive(Serialize)]
+struct Detail<'a> {
+    message: &'a str,
+    r#type: &'static str,
+    code: &'static str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl ApiError {
+    /// A request that is wrong in itself; it was not run.
+    pub fn bad_request(code: &'static str, message: impl Into<String>) -> Self {
+        Self::refused(StatusCode::BAD_REQUEST, code, message)
+    }
+
+    /// Any refusal before the request was admitted; it was not run.
+    pub fn refused(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            ran: Ran::No,
+            retry_after: None,
+        }
+    }
+
+    /// A refusal by a filter, before the request was handed to the dispatcher.
+    pub fn before_dispatch(reason: RefusalReason, retry_after: Duration) -> Self {
+        let mut error = Self::refused(refusal_status(reason), reason.code(), refusal_text(reason));
+        error.retry_after = Some(retry_after);
+        error
+    }
+
+    /// The error for an outcome; none for a completed request.
+    pub fn of(outcome: &Outcome) -> Option<Self> {
+        match outcome {
+            Outcome::Completed { .. } => None,
+            Outcome::Refused(refused) => {
+                let mut error = Self::before_dispatch(refused.reason(), Duration::ZERO);
+                error.retry_after = refused.retry_after();
+                Some(error)
+            }
+            Outcome::Failed(reason) => Some(Self {
+                status: failure_status(*reason),
+                code: reason.code(),
+                message: failure_text(*reason).to_owned(),
+                ran: Ran::Maybe,
+                retry_after: None,
+            }),
+            Outcome::Cancelled => Some(Self {
+                status: StatusCode::BAD_REQUEST,
+                code: "cancelled",
+                message: "the caller went away".to_owned(),
+                ran: Ran::Maybe,
+                retry_after: None,
+            }),
+        }
+    }
+
+    /// Stable code.
+    pub const fn code(&self) -> &'static str {
+        self.code
+    }
+
+    /// The JSON text.
+    pub fn json(&self) -> String {
+        let body = Body {
+            error: Detail {
+                message: &self.message,
+                r#type: error_type(self.status),
+                code: self.code,
+                ran: self.ran,
+                retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
+            },
+        };
+        serde_json::to_string(&body).expect("plain data always encodes")
+    }
+
+    /// The whole answer.
+    pub fn response(&self) -> Response {
+        let mut answer = self.json().into_response();
+        *answer.status_mut() = self.status;
+        let headers = answer.headers_mut();
+        headers.insert(
+            "content-type",
+            "application/json".parse().expect("a fixed header"),
+        );
+        headers.insert(
+            RAN_HEADER,
+            self.ran.as_str().parse().expect("a fixed header"),
+        );
+        if let Some(span) = self.retry_after {
+            // Whole seconds, rounded up: earlier would be in vain.
+            let seconds = span.as_millis().div_ceil(1_000) as u64;
+            headers.insert("retry-after", seconds.into());
+        }
+        answer
+    }
+}
+
+const fn error_type(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.as_u16() < 500 => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+const fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::WorkspaceLimit | RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::PromptTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::DuplicateKey => StatusCode::CONFLICT,
+        RefusalReason::WouldMissDeadline
+        | RefusalReason::DeadlineWhileWaiting
+        | RefusalReason::NoServer
+        | RefusalReason::Leaving
+        | RefusalReason::NoClaim
+        | RefusalReason::NoSettings => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+const fn refusal_text(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::WouldMissDeadline => "it could not have finished within its time limit",
+        RefusalReason::DeadlineWhileWaiting => "its time limit can't be met any more",
+        RefusalReason::QueueFull => "too many requests of the workspace wait here",
+        RefusalReason::WorkspaceLimit => "the workspace is over its limit",
+        RefusalReason::NoServer => "no live server has what it asks for",
+        RefusalReason::PromptTooLong => "the prompt is longer than the limit or the fleet's memory",
+        RefusalReason::Leaving => "this box is leaving; send it to another",
+        RefusalReason::NoSettings => "this box has no settings yet",
+        RefusalReason::DuplicateKey => {
+            "this submission was not run; an earlier one with the same key may have been"
+        }
+        RefusalReason::NoClaim => "its key can't be checked while the platform is out of reach",
+    }
+}
+
+const fn failure_status(reason: FailureReason) -> StatusCode {
+    match reason {
+        FailureReason::DeadlineWhileRunning => StatusCode::GATEWAY_TIMEOUT,
+        FailureReason::ServerLost
+        | FailureReason::AttemptsUsed
+        | FailureReason::NoOtherServer
+        | FailureReason::ServerError => StatusCode::BAD_GATEWAY,
+    }
+}
+
+const fn failure_text(reason: FailureReason) -> &'static str {
+    match reason {
+        FailureReason::DeadlineWhileRunning => "the time limit passed while a server worked on it",
+        FailureReason::ServerLost => "the server was lost and the request may not be repeated",
+        FailureReason::AttemptsUsed => "every attempt that is allowed was used",
+        FailureReason::NoOtherServer => "no other server could take it over",
+        FailureReason::ServerError => "the server answered with an error of its own",
+    }
+}
--- /dev/null
+++ b/daemon/src/telemetry.rs
@@ -0,0 +1,97 @@
+//! Logs and metrics.
+//!
+//! Log lines have a constant message and named fields. Metrics are read at `/metrics`
+//! in the Prometheus text format; names begin with `badgerferry_`.
+
+use std::time::Duration;
+
+use badgerferry_lib::outcome::Outcome;
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tracing_subscriber::EnvFilter;
+
+use crate::box_config::LogFormat;
+
+/// Upper bounds of time buckets, in seconds: around the limits of 0.73 s and 54 ms.
+const TIME_BUCKETS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.054, 0.1, 0.25, 0.5, 0.73, 1.0, 2.5, 5.0, 15.0, 60.0, 300.0,
+];
+
+/// Starts logging; `BADGERFERRY_LOG` filters, `info` by default.
+pub fn start_logs(format: LogFormat) {
+    let filter = EnvFilter::try_from_env("BADGERFERRY_LOG");
+    let filter = filter.unwrap_or_else(|_unset| EnvFilter::new("info,viz=warn"));
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match format {
+        LogFormat::Text => logs.with_ansi(false).init(),
+        LogFormat::Json => logs.json().flatten_event(true).init(),
+    }
+}
+
+/// Starts metrics.
+///
+/// # Errors
+///
+/// Another recorder is installed.
+pub fn start_metrics() -> anyhow::Result<PrometheusHandle> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &TIME_BUCKETS)?
+        .install_recorder()?;
+    Ok(handle)
+}
+
+/// Prompt-length band for labels.
+pub const fn band(prompt_tokens: u64) -> &'static str {
+    match prompt_tokens {
+        0 => "service",
+        1..3_000 => "1k",
+        3_000..30_000 => "10k",
+        30_000..300_000 => "100k",
+        _ => "1M",
+    }
+}
+
+/// Counts how a request ended.
+pub fn count_outcome(outcome: &Outcome, prompt_tokens: u64, took: Duration) {
+    let reason = match outcome {
+        Outcome::Refused(refused) => refused.reason().code(),
+        Outcome::Failed(reason) => reason.code(),
+        Outcome::Completed { .. } | Outcome::Cancelled => "",
+    };
+    let band = band(prompt_tokens);
+    counter!("badgerferry_requests_total", "outcome" => outcome.label(), "reason" => reason, "band" => band)
+        .increment(1);
+    histogram!("badgerferry_request_seconds", "band" => band).record(took.as_secs_f64());
+}
+
+/// Records a time to first token.
+pub fn record_first_token(prompt_tokens: u64, took: Duration) {
+    let band = band(prompt_tokens);
+    histogram!("badgerferry_first_token_seconds", "band" => band).record(took.as_secs_f64());
+}
+
+/// Records the time between two tokens.
+pub fn record_between_tokens(took: Duration) {
+    histogram!("badgerferry_between_tokens_seconds").record(took.as_secs_f64());
+}
+
+/// Counts a frame that was not forwarded.
+pub fn count_dropped_frame(why: &'static str) {
+    counter!("badgerferry_dropped_frames_total", "why" => why).increment(1);
+}
+
+/// Sets a gauge by name.
+pub fn set_gauge(name: &'static str, value: f64) {
+    gauge!(name).set(value);
+}
+
+/// Counts an event by name and label.
+pub fn count(name: &'static str, what: &'static str) {
+    counter!(name, "what" => what).increment(1);
+}
--- /dev/null
+++ b/lib/src/exchange.rs
@@ -0,0 +1,622 @@
+//! One request from its arrival to its outcome.
+//!
+//! The machine knows where the request is: waiting, having its group reserved, having
+//! its prompt prefilled share by share, or streaming. It takes what happened at the
+//! edges and says what to do there, in order. It ends with exactly one
+//! [`Action::Finish`], within the request's time limit.
+//!
+//! What it guarantees: a not-repeatable request is dispatched once; "not run" is said
+//! only with the proof in hand (see [`crate::outcome`]); a resumed answer joins without
+//! a lost or doubled token (see [`crate::stream_join`]); and whatever it made an engine
+//! hold, it releases or cancels on every way out.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::ids::AttemptId;
+use crate::ids::ServerName;
+use crate::outcome::FailureReason;
+use crate::outcome::InFlight;
+use crate::outcome::NotStarted;
+use crate::outcome::Outcome;
+use crate::outcome::RefusalReason;
+use crate::outcome::Refused;
+use crate::outcome::Unsent;
+use crate::request::Placement;
+use crate::request::Share;
+use crate::stream_join::Dropped;
+use crate::stream_join::Frame;
+use crate::stream_join::StreamJoin;
+use crate::stream_join::Verdict;
+use crate::time::Time;
+
+/// Prefill estimates may be off by this factor before the engine is taken for lost.
+const PREFILL_SLACK: u32 = 3;
+/// Placements of a group that found an engine taken, before the request is refused.
+const MAX_GROUP_TRIES: u32 = 1_000;
+
+/// Limits of one request, from its class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExchangeLimits {
+    /// When the outcome must be known.
+    pub deadline: Time,
+    /// Time to the first token beyond the prefill.
+    pub first_token: Duration,
+    /// Longest silence within an answer.
+    pub between_tokens: Duration,
+    /// Attempts in all.
+    pub max_attempts: u32,
+    /// Whether it may be tried again after it may have run.
+    pub repeatable: bool,
+}
+
+/// What happened at an edge.
+#[derive(Debug)]
+pub enum Event<'a> {
+    /// The dispatcher chose where it goes.
+    Placed {
+        /// Where.
+        placement: Placement,
+        /// Expected time of its prefill.
+        prefill: Duration,
+    },
+    /// The dispatcher refused it, or gave it up.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// The member asked last reserved its share.
+    Reserved,
+    /// The member asked last has no room, or could not be asked.
+    NotReserved,
+    /// The member asked last has prefilled its share.
+    ShareReady,
+    /// No connection was made.
+    NoConnection,
+    /// The server said that it did not start the work.
+    ServerDidNotStart,
+    /// A frame of the answer.
+    Frame(&'a Frame),
+    /// A plain service's whole answer has come.
+    Answered,
+    /// The connection ended, or what came was no frame.
+    Broken,
+    /// The caller went away.
+    CallerGone,
+    /// Time passed.
+    Tick,
+}
+
+/// What to do.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    /// Reserve memory for a share.
+    Reserve {
+        /// The engine.
+        server: ServerName,
+        /// The reservation's identifier, one per group.
+        group: AttemptId,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// Give a reservation up, with whatever was prefilled into it.
+    Release {
+        /// The engine.
+        server: ServerName,
+        /// The reservation.
+        group: AttemptId,
+    },
+    /// Prefill one share into its reservation.
+    Prefill {
+        /// The engine.
+        server: ServerName,
+        /// The reservation.
+        group: AttemptId,
+        /// First token of the share within the prompt.
+        from: u64,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// Send the request, or resume it.
+    Send {
+        /// The server.
+        server: ServerName,
+        /// The attempt that its frames must name.
+        attempt: AttemptId,
+        /// The group that holds the prompt, if one does.
+        group: Option<AttemptId>,
+        /// Offset of the first token wanted.
+        offset: u64,
+    },
+    /// Tell the server to stop and free the attempt's memory.
+    Cancel {
+        /// The server.
+        server: ServerName,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Pass text on to the caller.
+    Forward(String),
+    /// Count a frame that was dropped.
+    CountDropped(Dropped),
+    /// Tell the dispatcher that the first token came.
+    FirstToken,
+    /// Tell the dispatcher how the placement ended.
+    Ended(PlacementEnd),
+    /// Ask the dispatcher for another placement.
+    QueueAgain {
+        /// A server to keep away from.
+        avoid: Option<ServerName>,
+        /// Whether this counts as a repeat.
+        repeat: bool,
+    },
+    /// The caller's final answer.
+    Finish(Outcome),
+}
+
+/// How a placement ended, for routing to learn from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlacementEnd {
+    /// The answer is whole.
+    Whole {
+        /// Tokens of the prompt as the engine counted them; zero if it did not.
+        prompt_tokens: u64,
+        /// Tokens of the answer.
+        tokens: u64,
+    },
+    /// This server failed.
+    Failed(ServerName),
+    /// Nothing can be learned of the servers.
+    Neutral,
+}
+
+#[derive(Debug)]
+enum Claim {
+    Unsent(Unsent),
+    Trying(InFlight),
+    MayHaveRun,
+}
+
+#[derive(Debug)]
+struct Group {
+    id: AttemptId,
+    shares: Vec<Share>,
+    held: usize,
+}
+
+#[derive(Debug)]
+enum Phase {
+    Waiting,
+    Reserving(Group),
+    Prefilling {
+        group: Group,
+        index: usize,
+    },
+    Streaming {
+        server: ServerName,
+        attempt: AttemptId,
+        group: Option<Group>,
+    },
+    Done,
+}
+
+/// The machine of one request.
+#[derive(Debug)]
+pub struct Exchange {
+    limits: ExchangeLimits,
+    phase: Phase,
+    claim: Option<Claim>,
+    join: StreamJoin,
+    attempts: u32,
+    group_tries: u32,
+    dispatches: u32,
+    prefill: Duration,
+    step_deadline: Time,
+}
+
+impl Exchange {
+    /// A request just read from its caller.
+    pub const fn new(limits: ExchangeLimits) -> Self {
+        Self {
+            limits,
+            phase: Phase::Waiting,
+            claim: Some(Claim::Unsent(Unsent::new())),
+            join: StreamJoin::new(),
+            attempts: 0,
+            group_tries: 0,
+            dispatches: 0,
+            prefill: Duration::ZERO,
+            step_deadline: Time::FAR,
+        }
+    }
+
+    /// The answer as far as it was forwarded.
+    pub const fn join(&self) -> &StreamJoin {
+        &self.join
+    }
+
+    /// Times that work was sent to a server that may have started it.
+    pub const fn dispatches(&self) -> u32 {
+        self.dispatches
+    }
+
+    /// Whether the outcome is known.
+    pub const fn is_done(&self) -> bool {
+        matches!(self.phase, Phase::Done)
+    }
+
+    /// When [`Event::Tick`] must come at the latest.
+    pub fn next_tick(&self) -> Time {
+        match self.phase {
+            Phase::Done => Time::FAR,
+            _ => self.step_deadline.min(self.limits.deadline),
+        }
+    }
+
+    /// Takes an event and says what to do, in order.
+    pub fn on(&mut self, now: Time, event: &Event<'_>, rng: &mut impl Rng) -> Vec<Action> {
+        let mut out = Vec::new();
+        if self.is_done() {
+            return out;
+        }
+        match event {
+            Event::CallerGone => {
+                self.abandon(PlacementEnd::Neutral, &mut out);
+                self.finish(Outcome::Cancelled, &mut out);
+            }
+            _ if now >= self.limits.deadline => self.on_deadline(&mut out),
+            Event::Placed { placement, prefill } => {
+                self.prefill = *prefill;
+                self.on_placed(now, placement, rng, &mut out);
+            }
+            Event::Refused {
+                reason,
+                retry_after,
+            } => self.on_refused(*reason, *retry_after, &mut out),
+            Event::Reserved => self.on_reserved(now, &mut out, rng),
+            Event::NotReserved => self.on_not_reserved(&mut out),
+            Event::ShareReady => self.on_share_ready(now, &mut out, rng),
+            Event::NoConnection => self.on_not_started(NotStarted::NoConnection, &mut out),
+            Event::ServerDidNotStart => self.on_not_started(NotStarted::ServerSaidSo, &mut out),
+            Event::Frame(frame) => self.on_frame(now, frame, &mut out),
+            Event::Answered => self.on_answered(&mut out),
+            Event::Broken => self.on_broken(&mut out),
+            Event::Tick if now >= self.step_deadline => self.on_broken(&mut out),
+            Event::Tick => {}
+        }
+        out
+    }
+
+    fn on_deadline(&mut self, out: &mut Vec<Action>) {
+        let end = match self.current_server() {
+            Some(server) if self.join.next_offset() == 0 => PlacementEnd::Failed(server.clone()),
+            _ => PlacementEnd::Neutral,
+        };
+        self.abandon(end, out);
+        let outcome = match self.claim.take() {
+            Some(Claim::Unsent(proof)) => Outcome::Refused(Refused::new(
+                proof,
+                RefusalReason::DeadlineWhileWaiting,
+                Some(Duration::from_secs(1)),
+            )),
+            _ => Outcome::Failed(FailureReason::DeadlineWhileRunning),
+        };
+        self.finish(outcome, out);
+    }
+
+    fn on_refused(
+        &mut self,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = match self.claim.take() {
+            Some(Claim::Unsent(proof)) => {
+                Outcome::Refused(Refused::new(proof, reason, retry_after))
+            }
+            _ if reason == RefusalReason::DeadlineWhileWaiting => {
+                Outcome::Failed(FailureReason::DeadlineWhileRunning)
+            }
+            _ => Outcome::Failed(FailureReason::NoOtherServer),
+        };
+        self.finish(outcome, out);
+    }
+
+    fn on_placed(
+        &mut self,
+        now: Time,
+        placement: &Placement,
+        rng: &mut impl Rng,
+        out: &mut Vec<Action>,
+    ) {
+        match placement {
+            Placement::One(server) => self.send(now, server.clone(), None, rng, out),
+            Placement::Group(shares) => {
+                let group = Group {
+                    id: AttemptId::draw(rng),
+                    shares: shares.clone(),
+                    held: 0,
+                };
+                self.step_deadline = now + self.limits.first_token;
+                self.reserve_next(group, out);
+            }
+        }
+    }
+
+    fn reserve_next(&mut self, group: Group, out: &mut Vec<Action>) {
+        let share = &group.shares[group.held];
+        out.push(Action::Reserve {
+            server: share.server.clone(),
+            group: group.id,
+            tokens: share.tokens,
+        });
+        self.phase = Phase::Reserving(group);
+    }
+
+    fn on_reserved(&mut self, now: Time, out: &mut Vec<Action>, rng: &mut impl Rng) {
+        match std::mem::replace(&mut self.phase, Phase::Waiting) {
+            Phase::Reserving(mut group) => {
+                group.held += 1;
+                if group.held < group.shares.len() {
+                    self.reserve_next(group, out);
+                } else {
+                    self.spend();
+                    self.attempts += 1;
+                    self.prefill_share(now, group, 0, rng, out);
+                }
+            }
+            other => self.phase = other,
+        }
+    }
+
+    fn on_not_reserved(&mut self, out: &mut Vec<Action>) {
+        if !matches!(self.phase, Phase::Reserving(_)) {
+            return;
+        }
+        self.abandon(PlacementEnd::Neutral, out);
+        self.group_tries += 1;
+        if self.group_tries >= MAX_GROUP_TRIES {
+            self.on_refused(RefusalReason::NoServer, Some(Duration::from_secs(1)), out);
+            return;
+        }
+        out.push(Action::QueueAgain {
+            avoid: None,
+            repeat: false,
+        });
+    }
+
+    fn prefill_share(
+        &mut self,
+        now: Time,
+        group: Group,
+        index: usize,
+        rng: &mut impl Rng,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(share) = group.shares.get(index) else {
+            let last = group.shares.last().map(|share| share.server.clone());
+            let lead = last.expect("a group has members");
+            self.send(now, lead, Some(group), rng, out);
+            return;
+        };
+        if share.prompt == 0 {
+            // It only holds room for the answer.
+            return self.prefill_share(now, group, index + 1, rng, out);
+        }
+        let from = group.shares[..index].iter().map(|share| share.prompt).sum();
+        out.push(Action::Prefill {
+            server: share.server.clone(),
+            group: group.id,
+            from,
+            tokens: share.prompt,
+        });
+        self.step_deadline = now + self.limits.first_token + self.prefill * PREFILL_SLACK;
+        self.phase = Phase::Prefilling { group, index };
+    }
+
+    fn on_share_ready(&mut self, now: Time, out: &mut Vec<Action>, rng: &mut impl Rng) {
+        match std::mem::replace(&mut self.phase, Phase::Waiting) {
+            Phase::Prefilling { group, index } => {
+                self.claim = Some(Claim::MayHaveRun);
+                self.prefill_share(now, group, index + 1, rng, out);
+            }
+            other => self.phase = other,
+        }
+    }
+
+    fn spend(&mut self) {
+        self.dispatches += 1;
+        self.claim = match self.claim.take() {
+            Some(Claim::Unsent(proof)) => Some(Claim::Trying(proof.dispatch())),
+            _ => Some(Claim::MayHaveRun),
+        };
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        server: ServerName,
+        group: Option<Group>,
+        rng: &mut impl Rng,
+        out: &mut Vec<Action>,
+    ) {
+        if group.is_none() {
+            self.spend();
+            self.attempts += 1;
+        }
+        let trying = matches!(self.claim, Some(Claim::Trying(_)));
+        assert!(
+            self.limits.repeatable || trying,
+            "a not-repeatable request is sent only while it certainly has not run"
+        );
+        let attempt = AttemptId::draw(rng);
+        out.push(Action::Send {
+            server: server.clone(),
+            attempt,
+            group: group.as_ref().map(|group| group.id),
+            offset: self.join.next_offset(),
+        });
+        self.step_deadline = now + self.limits.first_token + self.prefill * PREFILL_SLACK;
+        self.phase = Phase::Streaming {
+            server,
+            attempt,
+            group,
+        };
+    }
+
+    fn on_not_started(&mut self, evidence: NotStarted, out: &mut Vec<Action>) {
+        let Some(server) = self.current_server().cloned() else {
+            return;
+        };
+        self.claim = match self.claim.take() {
+            Some(Claim::Trying(in_flight)) => Some(Claim::Unsent(in_flight.not_started(evidence))),
+            other => other,
+        };
+        // The attempt left nothing behind at the server; a group's reservations are released.
+        self.release(out);
+        out.push(Action::Ended(match evidence {
+            NotStarted::NoConnection => PlacementEnd::Failed(server.clone()),
+            NotStarted::ServerSaidSo => PlacementEnd::Neutral,
+        }));
+        self.again(server, out);
+    }
+
+    fn on_broken(&mut self, out: &mut Vec<Action>) {
+        match &self.phase {
+            Phase::Waiting | Phase::Done => return,
+            Phase::Reserving(_) => return self.on_not_reserved(out),
+            Phase::Prefilling { .. } | Phase::Streaming { .. } => {}
+        }
+        let Some(server) = self.current_server().cloned() else {
+            return;
+        };
+        self.claim = Some(Claim::MayHaveRun);
+        self.abandon(PlacementEnd::Failed(server.clone()), out);
+        if self.limits.repeatable {
+            self.again(server, out);
+        } else {
+            self.finish(Outcome::Failed(FailureReason::ServerLost), out);
+        }
+    }
+
+    fn again(&mut self, avoid: ServerName, out: &mut Vec<Action>) {
+        self.phase = Phase::Waiting;
+        self.step_deadline = Time::FAR;
+        if self.attempts < self.limits.max_attempts {
+            out.push(Action::QueueAgain {
+                avoid: Some(avoid),
+                repeat: true,
+            });
+            return;
+        }
+        let outcome = match self.claim.take() {
+            Some(Claim::Unsent(proof)) => Outcome::Refused(Refused::new(
+                proof,
+                RefusalReason::NoServer,
+                Some(Duration::from_secs(1)),
+            )),
+            _ => Outcome::Failed(FailureReason::AttemptsUsed),
+        };
+        self.finish(outcome, out);
+    }
+
+    fn on_frame(&mut self, now: Time, frame: &Frame, out: &mut Vec<Action>) {
+        let Phase::Streaming { attempt, .. } = &self.phase else {
+            out.push(Action::CountDropped(Dropped::Foreign));
+            return;
+        };
+        let first = self.join.next_offset() == 0;
+        match self.join.accept(*attempt, frame) {
+            Verdict::Forward(text) => {
+                self.claim = Some(Claim::MayHaveRun);
+                self.step_deadline = now + self.limits.between_tokens;
+                out.push(Action::Forward(text.to_owned()));
+                if first {
+                    out.push(Action::FirstToken);
+                }
+            }
+            Verdict::Whole { prompt_tokens } => self.on_whole(prompt_tokens, out),
+            Verdict::Drop(why) => out.push(Action::CountDropped(why)),
+            Verdict::Broken => self.on_broken(out),
+        }
+    }
+
+    fn on_answered(&mut self, out: &mut Vec<Action>) {
+        if matches!(self.phase, Phase::Streaming { .. }) {
+            self.on_whole(0, out);
+        }
+    }
+
+    fn on_whole(&mut self, prompt_tokens: u64, out: &mut Vec<Action>) {
+        let tokens = self.join.next_offset();
+        self.release(out);
+        out.push(Action::Ended(PlacementEnd::Whole {
+            prompt_tokens,
+            tokens,
+        }));
+        self.finish(Outcome::Completed { tokens }, out);
+    }
+
+    fn current_server(&self) -> Option<&ServerName> {
+        match &self.phase {
+            Phase::Waiting | Phase::Done => None,
+            Phase::Reserving(group) => group.shares.get(group.held).map(|share| &share.server),
+            Phase::Prefilling { group, index } => {
+                group.shares.get(*index).map(|share| &share.server)
+            }
+            Phase::Streaming { server, .. } => Some(server),
+        }
+    }
+
+    /// Leaves the placement: cancels what runs, releases what is held, tells routing.
+    fn abandon(&mut self, end: PlacementEnd, out: &mut Vec<Action>) {
+        if matches!(self.phase, Phase::Waiting) {
+            return;
+        }
+        if let Phase::Streaming {
+            server, attempt, ..
+        } = &self.phase
+        {
+            out.push(Action::Cancel {
+                server: server.clone(),
+                attempt: *attempt,
+            });
+        }
+        self.release(out);
+        out.push(Action::Ended(end));
+    }
+
+    fn release(&mut self, out: &mut Vec<Action>) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Waiting);
+        self.step_deadline = Time::FAR;
+        let (group, asked) = match phase {
+            // The member asked last may have reserved although its answer did not come.
+            Phase::Reserving(group) => {
+                let asked = group.held + 1;
+                (group, asked)
+            }
+            Phase::Prefilling { group, .. }
+            | Phase::Streaming {
+                group: Some(group), ..
+            } => {
+                let asked = group.shares.len();
+                (group, asked)
+            }
+            Phase::Waiting | Phase::Streaming { group: None, .. } | Phase::Done => return,
+        };
+        for share in group.shares.iter().take(asked) {
+            out.push(Action::Release {
+                server: share.server.clone(),
+                group: group.id,
+            });
+        }
+    }
+
+    fn finish(&mut self, outcome: Outcome, out: &mut Vec<Action>) {
+        self.phase = Phase::Done;
+        out.push(Action::Finish(outcome));
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,38 @@
+//! Decisions of the badgerferry serving layer, for daemons and for others to embed.
+//!
+//! Every part is a state machine without I/O: it takes the present time and an event
+//! and returns typed actions. Clocks, randomness and identity are passed in. The same
+//! code runs in the daemon, in scripted scenarios and in seeded runs.
+//!
+//! The parts fall in two halves that touch no file of each other's. The request path:
+//! [`exchange`] carries one request to its [`outcome`], [`dispatcher`] decides for all
+//! requests of a box. State: [`settings_tree`] and its commits, and what follows them.
+
+pub mod backoff;
+pub mod breaker;
+pub mod dispatcher;
+pub mod engine_wire;
+pub mod exchange;
+pub mod ids;
+pub mod long_lane;
+pub mod outcome;
+pub mod platform_wire;
+pub mod priority;
+pub mod request;
+pub mod retry_budget;
+pub mod routing;
+pub mod server_view;
+pub mod service_time;
+pub mod settings_commit;
+pub mod settings_follow;
+pub mod settings_head;
+pub mod settings_schema;
+pub mod settings_snapshot;
+pub mod settings_tree;
+pub mod settings_view;
+pub mod status_wire;
+pub mod stream_join;
+pub mod time;
+pub mod token_estimate;
+pub mod wait_queue;
+pub mod workspace_limit;
--- /dev/null
+++ b/lib/src/service_time.rs
@@ -0,0 +1,118 @@
+//! How long requests of a model take, and how fast a box's queue drains.
+//!
+//! Learned from what was seen: tokens of whole answers, and tokens started while others
+//! waited. Before anything was seen, the engines' reported rates stand in.
+
+use std::time::Duration;
+
+use crate::request::Request;
+use crate::server_view::ServerView;
+use crate::time::Time;
+
+/// Weight of one answer's length against the running mean.
+const OUTPUT_WEIGHT: f64 = 0.02;
+/// Length assumed before the first answer, in tokens.
+const FIRST_OUTPUT: f64 = 128.0;
+/// Time constant of the measured drain.
+const DRAIN_WINDOW_S: f64 = 5.0;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Drain {
+    backlog_since: Option<Time>,
+    started: f64,
+    rate: Option<f64>,
+}
+
+/// Expected times of one model's requests.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceTime {
+    output: f64,
+    drains: [Drain; 2],
+}
+
+impl Default for ServiceTime {
+    fn default() -> Self {
+        Self {
+            output: FIRST_OUTPUT,
+            drains: [Drain::default(); 2],
+        }
+    }
+}
+
+impl ServiceTime {
+    /// Learns an answer's length.
+    pub fn learn_output(&mut self, tokens: u64) {
+        self.output += (tokens as f64 - self.output) * OUTPUT_WEIGHT;
+    }
+
+    /// Time from a start to the whole answer at the mean of these servers.
+    pub fn expect<'a>(
+        &self,
+        request: &Request,
+        servers: impl Iterator<Item = &'a ServerView>,
+    ) -> Duration {
+        if request.prompt_tokens == 0 {
+            return Duration::ZERO;
+        }
+        let mut prefill = Duration::ZERO;
+        let mut interval_us = 0;
+        let mut count = 0;
+        for server in servers {
+            prefill += server.prefill_time(request.prompt_tokens);
+            interval_us += server.report().map_or(0, |report| report.token_interval_us);
+            count += 1;
+        }
+        if count == 0 {
+            return Duration::ZERO;
+        }
+        let tokens = self.output.min(request.max_output as f64);
+        let interval = Duration::from_micros(interval_us / u64::from(count));
+        prefill / count + interval.mul_f64(tokens)
+    }
+
+    /// Counts tokens that started.
+    pub fn count_started(&mut self, now: Time, long: bool, tokens: u64) {
+        let drain = &mut self.drains[usize::from(long)];
+        if drain.backlog_since.is_some() {
+            drain.started += tokens as f64;
+        }
+        drain.settle(now);
+    }
+
+    /// Says whether requests wait; only then does what starts tell the drain.
+    pub fn set_backlog(&mut self, now: Time, long: bool, backlog: bool) {
+        let drain = &mut self.drains[usize::from(long)];
+        match (backlog, drain.backlog_since) {
+            (true, None) => {
+                drain.backlog_since = Some(now);
+                drain.started = 0.0;
+            }
+            (false, Some(_)) => drain.backlog_since = None,
+            _ => drain.settle(now),
+        }
+    }
+
+    /// Tokens a second that start while others wait; `whole` before that was seen.
+    pub fn drain_rate(&self, _now: Time, long: bool, whole: f64) -> f64 {
+        self.drains[usize::from(long)].rate.unwrap_or(whole)
+    }
+}
+
+impl Drain {
+    /// Takes a measured second or more into the rate.
+    fn settle(&mut self, now: Time) {
+        let Some(since) = self.backlog_since else {
+            return;
+        };
+        let span = now.since(since).as_secs_f64();
+        if span < 1.0 {
+            return;
+        }
+        let seen = self.started / span;
+        let weight = 1.0 - (-span / DRAIN_WINDOW_S).exp();
+        let before = self.rate.unwrap_or(seen);
+        self.rate = Some(before + (seen - before) * weight);
+        self.backlog_since = Some(now);
+        self.started = 0.0;
+    }
+}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins and fixtures for badgerferry's tests.
+//!
+//! Each stand-in is a small model without I/O and a program that serves it over HTTP:
+//! the platform, a model engine, a plain service. Each can be told to misbehave. There
+//! is no topology and no network model here.
+
+pub mod fake_engine;
+pub mod fake_platform;
+pub mod fixtures;
+pub mod fleet;
+pub mod http;
+pub mod processes;
