testutils: run requests and settings in virtual time under faults

Two seeded runs drive the library's own machines against fakes and assert the invariants as they go. Requests: engines and boxes die, freeze and are cut apart, releases are lost, frames are doubled, crossed and left out. Settings: two to eight operators race, answers are lost after the write, writes come seconds late, the platform is down, old checkpoints are removed.

Now a dispatch is counted once per placement, and only an unsent request goes back.

--- a/daemon/src/request_run.rs
+++ b/daemon/src/request_run.rs
@@ -97,6 +97,7 @@
     tx: mpsc::Sender<ToCaller>,
     prompt_tokens: u64,
     last_token: Option<Time>,
+    held: Vec<(ServerName, AttemptId)>,
 }
 
 /// Runs a request to its outcome.
@@ -128,6 +129,7 @@
         tx,
         prompt_tokens: request.prompt_tokens,
         last_token: None,
+        held: Vec::new(),
     };
     let now = traffic.clock.now();
     traffic.decide(|dispatcher| dispatcher.arrive(now, request, limit, &mut rand::rng()));
@@ -266,8 +268,13 @@
         found.unwrap_or_else(|| "0.0.0.0:0".to_owned())
     }
 
+    fn hold(&mut self, server: &ServerName, id: AttemptId) {
+        self.traffic.hold(server, id);
+        self.held.push((server.clone(), id));
+    }
+
     fn reserve(&mut self, server: &ServerName, group: AttemptId, tokens: u64) {
-        self.traffic.hold(server, group);
+        self.hold(server, group);
         let address = self.address(server);
         let asked = ReserveRequest {
             group,
@@ -318,7 +325,7 @@
         attempt: AttemptId,
         group: Option<AttemptId>,
     ) {
-        self.traffic.hold(server, attempt);
+        self.hold(server, attempt);
         let address = self.address(server);
         let prompt = match group {
             Some(_) => String::new(),
@@ -344,7 +351,6 @@
     }
 
     fn release(&self, server: &ServerName, group: AttemptId) {
-        self.traffic.let_go(server, group);
         let address = self.address(server);
         let engine = self.traffic.engine.clone();
         tokio::spawn(async move {
@@ -356,7 +362,6 @@
     fn cancel(&mut self, server: &ServerName, attempt: AttemptId) {
         self.stream = None;
         self.step = None;
-        self.traffic.let_go(server, attempt);
         let address = self.address(server);
         let engine = self.traffic.engine.clone();
         tokio::spawn(async move {
@@ -377,6 +382,9 @@
     fn ended(&mut self, now: Time, end: &PlacementEnd) {
         self.stream = None;
         self.step = None;
+        for (server, id) in self.held.drain(..) {
+            self.traffic.let_go(&server, id);
+        }
         if let PlacementEnd::Whole { prompt_tokens, .. } = end {
             self.prompt_tokens = *prompt_tokens;
             let mut estimate = lock(&self.traffic.estimate);
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -213,6 +213,7 @@
     attempts: u32,
     group_tries: u32,
     dispatches: u32,
+    dispatches_since_proof: u32,
     prefill: Duration,
     step_deadline: Time,
 }
@@ -228,6 +229,7 @@
             attempts: 0,
             group_tries: 0,
             dispatches: 0,
+            dispatches_since_proof: 0,
             prefill: Duration::ZERO,
             step_deadline: Time::FAR,
         }
@@ -429,6 +431,7 @@
 
     fn spend(&mut self) {
         self.dispatches += 1;
+        self.dispatches_since_proof += 1;
         self.claim = match self.claim.take() {
             Some(Claim::Unsent(proof)) => Some(Claim::Trying(proof.dispatch())),
             _ => Some(Claim::MayHaveRun),
@@ -447,10 +450,9 @@
             self.spend();
             self.attempts += 1;
         }
-        let trying = matches!(self.claim, Some(Claim::Trying(_)));
         assert!(
-            self.limits.repeatable || trying,
-            "a not-repeatable request is sent only while it certainly has not run"
+            self.limits.repeatable || self.dispatches_since_proof == 1,
+            "a not-repeatable request is dispatched only while it certainly has not run"
         );
         let attempt = AttemptId::draw(rng);
         out.push(Action::Send {
@@ -472,7 +474,10 @@
             return;
         };
         self.claim = match self.claim.take() {
-            Some(Claim::Trying(in_flight)) => Some(Claim::Unsent(in_flight.not_started(evidence))),
+            Some(Claim::Trying(in_flight)) => {
+                self.dispatches_since_proof = 0;
+                Some(Claim::Unsent(in_flight.not_started(evidence)))
+            }
             other => other,
         };
         // The attempt left nothing behind at the server; a group's reservations are released.
@@ -495,16 +500,17 @@
         };
         self.claim = Some(Claim::MayHaveRun);
         self.abandon(PlacementEnd::Failed(server.clone()), out);
-        if self.limits.repeatable {
-            self.again(server, out);
-        } else {
-            self.finish(Outcome::Failed(FailureReason::ServerLost), out);
-        }
+        self.again(server, out);
     }
 
     fn again(&mut self, avoid: ServerName, out: &mut Vec<Action>) {
         self.phase = Phase::Waiting;
         self.step_deadline = Time::FAR;
+        let unsent = matches!(self.claim, Some(Claim::Unsent(_)));
+        if !self.limits.repeatable && !unsent {
+            self.finish(Outcome::Failed(FailureReason::ServerLost), out);
+            return;
+        }
         if self.attempts < self.limits.max_attempts {
             out.push(Action::QueueAgain {
                 avoid: Some(avoid),
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,4 @@
+//! The library's tests, in one runner.
+
+mod test_request_seeds;
+mod test_settings_seeds;
--- /dev/null
+++ b/lib/tests/test_request_seeds.rs
@@ -0,0 +1,24 @@
+//! Long seeded runs of the request path; the world asserts the invariants as it goes.
+//!
+//! Any number of seeds: `cargo run --release --bin emulate -- seeds requests --count N`.
+
+use badgerferry_testutils::seeded_requests;
+use badgerferry_testutils::seeded_requests::RunCounts;
+
+const SEEDS: u64 = 1_000;
+
+#[test]
+fn request_invariants_hold_over_seeds() {
+    let mut counts = RunCounts::default();
+
+    for seed in 0..SEEDS {
+        counts.add(seeded_requests::run(seed));
+    }
+
+    // The runs must have provoked every kind of end, or they prove nothing.
+    assert!(counts.completed > 10_000, "{counts:?}");
+    assert!(counts.refused > 500, "{counts:?}");
+    assert!(counts.failed > 500, "{counts:?}");
+    assert!(counts.cancelled > 100, "{counts:?}");
+    assert!(counts.lost_with_box > 50, "{counts:?}");
+}
--- a/testutils/src/fake_engine.rs
+++ b/testutils/src/fake_engine.rs
@@ -180,6 +180,11 @@
         self.jobs.len() + self.reservations.len()
     }
 
+    /// Whether it knows a job or a reservation.
+    pub fn knows(&self, id: AttemptId) -> bool {
+        self.jobs.contains_key(&id) || self.reservations.contains_key(&id)
+    }
+
     /// Models that are loaded.
     pub fn models(&self) -> &[ModelName] {
         &self.models
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,3 +10,6 @@
 pub mod fleet;
 pub mod http;
 pub mod processes;
+pub mod seeded_requests;
+pub mod seeded_settings;
+pub mod world;
