dispatcher: keep room for short calls on engines that hold long prompts

Ruled out: the chunk that a short call waits for (at most 36 ms), and herding (the lag was 100 ms). Long prompts together now leave 15% of each engine free, and the lane may grow to all engines; a smaller lane only makes the long ones wait.

The drain of the long queue was measured over 5 s, in which a box starts no long prompt at all, and was taken for a standstill.

What a decision depends on is worked out once for each, not once for each question asked of it.

--- a/lib/src/long_lane.rs
+++ b/lib/src/long_lane.rs
@@ -15,7 +15,8 @@
 use crate::request::Share;
 use crate::server_view::ServerView;
 
-/// Part of an engine's memory that one long prompt may take; the rest is for short calls.
+/// Part of an engine's memory that long prompts together may take; the rest stays free for
+/// short calls, which would otherwise wait for a long one's end.
 pub const LONG_MEMORY_PERCENT: u64 = 85;
 /// Half-life of the demand that the lane's size follows, in seconds.
 const DEMAND_HALF_LIFE_S: f64 = 60.0;
@@ -75,6 +76,12 @@
     server.memory_total() * LONG_MEMORY_PERCENT / 100
 }
 
+/// Tokens of an engine's memory that another long prompt may take now.
+pub fn long_room(server: &ServerView) -> u64 {
+    let kept = server.memory_total() - usable_memory(server);
+    server.memory_free().saturating_sub(kept)
+}
+
 /// Splits a prompt over engines in order of preference; none if they do not suffice.
 ///
 /// `whole` is the memory for the prompt and its answer, in tokens. The shares come out in
@@ -84,7 +91,7 @@
     let mut left = whole;
     let mut shares = Vec::new();
     for server in candidates {
-        let held = server.memory_free().min(usable_memory(server)).min(left);
+        let held = long_room(server).min(left);
         if held > 0 {
             left -= held;
             shares.push(Share {
--- a/lib/src/service_time.rs
+++ b/lib/src/service_time.rs
@@ -13,14 +13,49 @@
 const OUTPUT_WEIGHT: f64 = 0.02;
 /// Length assumed before the first answer, in tokens.
 const FIRST_OUTPUT: f64 = 128.0;
-/// Time constant of the measured drain.
-const DRAIN_WINDOW_S: f64 = 5.0;
+/// Time constant of the measured drain of short requests.
+const SHORT_WINDOW_S: f64 = 5.0;
+/// Time constant of the drain of long ones, of which a box starts one in several seconds; a
+/// shorter window takes the pauses between them for a standstill and refuses in vain.
+const LONG_WINDOW_S: f64 = 120.0;
+
+/// How fast the servers of a model work, as reported.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Prompt tokens a second at one server.
+    pub prefill_rate: f64,
+    /// Prompt tokens a second at all of them.
+    pub whole_rate: f64,
+    /// Time between tokens of one answer.
+    pub token_interval: Duration,
+}
+
+impl Pace {
+    /// The mean pace of servers.
+    pub fn of<'a>(servers: impl Iterator<Item = &'a ServerView>) -> Self {
+        let mut rate = 0;
+        let mut interval_us = 0;
+        let mut count = 0_u32;
+        for server in servers {
+            rate += server.prefill_rate();
+            interval_us += server.report().map_or(0, |report| report.token_interval_us);
+            count += 1;
+        }
+        let servers = f64::from(count.max(1));
+        Self {
+            prefill_rate: (rate as f64 / servers).max(1.0),
+            whole_rate: (rate as f64).max(1.0),
+            token_interval: Duration::from_micros(interval_us / u64::from(count.max(1))),
+        }
+    }
+}
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Drain {
     backlog_since: Option<Time>,
     started: f64,
     rate: Option<f64>,
+    window_s: f64,
 }
 
 /// Expected times of one model's requests.
@@ -45,29 +80,14 @@
         self.output += (tokens as f64 - self.output) * OUTPUT_WEIGHT;
     }
 
-    /// Time from a start to the whole answer at the mean of these servers.
-    pub fn expect<'a>(
-        &self,
-        request: &Request,
-        servers: impl Iterator<Item = &'a ServerView>,
-    ) -> Duration {
+    /// Time from a start to the whole answer of a request at this pace.
+    pub fn expect(&self, request: &Request, pace: Pace) -> Duration {
         if request.prompt_tokens == 0 {
             return Duration::ZERO;
         }
-        let mut prefill = Duration::ZERO;
-        let mut interval_us = 0;
-        let mut count = 0;
-        for server in servers {
-            prefill += server.prefill_time(request.prompt_tokens);
-            interval_us += server.report().map_or(0, |report| report.token_interval_us);
-            count += 1;
-        }
-        if count == 0 {
-            return Duration::ZERO;
-        }
+        let prefill = Duration::from_secs_f64(request.prompt_tokens as f64 / pace.prefill_rate);
         let tokens = self.output.min(request.max_output as f64);
-        let interval = Duration::from_micros(interval_us / u64::from(count));
-        prefill / count + interval.mul_f64(tokens)
+        prefill + pace.token_interval.mul_f64(tokens)
     }
 
     /// Counts tokens that started.
@@ -80,8 +100,12 @@
     }
 
     /// Says whether requests wait; only then does what starts tell the drain.
-    pub fn set_backlog(&mut self, now: Time, long: bool, backlog: bool) {
+    ///
+    /// `expected` is the drain in tokens a second before any was seen.
+    pub fn set_backlog(&mut self, now: Time, long: bool, backlog: bool, expected: f64) {
         let drain = &mut self.drains[usize::from(long)];
+        drain.window_s = if long { LONG_WINDOW_S } else { SHORT_WINDOW_S };
+        drain.rate.get_or_insert(expected);
         match (backlog, drain.backlog_since) {
             (true, None) => {
                 drain.backlog_since = Some(now);
@@ -92,9 +116,9 @@
         }
     }
 
-    /// Tokens a second that start while others wait; `whole` before that was seen.
-    pub fn drain_rate(&self, _now: Time, long: bool, whole: f64) -> f64 {
-        self.drains[usize::from(long)].rate.unwrap_or(whole)
+    /// Tokens a second that start while others wait; `expected` before any was seen.
+    pub fn drain_rate(&self, long: bool, expected: f64) -> f64 {
+        self.drains[usize::from(long)].rate.unwrap_or(expected)
     }
 }
 
@@ -109,7 +133,7 @@
             return;
         }
         let seen = self.started / span;
-        let weight = 1.0 - (-span / DRAIN_WINDOW_S).exp();
+        let weight = 1.0 - (-span / self.window_s).exp();
         let before = self.rate.unwrap_or(seen);
         self.rate = Some(before + (seen - before) * weight);
         self.backlog_since = Some(now);
--- a/lib/src/settings_schema.rs
+++ b/lib/src/settings_schema.rs
@@ -111,8 +111,8 @@
         "Work kept queued at one engine; the rest waits here, where order can change.";
     RoutingLongPrompt = "routing.long_prompt_tokens", "tokens", whole(32_000, 1_000, 1_000_000),
         "Prompts above this are long and stay on the engines set apart for them.";
-    RoutingLongShare = "routing.long_share_percent", "%", whole(50, 0, 100),
-        "Most engines of a model that long prompts may use.";
+    RoutingLongShare = "routing.long_share_percent", "%", whole(100, 0, 100),
+        "Most engines of a model that long prompts may use; the rest of each engine's memory and every chunk goes to short ones first.";
     RoutingHallTrip = "routing.hall_trip_ms", "ms", whole(2, 0, 10_000),
         "What another data hall must be better by before a request goes there.";
     RetryBudget = "retry.budget_percent", "%", whole(20, 0, 100),
--- a/testutils/src/seeded_settings.rs
+++ b/testutils/src/seeded_settings.rs
@@ -28,6 +28,7 @@
 use badgerferry_lib::settings_head::Committed;
 use badgerferry_lib::settings_head::Edit;
 use badgerferry_lib::settings_head::HEAD_KEY;
+use badgerferry_lib::settings_head::Head;
 use badgerferry_lib::settings_head::decode;
 use badgerferry_lib::settings_tree::Change;
 use badgerferry_lib::settings_tree::NodeKind;
@@ -53,7 +54,7 @@
 /// Faults end by then.
 const FAULTS_END: Duration = Duration::from_secs(90);
 /// Everything is settled by then.
-const END: Duration = Duration::from_secs(400);
+const END: Duration = Duration::from_secs(250);
 const FOLLOW_EVERY: Duration = Duration::from_secs(1);
 /// Checkpoints kept; few, so that history is removed under slow operators.
 const KEPT_CHECKPOINTS: usize = 3;
@@ -138,6 +139,7 @@
     accepted: BTreeMap<EditId, Revision>,
     rejected: Vec<EditId>,
     outages: Vec<(Time, Time)>,
+    noted: Option<Head>,
     counts: SettingsCounts,
 }
 
@@ -177,6 +179,7 @@
             accepted: BTreeMap::new(),
             rejected: Vec::new(),
             outages,
+            noted: None,
             counts: SettingsCounts::default(),
             rng,
         };
@@ -355,6 +358,10 @@
     /// Keeps the tree of each revision, and asserts that there is one only.
     fn note_head(&mut self) {
         let head = read_head(&self.platform.peek(self.now, HEAD_KEY)).expect("a sound head");
+        if self.noted.as_ref() == Some(&head) {
+            return;
+        }
+        self.noted = Some(head.clone());
         let checkpoint = head
             .checkpoint
             .as_ref()
--- a/testutils/src/world.rs
+++ b/testutils/src/world.rs
@@ -85,6 +85,8 @@
     pub report_lag: Duration,
     /// Routing settings.
     pub routing: RoutingSettings,
+    /// Whether engines serve in order of arrival whatever the rank.
+    pub in_order: bool,
 }
 
 /// Routing settings as they are by default.
@@ -107,6 +109,7 @@
             report_every: Duration::from_millis(250),
             report_lag: Duration::from_millis(100),
             routing: default_routing(),
+            in_order: false,
         }
     }
 }
@@ -490,7 +493,7 @@
 fn new_box(plan: &WorldPlan, index: usize, life: u32, rng: &mut ChaCha8Rng) -> BoxState {
     let hall = |number: usize| HallName::new(format!("hall-{}", number % plan.halls));
     let mut dispatcher = Dispatcher::new(hall(index), plan.policy, plan.routing.clone());
-    dispatcher.set_boxes(plan.boxes);
+    dispatcher.set_boxes(plan.boxes.div_ceil(plan.halls));
     let engine = |engine| ServerInfo {
         name: engine_name(engine),
         hall: hall(engine),
--- a/testutils/src/world/engines.rs
+++ b/testutils/src/world/engines.rs
@@ -88,7 +88,11 @@
         let running = boxx.running.get(&route.request);
         running.map_or_else(Default::default, |running| {
             let request = &running.asked.request;
-            request.priority.rank(boxx.dispatcher.is_long(request))
+            let long = boxx.dispatcher.is_long(request);
+            if self.plan.in_order {
+                return badgerferry_lib::priority::Rank::default();
+            }
+            request.priority.rank(long)
         })
     }
 
