routing: draw two servers, and believe a refused reservation

Cause: with eight drawn, 39 boxes find the same few idle engines in the same stale reports. Ruled out: the long prompts, since the short ones alone suffered too (522 ms with 8, 306 ms with 2). The default is 2 now; it was 8.

With a lag of 5 s, 13 of 42 prompts of a million tokens were refused for want of a server: a group asked the same full engine again every 20 ms, because its last report said that there was room, and used its 1000 tries up. A refusal is newer news than the report now; none is lost.

A long prompt that others at its engine delay is no longer tried elsewhere after 10 s and three times its prefill, which threw the prefill away: it waits for a third of its time left. A request whose limit can't be met even by an idle server is refused before it is sent: the test with a limit of 1 ms got 'deadline_while_running' before.

--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -324,7 +324,8 @@
                     self.settings.breaker_failures,
                     self.settings.breaker_open,
                 ),
-                PlacementEnd::Failed(_) | PlacementEnd::Neutral => {
+                PlacementEnd::NoRoom(full) if full == name => server.had_no_room(now),
+                PlacementEnd::Failed(_) | PlacementEnd::NoRoom(_) | PlacementEnd::Neutral => {
                     server.breaker.on_nothing_learned(now);
                 }
             }
@@ -405,9 +406,10 @@
         }
         if self.policy == Policy::Cost {
             let needed = self.times(&key.model).expect(request, fleet.pace);
-            let allowed = now.until(request.deadline).saturating_sub(needed);
-            if wait > allowed {
-                let retry_after = wait.saturating_sub(allowed).max(Duration::from_secs(1));
+            let left = now.until(request.deadline);
+            if wait + needed > left {
+                let over = (wait + needed).saturating_sub(left);
+                let retry_after = over.max(Duration::from_secs(1));
                 return Err((RefusalReason::WouldMissDeadline, retry_after));
             }
         }
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -33,6 +33,10 @@
 
 /// Prefill estimates may be off by this factor before the engine is taken for lost.
 const PREFILL_SLACK: u32 = 3;
+/// Prefill from which a prompt is worth waiting for: trying it elsewhere throws it away.
+const LONG_PREFILL: Duration = Duration::from_secs(2);
+/// Part of the time left that such a prompt waits for its first token at one engine.
+const LONG_PATIENCE: u32 = 3;
 /// Placements of a group that found an engine taken, before the request is refused.
 const MAX_GROUP_TRIES: u32 = 1_000;
 
@@ -169,6 +173,8 @@
     },
     /// This server failed.
     Failed(ServerName),
+    /// This server had no room for its share.
+    NoRoom(ServerName),
     /// Nothing can be learned of the servers.
     Neutral,
 }
@@ -375,10 +381,11 @@
     }
 
     fn on_not_reserved(&mut self, out: &mut Vec<Action>) {
-        if !matches!(self.phase, Phase::Reserving(_)) {
-            return;
-        }
-        self.abandon(PlacementEnd::Neutral, out);
+        let end = match (&self.phase, self.current_server()) {
+            (Phase::Reserving(_), Some(server)) => PlacementEnd::NoRoom(server.clone()),
+            _ => return,
+        };
+        self.abandon(end, out);
         self.group_tries += 1;
         if self.group_tries >= MAX_GROUP_TRIES {
             self.on_refused(RefusalReason::NoServer, Some(Duration::from_secs(1)), out);
@@ -415,7 +422,7 @@
             from,
             tokens: share.prompt,
         });
-        self.step_deadline = now + self.limits.first_token + self.prefill * PREFILL_SLACK;
+        self.step_deadline = self.first_token_deadline(now);
         self.phase = Phase::Prefilling { group, index };
     }
 
@@ -429,6 +436,19 @@
         }
     }
 
+    /// When the first token, or a share, must have come.
+    ///
+    /// An engine that died closes its connection and is known at once. This limit is for
+    /// one that stands still, so a long prompt, which others at the engine may delay by
+    /// their own prefill, gets a part of its whole time.
+    fn first_token_deadline(&self, now: Time) -> Time {
+        let usual = now + self.limits.first_token + self.prefill * PREFILL_SLACK;
+        if self.prefill < LONG_PREFILL {
+            return usual;
+        }
+        usual + now.until(self.limits.deadline) / LONG_PATIENCE
+    }
+
     fn spend(&mut self) {
         self.dispatches += 1;
         self.dispatches_since_proof += 1;
@@ -461,7 +481,7 @@
             group: group.as_ref().map(|group| group.id),
             offset: self.join.next_offset(),
         });
-        self.step_deadline = now + self.limits.first_token + self.prefill * PREFILL_SLACK;
+        self.step_deadline = self.first_token_deadline(now);
         self.phase = Phase::Streaming {
             server,
             attempt,
--- a/lib/src/long_lane.rs
+++ b/lib/src/long_lane.rs
@@ -78,6 +78,9 @@
 
 /// Tokens of an engine's memory that another long prompt may take now.
 pub fn long_room(server: &ServerView) -> u64 {
+    if server.is_known_full() {
+        return 0;
+    }
     let kept = server.memory_total() - usable_memory(server);
     server.memory_free().saturating_sub(kept)
 }
--- a/lib/src/server_view.rs
+++ b/lib/src/server_view.rs
@@ -108,6 +108,7 @@
     seen: Option<Seen>,
     own: BTreeMap<RequestId, OwnWork>,
     prefixes: VecDeque<(PrefixHash, u64)>,
+    no_room_at: Option<Time>,
     /// Whether the server rests after failures.
     pub breaker: Breaker,
 }
@@ -120,6 +121,7 @@
             seen: None,
             own: BTreeMap::new(),
             prefixes: VecDeque::new(),
+            no_room_at: None,
             breaker: Breaker::Closed,
         }
     }
@@ -260,6 +262,17 @@
         })
     }
 
+    /// Records that the server had no room for a reservation; newer news than its report.
+    pub const fn had_no_room(&mut self, now: Time) {
+        self.no_room_at = Some(now);
+    }
+
+    /// Whether the server said that it has no room since it made its last report.
+    pub fn is_known_full(&self) -> bool {
+        let taken_at = self.seen.as_ref().map_or(Time::ZERO, |seen| seen.taken_at);
+        self.no_room_at.is_some_and(|at| at >= taken_at)
+    }
+
     /// All memory, in tokens.
     pub fn memory_total(&self) -> u64 {
         self.report().map_or(0, |report| report.memory_total)
--- a/lib/src/settings_schema.rs
+++ b/lib/src/settings_schema.rs
@@ -105,8 +105,8 @@
         "SHA-256 of each key that opens the workspace; the keys themselves are never stored.";
     ModelBytesPerToken = "model.bytes_per_token_x100", "1/100 byte", whole(400, 50, 3_200),
         "First guess of prompt bytes per token; corrected by what engines report.";
-    RoutingSamples = "routing.samples", "servers", whole(8, 2, 64),
-        "Servers drawn for one decision; all boxes choosing the one best would herd.";
+    RoutingSamples = "routing.samples", "servers", whole(2, 1, 64),
+        "Servers drawn for one decision; the more, the more boxes herd to the same stale report.";
     RoutingQueue = "routing.queue_ms", "ms", whole(250, 1, 60_000),
         "Work kept queued at one engine; the rest waits here, where order can change.";
     RoutingLongPrompt = "routing.long_prompt_tokens", "tokens", whole(32_000, 1_000, 1_000_000),
--- a/lib/src/settings_tree.rs
+++ b/lib/src/settings_tree.rs
@@ -335,7 +335,7 @@
         let mut at = name;
         while let Some(parent) = self.nodes.get(at).and_then(|node| node.parent.as_ref()) {
             if !seen.insert(parent) {
-                return Some(TreeError::Cycle(name.clone()));
+                return Some(TreeError::Cycle(parent.clone()));
             }
             if seen.len() > MAX_DEPTH {
                 return Some(TreeError::TooDeep(name.clone()));
--- a/testutils/src/bin/emulate.rs
+++ b/testutils/src/bin/emulate.rs
@@ -70,6 +70,10 @@
 }
 
 /// Measure load in virtual time, policies side by side.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch of the command line is one"
+)]
 #[derive(FromArgs)]
 #[argh(subcommand, name = "load")]
 struct LoadArgs {
@@ -115,6 +119,9 @@
     /// most engines that long prompts may use, in percent; the setting's default if not given
     #[argh(option)]
     long_share: Option<u64>,
+    /// servers drawn for one decision; the setting's default if not given
+    #[argh(option)]
+    samples: Option<usize>,
     /// the seed (1)
     #[argh(option, default = "1")]
     seed: u64,
@@ -125,6 +132,9 @@
     if let Some(percent) = args.long_share {
         routing.long_share_percent = percent;
     }
+    if let Some(samples) = args.samples {
+        routing.samples = samples;
+    }
     LoadPlan {
         world: WorldPlan {
             routing,
--- a/testutils/src/seeded_settings.rs
+++ b/testutils/src/seeded_settings.rs
@@ -20,6 +20,7 @@
 use badgerferry_lib::settings_commit::NoAnswer;
 use badgerferry_lib::settings_commit::SettingsCommit;
 use badgerferry_lib::settings_commit::SwapAnswer;
+use badgerferry_lib::settings_commit::Version;
 use badgerferry_lib::settings_commit::read_head;
 use badgerferry_lib::settings_follow::Followed;
 use badgerferry_lib::settings_follow::SettingsFollow;
@@ -140,6 +141,7 @@
     rejected: Vec<EditId>,
     outages: Vec<(Time, Time)>,
     noted: Option<Head>,
+    versions: Vec<Version>,
     counts: SettingsCounts,
 }
 
@@ -180,6 +182,7 @@
             rejected: Vec::new(),
             outages,
             noted: None,
+            versions: vec![0; boxes],
             counts: SettingsCounts::default(),
             rng,
         };
@@ -433,6 +436,11 @@
             return;
         }
         let found = self.platform.read(self.now, HEAD_KEY);
+        if found.version == self.versions[index] {
+            // A watch that nothing woke.
+            return;
+        }
+        self.versions[index] = found.version;
         let head = read_head(&found).expect("a sound head");
         let followed = self.boxes[index].on_platform(self.now, head.clone(), None);
         if let Followed::NeedsCheckpoint(key) = followed {
@@ -445,6 +453,9 @@
     fn ask_peer(&mut self, index: usize) {
         self.after(FOLLOW_EVERY, What::AskPeer(index));
         let other = self.rng.random_range(0..self.boxes.len());
+        if self.boxes[other].revision() <= self.boxes[index].revision() {
+            return;
+        }
         let Some(head) = self.boxes[other].head().cloned() else {
             return;
         };
