daemon: join boxes, hold leases, give fenced orders

Boxes exchange who lives, which settings they have and what they ask of each workspace's limit, over nng, in versioned frames with a keyed MAC. A box that starts while the platform is down serves from a peer's copy. One box of a hall holds the placement lease and gives fenced, level-triggered orders.

--- a/daemon/src/box_config.rs
+++ b/daemon/src/box_config.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 
 /// Bytes of the key that peers share.
-pub const PEER_KEY_BYTES: usize = 32;
+pub const PEER_KEY_BYTES: usize = badgerferry_lib::peer_wire::KEY_BYTES;
 /// Most traffic threads; a small entry box has a few cores.
 const MAX_TRAFFIC_THREADS: u64 = 64;
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
--- a/daemon/src/box_list.rs
+++ b/daemon/src/box_list.rs
@@ -15,6 +15,7 @@
 
 use crate::stop::BALANCER_NOTICE;
 use crate::traffic::Traffic;
+use crate::traffic::lock;
 
 /// Time between readings; 350 daemons make 175 calls a second.
 const EVERY: Duration = Duration::from_secs(2);
@@ -38,15 +39,15 @@
 }
 
 fn take(traffic: &Traffic, list: &BoxList, leaving_since: &mut Option<Time>) {
-    let hall = &traffic.config.hall;
-    let serving = list
-        .boxes
-        .iter()
-        .filter(|found| found.hall == *hall && !found.leaving);
+    let serving = {
+        let mut membership = lock(&traffic.membership);
+        membership.on_list(list);
+        membership.serving_boxes(traffic.clock.now())
+    };
     {
         let mut dispatcher = traffic.dispatcher();
         dispatcher.set_servers(&list.servers);
-        dispatcher.set_boxes(serving.count());
+        dispatcher.set_boxes(serving);
     }
     let own = list
         .boxes
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -18,6 +18,8 @@
 
 use crate::box_list;
 use crate::engine_reports;
+use crate::peers;
+use crate::placement_control;
 use crate::settings_watch;
 use crate::telemetry;
 use crate::traffic::Traffic;
@@ -51,8 +53,8 @@
 ///
 /// The thread or the peers' listener can't be started.
 pub fn start(traffic: &Arc<Traffic>) -> anyhow::Result<SocketAddr> {
+    let peer_address = peers::listen(traffic)?;
     let traffic = Arc::clone(traffic);
-    let peer_address = traffic.config.peer_listen;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -70,6 +72,8 @@
         box_list::run(&traffic),
         engine_reports::run(&traffic),
         engine_reports::renew_holdings(&traffic),
+        peers::run(&traffic),
+        placement_control::run(&traffic),
     );
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -17,6 +17,8 @@
 mod control;
 mod engine_reports;
 mod once_claim;
+mod peers;
+mod placement_control;
 mod request_run;
 mod routes;
 mod service_run;
--- a/daemon/src/routes.rs
+++ b/daemon/src/routes.rs
@@ -66,6 +66,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// When to come back after a refusal by a filter.
 const RETRY_LATER: Duration = Duration::from_secs(2);
+/// Most of a body that is too large which is read and thrown away.
+const DISCARDED_BYTES: usize = 1 << 20;
 /// Pieces buffered for a caller that reads slowly.
 const CALLER_BUFFER: usize = 64;
 /// Bytes of a prompt's beginning that engines are taken to cache together.
@@ -184,15 +186,16 @@
         let message = format!("the body is larger than {limit} bytes");
         ApiError::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
     };
-    if req
-        .content_length()
-        .is_some_and(|length| length > limit as u64)
-    {
-        return Err(too_large());
-    }
+    let announced = req.content_length();
     let Ok(body) = req.incoming() else {
         return Ok(Bytes::new());
     };
+    if announced.is_some_and(|length| length > limit as u64) {
+        // Read some of it, or the caller sees its connection break in place of the error.
+        let some = Limited::new(body, DISCARDED_BYTES).collect();
+        let _ = tokio::time::timeout(BODY_TIMEOUT, some).await;
+        return Err(too_large());
+    }
     let whole = Limited::new(body, limit).collect();
     match tokio::time::timeout(BODY_TIMEOUT, whole).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -91,7 +91,12 @@
     gauge!(name).set(value);
 }
 
-/// Counts an event by name and label.
-pub fn count(name: &'static str, what: &'static str) {
-    counter!(name, "what" => what).increment(1);
+/// Counts bytes of exchanges with peers.
+pub fn count_peer_bytes(way: &'static str, bytes: usize) {
+    counter!("badgerferry_peer_bytes_total", "way" => way).increment(bytes as u64);
+}
+
+/// Counts a peer's frame that was dropped.
+pub fn count_bad_frame(why: &'static str) {
+    counter!("badgerferry_bad_peer_frames_total", "why" => why).increment(1);
 }
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use arc_swap::ArcSwapOption;
@@ -24,6 +25,7 @@
 use badgerferry_lib::ids::Incarnation;
 use badgerferry_lib::ids::RequestId;
 use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::membership::Membership;
 use badgerferry_lib::routing::Policy;
 use badgerferry_lib::settings_follow::InForce;
 use badgerferry_lib::settings_follow::SettingsFollow;
@@ -73,6 +75,8 @@
     pub owner: Owner,
     /// The settings in force; none before the first revision.
     pub settings: ArcSwapOption<SettingsView>,
+    /// The other boxes.
+    pub membership: Mutex<Membership>,
     /// Engines.
     pub engine: HttpEngine,
     /// Plain services.
@@ -112,11 +116,21 @@
         };
         let view = SettingsView::new(&defaults, config.hall.as_str());
         let dispatcher = Dispatcher::new(config.hall.clone(), Policy::Cost, view.routing);
+        let clock = Clock::start();
+        let incarnation = Incarnation::draw(&mut rand::rng());
+        let membership = Membership::new(
+            config.name.clone(),
+            config.hall.clone(),
+            incarnation,
+            millis_since_epoch(),
+            clock.now(),
+        );
         Self {
-            clock: Clock::start(),
+            clock,
+            membership: Mutex::new(membership),
             owner: Owner {
                 name: config.name.clone(),
-                incarnation: Incarnation::draw(&mut rand::rng()),
+                incarnation,
             },
             settings: ArcSwapOption::empty(),
             engine: HttpEngine::new(CONTROL_CALL),
@@ -225,6 +239,11 @@
     }
 }
 
+fn millis_since_epoch() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
+
 /// Runs the daemon until it is told to stop.
 ///
 /// # Errors
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,3 +1,7 @@
 //! The daemon's tests, in one runner; they start the real programs.
 
+mod test_bad_input;
+mod test_boxes;
+mod test_command_line;
+mod test_failures;
 mod test_whole_path;
--- /dev/null
+++ b/daemon/tests/test_boxes.rs
@@ -0,0 +1,291 @@
+//! Boxes start, stop, leave, freeze and lose the platform.
+
+use badgerferry_testutils::fleet::Fleet;
+use badgerferry_testutils::fleet::FleetPlan;
+use badgerferry_testutils::fleet::WORKSPACE_KEY;
+use badgerferry_testutils::fleet::chat_body;
+use badgerferry_testutils::fleet::stderr;
+use badgerferry_testutils::fleet::wait_until;
+use serde_json::Value;
+use serde_json::json;
+
+#[tokio::test]
+async fn planned_stop_cuts_nothing_off() -> anyhow::Result<()> {
+    let engine_args = ["--iteration-ms", "150"];
+    let plan = FleetPlan {
+        engine_args: engine_args.map(str::to_owned).to_vec(),
+        ..FleetPlan::default()
+    };
+    let mut fleet = Fleet::start(&plan).await?;
+    let caller = fleet.caller.clone();
+    let address = fleet.boxes[0].address;
+    let body = chat_body("a long answer", true).to_string();
+    let asking = tokio::spawn(async move {
+        let bearer = format!("Bearer {WORKSPACE_KEY}");
+        let headers = [("authorization", bearer.as_str())];
+        let path = "/v1/chat/completions";
+        caller
+            .call(hyper::Method::POST, address, path, &headers, body)
+            .await
+    });
+    wait_until("the request is at an engine", async || {
+        fleet.status(0).await.is_ok_and(|status| status.active > 0)
+    })
+    .await?;
+
+    fleet.boxes[0].signal("TERM")?;
+
+    let ready = fleet.caller.get(address, "/readyz").await?;
+    let answer = asking.await??;
+    assert_eq!(ready.status, 503, "readiness fails first");
+    assert!(
+        answer.text().ends_with("data: [DONE]\n\n"),
+        "cut off: {}",
+        answer.text()
+    );
+    let daemon = &mut fleet.boxes[0];
+    let mut code = daemon.ended()?;
+    while code.is_none() {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        code = daemon.ended()?;
+    }
+    assert_eq!(code, Some(0));
+    Ok(())
+}
+
+#[tokio::test]
+async fn box_that_the_list_calls_leaving_gets_no_new_work() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(&FleetPlan::default()).await?;
+    fleet.list.boxes[0].leaving = true;
+    fleet.tell_list().await?;
+
+    wait_until("new work is refused", async || {
+        let answer = fleet.chat(0, "hello", &[]).await;
+        answer.is_ok_and(|answer| answer.status == 503)
+    })
+    .await?;
+    let refused: Value = fleet.chat(0, "hello", &[]).await?.json()?;
+    let other = fleet.chat(1, "hello", &[]).await?;
+    fleet.list.boxes[0].leaving = false;
+    fleet.tell_list().await?;
+
+    assert_eq!(refused["error"]["code"], "box_leaving");
+    assert!(other.status.is_success());
+    wait_until("a list that flapped does no harm", async || {
+        let answer = fleet.chat(0, "hello", &[]).await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    })
+    .await
+}
+
+#[tokio::test]
+async fn leaving_engine_gets_no_new_work_though_the_list_lags() -> anyhow::Result<()> {
+    let fleet = Fleet::start(&FleetPlan::default()).await?;
+
+    fleet
+        .set_faults(fleet.engines[0].address, &json!({"leaving": true}))
+        .await?;
+
+    wait_until("the engine's own word is known", async || {
+        let status = fleet.status(0).await;
+        status.is_ok_and(|status| {
+            status
+                .servers
+                .iter()
+                .any(|server| server.name.as_str() == "engine-0" && !server.takes_work)
+        })
+    })
+    .await?;
+    let before = fleet.holdings(0).await?["generates"].clone();
+    for _ in 0..10 {
+        assert!(fleet.chat(0, "hello", &[]).await?.status.is_success());
+    }
+    assert_eq!(fleet.holdings(0).await?["generates"], before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn box_that_starts_without_the_platform_serves_from_a_peer() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(&FleetPlan::default()).await?;
+    let edit = fleet.cli(&["settings", "set", "texas", "request.max_output_tokens", "5"])?;
+    assert!(edit.status.success(), "{}", stderr(&edit));
+    assert!(fleet.cli(&["settings", "wait", "2"])?.status.success());
+    fleet
+        .set_faults(fleet.platform.address, &json!({"down": true}))
+        .await?;
+
+    fleet.boxes[0].kill();
+    fleet.boxes[0] = fleet.start_box(0)?;
+
+    wait_until("the newest settings are in force", async || {
+        let status = fleet.status(0).await;
+        status.is_ok_and(|status| status.ready && status.settings.revision.0 == 2)
+    })
+    .await
+}
+
+#[tokio::test]
+async fn boxes_that_all_start_without_the_platform_refuse_truthfully() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(&FleetPlan::default()).await?;
+    fleet
+        .set_faults(fleet.platform.address, &json!({"down": true}))
+        .await?;
+    for daemon in &mut fleet.boxes {
+        daemon.kill();
+    }
+
+    for index in 0..2 {
+        fleet.boxes[index] = fleet.start_box(index)?;
+    }
+    let refused = fleet.chat(0, "hello", &[]).await?;
+    fleet.set_faults(fleet.platform.address, &json!({})).await?;
+
+    let body: Value = refused.json()?;
+    assert_eq!(body["error"]["code"], "no_settings", "{body}");
+    assert_eq!(body["error"]["ran"], "no");
+    for index in 0..2 {
+        fleet.wait_serving(index, 3).await?;
+    }
+    assert!(fleet.chat(0, "hello", &[]).await?.status.is_success());
+    Ok(())
+}
+
+#[tokio::test]
+async fn frozen_lease_holder_wakes_without_the_lease() -> anyhow::Result<()> {
+    let plan = FleetPlan {
+        settings: vec![
+            ("lease.ttl_ms", 1_500.into()),
+            ("placement.copies", json!({"llm-pool": 3})),
+        ],
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(&plan).await?;
+    let holder = async |but: Option<usize>| {
+        for index in (0..2).filter(|index| Some(*index) != but) {
+            if let Ok(status) = fleet.status(index).await
+                && let Some(lease) = status.lease.filter(|lease| lease.in_force_here)
+            {
+                return Some((index, lease.fence));
+            }
+        }
+        None
+    };
+    wait_until("a box holds the lease", async || {
+        holder(None).await.is_some()
+    })
+    .await?;
+    let (first, old_fence) = holder(None).await.unwrap_or_default();
+
+    fleet.boxes[first].signal("STOP")?;
+    let taken = wait_until("the other box holds it", async || {
+        holder(Some(first)).await.is_some()
+    })
+    .await;
+    fleet.boxes[first].signal("CONT")?;
+    taken?;
+
+    let (second, new_fence) = holder(Some(first)).await.unwrap_or_default();
+    assert!(
+        second != first && new_fence > old_fence,
+        "{new_fence} after {old_fence}"
+    );
+    wait_until("the woken holder knows", async || {
+        let status = fleet.status(first).await;
+        status.is_ok_and(|status| {
+            status
+                .lease
+                .is_some_and(|lease| !lease.in_force_here && lease.fence == new_fence)
+        })
+    })
+    .await
+}
+
+#[tokio::test]
+async fn wanted_copies_are_loaded_by_fenced_orders() -> anyhow::Result<()> {
+    let plan = FleetPlan {
+        settings: vec![
+            ("lease.ttl_ms", 1_500.into()),
+            ("placement.hysteresis_ms", 0.into()),
+            ("placement.loads_per_min", 600.into()),
+        ],
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(&plan).await?;
+
+    let edit = fleet.cli(&[
+        "settings",
+        "set",
+        "fleet",
+        "placement.copies",
+        r#"{"judge@v2": 2}"#,
+    ])?;
+
+    assert!(edit.status.success(), "{}", stderr(&edit));
+    wait_until("two engines have the model", async || {
+        let Ok(status) = fleet.status(0).await else {
+            return false;
+        };
+        let has = |server: &&badgerferry_lib::status_wire::ServerStatus| {
+            server.serves.contains(&"judge@v2".to_owned())
+        };
+        status.servers.iter().filter(has).count() == 2
+    })
+    .await?;
+    let log = fleet.log(0)? + &fleet.log(1)?;
+    assert_eq!(
+        log.matches("placement decision").count(),
+        2,
+        "one order per engine"
+    );
+    Ok(())
+}
+
+#[tokio::test]
+async fn stranger_without_the_key_changes_nothing() -> anyhow::Result<()> {
+    use badgerferry_edges::peer::NngPeer;
+    use badgerferry_edges::peer::Peer;
+    let fleet = Fleet::start(&FleetPlan::default()).await?;
+    let address = fleet.list.boxes[0].peer_address.clone();
+    let stranger = NngPeer {
+        limit: std::time::Duration::from_millis(500),
+        max_frame: 1_000_000,
+    };
+    let rng = &mut badgerferry_testutils::fixtures::rng(1);
+    let row = badgerferry_lib::membership::BoxRow {
+        name: badgerferry_lib::ids::BoxName::new("box-9"),
+        hall: badgerferry_lib::ids::HallName::new("hall-a"),
+        incarnation: badgerferry_lib::ids::Incarnation::draw(rng),
+        generation: 1,
+        beat: 1,
+        leaving: false,
+        revision: badgerferry_lib::ids::Revision(99),
+    };
+    let message = badgerferry_lib::peer_wire::PeerMessage::Hello {
+        from: row,
+        rows: Vec::new(),
+        demand: Vec::new(),
+        wants_checkpoint: false,
+    };
+    let sealed = badgerferry_lib::peer_wire::seal(&[7; 32], &message);
+
+    let answers = [sealed.as_slice(), b"nonsense".as_slice()]
+        .map(|frame| stranger.exchange(&address, frame).is_ok());
+
+    assert_eq!(answers, [false, false]);
+    let metrics = fleet
+        .caller
+        .get(fleet.boxes[0].address, "/metrics")
+        .await?
+        .text();
+    assert!(
+        metrics.contains("badgerferry_bad_peer_frames_total{why=\"mac\"} 1"),
+        "{metrics}"
+    );
+    assert!(
+        metrics.contains("badgerferry_bad_peer_frames_total{why=\"shape\"} 1"),
+        "{metrics}"
+    );
+    let peers = fleet.status(0).await?.peers;
+    assert!(peers.iter().all(|peer| peer.name.as_str() != "box-9"));
+    Ok(())
+}
--- a/edges/src/lib.rs
+++ b/edges/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod engine;
 pub mod link;
+pub mod peer;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/edges/tests/runner.rs
@@ -0,0 +1,3 @@
+//! The edges' tests, in one runner.
+
+mod test_peer;
--- a/testutils/src/bin/standin-engine.rs
+++ b/testutils/src/bin/standin-engine.rs
@@ -33,6 +33,8 @@
 use badgerferry_testutils::fake_engine::Output;
 use badgerferry_testutils::fake_engine::Work;
 use badgerferry_testutils::http;
+use badgerferry_testutils::http::bad_request;
+use badgerferry_testutils::http::body;
 use badgerferry_testutils::http::json_answer;
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -191,16 +193,6 @@
     json_answer(StatusCode::SERVICE_UNAVAILABLE, &fault)
 }
 
-/// Reads a JSON body of any size.
-async fn body<T: for<'de> Deserialize<'de>>(req: &mut Request) -> viz::Result<Option<T>> {
-    let bytes = req.bytes().await?;
-    Ok(serde_json::from_slice(&bytes).ok())
-}
-
-fn bad_request() -> Response {
-    StatusCode::BAD_REQUEST.into_response()
-}
-
 fn work_of(asked: &GenerateRequest) -> Work {
     let mut hash = DefaultHasher::new();
     asked.prompt.hash(&mut hash);
--- a/testutils/src/bin/standin-platform.rs
+++ b/testutils/src/bin/standin-platform.rs
@@ -17,6 +17,8 @@
 use badgerferry_testutils::fake_platform::FakePlatform;
 use badgerferry_testutils::fake_platform::WriteRefusal;
 use badgerferry_testutils::http;
+use badgerferry_testutils::http::bad_request;
+use badgerferry_testutils::http::body;
 use badgerferry_testutils::http::json_answer;
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -220,7 +222,9 @@
 
 async fn lease(mut req: Request) -> viz::Result<Response> {
     let standin = standin(&req);
-    let asked: LeaseRequest = req.json().await?;
+    let Some(asked) = body::<LeaseRequest>(&mut req).await? else {
+        return Ok(bad_request());
+    };
     let Some(()) = standin.enter().await else {
         return Ok(down());
     };
@@ -249,9 +253,8 @@
 
 async fn set_boxes(mut req: Request) -> viz::Result<Response> {
     let standin = standin(&req);
-    let bytes = req.bytes().await?;
-    let Ok(list) = serde_json::from_slice::<BoxList>(&bytes) else {
-        return Ok(StatusCode::BAD_REQUEST.into_response());
+    let Some(list) = body::<BoxList>(&mut req).await? else {
+        return Ok(bad_request());
     };
     standin.with(|inner| inner.told.push((Instant::now(), list)));
     Ok(StatusCode::OK.into_response())
@@ -259,7 +262,9 @@
 
 async fn set_faults(mut req: Request) -> viz::Result<Response> {
     let standin = standin(&req);
-    let faults: Faults = req.json().await?;
+    let Some(faults) = body::<Faults>(&mut req).await? else {
+        return Ok(bad_request());
+    };
     standin.with(|inner| inner.faults = faults);
     standin.changed.notify_waiters();
     Ok(StatusCode::OK.into_response())
--- a/testutils/src/bin/standin-service.rs
+++ b/testutils/src/bin/standin-service.rs
@@ -9,6 +9,8 @@
 use argh::FromArgs;
 use badgerferry_lib::engine_wire::ServerFault;
 use badgerferry_testutils::http;
+use badgerferry_testutils::http::bad_request;
+use badgerferry_testutils::http::body;
 use badgerferry_testutils::http::json_answer;
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -98,7 +100,9 @@
 
 async fn set_faults(mut req: Request) -> viz::Result<Response> {
     let standin = standin(&req);
-    let faults: Faults = req.json().await?;
+    let Some(faults) = body::<Faults>(&mut req).await? else {
+        return Ok(bad_request());
+    };
     standin.with(|inner| inner.faults = faults);
     Ok(StatusCode::OK.into_response())
 }
--- a/testutils/src/http.rs
+++ b/testutils/src/http.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use viz::IntoResponse;
+use viz::RequestExt;
 use viz::Response;
 use viz::Router;
 
@@ -45,6 +46,21 @@
     answer
 }
 
+/// Reads a JSON body of any size and content type; none if it is not what was expected.
+///
+/// # Errors
+///
+/// The body broke off.
+pub async fn body<T: DeserializeOwned>(req: &mut Request<viz::Body>) -> viz::Result<Option<T>> {
+    let bytes = req.bytes().await?;
+    Ok(serde_json::from_slice(&bytes).ok())
+}
+
+/// An answer to a body that is not what was expected.
+pub fn bad_request() -> Response {
+    StatusCode::BAD_REQUEST.into_response()
+}
+
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
