placement: keep the old version until the new one is loaded

A seeded run of leases and placement asserts that a model whose version changes has a copy loaded at every instant. Seed 756 of the first 2000 broke it:

83.0 give unload judge@v1 at engine 0 (arrives 1.6 s later) 83.0 give load judge@v2, lost on the way 84.0 give unload judge@v1 at engine 1 102.3 'no copy of the model is loaded'

Cause: the last copy was judged by what the engines reported, and the engine that had just been told to unload still reported the model. Ruled out: the late order itself; with prompt orders the same two unloads follow each other within a second. Now no copy of a version that is wanted no more goes until another wanted version is loaded in full, not counting engines that were told to unload it.

--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -189,11 +189,11 @@
         model: &ModelName,
         reason: Reason,
     ) -> Option<PlacementOrder> {
-        let holders = || seen.iter().filter(|engine| engine.models.contains(model));
-        if holders().count() <= 1 && !has_heir(model, wanted, seen) {
+        if wanted.copies.get(model) == Some(&0) && !self.has_heir(model, wanted, seen) {
             return None;
         }
-        let free = holders().filter(|engine| !self.given.contains_key(&engine.name));
+        let holders = seen.iter().filter(|engine| engine.models.contains(model));
+        let free = holders.filter(|engine| !self.given.contains_key(&engine.name));
         let chosen = free.min_by_key(|engine| {
             let position = lane_position(model, &engine.name);
             (engine.running, std::cmp::Reverse(position))
@@ -204,6 +204,29 @@
         Some(self.give(now, chosen.name.clone(), action, reason))
     }
 
+    /// Whether the model's copies may go: no other version of it is wanted, or one that is
+    /// wanted is loaded in full. Until then the old copies serve.
+    fn has_heir(&self, model: &ModelName, wanted: &Wanted, seen: &[SeenEngine]) -> bool {
+        let heirs = wanted
+            .copies
+            .iter()
+            .filter(|(other, want)| *other != model && base(other) == base(model) && **want > 0);
+        let mut loaded = heirs.map(|(other, want)| {
+            let has = |engine: &&SeenEngine| {
+                let leaves = matches!(
+                    self.given.get(&engine.name),
+                    Some((OrderAction::Unload { model }, _)) if model == other
+                );
+                engine.models.contains(other) && !leaves
+            };
+            seen.iter().filter(has).count() as u64 >= *want
+        });
+        match loaded.next() {
+            None => true,
+            Some(first) => first || loaded.any(|full| full),
+        }
+    }
+
     fn give(
         &mut self,
         now: Time,
@@ -224,23 +247,3 @@
     let text = model.as_str();
     text.split(VERSION_MARK).next().unwrap_or(text)
 }
-
-/// Whether the model's last copy may go: none is wanted of any version of it, or another
-/// version is loaded in full.
-fn has_heir(model: &ModelName, wanted: &Wanted, seen: &[SeenEngine]) -> bool {
-    let mut heirs = wanted
-        .copies
-        .iter()
-        .filter(|(other, want)| *other != model && base(other) == base(model) && **want > 0)
-        .peekable();
-    if heirs.peek().is_none() {
-        return wanted.copies.get(model) == Some(&0);
-    }
-    heirs.any(|(other, want)| {
-        let copies = seen
-            .iter()
-            .filter(|engine| engine.models.contains(other))
-            .count();
-        copies as u64 >= *want
-    })
-}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,4 +1,5 @@
 //! The library's tests, in one runner.
 
+mod test_lease_seeds;
 mod test_request_seeds;
 mod test_settings_seeds;
--- a/testutils/src/bin/emulate.rs
+++ b/testutils/src/bin/emulate.rs
@@ -9,6 +9,8 @@
 use badgerferry_testutils::load::LoadPlan;
 use badgerferry_testutils::load::LoadResult;
 use badgerferry_testutils::load::POLICIES;
+use badgerferry_testutils::seeded_leases;
+use badgerferry_testutils::seeded_leases::LeaseCounts;
 use badgerferry_testutils::seeded_requests;
 use badgerferry_testutils::seeded_requests::RunCounts;
 use badgerferry_testutils::seeded_settings;
@@ -35,7 +37,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "seeds")]
 struct SeedsArgs {
-    /// what to run: requests or settings
+    /// what to run: requests, settings or leases
     #[argh(positional)]
     what: String,
     /// first seed (0)
@@ -242,6 +244,7 @@
         Command::Load(args) => return measure_load(&args),
     };
     match args.what.as_str() {
+        "leases" => run_and_tell(&args, seeded_leases::run, LeaseCounts::add),
         "settings" => run_and_tell(&args, seeded_settings::run, SettingsCounts::add),
         _ => run_and_tell(&args, seeded_requests::run, RunCounts::add),
     }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod load;
 pub mod processes;
+pub mod seeded_leases;
 pub mod seeded_requests;
 pub mod seeded_settings;
 pub mod seeds;
