--- /dev/null
+++ b/lib/tests/test_scenarios.rs
@@ -0,0 +1,263 @@
+//! Scripted scenarios of the request's machine and of the lease, in a small language.
+//!
+//! Each file under `scenarios/` is read and run; `REWRITE=1` writes what comes out, to be
+//! read before it is kept. `docs/contributing.md` describes the language.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use badgerferry_lib::exchange::Action;
+use badgerferry_lib::exchange::Event;
+use badgerferry_lib::exchange::Exchange;
+use badgerferry_lib::exchange::ExchangeLimits;
+use badgerferry_lib::ids::AttemptId;
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::lease::Lease;
+use badgerferry_lib::outcome::Outcome;
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::platform_wire::LeaseAnswer;
+use badgerferry_lib::request::Placement;
+use badgerferry_lib::request::Share;
+use badgerferry_lib::settings_commit::NoAnswer;
+use badgerferry_lib::stream_join::Frame;
+use badgerferry_lib::stream_join::FrameBody;
+use badgerferry_lib::time::Time;
+use badgerferry_testutils::fixtures::rng;
+use datadriven::TestCase;
+use rand_chacha::ChaCha8Rng;
+
+fn arg<'a>(case: &'a TestCase, name: &str) -> Option<&'a str> {
+    let values = case.args.get(name)?;
+    values.first().map(String::as_str)
+}
+
+fn millis(case: &TestCase, name: &str) -> u64 {
+    let text = arg(case, name).unwrap_or("0");
+    text.parse().expect("milliseconds")
+}
+
+/// Writes identifiers as `A1`, `A2` in the order in which they are first seen.
+#[derive(Default)]
+struct Names(HashMap<AttemptId, usize>);
+
+impl Names {
+    fn of(&mut self, id: AttemptId) -> String {
+        let next = self.0.len() + 1;
+        format!("A{}", self.0.entry(id).or_insert(next))
+    }
+}
+
+struct ExchangeScene {
+    exchange: Exchange,
+    attempt: AttemptId,
+    rng: ChaCha8Rng,
+    names: Names,
+}
+
+impl ExchangeScene {
+    fn new(case: &TestCase) -> Self {
+        let mut rng = rng(1);
+        let limits = ExchangeLimits {
+            deadline: Time::from_millis(millis(case, "limit")),
+            first_token: Duration::from_secs(10),
+            between_tokens: Duration::from_secs(5),
+            max_attempts: millis(case, "attempts") as u32,
+            repeatable: arg(case, "repeatable") != Some("no"),
+        };
+        Self {
+            exchange: Exchange::new(limits),
+            attempt: AttemptId::draw(&mut rng),
+            rng,
+            names: Names::default(),
+        }
+    }
+
+    fn frame(&self, words: &[&str], own: bool) -> Frame {
+        let other = AttemptId::draw(&mut rng(99));
+        let number = words[1].parse().expect("a number");
+        let body = match words[0] {
+            "end" => FrameBody::End {
+                tokens: number,
+                prompt_tokens: 7,
+            },
+            _ => FrameBody::Token {
+                offset: number,
+                text: words[2].to_owned(),
+            },
+        };
+        Frame {
+            attempt: if own { self.attempt } else { other },
+            body,
+        }
+    }
+
+    /// One line of input: what happens.
+    fn happen(&mut self, now: Time, line: &str) -> Vec<String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let frame;
+        let event = match words[0] {
+            "place" => Event::Placed {
+                placement: placement(&words[1..]),
+                prefill: Duration::from_millis(100),
+            },
+            "refuse" => Event::Refused {
+                reason: RefusalReason::WouldMissDeadline,
+                retry_after: Some(Duration::from_secs(3)),
+            },
+            "reserved" => Event::Reserved,
+            "no-room" => Event::NotReserved,
+            "ready" => Event::ShareReady,
+            "no-connection" => Event::NoConnection,
+            "not-started" => Event::ServerDidNotStart,
+            "answered" => Event::Answered,
+            "broken" => Event::Broken,
+            "gone" => Event::CallerGone,
+            "tick" => Event::Tick,
+            "foreign" => {
+                frame = self.frame(&words[1..], false);
+                Event::Frame(&frame)
+            }
+            "token" | "end" => {
+                frame = self.frame(&words, true);
+                Event::Frame(&frame)
+            }
+            other => panic!("no such happening: {other}"),
+        };
+        let actions = self.exchange.on(now, &event, &mut self.rng);
+        actions
+            .into_iter()
+            .map(|action| self.line(action))
+            .collect()
+    }
+
+    fn line(&mut self, action: Action) -> String {
+        match action {
+            Action::Reserve { server, tokens, .. } => format!("reserve {tokens} at {server}"),
+            Action::Release { server, .. } => format!("release at {server}"),
+            Action::Prefill {
+                server,
+                from,
+                tokens,
+                ..
+            } => format!("prefill {tokens} from {from} at {server}"),
+            Action::Send {
+                server,
+                attempt,
+                group,
+                offset,
+            } => {
+                self.attempt = attempt;
+                let group = if group.is_some() {
+                    " with the group"
+                } else {
+                    ""
+                };
+                format!(
+                    "send {} to {server} from {offset}{group}",
+                    self.names.of(attempt)
+                )
+            }
+            Action::Cancel { server, attempt } => {
+                format!("cancel {} at {server}", self.names.of(attempt))
+            }
+            Action::Forward(text) => format!("forward {text}"),
+            Action::CountDropped(why) => format!("drop {}", why.label()),
+            Action::FirstToken => "first token".to_owned(),
+            Action::Ended(end) => format!("ended {end:?}"),
+            Action::QueueAgain { avoid, repeat } => {
+                let avoid = avoid.map_or_else(|| "nobody".to_owned(), |name| name.to_string());
+                format!("queue again, avoid {avoid}, repeat {repeat}")
+            }
+            Action::Finish(outcome) => format!("finish: {}", outcome_line(&outcome)),
+        }
+    }
+}
+
+fn outcome_line(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Completed { tokens } => format!("whole, {tokens} tokens"),
+        Outcome::Refused(refused) => {
+            format!(
+                "not run ({}), back in {:?}",
+                refused.reason(),
+                refused.retry_after()
+            )
+        }
+        Outcome::Failed(reason) => format!("may have run ({reason})"),
+        Outcome::Cancelled => "cancelled".to_owned(),
+    }
+}
+
+fn placement(words: &[&str]) -> Placement {
+    let share = |word: &&str| {
+        let (server, tokens) = word.split_once(':').expect("server:tokens");
+        let tokens = tokens.parse().expect("a number");
+        Share {
+            server: ServerName::new(server),
+            tokens,
+            prompt: tokens,
+        }
+    };
+    match words {
+        [one] if !one.contains(':') => Placement::One(ServerName::new(*one)),
+        shares => Placement::Group(shares.iter().map(share).collect()),
+    }
+}
+
+#[test]
+fn exchange_scenarios() {
+    datadriven::walk("tests/scenarios/exchange", |file| {
+        let mut scene = None;
+        file.run(|case| {
+            if case.directive == "request" {
+                scene = Some(ExchangeScene::new(case));
+                return String::new();
+            }
+            assert_eq!(case.directive, "at");
+            let scene = scene.as_mut().expect("a request comes first");
+            let now = Time::from_millis(millis(case, "ms"));
+            let lines = case.input.lines().flat_map(|line| scene.happen(now, line));
+            lines.map(|line| line + "\n").collect::<String>()
+        });
+    });
+}
+
+fn lease_answer(case: &TestCase) -> Result<LeaseAnswer, NoAnswer> {
+    match arg(case, "granted") {
+        None => Err(NoAnswer),
+        Some(granted) => Ok(LeaseAnswer {
+            granted: granted == "yes",
+            holder: arg(case, "holder").unwrap_or("me").to_owned(),
+            fence: millis(case, "fence"),
+        }),
+    }
+}
+
+#[test]
+fn lease_scenarios() {
+    datadriven::walk("tests/scenarios/lease", |file| {
+        let mut lease = Lease::new(Duration::from_secs(10));
+        file.run(|case| {
+            let now = Time::from_millis(millis(case, "ms"));
+            match case.directive.as_str() {
+                "lease" => lease = Lease::new(Duration::from_millis(millis(case, "ttl"))),
+                "answer" => {
+                    let asked_at = Time::from_millis(millis(case, "asked"));
+                    lease.on_answer(asked_at, now, lease_answer(case));
+                }
+                "look" => {}
+                other => panic!("no such directive: {other}"),
+            }
+            let order = match lease.fence(now) {
+                Some(fence) => format!("may order under {fence}"),
+                None => "may not order".to_owned(),
+            };
+            let ask = if lease.wants_to_ask(now) {
+                ", asks"
+            } else {
+                ""
+            };
+            format!("{order}{ask}\n")
+        });
+    });
+}
