lib: one place for what stood twice, and smaller files

The events of virtual time are kept by one agenda in place of three; which old checkpoints may go is decided by the library for the command line and for the seeded run; a request's events and actions, what the dispatcher decides and its view of a model's servers are files of their own. Taking a list of servers no longer compares each with each, which at 1,300 is 1.7 million names under the lock that traffic takes too.

The seeded run of leases changes the version to and fro while faults last: its check that engines had refused enough old orders failed (7 of 1,000 seeds where more than 10 are wanted), because orders were few.

--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -23,6 +23,7 @@
 use badgerferry_lib::settings_head::HEAD_KEY;
 use badgerferry_lib::settings_head::Head;
 use badgerferry_lib::settings_head::decode;
+use badgerferry_lib::settings_head::old_checkpoints;
 use badgerferry_lib::settings_tree::Change;
 use badgerferry_lib::settings_tree::SettingsTree;
 use badgerferry_lib::status_wire::DaemonStatus;
@@ -222,15 +223,11 @@
     }
 
     /// Removes checkpoints that are older than the history that is kept.
-    ///
-    /// One that a slow editor is about to name is newer than the head's own, so it is
-    /// never among the oldest; see `docs/design/settings.md`.
     async fn remove_old_checkpoints(&self) -> Result<(), NoAnswer> {
-        let mut keys = self.platform.list(CHECKPOINT_PREFIX).await?;
-        keys.sort_by_key(|key| std::cmp::Reverse(checkpoint_revision(key)));
-        for key in keys.iter().skip(KEPT_CHECKPOINTS) {
-            let found = self.platform.read(key).await?;
-            self.platform.delete(key, found.version).await?;
+        let keys = self.platform.list(CHECKPOINT_PREFIX).await?;
+        for key in old_checkpoints(keys, KEPT_CHECKPOINTS) {
+            let found = self.platform.read(&key).await?;
+            self.platform.delete(&key, found.version).await?;
         }
         Ok(())
     }
@@ -248,13 +245,6 @@
     }
 }
 
-/// The revision in a checkpoint's key.
-fn checkpoint_revision(key: &str) -> Revision {
-    let rest = key.strip_prefix(CHECKPOINT_PREFIX).unwrap_or_default();
-    let digits = rest.split('-').next().unwrap_or_default();
-    Revision(digits.parse().unwrap_or_default())
-}
-
 fn seconds_since_epoch() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0, |span| span.as_secs())
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -10,11 +10,16 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::Rng;
 
+pub use crate::decision::Decision;
+pub use crate::decision::Load;
+pub use crate::decision::Start;
 use crate::exchange::PlacementEnd;
+use crate::fleet::Fleet;
 use crate::ids::HallName;
 use crate::ids::ModelName;
 use crate::ids::RequestId;
@@ -36,7 +41,6 @@
 use crate::server_view::OwnWork;
 use crate::server_view::ServerInfo;
 use crate::server_view::ServerView;
-use crate::service_time::Pace;
 use crate::service_time::ServiceTime;
 use crate::settings_view::RoutingSettings;
 use crate::time::Time;
@@ -47,37 +51,6 @@
 /// When to come back after a refusal whose cause has no queue to compute from.
 const RETRY_LATER: Duration = Duration::from_secs(2);
 
-/// What to do with a request.
-#[derive(Debug, Clone)]
-pub enum Decision {
-    /// Start it.
-    Start(Start),
-    /// Refuse it, or give it up.
-    Refuse {
-        /// The request.
-        request: RequestId,
-        /// Why.
-        reason: RefusalReason,
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
-
-/// A request that starts.
-#[derive(Debug, Clone)]
-pub struct Start {
-    /// The request.
-    pub request: RequestId,
-    /// Where it goes.
-    pub placement: Placement,
-    /// Expected time of its prefill there.
-    pub prefill: Duration,
-    /// How long it waited here.
-    pub waited: Duration,
-    /// What was weighed.
-    pub weighed: Vec<Candidate>,
-}
-
 /// Requests that wait for the same servers.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueKey {
@@ -92,32 +65,6 @@
     avoid: Vec<ServerName>,
 }
 
-/// The servers of a model at one instant.
-#[derive(Debug)]
-struct Fleet {
-    /// Indices of those that take work.
-    serving: Vec<usize>,
-    /// How fast they work.
-    pace: Pace,
-    /// Prompt tokens a second of the hall's own, over its boxes.
-    own_rate: f64,
-    /// Memory that long prompts may take, at all of them.
-    usable_memory: u64,
-    /// The same, at the largest.
-    most_memory: u64,
-}
-
-/// Counts for `status` and metrics.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests waiting here.
-    pub waiting: usize,
-    /// Their prompt tokens.
-    pub waiting_tokens: u64,
-    /// Requests at servers.
-    pub active: usize,
-}
-
 /// The decisions of one box.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -206,24 +153,14 @@
                 self.servers.push(ServerView::new(info.clone()));
             }
         }
+        let names: HashSet<&ServerName> = listed.iter().map(|info| &info.name).collect();
         for server in &mut self.servers {
-            if !listed.iter().any(|info| info.name == server.info().name) {
-                let mut info = server.info().clone();
-                info.leaving = true;
-                server.set_info(info);
+            if !names.contains(&server.info().name) {
+                server.set_leaving();
             }
         }
-        self.forget_unlisted(listed);
-    }
-
-    fn forget_unlisted(&mut self, listed: &[ServerInfo]) {
-        let stays = |server: &ServerView| {
-            server.in_flight() > 0 || listed.iter().any(|info| info.name == server.info().name)
-        };
-        if self.servers.iter().all(stays) {
-            return;
-        }
-        self.servers.retain(stays);
+        self.servers
+            .retain(|server| server.in_flight() > 0 || names.contains(&server.info().name));
         self.by_name = (self.servers.iter().enumerate())
             .map(|(index, server)| (server.info().name.clone(), index))
             .collect();
@@ -427,26 +364,7 @@
 
     /// The servers of a model as they stand, worked out once for a decision.
     fn fleet(&self, now: Time, model: &ModelName) -> Fleet {
-        let serves = |&index: &usize| {
-            let server = &self.servers[index];
-            server.takes_work(now) && server.serves(model)
-        };
-        let serving: Vec<usize> = (0..self.servers.len()).filter(serves).collect();
-        let views = || serving.iter().map(|&index| &self.servers[index]);
-        Fleet {
-            pace: Pace::of(views()),
-            own_rate: views()
-                .filter(|server| server.info().hall == self.hall)
-                .map(|server| server.prefill_rate() as f64)
-                .sum::<f64>()
-                / self.boxes as f64,
-            usable_memory: views().map(long_lane::usable_memory).sum(),
-            most_memory: views()
-                .map(long_lane::usable_memory)
-                .max()
-                .unwrap_or_default(),
-            serving,
-        }
+        Fleet::new(now, &self.servers, model, &self.hall, self.boxes)
     }
 
     fn times(&self, model: &ModelName) -> ServiceTime {
@@ -598,22 +516,12 @@
         });
         let demand = self.demand.get(model).copied().unwrap_or_default();
         let size = demand.lane_size(lane.len(), self.settings.long_share_percent);
-        lane.truncate(size.max(self.group_size(request, &lane)));
+        let wanted = request.prompt_tokens + request.max_output;
+        let views = lane.iter().map(|&index| &self.servers[index]);
+        lane.truncate(size.max(long_lane::group_size(views, wanted)));
         lane
     }
 
-    /// Engines that the request needs at least.
-    fn group_size(&self, request: &Request, lane: &[usize]) -> usize {
-        let mut left = request.prompt_tokens + request.max_output;
-        for (count, &index) in lane.iter().enumerate() {
-            if left == 0 {
-                return count;
-            }
-            left = left.saturating_sub(long_lane::usable_memory(&self.servers[index]));
-        }
-        lane.len()
-    }
-
     fn is_free_for_long(&self, now: Time, index: usize) -> bool {
         let server = &self.servers[index];
         server.prefill_time(server.long_queued(now)) <= self.settings.queue
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,9 +10,12 @@
 
 pub mod backoff;
 pub mod breaker;
+pub mod decision;
 pub mod dispatcher;
 pub mod engine_wire;
 pub mod exchange;
+pub mod exchange_action;
+mod fleet;
 pub mod ids;
 pub mod lease;
 pub mod long_lane;
--- a/lib/src/long_lane.rs
+++ b/lib/src/long_lane.rs
@@ -76,6 +76,20 @@
     server.memory_total() * LONG_MEMORY_PERCENT / 100
 }
 
+/// How many of the engines, from the first on, hold this many tokens.
+pub fn group_size<'a>(engines: impl Iterator<Item = &'a ServerView>, tokens: u64) -> usize {
+    let mut left = tokens;
+    let mut count = 0;
+    for engine in engines {
+        if left == 0 {
+            break;
+        }
+        left = left.saturating_sub(usable_memory(engine));
+        count += 1;
+    }
+    count
+}
+
 /// Tokens of an engine's memory that another long prompt may take now.
 pub fn long_room(server: &ServerView) -> u64 {
     if server.is_known_full() {
--- a/lib/src/server_view.rs
+++ b/lib/src/server_view.rs
@@ -136,6 +136,11 @@
         self.info = info;
     }
 
+    /// Gives it no new work from now on: the list no longer has it.
+    pub const fn set_leaving(&mut self) {
+        self.info.leaving = true;
+    }
+
     /// Takes a report; an older one than the last is ignored.
     pub fn set_report(&mut self, report: EngineReport, taken_at: Time) {
         let newer = self
--- a/lib/src/settings_head.rs
+++ b/lib/src/settings_head.rs
@@ -230,6 +230,22 @@
     }
 }
 
+/// The revision in a checkpoint's key; zero for a key that is none.
+fn key_revision(key: &str) -> Revision {
+    let rest = key.strip_prefix(CHECKPOINT_PREFIX).unwrap_or_default();
+    let digits = rest.split('-').next().unwrap_or_default();
+    Revision(digits.parse().unwrap_or_default())
+}
+
+/// The checkpoints that may be removed if the `kept` newest stay.
+///
+/// One that a slow editor is about to name is newer than the head's own, so it is never
+/// among them while its swap can still succeed; see `docs/design/settings.md`.
+pub fn old_checkpoints(mut keys: Vec<String>, kept: usize) -> Vec<String> {
+    keys.sort_by_key(|key| std::cmp::Reverse(key_revision(key)));
+    keys.split_off(kept.min(keys.len()))
+}
+
 /// Encodes a value as it is stored.
 ///
 /// # Panics
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 //! the platform, a model engine, a plain service. Each can be told to misbehave. There
 //! is no topology and no network model here.
 
+pub mod agenda;
 pub mod fake_engine;
 pub mod fake_platform;
 pub mod fixtures;
--- a/testutils/src/seeded_leases.rs
+++ b/testutils/src/seeded_leases.rs
@@ -10,7 +10,6 @@
 //! - after the last fault the engines have exactly what is wanted.
 
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use badgerferry_lib::engine_wire::OrderAction;
@@ -29,6 +28,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::agenda::Agenda;
 use crate::fake_engine::EngineSize;
 use crate::fake_engine::FakeEngine;
 use crate::fake_platform::FakePlatform;
@@ -37,7 +37,7 @@
 const TTL: Duration = Duration::from_secs(10);
 const CALL: Duration = Duration::from_secs(2);
 const FAULTS_END: Duration = Duration::from_secs(200);
-const VERSION_CHANGE: Duration = Duration::from_secs(80);
+const VERSION_TURN: Duration = Duration::from_secs(40);
 const END: Duration = Duration::from_mins(7);
 const LOADS_PER_MIN: u64 = 12;
 /// Longest that an order waits between the holder's look at the clock and the engine.
@@ -82,26 +82,6 @@
     EngineRestarts(usize),
 }
 
-#[derive(Debug)]
-struct Scheduled(Time, u64, What);
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.1 == other.1
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.0, other.1).cmp(&(self.0, self.1))
-    }
-}
-
 #[derive(Debug)]
 struct BoxState {
     lease: Lease,
@@ -112,8 +92,7 @@
 
 struct Run {
     now: Time,
-    heap: BinaryHeap<Scheduled>,
-    order: u64,
+    agenda: Agenda<What>,
     rng: ChaCha8Rng,
     platform: FakePlatform,
     boxes: Vec<BoxState>,
@@ -171,8 +150,7 @@
         };
         let mut run = Self {
             now: Time::ZERO,
-            heap: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             platform: FakePlatform::new(),
             engines: (0..engines)
                 .map(|index| FakeEngine::new(EngineSize::default(), first(index)))
@@ -198,14 +176,13 @@
     }
 
     fn after(&mut self, span: Duration, what: What) {
-        self.order += 1;
-        self.heap.push(Scheduled(self.now + span, self.order, what));
+        self.agenda.put(self.now + span, what);
     }
 
     fn play(&mut self) {
-        while let Some(next) = self.heap.pop().filter(|next| next.0 <= Time::ZERO + END) {
-            self.now = next.0;
-            match next.2 {
+        while let Some((at, what)) = self.agenda.take(Time::ZERO + END) {
+            self.now = at;
+            match what {
                 What::Round(index) => self.round(index),
                 What::Ask(index, asked_at, lost) => self.ask(index, asked_at, lost),
                 What::Answer(index, asked_at, answer) => self.answer(index, asked_at, answer),
@@ -227,7 +204,9 @@
     }
 
     fn wanted(&self) -> Wanted {
-        let changed = self.now >= Time::ZERO + VERSION_CHANGE;
+        // The version goes to and fro while faults last, and ends as the new one.
+        let turns = self.now.since(Time::ZERO).as_secs() / VERSION_TURN.as_secs();
+        let changed = turns % 2 == 1 || self.now >= Time::ZERO + FAULTS_END;
         let copies = if changed {
             [(OLD, 0), (NEW, 2)]
         } else {
--- a/testutils/src/seeded_settings.rs
+++ b/testutils/src/seeded_settings.rs
@@ -9,7 +9,6 @@
 //! - after the last fault every box has the newest revision.
 
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use badgerferry_lib::ids::EditId;
@@ -31,6 +30,7 @@
 use badgerferry_lib::settings_head::HEAD_KEY;
 use badgerferry_lib::settings_head::Head;
 use badgerferry_lib::settings_head::decode;
+use badgerferry_lib::settings_head::old_checkpoints;
 use badgerferry_lib::settings_tree::Change;
 use badgerferry_lib::settings_tree::NodeKind;
 use badgerferry_lib::settings_tree::SettingsTree;
@@ -39,6 +39,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::agenda::Agenda;
 use crate::fake_platform::FakePlatform;
 use crate::fixtures::add;
 use crate::fixtures::set;
@@ -100,26 +101,6 @@
     AskPeer(usize),
 }
 
-#[derive(Debug)]
-struct Scheduled(Time, u64, What);
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.1 == other.1
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.0, other.1).cmp(&(self.0, self.1))
-    }
-}
-
 #[derive(Debug)]
 struct Operator {
     commit: SettingsCommit,
@@ -130,8 +111,7 @@
 
 struct Run {
     now: Time,
-    heap: BinaryHeap<Scheduled>,
-    order: u64,
+    agenda: Agenda<What>,
     rng: ChaCha8Rng,
     platform: FakePlatform,
     operators: Vec<Operator>,
@@ -173,8 +153,7 @@
         let outages = outages.collect();
         let mut run = Self {
             now: Time::ZERO,
-            heap: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             platform: FakePlatform::new(),
             operators: Vec::new(),
             boxes: (0..boxes).map(|_| SettingsFollow::default()).collect(),
@@ -209,15 +188,13 @@
     }
 
     fn after(&mut self, span: Duration, what: What) {
-        self.order += 1;
-        self.heap.push(Scheduled(self.now + span, self.order, what));
+        self.agenda.put(self.now + span, what);
     }
 
     fn play(&mut self) {
-        let end = Time::ZERO + END;
-        while let Some(next) = self.heap.pop().filter(|next| next.0 <= end) {
-            self.now = next.0;
-            match next.2 {
+        while let Some((at, what)) = self.agenda.take(Time::ZERO + END) {
+            self.now = at;
+            match what {
                 What::Operator(index, event) => self.operator(index, event),
                 What::AtPlatform(index, action, lost) => self.at_platform(index, action, lost),
                 What::NextEdit(index) => self.next_edit(index),
@@ -420,15 +397,9 @@
     }
 
     fn remove_old_checkpoints(&mut self) {
-        let mut keys = self.platform.list(self.now, CHECKPOINT_PREFIX);
-        let revision = |key: &String| {
-            let rest = key.strip_prefix(CHECKPOINT_PREFIX).unwrap_or_default();
-            let digits = rest.split('-').next().unwrap_or_default();
-            digits.parse::<u64>().unwrap_or_default()
-        };
-        keys.sort_by_key(|key| std::cmp::Reverse(revision(key)));
-        for key in keys.iter().skip(KEPT_CHECKPOINTS) {
-            let _ = self.platform.delete(self.now, key, None);
+        let keys = self.platform.list(self.now, CHECKPOINT_PREFIX);
+        for key in old_checkpoints(keys, KEPT_CHECKPOINTS) {
+            let _ = self.platform.delete(self.now, &key, None);
         }
     }
 
--- a/testutils/src/world.rs
+++ b/testutils/src/world.rs
@@ -13,7 +13,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use badgerferry_lib::dispatcher::Dispatcher;
@@ -44,6 +43,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::agenda::Agenda;
 use crate::fake_engine::EngineSize;
 use crate::fake_engine::FakeEngine;
 
@@ -242,30 +242,6 @@
     BoxBack(usize),
 }
 
-#[derive(Debug)]
-struct Scheduled {
-    at: Time,
-    order: u64,
-    what: Happening,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     exchange: Exchange,
@@ -302,8 +278,7 @@
 pub struct World {
     plan: WorldPlan,
     now: Time,
-    heap: BinaryHeap<Scheduled>,
-    order: u64,
+    agenda: Agenda<Happening>,
     rng: ChaCha8Rng,
     boxes: Vec<BoxState>,
     engines: Vec<EngineState>,
@@ -347,8 +322,7 @@
             boxes,
             plan,
             now: Time::ZERO,
-            heap: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             rng,
             cuts: Vec::new(),
             lose_until: Time::ZERO,
@@ -392,9 +366,7 @@
     }
 
     fn at(&mut self, at: Time, what: Happening) {
-        self.order += 1;
-        let order = self.order;
-        self.heap.push(Scheduled { at, order, what });
+        self.agenda.put(at, what);
     }
 
     /// Lets a request arrive at a box.
@@ -414,10 +386,9 @@
 
     /// Runs until a time.
     pub fn run_until(&mut self, end: Time) {
-        while self.heap.peek().is_some_and(|next| next.at <= end) {
-            let Some(next) = self.heap.pop() else { break };
-            self.now = next.at;
-            self.happen(next.what);
+        while let Some((at, what)) = self.agenda.take(end) {
+            self.now = at;
+            self.happen(what);
         }
         self.now = end;
     }
