placement: fence every engine before any copy goes

Two unloads of the holder under number 3, frozen between its look at the clock and the send, arrived 24 and 27 s later, after the holder under number 4 had unloaded the other version; the engines had not seen number 4 yet and took them.

Cause: a number protects an engine only once the engine has seen it. Ruled out: the lease's safe part (number 3 was given in it) and the check of the last copy, which was right when it was made. A new holder now gives every engine an order that does nothing but carry its number, again each round until it is taken, and lets no copy go until those that stay are on engines that took one.

--- a/daemon/src/placement_control.rs
+++ b/daemon/src/placement_control.rs
@@ -10,6 +10,7 @@
 use badgerferry_lib::placement::Placement;
 use badgerferry_lib::placement::PlacementOrder;
 use badgerferry_lib::placement::SeenEngine;
+use badgerferry_lib::placement::Tenure;
 use badgerferry_lib::placement::Wanted;
 use badgerferry_lib::platform_wire::LeaseRequest;
 use badgerferry_lib::server_view::ServerKind;
@@ -76,22 +77,25 @@
     settings: &PlacementSettings,
 ) {
     let now = traffic.clock.now();
-    let Some(held_since) = lease.held_since(now) else {
+    let (Some(since), Some(fence)) = (lease.held_since(now), lease.fence(now)) else {
         return;
     };
+    let tenure = Tenure { fence, since };
     let wanted = Wanted {
         copies: settings.copies.clone(),
         hysteresis: settings.hysteresis,
         loads_per_min: settings.loads_per_min,
     };
     let seen = seen_engines(traffic);
-    for order in placement.round(now, held_since, &wanted, &seen) {
+    for order in placement.round(now, tenure, &wanted, &seen) {
         // Asked again for each order: the clock may have gone past the lease's safe part.
         let Some(fence) = lease.fence(traffic.clock.now()) else {
             tracing::warn!(server = %order.server, "order not given: the lease is over");
             return;
         };
-        give(traffic, fence, &order).await;
+        if give(traffic, fence, &order).await {
+            placement.on_taken(fence, &order.server);
+        }
     }
 }
 
@@ -116,9 +120,10 @@
     seen.collect()
 }
 
-async fn give(traffic: &Traffic, fence: u64, order: &PlacementOrder) {
+/// Gives an order; tells whether the engine took it.
+async fn give(traffic: &Traffic, fence: u64, order: &PlacementOrder) -> bool {
     let Some(address) = traffic.address_of(&order.server) else {
-        return;
+        return false;
     };
     let asked = Order {
         fence,
@@ -133,6 +138,7 @@
         taken = done.is_ok(),
         "placement decision"
     );
+    done.is_ok()
 }
 
 fn tell_status(traffic: &Traffic, lease: &Lease) {
--- a/lib/src/engine_wire.rs
+++ b/lib/src/engine_wire.rs
@@ -144,6 +144,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case")]
 pub enum OrderAction {
+    /// Nothing but to take note of the order's number, and to refuse smaller ones.
+    Fence,
     /// Load a model.
     Load {
         /// The model.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -45,9 +45,20 @@
     pub loads_per_min: u64,
 }
 
+/// One holder's time with the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tenure {
+    /// Its fencing number.
+    pub fence: u64,
+    /// When it began.
+    pub since: Time,
+}
+
 /// Why an order is given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
+    /// The engine has not seen this holder's number yet.
+    NewHolder,
     /// Fewer engines have the model than are wanted.
     TooFew {
         /// Engines that have it.
@@ -67,6 +78,7 @@
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::NewHolder => f.write_str("it has not seen this holder's number"),
             Self::TooFew { have, want } => write!(f, "{have} engines have it, {want} are wanted"),
             Self::TooMany { have, want } => {
                 write!(f, "{have} engines have it, only {want} are wanted")
@@ -92,19 +104,32 @@
     differs_since: BTreeMap<ModelName, Time>,
     given: BTreeMap<ServerName, (OrderAction, Time)>,
     last_load: Option<Time>,
+    fence: u64,
+    fenced: BTreeSet<ServerName>,
 }
 
 impl Placement {
-    /// Compares and gives the orders of this round. `held_since` is when the lease was taken.
+    /// Records that an engine took an order: from here on it refuses earlier holders' orders.
+    pub fn on_taken(&mut self, fence: u64, server: &ServerName) {
+        if fence == self.fence {
+            self.fenced.insert(server.clone());
+        }
+    }
+
+    /// Compares and gives the orders of this round.
     pub fn round(
         &mut self,
         now: Time,
-        held_since: Time,
+        tenure: Tenure,
         wanted: &Wanted,
         seen: &[SeenEngine],
     ) -> Vec<PlacementOrder> {
+        if tenure.fence != self.fence {
+            self.fence = tenure.fence;
+            self.fenced.clear();
+        }
         self.forget_done(now, seen);
-        let mut orders = Vec::new();
+        let mut orders = self.fence_engines(seen);
         for (model, &want) in &wanted.copies {
             let have = self.copies(model, seen);
             if have == want {
@@ -117,7 +142,7 @@
             }
             let order = if have < want {
                 let reason = Reason::TooFew { have, want };
-                self.load(now, held_since, wanted, seen, model, reason)
+                self.load(now, tenure.since, wanted, seen, model, reason)
             } else {
                 let reason = Reason::TooMany { have, want };
                 self.unload(now, wanted, seen, model, reason)
@@ -127,6 +152,20 @@
         orders
     }
 
+    /// Orders that do nothing but tell engines of this holder's number. An order of an earlier
+    /// holder that is still on its way is refused from then on.
+    fn fence_engines(&self, seen: &[SeenEngine]) -> Vec<PlacementOrder> {
+        let unfenced = seen
+            .iter()
+            .filter(|engine| !self.fenced.contains(&engine.name));
+        let order = |engine: &SeenEngine| PlacementOrder {
+            server: engine.name.clone(),
+            action: OrderAction::Fence,
+            reason: Reason::NewHolder,
+        };
+        unfenced.map(order).collect()
+    }
+
     /// Engines that have a model, counting orders that are under way.
     fn copies(&self, model: &ModelName, seen: &[SeenEngine]) -> u64 {
         let has = |engine: &&SeenEngine| match self.given.get(&engine.name) {
@@ -141,6 +180,7 @@
         self.given.retain(|name, (action, at)| {
             let engine = seen.iter().find(|engine| engine.name == *name);
             let done = engine.is_none_or(|engine| match action {
+                OrderAction::Fence => true,
                 OrderAction::Load { model } => engine.models.contains(model),
                 OrderAction::Unload { model } => !engine.models.contains(model),
             });
@@ -205,7 +245,8 @@
     }
 
     /// Whether the model's copies may go: no other version of it is wanted, or one that is
-    /// wanted is loaded in full. Until then the old copies serve.
+    /// wanted is loaded in full, on engines that refuse earlier holders' orders. Until then
+    /// the old copies serve.
     fn has_heir(&self, model: &ModelName, wanted: &Wanted, seen: &[SeenEngine]) -> bool {
         let heirs = wanted
             .copies
@@ -217,7 +258,8 @@
                     self.given.get(&engine.name),
                     Some((OrderAction::Unload { model }, _)) if model == other
                 );
-                engine.models.contains(other) && !leaves
+                let fenced = self.fenced.contains(&engine.name);
+                engine.models.contains(other) && fenced && !leaves
             };
             seen.iter().filter(has).count() as u64 >= *want
         });
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_docs;
 mod test_lease_seeds;
+mod test_placement;
 mod test_properties;
 mod test_request_seeds;
 mod test_scenarios;
--- a/testutils/src/fake_engine.rs
+++ b/testutils/src/fake_engine.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use badgerferry_lib::engine_wire::OrderAction;
 use badgerferry_lib::engine_wire::Owner;
 use badgerferry_lib::engine_wire::RenewRequest;
 use badgerferry_lib::ids::AttemptId;
@@ -190,19 +191,21 @@
         &self.models
     }
 
-    /// Loads or unloads a model under a fencing number; an older number is refused.
+    /// Takes an order under a fencing number; an older number is refused.
     ///
     /// # Errors
     ///
     /// A newer number was seen.
-    pub fn order(&mut self, fence: u64, model: &ModelName, load: bool) -> Result<(), Refusal> {
+    pub fn order(&mut self, fence: u64, action: &OrderAction) -> Result<(), Refusal> {
         if fence < self.fence {
             return Err(Refusal);
         }
         self.fence = fence;
-        self.models.retain(|known| known != model);
-        if load {
-            self.models.push(model.clone());
+        match action {
+            OrderAction::Fence => {}
+            OrderAction::Load { model } if self.models.contains(model) => {}
+            OrderAction::Load { model } => self.models.push(model.clone()),
+            OrderAction::Unload { model } => self.models.retain(|known| known != model),
         }
         Ok(())
     }
--- a/testutils/src/seeded_leases.rs
+++ b/testutils/src/seeded_leases.rs
@@ -19,6 +19,7 @@
 use badgerferry_lib::placement::Placement;
 use badgerferry_lib::placement::PlacementOrder;
 use badgerferry_lib::placement::SeenEngine;
+use badgerferry_lib::placement::Tenure;
 use badgerferry_lib::placement::Wanted;
 use badgerferry_lib::platform_wire::LeaseAnswer;
 use badgerferry_lib::platform_wire::LeaseRequest;
@@ -77,7 +78,7 @@
     /// The answer reaches the box.
     Answer(usize, Time, Result<LeaseAnswer, NoAnswer>),
     /// An order reaches an engine.
-    Order(usize, u64, OrderAction),
+    Order(usize, usize, u64, OrderAction),
     /// An engine restarts empty.
     EngineRestarts(usize),
 }
@@ -186,7 +187,9 @@
                 What::Round(index) => self.round(index),
                 What::Ask(index, asked_at, lost) => self.ask(index, asked_at, lost),
                 What::Answer(index, asked_at, answer) => self.answer(index, asked_at, answer),
-                What::Order(engine, fence, action) => self.take_order(engine, fence, &action),
+                What::Order(holder, engine, fence, action) => {
+                    self.take_order(holder, engine, fence, &action);
+                }
                 What::EngineRestarts(engine) => {
                     self.engines[engine] = FakeEngine::new(EngineSize::default(), Vec::new());
                     self.taken[engine] = 0;
@@ -231,17 +234,19 @@
             self.boxes[index].asking = true;
             self.send_ask(index);
         }
-        let Some(since) = self.boxes[index].lease.held_since(now) else {
+        let lease = &self.boxes[index].lease;
+        let (Some(since), Some(fence)) = (lease.held_since(now), lease.fence(now)) else {
             return;
         };
         let wanted = self.wanted();
         let seen = self.seen();
-        let orders = self.boxes[index]
-            .placement
-            .round(now, since, &wanted, &seen);
+        let orders =
+            self.boxes[index]
+                .placement
+                .round(now, Tenure { fence, since }, &wanted, &seen);
         for order in orders {
             if let Some(fence) = self.boxes[index].lease.fence(now) {
-                self.give(fence, order);
+                self.give(index, fence, order);
             }
         }
     }
@@ -305,7 +310,7 @@
         }
     }
 
-    fn give(&mut self, fence: u64, order: PlacementOrder) {
+    fn give(&mut self, holder: usize, fence: u64, order: PlacementOrder) {
         self.counts.orders += 1;
         if matches!(order.action, OrderAction::Load { .. }) {
             self.check_rate();
@@ -332,7 +337,7 @@
             }
             _ => Duration::from_millis(self.rng.random_range(1..50)),
         };
-        self.after(span, What::Order(engine, fence, order.action));
+        self.after(span, What::Order(holder, engine, fence, order.action));
     }
 
     fn check_rate(&mut self) {
@@ -347,15 +352,13 @@
         self.loads.push(self.now);
     }
 
-    fn take_order(&mut self, engine: usize, fence: u64, action: &OrderAction) {
-        let (model, load) = match action {
-            OrderAction::Load { model } => (model, true),
-            OrderAction::Unload { model } => (model, false),
-        };
-        if self.engines[engine].order(fence, model, load).is_err() {
+    fn take_order(&mut self, holder: usize, engine: usize, fence: u64, action: &OrderAction) {
+        if self.engines[engine].order(fence, action).is_err() {
             self.counts.fenced_off += 1;
             return;
         }
+        let placement = &mut self.boxes[holder].placement;
+        placement.on_taken(fence, &engine_name(engine));
         assert!(
             fence >= self.taken[engine],
             "an old order took effect at engine {engine}"
