--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -9,6 +9,7 @@
 use badgerferry_lib::outcome::Outcome;
 use badgerferry_lib::outcome::RefusalReason;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use serde::Serialize;
 use viz::IntoResponse;
 use viz::Response;
@@ -135,17 +136,9 @@
 
     /// The whole answer.
     pub fn response(&self) -> Response {
-        let mut answer = self.json().into_response();
+        let mut answer = json_answer(self.json(), self.ran);
         *answer.status_mut() = self.status;
         let headers = answer.headers_mut();
-        headers.insert(
-            "content-type",
-            "application/json".parse().expect("a fixed header"),
-        );
-        headers.insert(
-            RAN_HEADER,
-            self.ran.as_str().parse().expect("a fixed header"),
-        );
         if let Some(span) = self.retry_after {
             // Whole seconds, rounded up: earlier would be in vain.
             let seconds = span.as_millis().div_ceil(1_000) as u64;
@@ -155,6 +148,16 @@
     }
 }
 
+/// An answer of JSON that says whether the request ran.
+pub fn json_answer(body: String, ran: Ran) -> Response {
+    let mut answer = body.into_response();
+    let headers = answer.headers_mut();
+    let json = HeaderValue::from_static("application/json");
+    headers.insert("content-type", json);
+    headers.insert(RAN_HEADER, HeaderValue::from_static(ran.as_str()));
+    answer
+}
+
 const fn error_type(status: StatusCode) -> &'static str {
     match status {
         StatusCode::UNAUTHORIZED => "authentication_error",
--- a/daemon/src/request_run.rs
+++ b/daemon/src/request_run.rs
@@ -163,21 +163,12 @@
         let frame;
         let event = match woken {
             Woken::CallerGone => Event::CallerGone,
-            Woken::Decided(Decision::Start(start)) => {
-                self.log_start(&start);
-                Event::Placed {
-                    placement: start.placement,
-                    prefill: start.prefill,
+            Woken::Decided(decision) => {
+                if let Decision::Start(start) = &decision {
+                    self.log_start(start);
                 }
+                decision.into_event()
             }
-            Woken::Decided(Decision::Refuse {
-                reason,
-                retry_after,
-                ..
-            }) => Event::Refused {
-                reason,
-                retry_after: Some(retry_after),
-            },
             Woken::Step(StepDone::Reserved(true)) => Event::Reserved,
             Woken::Step(StepDone::Reserved(false)) => Event::NotReserved,
             Woken::Step(StepDone::Prefilled(Ok(()))) => Event::ShareReady,
--- a/daemon/src/routes.rs
+++ b/daemon/src/routes.rs
@@ -41,6 +41,7 @@
 use crate::api_error::ApiError;
 use crate::api_error::RAN_HEADER;
 use crate::api_error::Ran;
+use crate::api_error::json_answer;
 use crate::caller;
 use crate::caller::Caller;
 use crate::chat;
@@ -373,18 +374,8 @@
             Outcome::Completed { tokens } => *tokens,
             _ => 0,
         };
-        let body = self.writer.whole(text, prompt_tokens, tokens).to_string();
-        let mut answer = body.into_response();
-        let headers = answer.headers_mut();
-        headers.insert(
-            "content-type",
-            "application/json".parse().expect("a fixed header"),
-        );
-        headers.insert(
-            RAN_HEADER,
-            Ran::Yes.as_str().parse().expect("a fixed header"),
-        );
-        answer
+        let body = self.writer.whole(text, prompt_tokens, tokens);
+        json_answer(body.to_string(), Ran::Yes)
     }
 
     fn stream(self, first: String) -> Response {
--- a/daemon/src/service_run.rs
+++ b/daemon/src/service_run.rs
@@ -92,7 +92,7 @@
         let tick = traffic.clock.instant(exchange.next_tick());
         let event = match target.take() {
             None => tokio::select! {
-                Some(decision) = decisions.recv() => decided(traffic, &prepared.request, decision),
+                Some(decision) = decisions.recv() => decided(&prepared.request, decision),
                 () = tokio::time::sleep_until(tick) => Event::Tick,
             },
             Some(server) => tokio::select! {
@@ -132,38 +132,20 @@
     }
 }
 
-fn decided(traffic: &Traffic, request: &Request, decision: Decision) -> Event<'static> {
-    match decision {
-        Decision::Start(start) => {
-            let servers: Vec<_> = start
-                .placement
-                .servers()
-                .iter()
-                .map(ToString::to_string)
-                .collect();
-            tracing::info!(
-                request = %request.id,
-                workspace = %request.workspace,
-                pool = %request.model,
-                servers = servers.join(","),
-                waited_ms = start.waited.as_millis() as u64,
-                at = %traffic.clock.now(),
-                "routing decision"
-            );
-            Event::Placed {
-                placement: start.placement,
-                prefill: start.prefill,
-            }
-        }
-        Decision::Refuse {
-            reason,
-            retry_after,
-            ..
-        } => Event::Refused {
-            reason,
-            retry_after: Some(retry_after),
-        },
+fn decided(request: &Request, decision: Decision) -> Event<'static> {
+    if let Decision::Start(start) = &decision {
+        let servers = start.placement.servers();
+        let servers: Vec<_> = servers.iter().map(ToString::to_string).collect();
+        tracing::info!(
+            request = %request.id,
+            workspace = %request.workspace,
+            pool = %request.model,
+            servers = servers.join(","),
+            waited_ms = start.waited.as_millis() as u64,
+            "routing decision"
+        );
     }
+    decision.into_event()
 }
 
 async fn call(
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -168,11 +168,7 @@
         }
         let waiters = lock(&self.waiters);
         for decision in decisions {
-            let id = match &decision {
-                Decision::Start(start) => start.request,
-                Decision::Refuse { request, .. } => *request,
-            };
-            if let Some(tx) = waiters.get(&id) {
+            if let Some(tx) = waiters.get(&decision.request()) {
                 // A request that has ended in between forgets its placement itself.
                 let _ = tx.send(decision);
             }
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::exchange_action::Event;
 use crate::ids::RequestId;
 use crate::outcome::RefusalReason;
 use crate::request::Placement;
@@ -23,6 +24,34 @@
     },
 }
 
+impl Decision {
+    /// The request that it is about.
+    pub const fn request(&self) -> RequestId {
+        match self {
+            Self::Start(start) => start.request,
+            Self::Refuse { request, .. } => *request,
+        }
+    }
+
+    /// What it means to the request's machine.
+    pub fn into_event(self) -> Event<'static> {
+        match self {
+            Self::Start(start) => Event::Placed {
+                placement: start.placement,
+                prefill: start.prefill,
+            },
+            Self::Refuse {
+                reason,
+                retry_after,
+                ..
+            } => Event::Refused {
+                reason,
+                retry_after: Some(retry_after),
+            },
+        }
+    }
+}
+
 /// A request that starts.
 #[derive(Debug, Clone)]
 pub struct Start {
--- a/testutils/src/world/boxes.rs
+++ b/testutils/src/world/boxes.rs
@@ -131,26 +131,8 @@
 
     pub(super) fn carry_out(&mut self, index: usize, decisions: Vec<Decision>) {
         for decision in decisions {
-            match decision {
-                Decision::Start(start) => {
-                    let event = Event::Placed {
-                        placement: start.placement,
-                        prefill: start.prefill,
-                    };
-                    self.feed_now(index, start.request, &event);
-                }
-                Decision::Refuse {
-                    request,
-                    reason,
-                    retry_after,
-                } => {
-                    let event = Event::Refused {
-                        reason,
-                        retry_after: Some(retry_after),
-                    };
-                    self.feed_now(index, request, &event);
-                }
-            }
+            let request = decision.request();
+            self.feed_now(index, request, &decision.into_event());
         }
     }
 
