tests: wait for readiness to fail in place of asking once

On a fresh clone the test of a planned stop failed once in four runs: it asked for readiness in the instant in which the signal was sent ('left: 200, right: 503'). Cause: the test's own race; the daemon had not run yet. Ruled out: the order of readiness and drain in stop.rs. It waits for the condition, and asserts by the log that the stop began while the request was in flight, which it only assumed before.

--- a/daemon/tests/test_boxes.rs
+++ b/daemon/tests/test_boxes.rs
@@ -11,7 +11,7 @@
 
 #[tokio::test]
 async fn planned_stop_cuts_nothing_off() -> anyhow::Result<()> {
-    let engine_args = ["--iteration-ms", "150"];
+    let engine_args = ["--iteration-ms", "300"];
     let plan = FleetPlan {
         engine_args: engine_args.map(str::to_owned).to_vec(),
         ..FleetPlan::default()
@@ -35,9 +35,14 @@
 
     fleet.boxes[0].signal("TERM")?;
 
-    let ready = fleet.caller.get(address, "/readyz").await?;
+    wait_until("readiness fails", async || {
+        let ready = fleet.caller.get(address, "/readyz").await;
+        ready.is_ok_and(|ready| ready.status == 503)
+    })
+    .await?;
     let answer = asking.await??;
-    assert_eq!(ready.status, 503, "readiness fails first");
+    let log = fleet.log(0)?;
+    assert!(log.contains("planned stop begun in_flight=1"), "{log}");
     assert!(
         answer.text().ends_with("data: [DONE]\n\n"),
         "cut off: {}",
