--- a/cli/src/commands/settings.rs
+++ b/cli/src/commands/settings.rs
@@ -9,6 +9,7 @@
 use badgerferry_lib::settings_schema::Key;
 use badgerferry_lib::settings_tree::Change;
 use badgerferry_lib::settings_tree::SettingsTree;
+use serde::Serialize;
 
 use crate::commands::settings_add::SettingsAddArgs;
 use crate::commands::settings_add::cmd_settings_add;
@@ -43,6 +44,7 @@
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
 use crate::exit::Failure;
+use crate::output::Format;
 use crate::session::Session;
 use crate::session::Submission;
 
@@ -128,12 +130,19 @@
     parsed.map_err(|cause| CommandError::new(Failure::Usage, format!("--edit-id: {cause}")))
 }
 
+/// What an edit made.
+#[derive(Serialize)]
+struct Made {
+    revision: Revision,
+}
+
 /// Commits changes and prints the revision that they made.
 pub async fn commit_changes(
     session: &Session,
     changes: Vec<Change>,
     base: Option<u64>,
     edit_id: Option<&str>,
+    json: bool,
 ) -> CommandResult {
     let id = edit_id_of(edit_id)?;
     let base = match base {
@@ -142,6 +151,7 @@
     };
     let submission = Submission { changes, base, id };
     let revision = session.commit(submission).await?;
-    println!("revision {revision}");
+    let made = Made { revision };
+    Format::from_switch(json).print(&made, || format!("revision {revision}\n"));
     Ok(())
 }
--- a/cli/src/commands/settings_add.rs
+++ b/cli/src/commands/settings_add.rs
@@ -31,6 +31,9 @@
     /// identifier of an earlier submission of this very edit
     #[argh(option)]
     edit_id: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Commits the edit.
@@ -40,7 +43,14 @@
         kind: kind_of(&args.kind)?,
         parent: NodeName::new(args.parent),
     };
-    commit_changes(session, vec![change], args.base, args.edit_id.as_deref()).await
+    commit_changes(
+        session,
+        vec![change],
+        args.base,
+        args.edit_id.as_deref(),
+        args.json,
+    )
+    .await
 }
 
 fn kind_of(text: &str) -> Result<NodeKind, CommandError> {
--- a/cli/src/commands/settings_check.rs
+++ b/cli/src/commands/settings_check.rs
@@ -5,10 +5,12 @@
 
 use argh::FromArgs;
 use badgerferry_lib::settings_tree::SettingsTree;
+use serde::Serialize;
 
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
 use crate::exit::Failure;
+use crate::output::Format;
 
 /// Check a tree in a file, without the platform.
 #[derive(FromArgs)]
@@ -17,16 +19,30 @@
     /// the file, as `settings show --json` prints it
     #[argh(positional)]
     file: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+#[derive(Serialize)]
+struct Checked {
+    nodes: usize,
 }
 
 /// Checks the file.
 pub fn cmd_settings_check(args: &SettingsCheckArgs) -> CommandResult {
     let tree = read_tree(&args.file)?;
-    println!(
-        "{}: good, {} nodes",
-        args.file.display(),
-        tree.nodes().len()
-    );
+    let checked = Checked {
+        nodes: tree.nodes().len(),
+    };
+    Format::from_switch(args.json).print(&checked, || {
+        format!(
+            "{}: good, {} nodes
+",
+            args.file.display(),
+            checked.nodes
+        )
+    });
     Ok(())
 }
 
--- a/cli/src/commands/settings_edit.rs
+++ b/cli/src/commands/settings_edit.rs
@@ -17,6 +17,9 @@
     /// the file, as `settings show --json` prints it
     #[argh(positional)]
     file: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Commits what differs.
@@ -28,8 +31,17 @@
         println!("nothing differs from revision {}", current.head.revision);
         return Ok(());
     }
-    for change in &changes {
-        println!("{}", change_line(change));
+    if !args.json {
+        for change in &changes {
+            println!("{}", change_line(change));
+        }
     }
-    commit_changes(session, changes, Some(current.head.revision.0), None).await
+    commit_changes(
+        session,
+        changes,
+        Some(current.head.revision.0),
+        None,
+        args.json,
+    )
+    .await
 }
--- a/cli/src/commands/settings_import.rs
+++ b/cli/src/commands/settings_import.rs
@@ -23,6 +23,9 @@
     /// only show what would change
     #[argh(switch)]
     dry_run: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Commits what differs from the backup.
@@ -37,8 +40,10 @@
     })?;
     let current = session.current().await?;
     let changes = current.tree.changes_to(snapshot.tree());
-    for change in &changes {
-        println!("{}", change_line(change));
+    if !args.json {
+        for change in &changes {
+            println!("{}", change_line(change));
+        }
     }
     match (changes.is_empty(), args.dry_run) {
         (true, _) => {
@@ -47,7 +52,14 @@
         }
         (false, true) => Ok(()),
         (false, false) => {
-            commit_changes(session, changes, Some(current.head.revision.0), None).await
+            commit_changes(
+                session,
+                changes,
+                Some(current.head.revision.0),
+                None,
+                args.json,
+            )
+            .await
         }
     }
 }
--- a/cli/src/commands/settings_move.rs
+++ b/cli/src/commands/settings_move.rs
@@ -24,6 +24,9 @@
     /// identifier of an earlier submission of this very edit
     #[argh(option)]
     edit_id: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Commits the edit.
@@ -32,5 +35,12 @@
         node: NodeName::new(args.node),
         parent: NodeName::new(args.parent),
     };
-    commit_changes(session, vec![change], args.base, args.edit_id.as_deref()).await
+    commit_changes(
+        session,
+        vec![change],
+        args.base,
+        args.edit_id.as_deref(),
+        args.json,
+    )
+    .await
 }
--- a/cli/src/commands/settings_remove.rs
+++ b/cli/src/commands/settings_remove.rs
@@ -21,6 +21,9 @@
     /// identifier of an earlier submission of this very edit
     #[argh(option)]
     edit_id: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Commits the edit.
@@ -28,5 +31,12 @@
     let change = Change::Remove {
         node: NodeName::new(args.node),
     };
-    commit_changes(session, vec![change], args.base, args.edit_id.as_deref()).await
+    commit_changes(
+        session,
+        vec![change],
+        args.base,
+        args.edit_id.as_deref(),
+        args.json,
+    )
+    .await
 }
--- a/cli/src/commands/settings_set.rs
+++ b/cli/src/commands/settings_set.rs
@@ -28,6 +28,9 @@
     /// identifier of an earlier submission of this very edit
     #[argh(option)]
     edit_id: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Commits the edit.
@@ -37,7 +40,14 @@
         key: args.key,
         value: value_of(&args.value),
     };
-    commit_changes(session, vec![change], args.base, args.edit_id.as_deref()).await
+    commit_changes(
+        session,
+        vec![change],
+        args.base,
+        args.edit_id.as_deref(),
+        args.json,
+    )
+    .await
 }
 
 /// Reads a value as JSON; what is no JSON is a word.
--- a/cli/src/commands/settings_wait.rs
+++ b/cli/src/commands/settings_wait.rs
@@ -8,10 +8,12 @@
 use badgerferry_lib::platform_wire::BoxInfo;
 use badgerferry_lib::status_wire::DaemonStatus;
 use futures::future::join_all;
+use serde::Serialize;
 
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
 use crate::exit::Failure;
+use crate::output::Format;
 use crate::output::ago;
 use crate::session::Session;
 
@@ -25,6 +27,15 @@
     /// the revision
     #[argh(positional)]
     revision: u64,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+#[derive(Serialize)]
+struct InForce {
+    revision: Revision,
+    boxes: usize,
 }
 
 struct Seen {
@@ -44,7 +55,17 @@
         let seen = look(session).await?;
         let behind: Vec<_> = seen.iter().filter(|row| !has(row, wanted)).collect();
         if behind.is_empty() {
-            println!("revision {wanted} is in force on {} boxes", seen.len());
+            let in_force = InForce {
+                revision: wanted,
+                boxes: seen.len(),
+            };
+            Format::from_switch(args.json).print(&in_force, || {
+                format!(
+                    "revision {wanted} is in force on {} boxes
+",
+                    seen.len()
+                )
+            });
             return Ok(());
         }
         if start.elapsed() >= patience {
--- a/daemon/src/request_run.rs
+++ b/daemon/src/request_run.rs
@@ -362,7 +362,8 @@
 
     async fn forward(&mut self, now: Time, text: String) {
         if let Some(before) = self.last_token.replace(now) {
-            telemetry::record_between_tokens(now.since(before));
+            let prompt_tokens = self.meta.prompt_tokens;
+            telemetry::record_between_tokens(prompt_tokens, now.since(before));
         }
         let until = self.traffic.clock.instant(self.meta.deadline);
         // A slow caller holds its own stream up, and no longer than its time limit.
--- a/daemon/tests/test_command_line.rs
+++ b/daemon/tests/test_command_line.rs
@@ -4,6 +4,7 @@
 use badgerferry_testutils::fleet::FleetPlan;
 use badgerferry_testutils::fleet::stderr;
 use badgerferry_testutils::fleet::stdout;
+use serde_json::Value;
 use serde_json::json;
 
 const CONFLICT: Option<i32> = Some(3);
@@ -194,3 +195,23 @@
     assert!(stdout(&fleet.cli(&["settings", "show"])?).starts_with("revision 1\n"));
     Ok(())
 }
+
+#[tokio::test]
+async fn edits_and_waits_are_told_as_json() -> anyhow::Result<()> {
+    let fleet = Fleet::start(&FleetPlan::default()).await?;
+    let json = |output: &std::process::Output| serde_json::from_str::<Value>(&stdout(output));
+
+    let edit = fleet.cli(&[
+        "settings",
+        "set",
+        "crashes",
+        "workspace.weight",
+        "2",
+        "--json",
+    ])?;
+    let wait = fleet.cli(&["settings", "wait", "2", "--json"])?;
+
+    assert_eq!(json(&edit)?, json!({"revision": 2}));
+    assert_eq!(json(&wait)?, json!({"revision": 2, "boxes": 2}));
+    Ok(())
+}
