daemon: show settings that can't be read in status at once

Found in a last read of the whole change. Cause: the fault was noted after the status had been made, so that operators saw it only when the next watch ended, up to 25 s later; the log had it at once and the last good revision stayed in force all along. Ruled out: the follower, which kept the fault. A test writes nonsense over the head and waits for the fault; it passed before the change too, after the watch, since tests assert no timings.

Also: 'settings edit' and 'settings import' share what shows and commits a difference; code that nothing called any more is gone (a stand-in's fault, a counter, three accessors). No assertion changed.

--- a/cli/src/commands/settings_import.rs
+++ b/cli/src/commands/settings_import.rs
@@ -5,9 +5,8 @@
 use argh::FromArgs;
 use badgerferry_lib::settings_snapshot::SettingsSnapshot;
 
-use crate::commands::settings::commit_changes;
 use crate::commands::settings_check::read_file;
-use crate::commands::settings_diff::change_line;
+use crate::commands::settings_edit::put_in_force;
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
 use crate::exit::Failure;
@@ -38,28 +37,5 @@
         )
         .hint("nothing was changed")
     })?;
-    let current = session.current().await?;
-    let changes = current.tree.changes_to(snapshot.tree());
-    if !args.json {
-        for change in &changes {
-            println!("{}", change_line(change));
-        }
-    }
-    match (changes.is_empty(), args.dry_run) {
-        (true, _) => {
-            println!("nothing differs from revision {}", current.head.revision);
-            Ok(())
-        }
-        (false, true) => Ok(()),
-        (false, false) => {
-            commit_changes(
-                session,
-                changes,
-                Some(current.head.revision.0),
-                None,
-                args.json,
-            )
-            .await
-        }
-    }
+    put_in_force(session, snapshot.tree(), args.dry_run, args.json).await
 }
--- a/daemon/src/settings_watch.rs
+++ b/daemon/src/settings_watch.rs
@@ -62,8 +62,9 @@
     let head = match read_head(found) {
         Ok(head) => head,
         Err(fault) => {
-            settle(traffic, Followed::Refused(fault.clone()));
-            lock(&traffic.follow).note_fault(fault);
+            // Noted before it is told, or `status` would show it a whole watch later.
+            lock(&traffic.follow).note_fault(fault.clone());
+            settle(traffic, Followed::Refused(fault));
             return Some(found.version);
         }
     };
--- a/daemon/tests/test_boxes.rs
+++ b/daemon/tests/test_boxes.rs
@@ -295,3 +295,24 @@
     assert!(peers.iter().all(|peer| peer.name.as_str() != "box-9"));
     Ok(())
 }
+
+#[tokio::test]
+async fn settings_that_cannot_be_read_leave_the_last_good_in_force() -> anyhow::Result<()> {
+    let fleet = Fleet::start(&FleetPlan::default()).await?;
+    let path = "/v1/kv?key=settings/head";
+    let method = hyper::Method::PUT;
+
+    fleet
+        .caller
+        .call(method, fleet.platform.address, path, &[], "nonsense")
+        .await?;
+
+    wait_until("status tells of the fault", async || {
+        let status = fleet.status(0).await;
+        status.is_ok_and(|status| status.settings.fault.is_some())
+    })
+    .await?;
+    assert_eq!(fleet.status(0).await?.settings.revision.0, 1);
+    assert!(fleet.chat(0, "hello", &[]).await?.status.is_success());
+    Ok(())
+}
--- a/lib/src/stream_join.rs
+++ b/lib/src/stream_join.rs
@@ -107,11 +107,6 @@
         &self.text
     }
 
-    /// Whether the end marker was accepted.
-    pub const fn is_whole(&self) -> bool {
-        self.whole
-    }
-
     /// Judges a frame that came on `current`'s stream.
     pub fn accept<'a>(&mut self, current: AttemptId, frame: &'a Frame) -> Verdict<'a> {
         if frame.attempt != current {
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -135,13 +135,6 @@
         self.take_where(|request| request.id == id).pop()
     }
 
-    /// Earliest deadline among those waiting.
-    pub fn requests(&self) -> impl Iterator<Item = &Request> {
-        self.flows
-            .values()
-            .flat_map(|flow| flow.waiting.iter().flatten())
-    }
-
     fn count_out(&mut self, request: &Request) {
         self.tokens -= request.prompt_tokens;
         self.len -= 1;
--- a/testutils/src/bin/standin-engine.rs
+++ b/testutils/src/bin/standin-engine.rs
@@ -99,8 +99,6 @@
     skip: bool,
     /// Says that it is leaving.
     leaving: bool,
-    /// Fails orders whatever their number.
-    ignore_fence: bool,
 }
 
 #[derive(Default)]
@@ -393,14 +391,7 @@
     let Some(asked) = body::<Order>(&mut req).await? else {
         return Ok(bad_request());
     };
-    let done = standin.with(|inner| {
-        let fence = if inner.faults.ignore_fence {
-            u64::MAX
-        } else {
-            asked.fence
-        };
-        inner.engine.order(fence, &asked.action)
-    });
+    let done = standin.with(|inner| inner.engine.order(asked.fence, &asked.action));
     Ok(match done {
         Ok(()) => json_answer(StatusCode::OK, &()),
         Err(_) => StatusCode::CONFLICT.into_response(),
--- a/testutils/src/world.rs
+++ b/testutils/src/world.rs
@@ -29,7 +29,6 @@
 use badgerferry_lib::ids::Revision;
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::outcome::Outcome;
-use badgerferry_lib::request::Placement;
 use badgerferry_lib::request::Request;
 use badgerferry_lib::routing::Policy;
 use badgerferry_lib::server_view::ServerInfo;
@@ -290,8 +289,6 @@
     last_frame: Option<Frame>,
     /// What became of the requests.
     pub ended: Vec<Ended>,
-    /// Work given up by engines because their box was silent.
-    pub freed_orphans: u64,
 }
 
 fn engine_name(index: usize) -> ServerName {
@@ -331,7 +328,6 @@
             started: BTreeMap::new(),
             last_frame: None,
             ended: Vec::new(),
-            freed_orphans: 0,
         };
         world.start_timers();
         world
@@ -494,8 +490,3 @@
     let digits = id.to_string();
     u64::from_str_radix(&digits[..15], 16).expect("hexadecimal digits")
 }
-
-/// Whether a placement is a group; for tests that look at decisions.
-pub const fn is_group(placement: &Placement) -> bool {
-    matches!(placement, Placement::Group(_))
-}
--- a/testutils/src/world/engines.rs
+++ b/testutils/src/world/engines.rs
@@ -212,9 +212,7 @@
             .filter(|id| engine.fake.knows(**id))
             .copied()
             .collect();
-        let before = engine.fake.held();
         engine.fake.free_orphans(self.now);
-        self.freed_orphans += (before - engine.fake.held()) as u64;
         for id in had {
             assert!(
                 engine.fake.knows(id),
