--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -4,6 +4,7 @@
 //! others run the filter chain of requests. Traffic reads immutable snapshots and never
 //! waits on control.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -19,6 +20,7 @@
 mod once_claim;
 mod peers;
 mod placement_control;
+mod relay;
 mod request_run;
 mod routes;
 mod service_run;
@@ -38,7 +40,11 @@
 struct Args {
     /// the box's own file, in JSON
     #[argh(option)]
-    config: std::path::PathBuf,
+    config: Option<std::path::PathBuf>,
+
+    /// run on the users' platform, whose settings file the environment names
+    #[argh(switch)]
+    platform: bool,
     /// check the box's own file and end
     #[argh(switch)]
     check: bool,
@@ -46,10 +52,39 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let config = match box_config::read(&args.config) {
+    match (&args.config, args.platform) {
+        (Some(path), false) => run_own_door(path, args.check),
+        (None, true) => run_on_platform(args.check),
+        _ => {
+            eprintln!("either --config FILE or --platform is needed, and not both");
+            eprintln!("hint: badgerferryd --help");
+            ExitCode::from(EXIT_BAD_CONFIG)
+        }
+    }
+}
+
+fn run_on_platform(check: bool) -> ExitCode {
+    let settings = match badgerferry_platform::settings_file::read() {
+        Ok(settings) => settings,
+        Err(cause) => {
+            eprintln!("the platform's settings can't be used: {cause}");
+            eprintln!("hint: docs/operators.md tells what is read from them");
+            return ExitCode::from(EXIT_BAD_CONFIG);
+        }
+    };
+    if check {
+        println!("{}: good", settings.name);
+        return ExitCode::SUCCESS;
+    }
+    let _logs = telemetry::start_stdout_logs();
+    end_with(relay::run(settings))
+}
+
+fn run_own_door(path: &Path, check: bool) -> ExitCode {
+    let config = match box_config::read(path) {
         Ok(config) => config,
         Err(faults) => {
-            eprintln!("{}: can't be used:", args.config.display());
+            eprintln!("{}: can't be used:", path.display());
             for fault in &faults {
                 eprintln!("  {fault}");
             }
@@ -57,12 +92,16 @@
             return ExitCode::from(EXIT_BAD_CONFIG);
         }
     };
-    if args.check {
-        println!("{}: good", args.config.display());
+    if check {
+        println!("{}: good", path.display());
         return ExitCode::SUCCESS;
     }
     telemetry::start_logs(config.log);
-    match traffic::run(config) {
+    end_with(traffic::run(config))
+}
+
+fn end_with(result: anyhow::Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             tracing::error!(cause = format!("{cause:#}"), "the daemon could not run");
--- /dev/null
+++ b/daemon/src/relay/call.rs
@@ -0,0 +1,258 @@
+//! One call from its head to the head of its answer.
+//!
+//! The steps, in order: routes known, route found, key known, body read, then tries until
+//! one gives an answer or none may follow. What follows a try is decided by
+//! [`badgerferry_lib::relay::attempts`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerferry_lib::ids::WorkspaceName;
+use badgerferry_lib::outcome::FailureReason;
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::attempts::Next;
+use badgerferry_lib::relay::attempts::TryEnd;
+use badgerferry_lib::relay::route_table::Route;
+use badgerferry_lib::relay::route_table::RouteIndex;
+use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::time::Time;
+use badgerferry_platform::headers;
+use badgerferry_platform::headers::CallHead;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::relay::answer_body::AnswerBody;
+use crate::relay::caller_answer;
+use crate::relay::live_stream;
+use crate::relay::log_lines;
+use crate::relay::state::Relay;
+use crate::relay::tries;
+use crate::relay::tries::TryResult;
+use crate::traffic::lock;
+
+/// When to come back where this box has no routes yet, or is leaving.
+const SOON: Duration = Duration::from_millis(300);
+/// When to come back where no server took the call; a restarting one needs about that long.
+pub const NO_SERVER_RETRY: Duration = Duration::from_millis(250);
+
+/// A call whose head and body are read.
+#[derive(Debug)]
+pub struct Call {
+    /// Shared state.
+    pub relay: Arc<Relay>,
+    /// The routes in force when it came.
+    pub routes: Arc<RouteIndex>,
+    /// Its route.
+    pub route: Route,
+    /// The service drawn for it.
+    pub service: ServiceName,
+    /// Whose it is.
+    pub workspace: Option<WorkspaceName>,
+    /// Its rank.
+    pub priority: u8,
+    /// What its head says.
+    pub head: CallHead,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub arrived: Time,
+    /// When it must have its final answer.
+    pub deadline: Time,
+}
+
+impl Call {
+    /// The caller's id, for logs.
+    pub fn id(&self) -> &str {
+        self.head.id.as_deref().unwrap_or("-")
+    }
+
+    /// Time that is left.
+    pub fn time_left(&self) -> Duration {
+        self.relay.clock.now().until(self.deadline)
+    }
+
+    /// Asks the box's share of the retry budget for one repeat.
+    pub fn may_repeat(&self) -> bool {
+        let now = self.relay.clock.now();
+        let boxes = self.relay.boxes();
+        let mut retries = lock(&self.relay.retries);
+        let window = retries.entry(self.service.clone()).or_default();
+        let allowed = window.spend(now, &self.relay.settings.retries, boxes);
+        if !allowed {
+            tracing::info!(call = self.id(), service = %self.service, boxes, "no retry budget left");
+        }
+        allowed
+    }
+}
+
+/// Answers a call.
+pub async fn answer(relay: Arc<Relay>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = relay.clock.now();
+    match read(&relay, arrived, req).await {
+        Ok(call) => run(call).await,
+        Err(answer) => answer,
+    }
+}
+
+async fn read(
+    relay: &Arc<Relay>,
+    arrived: Time,
+    req: Request<Incoming>,
+) -> Result<Call, Response<AnswerBody>> {
+    let (parts, body) = req.into_parts();
+    let Some(routes) = relay.routes.load_full() else {
+        log_lines::turned_away("-", "no_settings");
+        return Err(caller_answer::not_run("no_settings", Some(SOON)));
+    };
+    let head = headers::read_call(&parts.headers).map_err(|cause| {
+        log_lines::turned_away("-", cause.0);
+        caller_answer::bad(StatusCode::BAD_REQUEST, cause.0)
+    })?;
+    let id = head.id.clone().unwrap_or_else(|| "-".to_owned());
+    let host = parts.uri.host().map(str::to_owned).or_else(|| {
+        let value = parts.headers.get(http::header::HOST)?;
+        value.to_str().ok().map(str::to_owned)
+    });
+    let host = host.unwrap_or_default();
+    let denied = |denied| {
+        log_lines::denied(&id, routes.table().version, &host, parts.uri.path(), denied);
+        caller_answer::denied(denied)
+    };
+    let route = routes.route(&host, parts.uri.path()).map_err(denied)?;
+    let holder = routes.holder(route, head.key.as_deref()).map_err(denied)?;
+    let limits = routes.table().limits;
+    let body = read_body(body, limits.body_bytes, limits.header_time)
+        .await
+        .map_err(|(status, code)| {
+            log_lines::turned_away(&id, code);
+            caller_answer::bad(status, code)
+        })?;
+    if relay.refuses() {
+        log_lines::turned_away(&id, "box_leaving");
+        return Err(caller_answer::not_run("box_leaving", Some(SOON)));
+    }
+    let time_left = head.time_left.unwrap_or(route.time_limit);
+    let service = route.target(rand::random()).clone();
+    Ok(Call {
+        relay: Arc::clone(relay),
+        service,
+        workspace: holder.map(|holder| holder.workspace.clone()),
+        priority: holder.and_then(|holder| holder.priority).unwrap_or(route.priority),
+        deadline: arrived + time_left.min(route.time_limit),
+        route: route.clone(),
+        head,
+        method: parts.method,
+        uri: parts.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from),
+        headers: parts.headers,
+        body,
+        arrived,
+        routes: Arc::clone(&routes),
+    })
+}
+
+async fn read_body(
+    body: Incoming,
+    most: usize,
+    silence: Duration,
+) -> Result<Bytes, (StatusCode, &'static str)> {
+    let mut body = Limited::new(body, most);
+    let mut pieces: Vec<Bytes> = Vec::new();
+    loop {
+        let frame = match timeout(silence, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(cause))) if cause.is::<LengthLimitError>() => {
+                return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_long"));
+            }
+            Ok(Some(Err(_broken))) => return Err((StatusCode::BAD_REQUEST, "bad_body")),
+            Err(_elapsed) => return Err((StatusCode::REQUEST_TIMEOUT, "body_stopped")),
+        };
+        pieces.extend(frame.into_data().ok());
+    }
+    Ok(match pieces.len() {
+        1 => pieces.remove(0),
+        _ => pieces.concat().into(),
+    })
+}
+
+async fn run(call: Call) -> Response<AnswerBody> {
+    let call = Arc::new(call);
+    let mut attempts = Attempts::new(call.route.kind.is_repeatable(), call.route.max_attempts);
+    {
+        let mut retries = lock(&call.relay.retries);
+        let window = retries.entry(call.service.clone()).or_default();
+        window.first(call.arrived, &call.relay.settings.retries);
+    }
+    let mut tried = Vec::new();
+    loop {
+        let result = match timeout(
+            call.time_left(),
+            tries::try_once(&call, &mut attempts, &mut tried, None),
+        )
+        .await
+        {
+            Ok(result) => result,
+            Err(_elapsed) => {
+                let next = attempts.give_up(RefusalReason::DeadlineWhileWaiting, NO_SERVER_RETRY);
+                return finish(&call, &attempts, next);
+            }
+        };
+        let (end, own_failure) = match result {
+            TryResult::Whole(answer) => {
+                log_lines::ended(&call, &attempts, "answered", answer.status());
+                return answer;
+            }
+            TryResult::Live(live) => return live_stream::respond(call, attempts, tried, live),
+            TryResult::NoServer(reason, retry_after) => {
+                let next = attempts.give_up(reason, retry_after);
+                return finish(&call, &attempts, next);
+            }
+            TryResult::ServerError(answer) => (TryEnd::ServerError, Some(answer)),
+            TryResult::Ended(end) => (end, None),
+        };
+        match attempts.on_end(end, NO_SERVER_RETRY, || call.may_repeat()) {
+            Next::TryElsewhere => {}
+            Next::PassOn => match own_failure {
+                Some(answer) => {
+                    log_lines::ended(&call, &attempts, "server_error", answer.status());
+                    return answer;
+                }
+                None => {
+                    let next = Next::Fail(FailureReason::ServerError);
+                    return finish(&call, &attempts, next);
+                }
+            },
+            next => return finish(&call, &attempts, next),
+        }
+    }
+}
+
+fn finish(call: &Call, attempts: &Attempts, next: Next) -> Response<AnswerBody> {
+    let (code, answer) = match next {
+        Next::Refuse(refused) => (refused.reason().code(), caller_answer::refused(&refused)),
+        Next::Fail(reason) => (reason.code(), caller_answer::failed(reason)),
+        Next::TryElsewhere | Next::PassOn => {
+            let reason = FailureReason::AttemptsUsed;
+            (reason.code(), caller_answer::failed(reason))
+        }
+    };
+    log_lines::ended(call, attempts, code, answer.status());
+    answer
+}
--- /dev/null
+++ b/daemon/src/relay/engines.rs
@@ -0,0 +1,213 @@
+//! Chooses where a try goes: a plain service's server, or engines by the library's plan.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::call::Patience;
+use badgerferry_lib::relay::call::Prompt;
+use badgerferry_lib::relay::engine_load::EngineKey;
+use badgerferry_lib::relay::engine_load::Work;
+use badgerferry_lib::relay::engine_load::WorkId;
+use badgerferry_lib::relay::engine_plan;
+use badgerferry_lib::relay::engine_plan::EngineModel;
+use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EngineState;
+use badgerferry_lib::relay::server_book::ServerRecord;
+use badgerferry_platform::headers::Reader;
+
+use crate::relay::call::Call;
+use crate::relay::call::NO_SERVER_RETRY;
+use crate::relay::reservations::Reservations;
+use crate::relay::state::Relay;
+use crate::traffic::lock;
+
+/// Estimate of a plain call's time where nothing is known, for patience with a silent server.
+const PLAIN_EXPECTED: Duration = Duration::from_millis(300);
+
+/// Where a try goes.
+#[derive(Debug)]
+pub struct Chosen {
+    /// The server that runs it.
+    pub server: ServerName,
+    /// Where it listens.
+    pub address: String,
+    /// Engines that read parts of the prompt.
+    pub readers: Vec<Reader>,
+    /// Rank at the engine.
+    pub rank: Option<u8>,
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// Own work entered in the load table, until dropped.
+    works: Works,
+    /// Memory set aside, until dropped.
+    _reservations: Option<Reservations>,
+}
+
+impl Chosen {
+    /// Notes that all reading is over.
+    pub fn read_done(&self, call: &Call) {
+        let mut loads = lock(&call.relay.loads);
+        for &id in &self.works.ids {
+            loads.read_done(id);
+        }
+        drop(loads);
+        call.relay.load_changed.notify_one();
+    }
+}
+
+/// Entries in the load table that end when dropped.
+#[derive(Debug)]
+struct Works {
+    relay: Arc<Relay>,
+    ids: Vec<WorkId>,
+}
+
+impl Drop for Works {
+    fn drop(&mut self) {
+        let mut loads = lock(&self.relay.loads);
+        for &id in &self.ids {
+            loads.end(id);
+        }
+        drop(loads);
+        self.relay.load_changed.notify_one();
+    }
+}
+
+/// Where an engine is reached.
+#[derive(Debug, Clone)]
+struct Address {
+    server: ServerName,
+    address: String,
+    key: EngineKey,
+}
+
+/// Chooses; `tried` servers are used again only where there is no other.
+///
+/// # Errors
+///
+/// Why no server can take the call now, and when to come back.
+pub async fn choose(
+    call: &Arc<Call>,
+    tried: &[ServerName],
+) -> Result<Chosen, (RefusalReason, Duration)> {
+    let service = call.routes.service(&call.service);
+    let model = service.and_then(|service| service.engine);
+    match (model, call.head.prompt) {
+        (Some(model), Some(prompt)) => choose_engines(call, tried, &model, &prompt).await,
+        _ => choose_plain(call, tried),
+    }
+}
+
+fn choose_plain(
+    call: &Arc<Call>,
+    tried: &[ServerName],
+) -> Result<Chosen, (RefusalReason, Duration)> {
+    let relay = &call.relay;
+    let now = relay.clock.now();
+    let book = lock(&relay.book);
+    let hall = &relay.settings.hall;
+    let record = book.pick(now, &call.service, hall, tried, &mut rand::rng());
+    let record = record.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
+    Ok(Chosen {
+        server: record.info.name.clone(),
+        address: record.info.address.clone(),
+        readers: Vec::new(),
+        rank: None,
+        expected: PLAIN_EXPECTED,
+        works: Works {
+            relay: Arc::clone(relay),
+            ids: Vec::new(),
+        },
+        _reservations: None,
+    })
+}
+
+async fn choose_engines(
+    call: &Arc<Call>,
+    tried: &[ServerName],
+    model: &EngineModel,
+    prompt: &Prompt,
+) -> Result<Chosen, (RefusalReason, Duration)> {
+    let relay = &call.relay;
+    let (addresses, plan, works) = {
+        let now = relay.clock.now();
+        let book = lock(&relay.book);
+        let mut loads = lock(&relay.loads);
+        let table = loads.table(now);
+        let usable = book.usable(now, &call.service, tried);
+        let state = |record: &&ServerRecord| EngineState {
+            load: table.get(&record.key).copied().unwrap_or_default(),
+            near: record.info.hall == relay.settings.hall,
+            pace: record.pace,
+        };
+        let states: Vec<EngineState> = usable.iter().map(state).collect();
+        let patience = Patience {
+            objective: call.route.objective,
+            pause: call.route.pause,
+        };
+        let plan = engine_plan::plan(model, &states, prompt, &patience, &mut rand::rng());
+        let plan = plan.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
+        let address = |record: &ServerRecord| Address {
+            server: record.info.name.clone(),
+            address: record.info.address.clone(),
+            key: record.key,
+        };
+        let addresses: Vec<Address> = (plan.parts.iter())
+            .map(|part| address(usable[part.engine]))
+            .collect();
+        let mut ids = Vec::with_capacity(plan.parts.len());
+        for (at, part) in plan.parts.iter().enumerate() {
+            let work = Work {
+                read: part.read,
+                memory: part.memory,
+                leads: at == 0,
+                long: plan.long,
+            };
+            ids.push(loads.begin(now, addresses[at].key, work));
+        }
+        let works = Works {
+            relay: Arc::clone(relay),
+            ids,
+        };
+        (addresses, plan, works)
+    };
+    relay.load_changed.notify_one();
+    let reservations = match plan.reserve {
+        true => Some(reserve(call, &addresses, &plan).await?),
+        false => None,
+    };
+    let readers = readers(&addresses, reservations.as_ref());
+    let lead = &addresses[0];
+    Ok(Chosen {
+        server: lead.server.clone(),
+        address: lead.address.clone(),
+        readers,
+        rank: None,
+        expected: plan.expected,
+        works,
+        _reservations: reservations,
+    })
+}
+
+async fn reserve(
+    call: &Arc<Call>,
+    addresses: &[Address],
+    plan: &EnginePlan,
+) -> Result<Reservations, (RefusalReason, Duration)> {
+    let wanted = addresses.iter().zip(&plan.parts);
+    let wanted = wanted.map(|(address, part)| (address.address.clone(), part.memory));
+    let reserved = Reservations::make(call, wanted.collect()).await;
+    reserved.ok_or((RefusalReason::NoServer, plan.expected.max(NO_SERVER_RETRY)))
+}
+
+/// Who reads beside the engine that leads; with reservations, it lists its own first.
+fn readers(addresses: &[Address], reservations: Option<&Reservations>) -> Vec<Reader> {
+    let skip = usize::from(reservations.is_none());
+    let reader = |address: &Address| Reader {
+        address: address.address.clone(),
+        reservation: reservations.map(|held| held.id().to_owned()),
+    };
+    addresses.iter().skip(skip).map(reader).collect()
+}
--- /dev/null
+++ b/daemon/src/relay/front.rs
@@ -0,0 +1,138 @@
+//! Callers' connections: accepted, bounded in time and size, and handed to [`super::call`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use badgerferry_lib::relay::route_table::CallerLimits;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::relay::answer_body::AnswerBody;
+use crate::relay::answer_body::Answered;
+use crate::relay::call;
+use crate::relay::caller_io::CallHold;
+use crate::relay::caller_io::CallerIo;
+use crate::relay::caller_io::Standing;
+use crate::relay::state::Relay;
+use crate::traffic::lock;
+
+/// Connections that wait to be accepted; a burst of callers comes at once.
+const BACKLOG: i32 = 1_024;
+/// Bounds before the first route table: the users' usual ones.
+const EARLY_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16_384,
+    body_bytes: 4 << 20,
+    header_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+/// Smallest read buffer that the HTTP library takes.
+const MIN_READ_BUFFER: usize = 8_192;
+/// How often a connection's timers are looked at.
+const LOOK: Duration = Duration::from_millis(500);
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Listens, also where the process before left connections that wait for their end.
+///
+/// # Errors
+///
+/// The address can't be listened on.
+pub fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let open = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    open().with_context(|| format!("failed to listen on {address}"))
+}
+
+/// Takes connections for ever.
+pub async fn serve(listener: TcpListener, relay: Arc<Relay>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                tokio::spawn(serve_connection(stream, Arc::clone(&relay)));
+            }
+            Err(cause) => {
+                tracing::warn!(%cause, "a connection could not be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn limits(relay: &Relay) -> CallerLimits {
+    relay.routes.load().as_ref().map_or(EARLY_LIMITS, |index| index.table().limits)
+}
+
+async fn serve_connection(stream: TcpStream, relay: Arc<Relay>) {
+    if let Err(cause) = stream.set_nodelay(true) {
+        tracing::debug!(%cause, "a caller's connection ended at once");
+        return;
+    }
+    let limits = limits(&relay);
+    let standing = Arc::new(Mutex::new(Standing::Idle(Instant::now())));
+    let io = CallerIo::new(stream, Arc::clone(&standing));
+    let service = service_fn({
+        let (relay, standing) = (Arc::clone(&relay), Arc::clone(&standing));
+        move |req| answer(Arc::clone(&relay), Arc::clone(&standing), req)
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER));
+    builder.header_read_timeout(None);
+    let connection = builder.serve_connection(TokioIo::new(io), service);
+    tokio::pin!(connection);
+    let mut look = tokio::time::interval(LOOK);
+    look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(cause) = ended {
+                    tracing::debug!(%cause, "a caller's connection ended");
+                }
+                return;
+            }
+            _ = look.tick() => match *lock(&standing) {
+                Standing::Idle(since) if since.elapsed() >= limits.idle_time => {
+                    connection.as_mut().graceful_shutdown();
+                }
+                Standing::Head(since) if since.elapsed() >= limits.header_time => return,
+                Standing::Idle(_) | Standing::Head(_) | Standing::Busy => {}
+            },
+        }
+    }
+}
+
+async fn answer(
+    relay: Arc<Relay>,
+    standing: Arc<Mutex<Standing>>,
+    req: Request<Incoming>,
+) -> Answered<Response<AnswerBody>> {
+    let hold = CallHold::new(&relay, standing);
+    let mut answer = call::answer(Arc::clone(&relay), req).await;
+    if relay.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer.body_mut().hold(hold);
+    Ok(answer)
+}
--- /dev/null
+++ b/daemon/src/relay/live_stream.rs
@@ -0,0 +1,165 @@
+//! A stream on its way to the caller, continued elsewhere when its server breaks off.
+
+use std::sync::Arc;
+
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::attempts::Next;
+use badgerferry_lib::relay::attempts::TryEnd;
+use badgerferry_lib::relay::event_join::EventJoin;
+use badgerferry_lib::relay::server_book::Evidence;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::relay::answer_body::AnswerBody;
+use crate::relay::answer_body::PIECES;
+use crate::relay::answer_body::Piece;
+use crate::relay::call::Call;
+use crate::relay::call::NO_SERVER_RETRY;
+use crate::relay::log_lines;
+use crate::relay::tries;
+use crate::relay::tries::Live;
+use crate::relay::tries::TryResult;
+
+/// Why a run of a stream is over.
+enum RunEnd {
+    Complete,
+    Broken(EventJoin),
+    CallerGone,
+}
+
+/// Answers with the head of the first run and lets the rest follow.
+pub fn respond(
+    call: Arc<Call>,
+    attempts: Attempts,
+    tried: Vec<ServerName>,
+    live: Box<Live>,
+) -> Response<AnswerBody> {
+    let (tx, rx) = mpsc::channel(PIECES);
+    let answer = tries::pass_on(&live.head, AnswerBody::pieces(rx));
+    log_lines::streaming(&call, &live);
+    tokio::spawn(run(call, attempts, tried, live, tx));
+    answer
+}
+
+async fn run(
+    call: Arc<Call>,
+    mut attempts: Attempts,
+    mut tried: Vec<ServerName>,
+    live: Box<Live>,
+    tx: mpsc::Sender<Piece>,
+) {
+    let ended = timeout(
+        call.time_left(),
+        run_until_end(&call, &mut attempts, &mut tried, live, &tx),
+    )
+    .await;
+    let how = ended.unwrap_or("deadline_while_running");
+    log_lines::ended(&call, &attempts, how, StatusCode::OK);
+    if how != COMPLETE {
+        // Without room the caller does not read; dropping the sender would look complete.
+        let _ = tx.send(Piece::Cut).await;
+    }
+}
+
+/// How a complete stream is called in logs.
+const COMPLETE: &str = "answered";
+
+async fn run_until_end(
+    call: &Arc<Call>,
+    attempts: &mut Attempts,
+    tried: &mut Vec<ServerName>,
+    mut live: Box<Live>,
+    tx: &mpsc::Sender<Piece>,
+) -> &'static str {
+    loop {
+        let mut join = match pump(call, live, tx).await {
+            RunEnd::Complete => return COMPLETE,
+            RunEnd::CallerGone => return "caller_gone",
+            RunEnd::Broken(join) => join,
+        };
+        let mut end = TryEnd::Lost;
+        live = loop {
+            match attempts.on_end(end, NO_SERVER_RETRY, || call.may_repeat()) {
+                Next::TryElsewhere => {}
+                Next::Fail(reason) => return reason.code(),
+                Next::PassOn | Next::Refuse(_) => return "server_lost",
+            }
+            join.next_run();
+            let next = tokio::select! {
+                next = tries::try_once(call, attempts, tried, Some(&join)) => next,
+                () = tx.closed() => return "caller_gone",
+            };
+            end = match next {
+                TryResult::Live(live) => break live,
+                TryResult::Ended(end) => end,
+                TryResult::ServerError(_) => TryEnd::ServerError,
+                TryResult::Whole(_) => TryEnd::Lost,
+                TryResult::NoServer(..) => return "no_server",
+            };
+        };
+    }
+}
+
+async fn pump(call: &Call, live: Box<Live>, tx: &mpsc::Sender<Piece>) -> RunEnd {
+    let Live {
+        events,
+        complete,
+        mut body,
+        mut join,
+        connection,
+        flight,
+        rest,
+        ..
+    } = *live;
+    if !events.is_empty() && tx.send(Piece::Data(events)).await.is_err() {
+        return RunEnd::CallerGone;
+    }
+    let silence = match call.route.kind.is_repeatable() {
+        true => tries::silence(call, &flight.chosen, false),
+        false => std::time::Duration::MAX,
+    };
+    let mut complete = complete;
+    while !complete {
+        let frame = tokio::select! {
+            frame = timeout(silence, body.frame()) => frame,
+            () = tx.closed() => return RunEnd::CallerGone,
+        };
+        let broken = match frame {
+            Ok(Some(Ok(frame))) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                match join.push(&bytes) {
+                    Ok(events) => match forward(events, tx).await {
+                        true => continue,
+                        false => return RunEnd::CallerGone,
+                    },
+                    Err(cause) => cause.to_string(),
+                }
+            }
+            Ok(None) if !join.is_inside_event() => {
+                complete = true;
+                continue;
+            }
+            Ok(None) => "it ended inside an event".to_owned(),
+            Ok(Some(Err(cause))) => cause.to_string(),
+            Err(_elapsed) => "it was silent too long".to_owned(),
+        };
+        log_lines::unusable(call, &flight.chosen, StatusCode::OK, &broken);
+        flight.end(Evidence::Bad);
+        return RunEnd::Broken(join);
+    }
+    if let Some(keep_alive) = rest {
+        let upstream = &call.relay.upstream;
+        upstream.rest(&flight.chosen.server, connection, keep_alive);
+    }
+    flight.end(Evidence::Good);
+    RunEnd::Complete
+}
+
+async fn forward(events: Bytes, tx: &mpsc::Sender<Piece>) -> bool {
+    events.is_empty() || tx.send(Piece::Data(events)).await.is_ok()
+}
--- /dev/null
+++ b/daemon/src/relay/log_lines.rs
@@ -0,0 +1,141 @@
+//! Log lines of calls: one for each decision, with the call's id and what decided it.
+//!
+//! Lines of calls that went well are sampled beyond a rate; those of failures never are.
+
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::route_table::Denied;
+use badgerferry_platform::headers::AnswerHead;
+use http::StatusCode;
+use metrics::counter;
+use metrics::histogram;
+
+use crate::relay::call::Call;
+use crate::relay::engines::Chosen;
+use crate::relay::tries::Live;
+use crate::relay::upstream::SendError;
+use crate::traffic::lock;
+
+/// Lines of good calls written in each second; the rest are counted.
+const GOOD_LINES_PER_SECOND: u32 = 100;
+
+/// Lines written in the current second.
+static GOOD_LINES: Mutex<Option<(Instant, u32)>> = Mutex::new(None);
+
+fn may_write_good_line() -> bool {
+    let mut lines = lock(&GOOD_LINES);
+    let now = Instant::now();
+    let (since, written) = match *lines {
+        Some((since, written)) if now - since < Duration::from_secs(1) => (since, written),
+        _ => (now, 0),
+    };
+    let may = written < GOOD_LINES_PER_SECOND;
+    *lines = Some((since, written + u32::from(may)));
+    if !may {
+        counter!("badgerferry_log_lines_sampled_total").increment(1);
+    }
+    may
+}
+
+/// A call was turned down before it had a route.
+pub fn turned_away(id: &str, why: &str) {
+    counter!("badgerferry_calls_total", "outcome" => "turned_away").increment(1);
+    tracing::info!(call = id, why, "call turned away");
+}
+
+/// A call is not allowed.
+pub fn denied(id: &str, version: u64, host: &str, path: &str, why: Denied) {
+    counter!("badgerferry_calls_total", "outcome" => "denied").increment(1);
+    tracing::info!(call = id, version, host, path, %why, "call denied");
+}
+
+/// A server was chosen.
+pub fn routed(call: &Call, attempts: &Attempts, chosen: &Chosen) {
+    if attempts.sent() == 0 && !may_write_good_line() {
+        return;
+    }
+    tracing::info!(
+        call = call.id(),
+        route = call.route.name,
+        version = call.routes.table().version,
+        service = %call.service,
+        sent = attempts.sent(),
+        server = %chosen.server,
+        readers = chosen.readers.len(),
+        tokens = call.head.prompt.map(|prompt| prompt.tokens),
+        expected_ms = chosen.expected.as_millis() as u64,
+        left_ms = call.time_left().as_millis() as u64,
+        "call routed"
+    );
+}
+
+/// A try got no head of an answer.
+pub fn try_failed(call: &Call, chosen: &Chosen, cause: &SendError) {
+    counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
+    tracing::info!(call = call.id(), server = %chosen.server, %cause, "try failed");
+}
+
+/// A server declined.
+pub fn declined(call: &Call, chosen: &Chosen, status: StatusCode, head: &AnswerHead) {
+    counter!("badgerferry_tries_failed_total", "why" => "declined").increment(1);
+    tracing::info!(
+        call = call.id(),
+        server = %chosen.server,
+        status = status.as_u16(),
+        at_fault = head.at_fault,
+        load = ?head.load.map(|load| (load.running, load.waiting, load.slots)),
+        "server declined"
+    );
+}
+
+/// An answer can't be used.
+pub fn unusable(call: &Call, chosen: &Chosen, status: StatusCode, why: &str) {
+    counter!("badgerferry_tries_failed_total", "why" => "unusable").increment(1);
+    tracing::info!(
+        call = call.id(),
+        server = %chosen.server,
+        status = status.as_u16(),
+        why,
+        "answer unusable"
+    );
+}
+
+/// The first event is on its way to the caller.
+pub fn streaming(call: &Call, live: &Live) {
+    let took = call.relay.clock.now().since(call.arrived);
+    histogram!("badgerferry_relay_first_event_seconds", "service" => call.service.to_string())
+        .record(took.as_secs_f64());
+    if !may_write_good_line() {
+        return;
+    }
+    tracing::info!(
+        call = call.id(),
+        server = %live.flight.chosen.server,
+        first_event_ms = took.as_millis() as u64,
+        expected_ms = live.flight.chosen.expected.as_millis() as u64,
+        "stream begins"
+    );
+}
+
+/// The call has its outcome.
+pub fn ended(call: &Call, attempts: &Attempts, outcome: &'static str, status: StatusCode) {
+    let took = call.relay.clock.now().since(call.arrived);
+    counter!("badgerferry_calls_total", "outcome" => outcome).increment(1);
+    histogram!("badgerferry_relay_call_seconds", "service" => call.service.to_string())
+        .record(took.as_secs_f64());
+    if outcome == "answered" && !may_write_good_line() {
+        return;
+    }
+    tracing::info!(
+        call = call.id(),
+        route = call.route.name,
+        outcome,
+        status = status.as_u16(),
+        sent = attempts.sent(),
+        took_ms = took.as_millis() as u64,
+        "call ended"
+    );
+}
--- /dev/null
+++ b/daemon/src/relay/metrics_page.rs
@@ -0,0 +1,107 @@
+//! The balancer's question, and the daemon's own figures.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::relay::answer_body::AnswerBody;
+use crate::relay::answer_body::Answered;
+use crate::relay::front;
+use crate::relay::state::Relay;
+
+/// Where figures are served; the deploy file names the same port.
+const METRICS_PORT: u16 = 9_464;
+/// Longest that one of these connections lasts.
+const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers the balancer for ever: 200 while callers may be sent here.
+pub async fn serve_ready(listener: TcpListener, relay: Arc<Relay>) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let relay = Arc::clone(&relay);
+        let service = service_fn(move |_req: Request<Incoming>| {
+            let ready = relay.is_ready();
+            let mut answer = Response::new(AnswerBody::whole(match ready {
+                true => "ready",
+                false => "not ready",
+            }));
+            if !ready {
+                *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            std::future::ready(Answered::Ok(answer))
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // The balancer asks again by itself, whatever became of this connection.
+            let _ = timeout(CONNECTION_LIMIT, connection).await;
+        });
+    }
+}
+
+/// Serves figures in the Prometheus text format for ever.
+pub async fn serve_metrics(metrics: PrometheusHandle, relay: Arc<Relay>) {
+    let address = SocketAddr::new(relay.settings.front.ip(), METRICS_PORT);
+    let listener = match front::listen(address) {
+        Ok(listener) => listener,
+        Err(cause) => {
+            tracing::warn!(%address, cause = format!("{cause:#}"), "figures are not served");
+            return;
+        }
+    };
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let (metrics, relay) = (metrics.clone(), Arc::clone(&relay));
+        let service = service_fn(move |_req: Request<Incoming>| {
+            set_gauges(&relay);
+            let answer = Response::new(AnswerBody::whole(metrics.render()));
+            std::future::ready(Answered::Ok(answer))
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = timeout(CONNECTION_LIMIT, connection).await;
+        });
+    }
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _peer)) => Some(stream),
+        Err(cause) => {
+            tracing::warn!(%cause, "a connection could not be accepted");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+fn set_gauges(relay: &Relay) {
+    let revisions = relay.revisions();
+    let version = relay.routes.load().as_ref().map_or(0, |index| index.table().version);
+    gauge!("badgerferry_routes_version").set(version as f64);
+    gauge!("badgerferry_routes_revision").set(revisions.table as f64);
+    gauge!("badgerferry_servers_revision").set(revisions.servers as f64);
+    gauge!("badgerferry_boxes_known").set(relay.boxes() as f64);
+    gauge!("badgerferry_ready").set(f64::from(u8::from(relay.is_ready())));
+    let in_flight = relay.in_flight.load(std::sync::atomic::Ordering::SeqCst);
+    gauge!("badgerferry_active_requests").set(in_flight as f64);
+    gauge!("badgerferry_log_lines_dropped").set(crate::telemetry::dropped_lines());
+}
--- /dev/null
+++ b/daemon/src/relay/mod.rs
@@ -0,0 +1,80 @@
+//! The daemon on the users' platform: calls are relayed as they are.
+//!
+//! One thread follows the store and the other boxes; the other takes calls. They share
+//! [`state::Relay`]: immutable views that control replaces, and the books that calls write.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use badgerferry_platform::settings_file::BoxSettings;
+
+mod answer_body;
+mod call;
+mod caller_answer;
+mod caller_io;
+mod engines;
+mod front;
+mod live_stream;
+mod log_lines;
+mod metrics_page;
+mod neighbours;
+mod reservations;
+mod state;
+mod stop;
+mod store_follow;
+mod tries;
+mod upstream;
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// An address can't be listened on, or a thread can't be started.
+pub fn run(settings: BoxSettings) -> anyhow::Result<()> {
+    let metrics = crate::telemetry::start_metrics()?;
+    let relay = Arc::new(state::Relay::new(settings));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("failed to build the traffic runtime")?;
+    runtime.block_on(async {
+        let front = front::listen(relay.settings.front)?;
+        let ready = front::listen(relay.settings.ready)?;
+        start_control(&relay)?;
+        tracing::info!(
+            r#box = relay.settings.name,
+            hall = %relay.settings.hall,
+            front = %relay.settings.front,
+            store = %relay.settings.store,
+            lifetime = relay.lifetime,
+            "daemon started"
+        );
+        tokio::spawn(front::serve(front, Arc::clone(&relay)));
+        tokio::spawn(metrics_page::serve_ready(ready, Arc::clone(&relay)));
+        tokio::spawn(metrics_page::serve_metrics(metrics, Arc::clone(&relay)));
+        stop::wait(&relay).await;
+        Ok(())
+    })
+}
+
+fn start_control(relay: &Arc<state::Relay>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("failed to build the control runtime")?;
+    let links = runtime.block_on(neighbours::bind(&relay.settings))?;
+    let relay = Arc::clone(relay);
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async {
+                tokio::join!(
+                    store_follow::run(&relay),
+                    store_follow::keep_entry(&relay),
+                    neighbours::run(&relay, links),
+                );
+            });
+        })
+        .context("failed to start the control thread")?;
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/relay/neighbours.rs
@@ -0,0 +1,283 @@
+//! Links between boxes: datagrams that tell the work at the engines, and pulls of newer state.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use badgerferry_lib::relay::load_datagram::LoadDatagram;
+use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
+use badgerferry_lib::relay::load_datagram::MAX_ROWS;
+use badgerferry_lib::relay::state_pull::FRAME_VERSION;
+use badgerferry_lib::relay::state_pull::MAX_FRAME_BYTES;
+use badgerferry_lib::relay::state_pull::PullAnswer;
+use badgerferry_lib::relay::state_pull::PullRequest;
+use badgerferry_lib::relay::state_pull::Revisions;
+use badgerferry_platform::settings_file::BoxSettings;
+use metrics::counter;
+use rand::seq::IndexedRandom;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::relay::front;
+use crate::relay::state::Relay;
+use crate::traffic::lock;
+
+/// Between datagrams where nothing changes; also how long a neighbour's news takes at most.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Shortest time between two datagrams, for each box told: bounds what all boxes spend.
+const PAUSE_PER_BOX: Duration = Duration::from_millis(6);
+/// A box is behind when a neighbour had newer state for this long; the watch is faster mostly.
+const BEHIND: Duration = Duration::from_millis(250);
+/// Between pulls while nothing is known.
+const START_PULL: Duration = Duration::from_millis(400);
+/// Longest pull.
+const PULL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Sockets to other boxes.
+#[derive(Debug)]
+pub struct Links {
+    load: UdpSocket,
+    pull: TcpListener,
+}
+
+/// Opens the sockets.
+///
+/// # Errors
+///
+/// An address can't be used.
+pub async fn bind(settings: &BoxSettings) -> anyhow::Result<Links> {
+    let load = UdpSocket::bind(settings.load).await;
+    let load = load.with_context(|| format!("failed to take datagrams on {}", settings.load))?;
+    let pull = front::listen(settings.pull)?;
+    Ok(Links { load, pull })
+}
+
+/// Runs for ever.
+pub async fn run(relay: &Arc<Relay>, links: Links) {
+    let Links { load, pull } = links;
+    tokio::join!(
+        tell(relay, &load),
+        hear(relay, &load),
+        answer_pulls(relay, pull),
+        pull_at_start(relay),
+    );
+}
+
+async fn tell(relay: &Arc<Relay>, socket: &UdpSocket) {
+    let mut sequence = 0;
+    loop {
+        // A change within the pause is told with the next datagram.
+        let _ = timeout(HEARTBEAT, relay.load_changed.notified()).await;
+        let now = relay.clock.now();
+        end_holds(relay);
+        let rows = {
+            let mut loads = lock(&relay.loads);
+            loads.take_changed();
+            loads.own_table(now).into_iter().take(MAX_ROWS).collect()
+        };
+        sequence += 1;
+        let datagram = LoadDatagram {
+            version: FRAME_VERSION,
+            from: relay.settings.name.clone(),
+            lifetime: relay.lifetime,
+            sequence,
+            have: relay.revisions(),
+            rows,
+        };
+        let bytes = datagram.encode();
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            counter!("badgerferry_datagrams_dropped_total", "why" => "too_long").increment(1);
+        }
+        let others = others(relay);
+        for address in &others {
+            if let Err(cause) = socket.send_to(&bytes, address).await {
+                counter!("badgerferry_datagrams_dropped_total", "why" => "not_sent").increment(1);
+                tracing::debug!(%address, %cause, "a datagram could not be sent");
+            }
+        }
+        tokio::time::sleep(PAUSE_PER_BOX * others.len().max(1) as u32).await;
+    }
+}
+
+fn end_holds(relay: &Relay) {
+    let now = relay.clock.now();
+    let due = lock(&relay.followed).servers.next_tick();
+    if due.is_some_and(|due| now >= due) {
+        relay.change_servers(|servers| {
+            servers.tick(now);
+        });
+        tracing::info!("server entries that did not come back are taken as gone");
+    }
+}
+
+fn others(relay: &Relay) -> Vec<SocketAddr> {
+    let followed = lock(&relay.followed);
+    let others = followed.boxes.values();
+    others
+        .filter(|of| of.name != relay.settings.name)
+        .filter_map(|of| of.load.parse().ok())
+        .collect()
+}
+
+async fn hear(relay: &Arc<Relay>, socket: &UdpSocket) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES * 2];
+    let mut behind: HashMap<String, Instant> = HashMap::new();
+    loop {
+        let datagram = match socket.recv_from(&mut buf).await {
+            Ok((len, _from)) => LoadDatagram::decode(&buf[..len]),
+            Err(cause) => {
+                tracing::debug!(%cause, "no datagram could be taken");
+                tokio::time::sleep(PAUSE_PER_BOX).await;
+                continue;
+            }
+        };
+        let datagram = match datagram {
+            Ok(datagram) => datagram,
+            Err(cause) => {
+                counter!("badgerferry_datagrams_dropped_total", "why" => "malformed").increment(1);
+                tracing::debug!(%cause, "a datagram was dropped");
+                continue;
+            }
+        };
+        let now = relay.clock.now();
+        lock(&relay.loads).take_table(
+            now,
+            &datagram.from,
+            datagram.lifetime,
+            datagram.sequence,
+            datagram.rows,
+        );
+        let have = relay.revisions();
+        if datagram.have.table <= have.table && datagram.have.servers <= have.servers {
+            behind.clear();
+            continue;
+        }
+        let since = *behind.entry(datagram.from.clone()).or_insert_with(Instant::now);
+        if since.elapsed() >= BEHIND {
+            behind.clear();
+            pull_from_named(relay, &datagram.from, have).await;
+        }
+    }
+}
+
+async fn pull_from_named(relay: &Arc<Relay>, name: &str, have: Revisions) {
+    let address = lock(&relay.followed).boxes.get(name).map(|of| of.pull.clone());
+    let Some(address) = address.and_then(|address| address.parse().ok()) else {
+        return;
+    };
+    pull(relay, address, have).await;
+}
+
+async fn pull_at_start(relay: &Arc<Relay>) {
+    while relay.routes.load().is_none() {
+        tokio::time::sleep(START_PULL).await;
+        let own = relay.settings.pull;
+        let seeds: Vec<SocketAddr> = (relay.settings.seeds.iter().copied())
+            .filter(|seed| *seed != own)
+            .collect();
+        let known = lock(&relay.followed).boxes.values().cloned().collect::<Vec<_>>();
+        let known = known.iter().filter_map(|of| of.pull.parse().ok());
+        let all: Vec<SocketAddr> = seeds.into_iter().chain(known).collect();
+        let drawn = all.choose(&mut rand::rng()).copied();
+        if let (None, Some(address)) = (relay.routes.load().as_ref(), drawn) {
+            pull(relay, address, relay.revisions()).await;
+        }
+    }
+}
+
+async fn pull(relay: &Arc<Relay>, address: SocketAddr, have: Revisions) {
+    let answer = match timeout(PULL_LIMIT, ask(address, have)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(cause)) => {
+            tracing::info!(%address, cause = format!("{cause:#}"), "no state from a neighbour");
+            return;
+        }
+        Err(_elapsed) => {
+            tracing::info!(%address, "no state from a neighbour in time");
+            return;
+        }
+    };
+    tracing::info!(
+        %address,
+        have_table = have.table,
+        have_servers = have.servers,
+        table = answer.table.as_ref().map(|stamped| stamped.revision),
+        servers = answer.servers.as_ref().map(|entries| entries.revision),
+        "state from a neighbour"
+    );
+    if let Some(stamped) = answer.table {
+        relay.offer_table(stamped, "neighbour");
+    }
+    if let Some(entries) = answer.servers {
+        let now = relay.clock.now();
+        relay.change_servers(|servers| servers.replace(now, entries));
+    }
+    let mut followed = lock(&relay.followed);
+    for of in answer.boxes {
+        followed.boxes.entry(of.name.clone()).or_insert(of);
+    }
+}
+
+async fn ask(address: SocketAddr, have: Revisions) -> anyhow::Result<PullAnswer> {
+    let mut stream = TcpStream::connect(address).await?;
+    let request = PullRequest {
+        version: FRAME_VERSION,
+        have,
+    };
+    write_frame(&mut stream, &postcard::to_stdvec(&request)?).await?;
+    let bytes = read_frame(&mut stream).await?;
+    Ok(postcard::from_bytes(&bytes)?)
+}
+
+async fn answer_pulls(relay: &Arc<Relay>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                tokio::spawn(answer_pull(Arc::clone(relay), stream));
+            }
+            Err(cause) => {
+                tracing::warn!(%cause, "a neighbour's connection could not be accepted");
+                tokio::time::sleep(HEARTBEAT).await;
+            }
+        }
+    }
+}
+
+async fn answer_pull(relay: Arc<Relay>, mut stream: TcpStream) {
+    let answered = timeout(PULL_LIMIT, async {
+        let bytes = read_frame(&mut stream).await?;
+        let request: PullRequest = postcard::from_bytes(&bytes)?;
+        anyhow::ensure!(request.version == FRAME_VERSION, "another version");
+        let answer = relay.newer_than(request.have);
+        write_frame(&mut stream, &postcard::to_stdvec(&answer)?).await
+    });
+    match answered.await {
+        Ok(Ok(())) => {}
+        Ok(Err(cause)) => tracing::info!(cause = format!("{cause:#}"), "a pull failed"),
+        Err(_elapsed) => tracing::info!("a pull took too long"),
+    }
+}
+
+async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> anyhow::Result<()> {
+    let len = u32::try_from(bytes.len())?;
+    stream.write_all(&len.to_be_bytes()).await?;
+    stream.write_all(bytes).await?;
+    Ok(())
+}
+
+async fn read_frame(stream: &mut TcpStream) -> anyhow::Result<Vec<u8>> {
+    let mut len = [0; 4];
+    stream.read_exact(&mut len).await?;
+    let len = u32::from_be_bytes(len) as usize;
+    anyhow::ensure!(len <= MAX_FRAME_BYTES, "a frame of {len} bytes is too long");
+    let mut bytes = vec![0; len];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/daemon/src/relay/reservations.rs
@@ -0,0 +1,145 @@
+//! Memory set aside at several engines for one prompt: all of it or none.
+//!
+//! A reservation is held briefly and renewed while it is used, so that what a dead box leaves
+//! behind lapses soon. It is given back on every way out; an order whose answer was lost may
+//! still be carried out later, and lapses by its own hold time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerferry_platform::orders;
+use badgerferry_platform::orders::EngineCall;
+use badgerferry_platform::orders::Reserved;
+use futures::future::join_all;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use crate::relay::call::Call;
+
+/// How long memory is set aside without renewal; what lapses later counts as leaked.
+const HOLD: Duration = Duration::from_millis(3_000);
+/// Between renewals; two may be lost before memory lapses under a call.
+const RENEW: Duration = Duration::from_millis(1_000);
+/// Longest wait for the answer to an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(500);
+/// Times that memory is given back where the engine does not answer.
+const RELEASE_TRIES: u32 = 3;
+
+/// Memory held until dropped.
+#[derive(Debug)]
+pub struct Reservations {
+    id: String,
+    addresses: Arc<Vec<(String, u64)>>,
+    renewal: AbortHandle,
+}
+
+impl Reservations {
+    /// Sets memory aside at each address, or nowhere.
+    pub async fn make(call: &Arc<Call>, wanted: Vec<(String, u64)>) -> Option<Self> {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let hold = HOLD.min(call.relay.settings.longest_hold);
+        let addresses = Arc::new(wanted);
+        // Dropped on any way out, also when the caller leaves meanwhile.
+        let held = Self {
+            renewal: tokio::spawn(renew(id.clone(), Arc::clone(&addresses), hold)).abort_handle(),
+            id,
+            addresses,
+        };
+        let orders = held.addresses.iter().map(|(address, tokens)| {
+            order(address, orders::reserve(&held.id, *tokens, hold))
+        });
+        let answers = join_all(orders).await;
+        let refused = answers.iter().filter(|answer| {
+            !matches!(answer, Some(status) if orders::read_reserved(*status) == Reserved::Held)
+        });
+        let refused = refused.count();
+        tracing::info!(
+            call = call.id(),
+            reservation = held.id,
+            engines = answers.len(),
+            refused,
+            "memory asked for"
+        );
+        (refused == 0).then_some(held)
+    }
+
+    /// Its id, the same at each engine.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+}
+
+impl Drop for Reservations {
+    fn drop(&mut self) {
+        self.renewal.abort();
+        let (id, addresses) = (self.id.clone(), Arc::clone(&self.addresses));
+        tokio::spawn(async move {
+            let releases = addresses.iter().map(|(address, _)| release(address, &id));
+            join_all(releases).await;
+        });
+    }
+}
+
+async fn renew(id: String, addresses: Arc<Vec<(String, u64)>>, hold: Duration) {
+    loop {
+        tokio::time::sleep(RENEW).await;
+        let orders = addresses
+            .iter()
+            .map(|(address, tokens)| order(address, orders::reserve(&id, *tokens, hold)));
+        for ((address, _), answer) in addresses.iter().zip(join_all(orders).await) {
+            if answer.is_none() {
+                tracing::warn!(reservation = id, address, "a renewal got no answer");
+            }
+        }
+    }
+}
+
+async fn release(address: &str, id: &str) {
+    for _ in 0..RELEASE_TRIES {
+        if order(address, orders::release(id)).await.is_some() {
+            return;
+        }
+    }
+    tracing::warn!(reservation = id, address, "memory lapses by itself: no answer to its release");
+}
+
+/// Gives an order on a connection of its own; no answer gives nothing.
+async fn order(address: &str, call: EngineCall) -> Option<StatusCode> {
+    match timeout(ORDER_LIMIT, exchange(address, call)).await {
+        Ok(Ok(status)) => Some(status),
+        Ok(Err(cause)) => {
+            tracing::info!(address, cause = format!("{cause:#}"), "an order got no answer");
+            None
+        }
+        Err(_elapsed) => {
+            tracing::info!(address, "an order got no answer in time");
+            None
+        }
+    }
+}
+
+async fn exchange(address: &str, call: EngineCall) -> anyhow::Result<StatusCode> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::spawn(connection);
+    let request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(http::header::HOST, address)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(call.body)))?;
+    let answer = sender.send_request(request).await?;
+    let status = answer.status();
+    answer.into_body().collect().await?;
+    task.abort();
+    Ok(status)
+}
--- /dev/null
+++ b/daemon/src/relay/state.rs
@@ -0,0 +1,171 @@
+//! What the threads of a relaying daemon share.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwapOption;
+use badgerferry_lib::relay::engine_load::EngineLoads;
+use badgerferry_lib::relay::retry_window::RetryWindow;
+use badgerferry_lib::relay::route_table::RouteIndex;
+use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::relay::server_book::ServerBook;
+use badgerferry_lib::relay::server_list::ServerEntries;
+use badgerferry_lib::relay::server_list::ServerList;
+use badgerferry_lib::relay::state_pull::BoxAddresses;
+use badgerferry_lib::relay::state_pull::PullAnswer;
+use badgerferry_lib::relay::state_pull::Revisions;
+use badgerferry_lib::relay::state_pull::StampedTable;
+use badgerferry_platform::settings_file::BoxSettings;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::relay::upstream::Upstream;
+use crate::traffic::lock;
+
+/// What control knows of the platform's state.
+#[derive(Debug, Default)]
+pub struct Followed {
+    /// Revision of the route table in force; 0 for none.
+    pub table_revision: u64,
+    /// The servers.
+    pub servers: ServerList,
+    /// Other boxes, by name.
+    pub boxes: BTreeMap<String, BoxAddresses>,
+}
+
+/// What the threads share.
+#[derive(Debug)]
+pub struct Relay {
+    /// What the platform told this process.
+    pub settings: BoxSettings,
+    /// Distinguishes this life of the process from others.
+    pub lifetime: u64,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The route table in force.
+    pub routes: ArcSwapOption<RouteIndex>,
+    /// Servers and how they do.
+    pub book: Mutex<ServerBook>,
+    /// Work at engines, of all boxes.
+    pub loads: Mutex<EngineLoads>,
+    /// Retry budgets by service.
+    pub retries: Mutex<HashMap<ServiceName, RetryWindow>>,
+    /// Connections to servers.
+    pub upstream: Upstream,
+    /// What control knows of the platform's state.
+    pub followed: Mutex<Followed>,
+    /// Wakes the sender of load datagrams.
+    pub load_changed: Notify,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Whether new calls are refused, late in a planned stop.
+    pub refusing: AtomicBool,
+    /// Calls whose answers are not yet out.
+    pub in_flight: AtomicUsize,
+}
+
+impl Relay {
+    /// A box that knows nothing yet.
+    pub fn new(settings: BoxSettings) -> Self {
+        Self {
+            settings,
+            lifetime: rand::random(),
+            clock: Clock::start(),
+            routes: ArcSwapOption::empty(),
+            book: Mutex::default(),
+            loads: Mutex::default(),
+            retries: Mutex::default(),
+            upstream: Upstream::default(),
+            followed: Mutex::default(),
+            load_changed: Notify::new(),
+            stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        }
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.routes.load().is_some() && !self.is_stopping()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Whether new calls are refused.
+    pub fn refuses(&self) -> bool {
+        self.refusing.load(Ordering::SeqCst)
+    }
+
+    /// Boxes that serve, this one included, as far as it knows.
+    pub fn boxes(&self) -> usize {
+        lock(&self.followed).boxes.len().max(1)
+    }
+
+    /// Which state this box has.
+    pub fn revisions(&self) -> Revisions {
+        let followed = lock(&self.followed);
+        Revisions {
+            table: followed.table_revision,
+            servers: followed.servers.entries().revision,
+        }
+    }
+
+    /// What another box lacks.
+    pub fn newer_than(&self, have: Revisions) -> PullAnswer {
+        let followed = lock(&self.followed);
+        let table = (followed.table_revision > have.table)
+            .then(|| self.routes.load_full())
+            .flatten()
+            .map(|index| StampedTable {
+                revision: followed.table_revision,
+                table: index.table().clone(),
+            });
+        let entries: &ServerEntries = followed.servers.entries();
+        PullAnswer {
+            table,
+            servers: (entries.revision > have.servers).then(|| entries.clone()),
+            boxes: followed.boxes.values().cloned().collect(),
+        }
+    }
+
+    /// Puts a route table in force if it is newer than the one that is.
+    pub fn offer_table(&self, stamped: StampedTable, source: &'static str) {
+        let mut followed = lock(&self.followed);
+        let in_force = self.routes.load_full();
+        let version = in_force.as_ref().map(|index| index.table().version);
+        let is_newer = stamped.revision > followed.table_revision
+            && version.is_none_or(|version| stamped.table.version > version);
+        followed.table_revision = followed.table_revision.max(stamped.revision);
+        if !is_newer {
+            return;
+        }
+        tracing::info!(
+            version = stamped.table.version,
+            before = version,
+            revision = stamped.revision,
+            routes = stamped.table.routes.len(),
+            workspaces = stamped.table.workspaces.len(),
+            source,
+            "routes in force"
+        );
+        let index = Arc::new(RouteIndex::new(stamped.table));
+        self.routes.store(Some(index));
+    }
+
+    /// Changes what is believed of the servers and shows it to traffic.
+    pub fn change_servers(&self, f: impl FnOnce(&mut ServerList)) {
+        let mut followed = lock(&self.followed);
+        f(&mut followed.servers);
+        let servers = followed.servers.servers();
+        drop(followed);
+        lock(&self.book).set_servers(servers);
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/stop.rs
@@ -0,0 +1,91 @@
+//! Planned stops and reloads.
+//!
+//! After SIGTERM the box calls itself unready and goes on serving what is open and what still
+//! arrives, each answer with `Connection: close`. Late in its time it refuses new calls, which
+//! could not end any more. It ends when nothing is in flight, or just before it is killed.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::Instant;
+
+use crate::relay::state::Relay;
+
+/// The balancer notices after two questions, a second apart, and callers' connections after.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// From here on new calls are refused: they could not end in time.
+const REFUSE_AFTER: Duration = Duration::from_millis(3_500);
+/// Kept for the last bytes and the end of the process.
+const LAST_BYTES: Duration = Duration::from_millis(300);
+/// How often the count of calls in flight is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+/// How often resting connections are looked at.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Returns when the process may end.
+pub async fn wait(relay: &Arc<Relay>) {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    );
+    let (Ok(mut term), Ok(mut interrupt), Ok(mut hangup)) = signals else {
+        tracing::error!("signals can't be waited for; only a kill ends this process");
+        return std::future::pending().await;
+    };
+    let mut sweep = tokio::time::interval(SWEEP);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(relay),
+            _ = sweep.tick() => relay.upstream.sweep(),
+        }
+    }
+    let began = Instant::now();
+    relay.stopping.store(true, Ordering::SeqCst);
+    tracing::info!(in_flight = in_flight(relay), "planned stop begun");
+    drain(relay, began).await;
+    tracing::info!(
+        in_flight = in_flight(relay),
+        took_ms = began.elapsed().as_millis() as u64,
+        "planned stop done"
+    );
+}
+
+/// Nothing in the file can change while the process listens where it does: it is read again
+/// and compared, so that a change shows in the logs.
+fn reload(relay: &Relay) {
+    match badgerferry_platform::settings_file::read() {
+        Ok(settings) if settings == relay.settings => tracing::info!("settings file unchanged"),
+        Ok(_) => tracing::warn!("settings file changed; the change takes effect at the next start"),
+        Err(cause) => tracing::warn!(%cause, "settings file can't be used; the old one stands"),
+    }
+}
+
+async fn drain(relay: &Arc<Relay>, began: Instant) {
+    let end = relay.settings.stop_time.saturating_sub(LAST_BYTES);
+    let mut quiet_since: Option<Instant> = None;
+    while began.elapsed() < end {
+        let passed = began.elapsed();
+        if passed >= REFUSE_AFTER {
+            relay.refusing.store(true, Ordering::SeqCst);
+        }
+        if in_flight(relay) > 0 {
+            quiet_since = None;
+        } else if passed >= NOTICE {
+            let since = *quiet_since.get_or_insert_with(Instant::now);
+            if since.elapsed() >= LAST_BYTES {
+                return;
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn in_flight(relay: &Relay) -> usize {
+    relay.in_flight.load(Ordering::SeqCst)
+}
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -3,6 +3,7 @@
 //! Log lines have a constant message and named fields. Metrics are read at `/metrics`
 //! in the Prometheus text format; names begin with `badgerferry_`.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use badgerferry_lib::outcome::Outcome;
@@ -12,6 +13,9 @@
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use tracing_appender::non_blocking::ErrorCounter;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
 
 use crate::box_config::LogFormat;
@@ -34,6 +38,42 @@
     }
 }
 
+/// Lines that wait to be written; beyond that they are dropped and counted.
+const WAITING_LINES: usize = 2_048;
+
+/// Counts lines that were dropped.
+static DROPPED_LINES: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Starts JSON logs on standard output that never hold the process up.
+///
+/// The guard writes what waits when it is dropped.
+pub fn start_stdout_logs() -> WorkerGuard {
+    let filter = EnvFilter::try_from_env("BADGERFERRY_LOG");
+    let filter = filter.unwrap_or_else(|_unset| EnvFilter::new("info"));
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    let _ = DROPPED_LINES.set(writer.error_counter());
+    tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_current_span(false)
+        .with_span_list(false)
+        .init();
+    guard
+}
+
+/// Log lines dropped since the start.
+pub fn dropped_lines() -> f64 {
+    DROPPED_LINES
+        .get()
+        .map_or(0.0, |counter| counter.dropped_lines() as f64)
+}
+
 /// Starts metrics.
 ///
 /// # Errors
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod platform_wire;
 pub mod priority;
+pub mod relay;
 pub mod request;
 pub mod retry_budget;
 pub mod routing;
--- /dev/null
+++ b/lib/src/relay/attempts.rs
@@ -0,0 +1,162 @@
+//! The tries of one call: what follows when one ends.
+//!
+//! A try ends in one of five ways. Only two of them prove that nothing ran: no connection
+//! was made, or the server said so itself. The proof is the [`Unsent`] token of
+//! [`crate::outcome`]; a call that may not be repeated is sent again only with it in hand,
+//! and "not run" is told only with it.
+
+use std::time::Duration;
+
+use crate::outcome::FailureReason;
+use crate::outcome::InFlight;
+use crate::outcome::NotStarted;
+use crate::outcome::RefusalReason;
+use crate::outcome::Refused;
+use crate::outcome::Unsent;
+
+/// Connections tried for one call: each server in a row may be gone, the caller still waits.
+const MAX_CONNECT_TRIES: u32 = 4;
+
+/// How one try ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TryEnd {
+    /// No connection was made; nothing was sent.
+    NoConnection,
+    /// The server answered that it did not run the call.
+    Declined,
+    /// It broke, or its answer can't be used; the call may have run.
+    Lost,
+    /// The server ran the call and answered with a failure of its own.
+    ServerError,
+}
+
+/// What to do after a try ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Send it to another server.
+    TryElsewhere,
+    /// Give the caller the server's own failure.
+    PassOn,
+    /// It has not run; tell the caller so.
+    Refuse(Refused),
+    /// It may have run; tell the caller that it failed.
+    Fail(FailureReason),
+}
+
+#[derive(Debug)]
+enum Claim {
+    Unsent(Unsent),
+    Sent(InFlight),
+    MayHaveRun,
+}
+
+/// The tries of one call.
+#[derive(Debug)]
+pub struct Attempts {
+    repeatable: bool,
+    max_sent: u32,
+    sent: u32,
+    connects: u32,
+    claim: Option<Claim>,
+}
+
+impl Attempts {
+    /// A call that may go to `max_sent` servers.
+    pub const fn new(repeatable: bool, max_sent: u32) -> Self {
+        Self {
+            repeatable,
+            max_sent,
+            sent: 0,
+            connects: 0,
+            claim: Some(Claim::Unsent(Unsent::new())),
+        }
+    }
+
+    /// Servers that the call was sent to.
+    pub const fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Whether the next send repeats one that a server has received.
+    pub const fn is_repeat(&self) -> bool {
+        self.sent > 0
+    }
+
+    /// Whether the call certainly has not run.
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self.claim, Some(Claim::Unsent(_)))
+    }
+
+    /// Records that the call is being sent.
+    ///
+    /// # Panics
+    ///
+    /// A call that may not be repeated is sent while it may have run.
+    pub fn send(&mut self) {
+        self.sent += 1;
+        self.claim = match self.claim.take() {
+            Some(Claim::Unsent(proof)) => Some(Claim::Sent(proof.dispatch())),
+            _ => {
+                assert!(
+                    self.repeatable,
+                    "a call that may not be repeated is sent only while it has not run"
+                );
+                Some(Claim::MayHaveRun)
+            }
+        };
+    }
+
+    /// Takes the end of a try; `may_repeat` asks the retry budget, once, if it matters.
+    pub fn on_end(
+        &mut self,
+        end: TryEnd,
+        retry_after: Duration,
+        may_repeat: impl FnOnce() -> bool,
+    ) -> Next {
+        match end {
+            TryEnd::NoConnection => {
+                // The try never reached the server, so it is not counted as sent.
+                self.sent = self.sent.saturating_sub(1);
+                self.connects += 1;
+                self.take_back(NotStarted::NoConnection);
+            }
+            TryEnd::Declined => self.take_back(NotStarted::ServerSaidSo),
+            TryEnd::Lost | TryEnd::ServerError => self.claim = Some(Claim::MayHaveRun),
+        }
+        let allowed = self.repeatable || self.is_unsent();
+        let left = self.sent < self.max_sent && self.connects < MAX_CONNECT_TRIES;
+        if allowed && left && (!self.is_repeat() || may_repeat()) {
+            return Next::TryElsewhere;
+        }
+        match (end, self.claim.take()) {
+            (TryEnd::ServerError, _) => Next::PassOn,
+            (_, Some(Claim::Unsent(proof))) => Next::Refuse(Refused::new(
+                proof,
+                RefusalReason::NoServer,
+                Some(retry_after),
+            )),
+            _ if allowed => Next::Fail(FailureReason::AttemptsUsed),
+            _ => Next::Fail(FailureReason::ServerLost),
+        }
+    }
+
+    /// Ends a call that no server can take now.
+    pub fn give_up(&mut self, reason: RefusalReason, retry_after: Duration) -> Next {
+        match self.claim.take() {
+            Some(Claim::Unsent(proof)) => {
+                Next::Refuse(Refused::new(proof, reason, Some(retry_after)))
+            }
+            _ if reason == RefusalReason::DeadlineWhileWaiting => {
+                Next::Fail(FailureReason::DeadlineWhileRunning)
+            }
+            _ => Next::Fail(FailureReason::NoOtherServer),
+        }
+    }
+
+    fn take_back(&mut self, evidence: NotStarted) {
+        self.claim = match self.claim.take() {
+            Some(Claim::Sent(in_flight)) => Some(Claim::Unsent(in_flight.not_started(evidence))),
+            other => other,
+        };
+    }
+}
--- /dev/null
+++ b/lib/src/relay/call.rs
@@ -0,0 +1,61 @@
+//! What a relayed call is, apart from its bytes.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How the answer comes, and whether the call may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum CallKind {
+    /// One whole answer.
+    Whole {
+        /// Whether a second run does no harm.
+        repeatable: bool,
+    },
+    /// A stream of events whose ids rise.
+    Stream {
+        /// Whether another server may continue from the last event.
+        resumable: bool,
+    },
+}
+
+impl CallKind {
+    /// Whether more than one run does no harm.
+    pub const fn is_repeatable(self) -> bool {
+        match self {
+            Self::Whole { repeatable } => repeatable,
+            Self::Stream { resumable } => resumable,
+        }
+    }
+
+    /// Whether the answer is a stream of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// Size of a generation, as its caller states it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Most tokens of the answer.
+    pub max_output: u64,
+}
+
+impl Prompt {
+    /// Memory that the whole generation takes at an engine, in tokens.
+    pub const fn memory(&self) -> u64 {
+        self.tokens + self.max_output
+    }
+}
+
+/// How long a caller waits for what.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// Until the first event or the whole answer, to be on time.
+    pub objective: Duration,
+    /// Between two events, to be on time; none where no pause is too long.
+    pub pause: Option<Duration>,
+}
--- /dev/null
+++ b/lib/src/relay/engine_load.rs
@@ -0,0 +1,212 @@
+//! What every engine is doing, from this box's own calls and from what other boxes tell.
+//!
+//! Engines report late, and asking them costs. A box knows its own calls exactly, and each
+//! box sends the others its whole table often; a table has a lifetime, so nothing that a dead
+//! box announced stays. The sum over boxes is what routing goes by.
+
+use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::ServerName;
+use crate::time::Time;
+
+/// A box's table counts this long; three of the longest intervals between two of them.
+pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Reading that takes this many times its estimate is over as far as routing goes.
+const READ_OVERRUN: u32 = 3;
+/// What reading may take beyond that, for the passes it waits for.
+const READ_SLACK: Duration = Duration::from_millis(500);
+
+/// Short stable key of an engine, the same at every box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EngineKey(pub u32);
+
+impl EngineKey {
+    /// The key of a server.
+    pub fn of(name: &ServerName) -> Self {
+        let mut hasher = DefaultHasher::new();
+        name.as_str().hash(&mut hasher);
+        Self(hasher.finish() as u32)
+    }
+}
+
+/// Work at one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineUse {
+    /// Reading still to do, in milliseconds of that engine alone.
+    pub reading_ms: u32,
+    /// Short calls there, whether they read, wait or write.
+    pub short: u16,
+    /// Long calls that are led there.
+    pub long: u16,
+    /// Memory of the calls that are led there, in kilotokens.
+    pub memory_k: u32,
+}
+
+impl EngineUse {
+    /// Adds another box's work.
+    pub const fn add(&mut self, other: Self) {
+        self.reading_ms += other.reading_ms;
+        self.short += other.short;
+        self.long += other.long;
+        self.memory_k += other.memory_k;
+    }
+
+    /// Whether there is any.
+    pub const fn is_none(&self) -> bool {
+        self.reading_ms == 0 && self.short == 0 && self.long == 0 && self.memory_k == 0
+    }
+}
+
+/// Identifies a piece of own work until it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WorkId(u64);
+
+/// What a call does at one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Work {
+    /// Reading there.
+    pub read: Duration,
+    /// Memory that it takes there, in tokens.
+    pub memory: u64,
+    /// Whether the engine leads the call, or only reads a part.
+    pub leads: bool,
+    /// Whether the call is long.
+    pub long: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    engine: EngineKey,
+    work: Work,
+    read_over: Time,
+    reading: bool,
+}
+
+#[derive(Debug, Default)]
+struct PeerTable {
+    sequence: u64,
+    lifetime: u64,
+    until: Time,
+    rows: HashMap<EngineKey, EngineUse>,
+}
+
+/// All work that this box knows of.
+#[derive(Debug, Default)]
+pub struct EngineLoads {
+    next: u64,
+    own: HashMap<WorkId, Entry>,
+    peers: HashMap<String, PeerTable>,
+    changed: bool,
+}
+
+impl EngineLoads {
+    /// Records own work sent to an engine.
+    pub fn begin(&mut self, now: Time, engine: EngineKey, work: Work) -> WorkId {
+        let id = WorkId(self.next);
+        self.next += 1;
+        let before = self.at(now, engine).reading_ms;
+        let ahead = Duration::from_millis(u64::from(before));
+        let entry = Entry {
+            engine,
+            work,
+            read_over: now + (ahead + work.read) * READ_OVERRUN + READ_SLACK,
+            reading: true,
+        };
+        self.own.insert(id, entry);
+        self.changed = true;
+        id
+    }
+
+    /// Records that its reading is over: the first token has come.
+    pub fn read_done(&mut self, id: WorkId) {
+        if let Some(entry) = self.own.get_mut(&id) {
+            entry.reading = false;
+            self.changed = true;
+        }
+    }
+
+    /// Records its end.
+    pub fn end(&mut self, id: WorkId) {
+        self.changed |= self.own.remove(&id).is_some();
+    }
+
+    /// Takes another box's table; one that is older than the last is ignored.
+    pub fn take_table(
+        &mut self,
+        now: Time,
+        from: &str,
+        lifetime: u64,
+        sequence: u64,
+        rows: impl IntoIterator<Item = (EngineKey, EngineUse)>,
+    ) {
+        let peer = self.peers.entry(from.to_owned()).or_default();
+        if peer.lifetime == lifetime && sequence <= peer.sequence {
+            return;
+        }
+        *peer = PeerTable {
+            sequence,
+            lifetime,
+            until: now + TABLE_LIFETIME,
+            rows: rows.into_iter().collect(),
+        };
+    }
+
+    /// Whether own work changed since this was last asked.
+    pub const fn take_changed(&mut self) -> bool {
+        std::mem::replace(&mut self.changed, false)
+    }
+
+    /// Own work by engine, for the other boxes.
+    pub fn own_table(&self, now: Time) -> HashMap<EngineKey, EngineUse> {
+        let mut table: HashMap<EngineKey, EngineUse> = HashMap::new();
+        for entry in self.own.values() {
+            let row = table.entry(entry.engine).or_default();
+            row.add(entry.use_at(now));
+        }
+        table.retain(|_, row| !row.is_none());
+        table
+    }
+
+    /// All work by engine.
+    pub fn table(&self, now: Time) -> HashMap<EngineKey, EngineUse> {
+        let mut table = self.own_table(now);
+        for peer in self.peers.values().filter(|peer| now < peer.until) {
+            for (&engine, &row) in &peer.rows {
+                table.entry(engine).or_default().add(row);
+            }
+        }
+        table
+    }
+
+    /// Boxes whose tables count now.
+    pub fn live_peers(&self, now: Time) -> usize {
+        self.peers.values().filter(|peer| now < peer.until).count()
+    }
+
+    fn at(&self, now: Time, engine: EngineKey) -> EngineUse {
+        self.table(now).get(&engine).copied().unwrap_or_default()
+    }
+}
+
+impl Entry {
+    fn use_at(&self, now: Time) -> EngineUse {
+        let reads = self.reading && now < self.read_over;
+        let leads = self.work.leads;
+        EngineUse {
+            reading_ms: match reads {
+                true => self.work.read.as_millis() as u32,
+                false => 0,
+            },
+            short: u16::from(leads && !self.work.long),
+            long: u16::from(leads && self.work.long),
+            memory_k: (self.work.memory / 1_000) as u32,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/relay/engine_plan.rs
@@ -0,0 +1,257 @@
+//! Where a generation runs: the engine that leads it, and those that read parts of its prompt.
+//!
+//! An engine works in passes: all that write take a fixed number of steps, and what is read
+//! comes on top, so reading makes the pauses of every stream on that engine longer. Short
+//! calls are therefore packed on the first engines of an order that all boxes share; how many
+//! follows from the short calls in flight. Long prompts are read in parts, side by side, on
+//! the other engines. Ways weighed: `docs/design/long-reads.md`.
+
+use std::time::Duration;
+
+use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::relay::call::Patience;
+use crate::relay::call::Prompt;
+use crate::relay::engine_load::EngineUse;
+
+/// Engines that may read for one call beside the one that leads it; the engines' limit.
+pub const MAX_HELPERS: usize = 16;
+/// Reading alone from which a prompt is long: a short stream's pause suffers from more.
+const LONG_READ: Duration = Duration::from_millis(140);
+/// Reading of one part that a long prompt is cut into, where there are engines enough.
+const PART_READ: Duration = Duration::from_millis(60);
+/// Short calls that an engine is packed with; the engines' batch holds a few more.
+const SHORT_PER_ENGINE: f64 = 10.0;
+/// Engines that long prompts keep at least.
+const LONG_ENGINES: usize = 2;
+/// Part of an engine's memory that is planned with; the rest covers what isn't known.
+const USABLE_MEMORY: f64 = 0.95;
+/// What leaving the short calls' own engines costs, as time to the first event.
+const FOREIGN_LANE: Duration = Duration::from_millis(60);
+/// What a full batch costs, as time: the call waits for another to end.
+const FULL_BATCH: Duration = Duration::from_millis(1_500);
+/// What a trip to another data hall costs, as time.
+const OTHER_HALL: Duration = Duration::from_millis(2);
+
+/// How fast an engine is, as the operators state it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct EngineModel {
+    /// Calls that write at once.
+    pub slots: u32,
+    /// Memory, in tokens.
+    pub memory: u64,
+    /// Time of one step, in milliseconds.
+    pub step_ms: f64,
+    /// What each call that writes adds to a step, in milliseconds.
+    pub per_writer_ms: f64,
+    /// What each thousand tokens of their context add to a step, in milliseconds.
+    pub per_kilo_context_ms: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_per_ms: f64,
+    /// What a million pairs of a token and an earlier one add, in milliseconds.
+    pub per_million_pairs_ms: f64,
+    /// Steps of one pass.
+    pub steps_per_pass: u32,
+}
+
+impl EngineModel {
+    /// Time that reading a prompt takes one engine alone.
+    pub fn read(&self, tokens: u64) -> Duration {
+        let tokens = tokens as f64;
+        let pairs = tokens * tokens / 2.0 / 1e6;
+        let millis = tokens / self.read_per_ms + pairs * self.per_million_pairs_ms;
+        Duration::from_secs_f64(millis / 1e3)
+    }
+
+    /// Time of a pass with this many calls that write and nothing to read.
+    pub fn pass(&self, writers: u32) -> Duration {
+        let step = self.step_ms + self.per_writer_ms * f64::from(writers);
+        Duration::from_secs_f64(step * f64::from(self.steps_per_pass) / 1e3)
+    }
+}
+
+/// One engine that may take work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineState {
+    /// Work there, of all boxes.
+    pub load: EngineUse,
+    /// Whether it stands in this box's data hall.
+    pub near: bool,
+    /// How many times slower than stated it is; 1 where nothing else is known.
+    pub pace: f64,
+}
+
+/// One engine's part of a plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Index of the engine in the caller's list.
+    pub engine: usize,
+    /// Reading there.
+    pub read: Duration,
+    /// Memory taken there, in tokens.
+    pub memory: u64,
+}
+
+/// How a generation runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EnginePlan {
+    /// Parts; the first one leads.
+    pub parts: Vec<Part>,
+    /// Whether the parts' memory must be set aside before the call is sent.
+    pub reserve: bool,
+    /// Whether the call counts as long.
+    pub long: bool,
+    /// Expected time to the first event.
+    pub expected: Duration,
+}
+
+/// Whether a prompt is long for these engines.
+pub fn is_long(model: &EngineModel, prompt: &Prompt) -> bool {
+    model.read(prompt.tokens) > LONG_READ
+}
+
+/// How many of the first engines are kept for short calls.
+pub fn short_lane(engines: &[EngineState]) -> usize {
+    let short: u32 = engines.iter().map(|e| u32::from(e.load.short)).sum();
+    let wanted = (f64::from(short + 1) / SHORT_PER_ENGINE).ceil() as usize;
+    wanted.clamp(1, engines.len().saturating_sub(LONG_ENGINES).max(1))
+}
+
+/// Plans a call over `engines`, which every box lists in the same order.
+///
+/// `None` if no engine, or no group of engines, has the memory.
+pub fn plan(
+    model: &EngineModel,
+    engines: &[EngineState],
+    prompt: &Prompt,
+    _patience: &Patience,
+    rng: &mut impl Rng,
+) -> Option<EnginePlan> {
+    if engines.is_empty() {
+        return None;
+    }
+    if is_long(model, prompt) {
+        plan_long(model, engines, prompt, rng)
+    } else {
+        plan_short(model, engines, prompt, rng)
+    }
+}
+
+fn wait(model: &EngineModel, engine: &EngineState) -> Duration {
+    let writers = u32::from(engine.load.short) + u32::from(engine.load.long);
+    let residual = match writers {
+        0 => Duration::ZERO,
+        _ => model.pass(writers) / 2,
+    };
+    let reading = Duration::from_millis(u64::from(engine.load.reading_ms));
+    (residual + reading).mul_f64(engine.pace.max(1.0))
+}
+
+fn plan_short(
+    model: &EngineModel,
+    engines: &[EngineState],
+    prompt: &Prompt,
+    rng: &mut impl Rng,
+) -> Option<EnginePlan> {
+    let lane = short_lane(engines);
+    let read = model.read(prompt.tokens);
+    let cost = |at: usize| {
+        let engine = &engines[at];
+        let writers = u32::from(engine.load.short) + u32::from(engine.load.long);
+        let full = writers >= model.slots;
+        let memory = u64::from(engine.load.memory_k) * 1_000 + prompt.memory();
+        let lacks_memory = memory > (model.memory as f64 * USABLE_MEMORY) as u64;
+        let mut cost = wait(model, engine) + model.pass(writers + 1).mul_f64(engine.pace.max(1.0));
+        if at >= lane {
+            cost += FOREIGN_LANE;
+        }
+        if full || lacks_memory {
+            cost += FULL_BATCH;
+        }
+        if !engine.near {
+            cost += OTHER_HALL;
+        }
+        cost
+    };
+    let start = rng.random_range(0..engines.len());
+    let best = (0..engines.len())
+        .map(|at| (at + start) % engines.len())
+        .min_by_key(|&at| cost(at))?;
+    Some(EnginePlan {
+        parts: vec![Part {
+            engine: best,
+            read,
+            memory: prompt.memory(),
+        }],
+        reserve: false,
+        long: false,
+        expected: cost(best) + read,
+    })
+}
+
+fn plan_long(
+    model: &EngineModel,
+    engines: &[EngineState],
+    prompt: &Prompt,
+    rng: &mut impl Rng,
+) -> Option<EnginePlan> {
+    let lane = short_lane(engines);
+    let read = model.read(prompt.tokens);
+    let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
+    let reserve = prompt.memory() > usable;
+    let mut order: Vec<usize> = (lane.min(engines.len() - 1)..engines.len()).collect();
+    if reserve || order.len() < LONG_ENGINES {
+        order = (0..engines.len()).collect();
+    }
+    let start = rng.random_range(0..order.len());
+    order.rotate_left(start);
+    order.sort_by_key(|&at| {
+        let lent = Duration::from_millis(20) * u32::from(engines[at].load.short);
+        wait(model, &engines[at]) + lent
+    });
+    let wanted = (read.as_secs_f64() / PART_READ.as_secs_f64()).ceil() as usize;
+    let count = wanted.clamp(1, order.len().min(MAX_HELPERS + 1));
+    let free = |at: usize| usable.saturating_sub(u64::from(engines[at].load.memory_k) * 1_000);
+    let mut chosen: Vec<usize> = order.iter().copied().take(count).collect();
+    if !reserve {
+        // The engine that leads holds the whole prompt.
+        let fits = |at: &usize| free(*at) >= prompt.memory();
+        let lead = chosen
+            .iter()
+            .position(fits)
+            .or_else(|| order.iter().position(fits).map(|at| at + chosen.len()));
+        match lead {
+            Some(at) if at < chosen.len() => chosen.swap(0, at),
+            Some(at) => {
+                chosen.pop();
+                chosen.insert(0, order[at - count]);
+                chosen.dedup();
+            }
+            None => {}
+        }
+    }
+    let share = read / chosen.len() as u32;
+    let expected = chosen
+        .iter()
+        .map(|&at| wait(model, &engines[at]) + model.pass(4))
+        .max()
+        .unwrap_or_default()
+        + share;
+    let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
+        engine,
+        read: share,
+        memory: match (reserve, at) {
+            (true, _) => prompt.memory() / chosen.len() as u64 + 1,
+            (false, 0) => prompt.memory(),
+            (false, _) => 0,
+        },
+    });
+    Some(EnginePlan {
+        parts: parts.collect(),
+        reserve,
+        long: true,
+        expected,
+    })
+}
--- /dev/null
+++ b/lib/src/relay/load_datagram.rs
@@ -0,0 +1,67 @@
+//! The datagram in which a box tells the others what it has at the engines.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::relay::engine_load::EngineKey;
+use crate::relay::engine_load::EngineUse;
+use crate::relay::state_pull::FRAME_VERSION;
+use crate::relay::state_pull::Revisions;
+
+/// Largest datagram; stays under the usual packet size.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Engines told of in one datagram; a row takes at most about 18 bytes.
+pub const MAX_ROWS: usize = 70;
+
+/// A box's own work at the engines, and which state it has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDatagram {
+    /// [`FRAME_VERSION`].
+    pub version: u8,
+    /// The box.
+    pub from: String,
+    /// Drawn anew at each start of the box.
+    pub lifetime: u64,
+    /// Rises with each datagram of a lifetime.
+    pub sequence: u64,
+    /// The state that it has.
+    pub have: Revisions,
+    /// Its work.
+    pub rows: Vec<(EngineKey, EngineUse)>,
+}
+
+/// Why a datagram was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BadDatagram {
+    /// It can't be decoded.
+    #[error("it can't be decoded")]
+    Malformed,
+    /// It has another version.
+    #[error("it has version {0}, this box has {FRAME_VERSION}")]
+    Version(u8),
+}
+
+impl LoadDatagram {
+    /// Encodes it.
+    ///
+    /// # Panics
+    ///
+    /// Never: every value of the type can be encoded.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a datagram can be encoded")
+    }
+
+    /// Decodes one.
+    ///
+    /// # Errors
+    ///
+    /// It is not a datagram of this version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, BadDatagram> {
+        match bytes.first() {
+            Some(&FRAME_VERSION) => {}
+            Some(&other) => return Err(BadDatagram::Version(other)),
+            None => return Err(BadDatagram::Malformed),
+        }
+        postcard::from_bytes(bytes).map_err(|_undecodable| BadDatagram::Malformed)
+    }
+}
--- /dev/null
+++ b/lib/src/relay/mod.rs
@@ -0,0 +1,17 @@
+//! Calls passed through as they are: which server, how often, and joined from what runs.
+//!
+//! A relayed call keeps its method, path, query and body; badgerferry decides where it goes,
+//! whether it may be tried again, and which answer the caller gets. The parts here know
+//! neither a platform nor a wire format: an adapter decodes both into these types.
+
+pub mod attempts;
+pub mod call;
+pub mod engine_load;
+pub mod engine_plan;
+pub mod event_join;
+pub mod load_datagram;
+pub mod retry_window;
+pub mod route_table;
+pub mod server_book;
+pub mod server_list;
+pub mod state_pull;
--- /dev/null
+++ b/lib/src/relay/server_book.rs
@@ -0,0 +1,225 @@
+//! What one box knows of each backend server, and which one takes a call of a plain service.
+//!
+//! The evidence is the box's own: calls in flight, how the last ones ended, and the load that
+//! servers tell with their answers. A server that fails rests and is tried again with one call;
+//! where all rest, all are used, since a doubtful server serves more than none.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::breaker::Breaker;
+use crate::ids::HallName;
+use crate::ids::ServerName;
+use crate::relay::engine_load::EngineKey;
+use crate::relay::route_table::ServiceName;
+use crate::relay::server_list::ListedServer;
+use crate::time::Time;
+
+/// Failures in a row after which a server rests.
+const FAILURES: u32 = 2;
+/// How long it rests; then one call tries it.
+const REST: Duration = Duration::from_millis(1_500);
+/// A load told with an answer counts this long; calls take some tens of milliseconds.
+const LOAD_LIFETIME: Duration = Duration::from_millis(500);
+/// Weight of the newest answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// What a server that always fails costs more, in calls ahead.
+const FAILURE_COST: f64 = 20.0;
+/// What another data hall costs, in calls ahead.
+const OTHER_HALL_COST: f64 = 0.3;
+
+/// How a server's part in a call ended, as far as it speaks for or against the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// It served.
+    Good,
+    /// It failed, was silent, or could not be reached.
+    Bad,
+    /// It could not be reached at all: no call gets there now.
+    Unreachable,
+    /// Nothing can be said.
+    Neutral,
+}
+
+/// Load that a server told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Calls running and waiting there, from all boxes.
+    pub calls: u32,
+    /// When it was told.
+    pub at: Time,
+}
+
+/// One server.
+#[derive(Debug)]
+pub struct ServerRecord {
+    /// Its entry.
+    pub info: ListedServer,
+    /// Its short key.
+    pub key: EngineKey,
+    /// Own calls there.
+    pub in_flight: u32,
+    /// Share of recent own calls that failed, from 0 to 1.
+    pub failing: f64,
+    /// How many times slower than its engine model it is.
+    pub pace: f64,
+    told: Option<ToldLoad>,
+    breaker: Breaker,
+}
+
+impl ServerRecord {
+    fn new(info: ListedServer) -> Self {
+        Self {
+            key: EngineKey::of(&info.name),
+            info,
+            in_flight: 0,
+            failing: 0.0,
+            pace: 1.0,
+            told: None,
+            breaker: Breaker::Closed,
+        }
+    }
+
+    /// Whether it rests after failures.
+    pub fn rests(&self, now: Time) -> bool {
+        !self.breaker.admits(now)
+    }
+
+    fn cost(&self, now: Time, hall: &HallName) -> f64 {
+        let told = self.told.filter(|told| now.since(told.at) < LOAD_LIFETIME);
+        let calls = told.map_or(self.in_flight, |told| told.calls.max(self.in_flight));
+        let trip = match self.info.hall == *hall {
+            true => 0.0,
+            false => OTHER_HALL_COST,
+        };
+        f64::from(calls) / f64::from(self.info.slots) + self.failing * FAILURE_COST + trip
+    }
+}
+
+/// All servers.
+#[derive(Debug, Default)]
+pub struct ServerBook {
+    records: HashMap<ServerName, ServerRecord>,
+    by_service: HashMap<ServiceName, Vec<ServerName>>,
+}
+
+impl ServerBook {
+    /// Takes the list of servers that may live.
+    pub fn set_servers(&mut self, listed: Vec<ListedServer>) {
+        let mut before = std::mem::take(&mut self.records);
+        self.by_service.clear();
+        for info in listed {
+            let names = self.by_service.entry(info.service.clone()).or_default();
+            names.push(info.name.clone());
+            let record = match before.remove(&info.name) {
+                Some(record) => ServerRecord { info, ..record },
+                None => ServerRecord::new(info),
+            };
+            self.records.insert(record.info.name.clone(), record);
+        }
+        let records = &self.records;
+        for names in self.by_service.values_mut() {
+            names.sort_by_key(|name| records[name].key);
+        }
+    }
+
+    /// A server, if it may live.
+    pub fn get(&self, name: &ServerName) -> Option<&ServerRecord> {
+        self.records.get(name)
+    }
+
+    /// Servers of a service, in the order that all boxes share.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &ServerRecord> {
+        let names = self.by_service.get(service).into_iter().flatten();
+        names.map(|name| &self.records[name])
+    }
+
+    /// Servers that may take a call now, in the shared order; `tried` ones only if need be.
+    pub fn usable(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        tried: &[ServerName],
+    ) -> Vec<&ServerRecord> {
+        let listed: Vec<&ServerRecord> = self
+            .of_service(service)
+            .filter(|record| !record.info.leaving)
+            .collect();
+        let fresh = |record: &&&ServerRecord| !tried.contains(&record.info.name);
+        let works = |record: &&&ServerRecord| !record.rests(now);
+        let best: Vec<_> = listed.iter().filter(fresh).filter(works).copied().collect();
+        if !best.is_empty() {
+            return best;
+        }
+        let untried: Vec<_> = listed.iter().filter(fresh).copied().collect();
+        match untried.is_empty() {
+            false => untried,
+            true => listed,
+        }
+    }
+
+    /// The server of a plain service that a call goes to.
+    pub fn pick(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        hall: &HallName,
+        tried: &[ServerName],
+        rng: &mut impl Rng,
+    ) -> Option<&ServerRecord> {
+        let usable = self.usable(now, service, tried);
+        let start = rng.random_range(0..usable.len().max(1));
+        let by_cost = |record: &&&ServerRecord| ordered(record.cost(now, hall));
+        let turned = usable.iter().cycle().skip(start).take(usable.len());
+        turned.min_by_key(by_cost).copied()
+    }
+
+    /// Records a call sent there.
+    pub fn sent(&mut self, name: &ServerName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.in_flight += 1;
+            record.breaker.on_dispatch();
+        }
+    }
+
+    /// Records the end of a call sent there.
+    pub fn ended(&mut self, now: Time, name: &ServerName, evidence: Evidence) {
+        let Some(record) = self.records.get_mut(name) else {
+            return;
+        };
+        record.in_flight = record.in_flight.saturating_sub(1);
+        let failed = match evidence {
+            Evidence::Good => {
+                record.breaker.on_success();
+                0.0
+            }
+            Evidence::Bad => {
+                record.breaker.on_failure(now, FAILURES, REST);
+                1.0
+            }
+            Evidence::Unreachable => {
+                record.breaker.on_failure(now, 1, REST);
+                1.0
+            }
+            Evidence::Neutral => {
+                record.breaker.on_nothing_learned(now);
+                return;
+            }
+        };
+        record.failing += (failed - record.failing) * FAILURE_WEIGHT;
+    }
+
+    /// Takes the load that a server told.
+    pub fn told(&mut self, name: &ServerName, told: ToldLoad) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.told = Some(told);
+        }
+    }
+}
+
+/// A cost as an integer that sorts alike; costs are a few hundred at most.
+fn ordered(cost: f64) -> u64 {
+    (cost * 1e6) as u64
+}
--- /dev/null
+++ b/lib/src/relay/state_pull.rs
@@ -0,0 +1,61 @@
+//! How a box takes newer state from another one.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::relay::route_table::RouteTable;
+use crate::relay::server_list::ServerEntries;
+
+/// Version of the frames between boxes; a frame of another version is dropped.
+pub const FRAME_VERSION: u8 = 1;
+/// Largest frame, in bytes; tables are at most a megabyte in the store.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// What of the store's state a box has, by revision.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revisions {
+    /// Revision of the route table; 0 for none.
+    pub table: u64,
+    /// Revision up to which server entries are known; 0 for none.
+    pub servers: u64,
+}
+
+/// Asks for what is newer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PullRequest {
+    /// [`FRAME_VERSION`].
+    pub version: u8,
+    /// What the asking box has.
+    pub have: Revisions,
+}
+
+/// A route table with the revision at which the store took it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StampedTable {
+    /// The store's revision.
+    pub revision: u64,
+    /// The table.
+    pub table: RouteTable,
+}
+
+/// What is newer.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PullAnswer {
+    /// The route table, if newer.
+    pub table: Option<StampedTable>,
+    /// All server entries, if newer.
+    pub servers: Option<ServerEntries>,
+    /// Other boxes that are known.
+    pub boxes: Vec<BoxAddresses>,
+}
+
+/// Where a box is reached by other boxes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct BoxAddresses {
+    /// Its name.
+    pub name: String,
+    /// Where it answers pulls, as `ip:port` over TCP.
+    pub pull: String,
+    /// Where it takes load datagrams, as `ip:port` over UDP.
+    pub load: String,
+}
