relay: bind peers' sockets on the control thread

Cause: the control runtime was driven from inside the traffic runtime, which tokio refuses; every process ended with code 101.

--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -62,12 +62,21 @@
         .enable_all()
         .build()
         .context("failed to build the control runtime")?;
-    let links = runtime.block_on(neighbours::bind(&relay.settings))?;
+    let (bound_tx, bound_rx) = std::sync::mpsc::channel();
     let relay = Arc::clone(relay);
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
             runtime.block_on(async {
+                let links = match neighbours::bind(&relay.settings).await {
+                    Ok(links) => links,
+                    Err(cause) => {
+                        // The receiver waits for exactly this.
+                        let _ = bound_tx.send(Err(cause));
+                        return;
+                    }
+                };
+                let _ = bound_tx.send(Ok(()));
                 tokio::join!(
                     store_follow::run(&relay),
                     store_follow::keep_entry(&relay),
@@ -76,5 +85,5 @@
             });
         })
         .context("failed to start the control thread")?;
-    Ok(())
+    bound_rx.recv().context("the control thread ended")?
 }
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -212,7 +212,9 @@
         wait(model, &engines[at]) + lent
     });
     let wanted = (read.as_secs_f64() / PART_READ.as_secs_f64()).ceil() as usize;
-    let count = wanted.clamp(1, order.len().min(MAX_HELPERS + 1));
+    // With reservations the engine that leads is listed among the readers, too.
+    let most = MAX_HELPERS + usize::from(!reserve);
+    let count = wanted.clamp(1, order.len().min(most));
     let free = |at: usize| usable.saturating_sub(u64::from(engines[at].load.memory_k) * 1_000);
     let mut chosen: Vec<usize> = order.iter().copied().take(count).collect();
     if !reserve {
