relay: silence alone ends no stream; a lost store is probed often

Now a silent run is left only where another server may go on. Now calls are short while it is lost. Ruled out: neighbours, all of which had lost the store as well.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -88,7 +88,16 @@
         self.relay.clock.now().until(self.deadline)
     }
 
-    /// Asks the box's share of the retry budget for one repeat.
+    /// Whether the box's share of the retry budget has a repeat left.
+    pub fn has_retry_budget(&self) -> bool {
+        let now = self.relay.clock.now();
+        let boxes = self.relay.boxes();
+        let mut retries = lock(&self.relay.retries);
+        let window = retries.entry(self.service.clone()).or_default();
+        window.has_left(now, &self.relay.settings.retries, boxes)
+    }
+
+    /// Takes one repeat from the box's share of the retry budget, if there is one.
     pub fn may_repeat(&self) -> bool {
         let now = self.relay.clock.now();
         let boxes = self.relay.boxes();
--- a/daemon/src/relay/live_stream.rs
+++ b/daemon/src/relay/live_stream.rs
@@ -1,6 +1,7 @@
 //! A stream on its way to the caller, continued elsewhere when its server breaks off.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::attempts::Attempts;
@@ -13,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::relay::answer_body::AnswerBody;
@@ -28,7 +30,11 @@
 /// Why a run of a stream is over.
 enum RunEnd {
     Complete,
-    Broken(EventJoin),
+    Broken {
+        join: EventJoin,
+        /// Whether the retry budget has been asked already.
+        repeat_paid: bool,
+    },
     CallerGone,
 }
 
@@ -53,19 +59,42 @@
     live: Box<Live>,
     tx: mpsc::Sender<Piece>,
 ) {
+    let mut pauses = Pauses::begin();
     let ended = timeout(
         call.time_left(),
-        run_until_end(&call, &mut attempts, &mut tried, live, &tx),
+        run_until_end(&call, &mut attempts, &mut tried, live, &tx, &mut pauses),
     )
     .await;
     let how = ended.unwrap_or("deadline_while_running");
-    log_lines::ended(&call, &attempts, how, StatusCode::OK);
+    log_lines::stream_ended(&call, &attempts, how, pauses.longest);
     if how != COMPLETE {
         // Without room the caller does not read; dropping the sender would look complete.
         let _ = tx.send(Piece::Cut).await;
     }
 }
 
+/// The longest pause between events so far.
+#[derive(Debug)]
+struct Pauses {
+    last: Instant,
+    longest: Duration,
+}
+
+impl Pauses {
+    fn begin() -> Self {
+        Self {
+            last: Instant::now(),
+            longest: Duration::ZERO,
+        }
+    }
+
+    fn event(&mut self) {
+        let now = Instant::now();
+        self.longest = self.longest.max(now - self.last);
+        self.last = now;
+    }
+}
+
 /// How a complete stream is called in logs.
 const COMPLETE: &str = "answered";
 
@@ -75,16 +104,18 @@
     tried: &mut Vec<ServerName>,
     mut live: Box<Live>,
     tx: &mpsc::Sender<Piece>,
+    pauses: &mut Pauses,
 ) -> &'static str {
     loop {
-        let mut join = match pump(call, live, tx).await {
+        let (mut join, mut repeat_paid) = match pump(call, attempts, live, tx, pauses).await {
             RunEnd::Complete => return COMPLETE,
             RunEnd::CallerGone => return "caller_gone",
-            RunEnd::Broken(join) => join,
+            RunEnd::Broken { join, repeat_paid } => (join, repeat_paid),
         };
         let mut end = TryEnd::Lost;
         live = loop {
-            match attempts.on_end(end, NO_SERVER_RETRY, || call.may_repeat()) {
+            let paid = std::mem::take(&mut repeat_paid);
+            match attempts.on_end(end, NO_SERVER_RETRY, || paid || call.may_repeat()) {
                 Next::TryElsewhere => {}
                 Next::Fail(reason) => return reason.code(),
                 Next::PassOn | Next::Refuse(_) => return "server_lost",
@@ -105,10 +136,16 @@
     }
 }
 
-async fn pump(call: &Call, live: Box<Live>, tx: &mpsc::Sender<Piece>) -> RunEnd {
+async fn pump(
+    call: &Call,
+    attempts: &Attempts,
+    live: Box<Live>,
+    tx: &mpsc::Sender<Piece>,
+    pauses: &mut Pauses,
+) -> RunEnd {
     let Live {
         events,
-        complete,
+        mut complete,
         mut body,
         mut join,
         connection,
@@ -116,24 +153,21 @@
         rest,
         ..
     } = *live;
-    if !events.is_empty() && tx.send(Piece::Data(events)).await.is_err() {
+    if !forward(events, tx, pauses).await {
         return RunEnd::CallerGone;
     }
-    let silence = match call.route.kind.is_repeatable() {
-        true => tries::silence(call, &flight.chosen, false),
-        false => std::time::Duration::MAX,
-    };
-    let mut complete = complete;
+    let mut patience = tries::silence(call, &flight.chosen, false);
     while !complete {
         let frame = tokio::select! {
-            frame = timeout(silence, body.frame()) => frame,
+            frame = timeout(patience, body.frame()) => frame,
             () = tx.closed() => return RunEnd::CallerGone,
         };
+        let mut repeat_paid = false;
         let broken = match frame {
             Ok(Some(Ok(frame))) => {
                 let bytes = frame.into_data().unwrap_or_default();
                 match join.push(&bytes) {
-                    Ok(events) => match forward(events, tx).await {
+                    Ok(events) => match forward(events, tx, pauses).await {
                         true => continue,
                         false => return RunEnd::CallerGone,
                     },
@@ -146,11 +180,19 @@
             }
             Ok(None) => "it ended inside an event".to_owned(),
             Ok(Some(Err(cause))) => cause.to_string(),
-            Err(_elapsed) => "it was silent too long".to_owned(),
+            Err(_elapsed) => {
+                // Silence alone ends no answer: without another server to go on, it is waited for.
+                repeat_paid = attempts.may_repeat() && call.may_repeat();
+                if !repeat_paid {
+                    patience = Duration::MAX;
+                    continue;
+                }
+                "it was silent too long".to_owned()
+            }
         };
         log_lines::unusable(call, &flight.chosen, StatusCode::OK, &broken);
         flight.end(Evidence::Bad);
-        return RunEnd::Broken(join);
+        return RunEnd::Broken { join, repeat_paid };
     }
     if let Some(keep_alive) = rest {
         let upstream = &call.relay.upstream;
@@ -160,6 +202,10 @@
     RunEnd::Complete
 }
 
-async fn forward(events: Bytes, tx: &mpsc::Sender<Piece>) -> bool {
-    events.is_empty() || tx.send(Piece::Data(events)).await.is_ok()
+async fn forward(events: Bytes, tx: &mpsc::Sender<Piece>, pauses: &mut Pauses) -> bool {
+    if events.is_empty() {
+        return true;
+    }
+    pauses.event();
+    tx.send(Piece::Data(events)).await.is_ok()
 }
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -120,8 +120,28 @@
     );
 }
 
-/// The call has its outcome.
+/// A call has its outcome.
 pub fn ended(call: &Call, attempts: &Attempts, outcome: &'static str, status: StatusCode) {
+    outcome_line(call, attempts, outcome, status, None);
+}
+
+/// A stream has its outcome.
+pub fn stream_ended(
+    call: &Call,
+    attempts: &Attempts,
+    outcome: &'static str,
+    longest_pause: Duration,
+) {
+    outcome_line(call, attempts, outcome, StatusCode::OK, Some(longest_pause));
+}
+
+fn outcome_line(
+    call: &Call,
+    attempts: &Attempts,
+    outcome: &'static str,
+    status: StatusCode,
+    longest_pause: Option<Duration>,
+) {
     let took = call.relay.clock.now().since(call.arrived);
     counter!("badgerferry_calls_total", "outcome" => outcome).increment(1);
     histogram!("badgerferry_relay_call_seconds", "service" => call.service.to_string())
@@ -136,6 +156,7 @@
         status = status.as_u16(),
         sent = attempts.sent(),
         took_ms = took.as_millis() as u64,
+        longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u64),
         "call ended"
     );
 }
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -17,13 +17,22 @@
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
-/// Longest wait for an answer of the store beyond what a watch waits.
-const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Longest wait for an answer of the store beyond what a watch waits; it answers in milliseconds.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+/// Limits tried in turn while the store does not answer: short ones, so that its return shows
+/// soon, and a long one in case it is only slow.
+const LOST_LIMITS: [Duration; 3] = [
+    Duration::from_millis(700),
+    Duration::from_millis(700),
+    Duration::from_millis(2_000),
+];
 /// How long a watch waits: a watch that is cut silently is known after this and the limit.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// How long it waits while the store does not answer.
+const LOST_WATCH_WAIT: Duration = Duration::from_millis(50);
 /// Longest pause after a failure: a change is to be known within four seconds of the store's
 /// return.
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// Lifetime of this box's entry; other boxes forget a dead one after it.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(6);
 /// Renewals in one lifetime of the entry.
@@ -50,6 +59,7 @@
     /// Revision to watch from; none where all must be read.
     revision: Option<u64>,
     lost_since: Option<Instant>,
+    failures: usize,
     backoff: Backoff,
 }
 
@@ -59,11 +69,16 @@
             relay,
             revision: None,
             lost_since: None,
+            failures: 0,
             backoff: Backoff::default(),
         }
     }
 
     async fn step(&mut self, store: &mut Store) -> Result<(), StoreError> {
+        store.set_limit(match self.failures {
+            0 => CALL_LIMIT,
+            failures => LOST_LIMITS[failures % LOST_LIMITS.len()],
+        });
         let Some(after) = self.revision else {
             let all = store.read_all().await?;
             self.store_answers();
@@ -71,7 +86,11 @@
             self.revision = Some(all.revision);
             return Ok(());
         };
-        let seen = store.watch(after, WATCH_WAIT).await?;
+        let wait = match self.lost_since {
+            Some(_) => LOST_WATCH_WAIT,
+            None => WATCH_WAIT,
+        };
+        let seen = store.watch(after, wait).await?;
         self.store_answers();
         for change in seen.changes {
             self.take(change);
@@ -92,6 +111,7 @@
             let away_ms = since.elapsed().as_millis() as u64;
             tracing::info!(away_ms, "store regained");
         }
+        self.failures = 0;
         self.backoff = Backoff::default();
     }
 
@@ -105,6 +125,7 @@
             self.lost_since = Some(Instant::now());
             tracing::warn!(%cause, revision = self.revision, "store lost");
         }
+        self.failures += 1;
         lock(&self.relay.followed).servers.store_lost();
         self.backoff.next(&mut rand::rng()).min(LONGEST_PAUSE)
     }
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -146,7 +146,7 @@
         };
         lock(&call.relay.book).told(&flight.chosen.server, told);
     }
-    classify(call, flight, connection, parts, head, body, join).await
+    classify(call, attempts, flight, connection, parts, head, body, join).await
 }
 
 fn request(call: &Call, chosen: &Chosen, resume_after: Option<u64>) -> Request<Full<Bytes>> {
@@ -182,6 +182,7 @@
 
 async fn classify(
     call: &Arc<Call>,
+    attempts: &Attempts,
     flight: Flight,
     connection: Connection,
     parts: http::response::Parts,
@@ -216,7 +217,7 @@
             Some(join) => join.clone(),
             None => EventJoin::after(call.head.resume_after),
         };
-        return first_events(call, flight, connection, parts, body, join, rest).await;
+        return first_events(call, attempts, flight, connection, parts, body, join, rest).await;
     }
     let Some(bytes) = read_whole(body).await else {
         return unusable(flight, "it ended early");
@@ -280,6 +281,7 @@
 
 async fn first_events(
     call: &Arc<Call>,
+    attempts: &Attempts,
     flight: Flight,
     connection: Connection,
     head: http::response::Parts,
@@ -287,10 +289,7 @@
     mut join: EventJoin,
     rest: Option<Option<Duration>>,
 ) -> TryResult {
-    let patience = match call.route.kind.is_repeatable() {
-        true => silence(call, &flight.chosen, true),
-        false => Duration::MAX,
-    };
+    let mut patience = silence(call, &flight.chosen, true);
     loop {
         let broken = match timeout(patience, body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -327,7 +326,13 @@
             }
             Ok(None) => "it ended inside an event".to_owned(),
             Ok(Some(Err(cause))) => cause.to_string(),
-            Err(_elapsed) => "no first event in time".to_owned(),
+            Err(_elapsed) if attempts.may_repeat() && call.has_retry_budget() => {
+                "no first event in time".to_owned()
+            }
+            Err(_elapsed) => {
+                patience = Duration::MAX;
+                continue;
+            }
         };
         log_lines::unusable(call, &flight.chosen, StatusCode::OK, &broken);
         flight.end(Evidence::Bad);
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -87,6 +87,11 @@
         matches!(self.claim, Some(Claim::Unsent(_)))
     }
 
+    /// Whether another server may be tried, as far as the call itself goes.
+    pub const fn may_repeat(&self) -> bool {
+        self.repeatable && self.sent < self.max_sent
+    }
+
     /// Records that the call is being sent.
     ///
     /// # Panics
--- a/lib/src/relay/retry_window.rs
+++ b/lib/src/relay/retry_window.rs
@@ -47,8 +47,8 @@
         self.slice(now, rule).firsts += 1;
     }
 
-    /// Takes one repeat if the box's share has one left.
-    pub fn spend(&mut self, now: Time, rule: &RetryRule, boxes: usize) -> bool {
+    /// Whether the box's share has a repeat left.
+    pub fn has_left(&mut self, now: Time, rule: &RetryRule, boxes: usize) -> bool {
         let current = self.slice(now, rule).number;
         let firsts: u32 = (self.slices.iter())
             .filter(|slice| slice.number + u64::from(SLICES) > current)
@@ -57,7 +57,12 @@
         let repeats: u32 = self.slices.iter().map(|slice| slice.repeats).sum();
         let share = rule.slack / (ASSUMED_PER_KNOWN * boxes.max(1) as f64);
         let allowed = rule.ratio * EARNED_PART * f64::from(firsts) + share;
-        let allows = f64::from(repeats) + 1.0 <= allowed;
+        f64::from(repeats) + 1.0 <= allowed
+    }
+
+    /// Takes one repeat if the box's share has one left.
+    pub fn spend(&mut self, now: Time, rule: &RetryRule, boxes: usize) -> bool {
+        let allows = self.has_left(now, rule, boxes);
         if allows {
             self.slice(now, rule).repeats += 1;
         }
