relay: long prompts wait at the box, shortest reading first

Cause: parts queued up to five seconds deep at the engines, so short calls found every engine busy and long streams paused over a second. Now parts are sent while at most 250 ms stand before them; the rest waits at the box. Estimates decay as engines read. Open: first events of parts come seconds later than estimated in long phases.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -88,6 +88,13 @@
         self.relay.clock.now().until(self.deadline)
     }
 
+    /// When the caller first asked: one that comes back has less time left than its route gives.
+    pub fn first_arrived(&self) -> Time {
+        let left = self.head.time_left.unwrap_or(self.route.time_limit);
+        let passed = self.route.time_limit.saturating_sub(left);
+        Time::from_micros(self.arrived.as_micros().saturating_sub(passed.as_micros() as u64))
+    }
+
     /// Whether the box's share of the retry budget has a repeat left.
     pub fn has_retry_budget(&self) -> bool {
         let now = self.relay.clock.now();
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -5,7 +5,6 @@
 
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::outcome::RefusalReason;
-use badgerferry_lib::relay::call::Patience;
 use badgerferry_lib::relay::call::Prompt;
 use badgerferry_lib::relay::engine_load::EngineKey;
 use badgerferry_lib::relay::engine_load::Work;
@@ -14,6 +13,9 @@
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
 use badgerferry_lib::relay::engine_plan::EngineState;
+use badgerferry_lib::relay::engine_plan::Part;
+use badgerferry_lib::relay::long_queue::Ticket;
+use badgerferry_lib::relay::long_queue::Waiting;
 use badgerferry_lib::relay::server_book::ServerRecord;
 use badgerferry_platform::headers::Reader;
 
@@ -25,6 +27,8 @@
 
 /// Estimate of a plain call's time where nothing is known, for patience with a silent server.
 const PLAIN_EXPECTED: Duration = Duration::from_millis(300);
+/// How often a waiting long prompt looks whether engines can read it; a part takes longer.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
 
 /// Where a try goes.
 #[derive(Debug)]
@@ -46,6 +50,12 @@
 }
 
 impl Chosen {
+    /// Addresses of the engines that read parts, for logs; none where there is one reader.
+    pub fn read_at(&self) -> Option<String> {
+        let addresses: Vec<&str> = self.readers.iter().map(|row| row.address.as_str()).collect();
+        (!addresses.is_empty()).then(|| addresses.join(" "))
+    }
+
     /// Notes that all reading is over.
     pub fn read_done(&self, call: &Call) {
         let mut loads = lock(&call.relay.loads);
@@ -131,49 +141,17 @@
     prompt: &Prompt,
 ) -> Result<Chosen, (RefusalReason, Duration)> {
     let relay = &call.relay;
-    let (addresses, plan, works) = {
-        let now = relay.clock.now();
-        let book = lock(&relay.book);
-        let mut loads = lock(&relay.loads);
-        let table = loads.table(now);
-        let usable = book.usable(now, &call.service, tried);
-        let state = |record: &&ServerRecord| EngineState {
-            load: table.get(&record.key).copied().unwrap_or_default(),
-            near: record.info.hall == relay.settings.hall,
-            pace: record.pace,
-        };
-        let states: Vec<EngineState> = usable.iter().map(state).collect();
-        let patience = Patience {
-            objective: call.route.objective,
-            pause: call.route.pause,
-        };
-        let plan = engine_plan::plan(model, &states, prompt, &patience, &mut rand::rng());
-        let plan = plan.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
-        let address = |record: &ServerRecord| Address {
-            server: record.info.name.clone(),
-            address: record.info.address.clone(),
-            key: record.key,
-        };
-        let addresses: Vec<Address> = (plan.parts.iter())
-            .map(|part| address(usable[part.engine]))
-            .collect();
-        let mut ids = Vec::with_capacity(plan.parts.len());
-        for (at, part) in plan.parts.iter().enumerate() {
-            let work = Work {
-                read: part.read,
-                memory: part.memory,
-                leads: at == 0,
-                long: plan.long,
-            };
-            ids.push(loads.begin(now, addresses[at].key, work));
-        }
-        let works = Works {
-            relay: Arc::clone(relay),
-            ids,
-        };
-        (addresses, plan, works)
+    let started = match engine_plan::is_long(model, prompt) {
+        true => wait_for_engines(call, tried, model, prompt).await?,
+        false => start(call, tried, model, prompt, Duration::MAX)
+            .ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?,
     };
     relay.load_changed.notify_one();
+    let Started {
+        addresses,
+        plan,
+        works,
+    } = started;
     let reservations = match plan.reserve {
         true => Some(reserve(call, &addresses, &plan).await?),
         false => None,
@@ -191,6 +169,116 @@
     })
 }
 
+/// A plan whose work is entered in the load table.
+struct Started {
+    addresses: Vec<Address>,
+    plan: EnginePlan,
+    works: Works,
+}
+
+/// Plans the call and enters its work, unless more than `most_ahead` stands before it.
+fn start(
+    call: &Arc<Call>,
+    tried: &[ServerName],
+    model: &EngineModel,
+    prompt: &Prompt,
+    most_ahead: Duration,
+) -> Option<Started> {
+    let relay = &call.relay;
+    let now = relay.clock.now();
+    let book = lock(&relay.book);
+    let mut loads = lock(&relay.loads);
+    let table = loads.table(now);
+    let usable = book.usable(now, &call.service, tried);
+    let state = |record: &&ServerRecord| EngineState {
+        load: table.get(&record.key).copied().unwrap_or_default(),
+        near: record.info.hall == relay.settings.hall,
+        pace: record.pace,
+    };
+    let states: Vec<EngineState> = usable.iter().map(state).collect();
+    let plan = engine_plan::plan(model, &states, prompt, &mut rand::rng())?;
+    if plan.ahead > most_ahead {
+        return None;
+    }
+    let address = |part: &Part| {
+        let record = usable[part.engine];
+        Address {
+            server: record.info.name.clone(),
+            address: record.info.address.clone(),
+            key: record.key,
+        }
+    };
+    let addresses: Vec<Address> = plan.parts.iter().map(address).collect();
+    let mut ids = Vec::with_capacity(plan.parts.len());
+    for (at, part) in plan.parts.iter().enumerate() {
+        let work = Work {
+            read: part.read,
+            memory: part.memory,
+            leads: at == 0,
+            long: plan.long,
+        };
+        ids.push(loads.begin(now, addresses[at].key, work));
+    }
+    drop(loads);
+    let works = Works {
+        relay: Arc::clone(relay),
+        ids,
+    };
+    Some(Started {
+        addresses,
+        plan,
+        works,
+    })
+}
+
+/// A place in the queue of long prompts, given up when dropped.
+struct Place<'a> {
+    relay: &'a Relay,
+    ticket: Ticket,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        lock(&self.relay.long_queue).remove(self.ticket);
+    }
+}
+
+async fn wait_for_engines(
+    call: &Arc<Call>,
+    tried: &[ServerName],
+    model: &EngineModel,
+    prompt: &Prompt,
+) -> Result<Started, (RefusalReason, Duration)> {
+    let relay = &call.relay;
+    let waiting = Waiting {
+        read: model.read(prompt.tokens),
+        due: call.first_arrived() + call.route.objective,
+        objective: call.route.objective,
+        deadline: call.deadline,
+    };
+    let given_up_at = waiting.given_up_at();
+    let place = Place {
+        relay,
+        ticket: lock(&relay.long_queue).push(waiting),
+    };
+    loop {
+        let now = relay.clock.now();
+        let is_first = lock(&relay.long_queue).is_first(now, place.ticket);
+        if let (true, Some(started)) = (
+            is_first,
+            is_first
+                .then(|| start(call, tried, model, prompt, engine_plan::MOST_AHEAD))
+                .flatten(),
+        ) {
+            return Ok(started);
+        }
+        if now >= given_up_at {
+            return Err((RefusalReason::WouldMissDeadline, NO_SERVER_RETRY));
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
 async fn reserve(
     call: &Arc<Call>,
     addresses: &[Address],
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -65,6 +65,7 @@
         sent = attempts.sent(),
         server = %chosen.server,
         readers = chosen.readers.len(),
+        read_at = chosen.read_at(),
         tokens = call.head.prompt.map(|prompt| prompt.tokens),
         expected_ms = chosen.expected.as_millis() as u64,
         left_ms = call.time_left().as_millis() as u64,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use badgerferry_lib::relay::engine_load::EngineLoads;
+use badgerferry_lib::relay::long_queue::LongQueue;
 use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::ServiceName;
@@ -53,6 +54,8 @@
     pub book: Mutex<ServerBook>,
     /// Work at engines, of all boxes.
     pub loads: Mutex<EngineLoads>,
+    /// Long prompts that wait for engines.
+    pub long_queue: Mutex<LongQueue>,
     /// Retry budgets by service.
     pub retries: Mutex<HashMap<ServiceName, RetryWindow>>,
     /// Connections to servers.
@@ -79,6 +82,7 @@
             routes: ArcSwapOption::empty(),
             book: Mutex::default(),
             loads: Mutex::default(),
+            long_queue: Mutex::default(),
             retries: Mutex::default(),
             upstream: Upstream::default(),
             followed: Mutex::default(),
--- a/lib/src/relay/call.rs
+++ b/lib/src/relay/call.rs
@@ -1,7 +1,5 @@
 //! What a relayed call is, apart from its bytes.
 
-use std::time::Duration;
-
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -50,12 +48,3 @@
         self.tokens + self.max_output
     }
 }
-
-/// How long a caller waits for what.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
-    /// Until the first event or the whole answer, to be on time.
-    pub objective: Duration,
-    /// Between two events, to be on time; none where no pause is too long.
-    pub pause: Option<Duration>,
-}
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,11 +18,6 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// Reading that takes this many times its estimate is over as far as routing goes.
-const READ_OVERRUN: u32 = 3;
-/// What reading may take beyond that, for the passes it waits for.
-const READ_SLACK: Duration = Duration::from_millis(500);
-
 /// Short stable key of an engine, the same at every box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EngineKey(pub u32);
@@ -85,6 +80,7 @@
 struct Entry {
     engine: EngineKey,
     work: Work,
+    /// When its reading should be over, if the engine works off what it has in order.
     read_over: Time,
     reading: bool,
 }
@@ -93,7 +89,7 @@
 struct PeerTable {
     sequence: u64,
     lifetime: u64,
-    until: Time,
+    taken: Time,
     rows: HashMap<EngineKey, EngineUse>,
 }
 
@@ -111,12 +107,11 @@
     pub fn begin(&mut self, now: Time, engine: EngineKey, work: Work) -> WorkId {
         let id = WorkId(self.next);
         self.next += 1;
-        let before = self.at(now, engine).reading_ms;
-        let ahead = Duration::from_millis(u64::from(before));
+        let ahead = self.at(now, engine).reading_ms;
         let entry = Entry {
             engine,
             work,
-            read_over: now + (ahead + work.read) * READ_OVERRUN + READ_SLACK,
+            read_over: now + Duration::from_millis(u64::from(ahead)) + work.read,
             reading: true,
         };
         self.own.insert(id, entry);
@@ -153,7 +148,7 @@
         *peer = PeerTable {
             sequence,
             lifetime,
-            until: now + TABLE_LIFETIME,
+            taken: now,
             rows: rows.into_iter().collect(),
         };
     }
@@ -177,9 +172,9 @@
     /// All work by engine.
     pub fn table(&self, now: Time) -> HashMap<EngineKey, EngineUse> {
         let mut table = self.own_table(now);
-        for peer in self.peers.values().filter(|peer| now < peer.until) {
+        for peer in self.live(now) {
             for (&engine, &row) in &peer.rows {
-                table.entry(engine).or_default().add(row);
+                table.entry(engine).or_default().add(row.after(now.since(peer.taken)));
             }
         }
         table
@@ -187,7 +182,12 @@
 
     /// Boxes whose tables count now.
     pub fn live_peers(&self, now: Time) -> usize {
-        self.peers.values().filter(|peer| now < peer.until).count()
+        self.live(now).count()
+    }
+
+    fn live(&self, now: Time) -> impl Iterator<Item = &PeerTable> {
+        let lives = move |peer: &&PeerTable| now.since(peer.taken) < TABLE_LIFETIME;
+        self.peers.values().filter(lives)
     }
 
     fn at(&self, now: Time, engine: EngineKey) -> EngineUse {
@@ -195,15 +195,25 @@
     }
 }
 
+impl EngineUse {
+    /// The same work a while later: reading goes on meanwhile.
+    const fn after(self, passed: Duration) -> Self {
+        Self {
+            reading_ms: self.reading_ms.saturating_sub(passed.as_millis() as u32),
+            ..self
+        }
+    }
+}
+
 impl Entry {
     fn use_at(&self, now: Time) -> EngineUse {
-        let reads = self.reading && now < self.read_over;
+        let left = match self.reading {
+            true => now.until(self.read_over).min(self.work.read),
+            false => Duration::ZERO,
+        };
         let leads = self.work.leads;
         EngineUse {
-            reading_ms: match reads {
-                true => self.work.read.as_millis() as u32,
-                false => 0,
-            },
+            reading_ms: left.as_millis() as u32,
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -12,7 +12,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::relay::call::Patience;
 use crate::relay::call::Prompt;
 use crate::relay::engine_load::EngineUse;
 
@@ -22,8 +21,10 @@
 const LONG_READ: Duration = Duration::from_millis(140);
 /// Reading of one part that a long prompt is cut into, where there are engines enough.
 const PART_READ: Duration = Duration::from_millis(60);
-/// Short calls that an engine is packed with; the engines' batch holds a few more.
-const SHORT_PER_ENGINE: f64 = 10.0;
+/// Short calls that an engine is packed with; its batch holds a few more for a burst.
+const SHORT_PER_ENGINE: usize = 12;
+/// Engines kept for short calls beside those that they fill, for calls that come at once.
+const SPARE_SHORT_ENGINES: usize = 1;
 /// Engines that long prompts keep at least.
 const LONG_ENGINES: usize = 2;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
@@ -34,6 +35,11 @@
 const FULL_BATCH: Duration = Duration::from_millis(1_500);
 /// What a trip to another data hall costs, as time.
 const OTHER_HALL: Duration = Duration::from_millis(2);
+/// What a short stream costs a part that is read beside it: its pauses grow.
+const BESIDE_SHORT: Duration = Duration::from_millis(20);
+/// Reading ahead of a long prompt's parts up to which they are sent: engines never idle, their
+/// passes stay short, and engines can turn to short calls soon.
+pub const MOST_AHEAD: Duration = Duration::from_millis(250);
 
 /// How fast an engine is, as the operators state it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -103,6 +109,8 @@
     pub reserve: bool,
     /// Whether the call counts as long.
     pub long: bool,
+    /// Reading that stands before its parts, at the engine where most does.
+    pub ahead: Duration,
     /// Expected time to the first event.
     pub expected: Duration,
 }
@@ -114,39 +122,52 @@
 
 /// How many of the first engines are kept for short calls.
 pub fn short_lane(engines: &[EngineState]) -> usize {
-    let short: u32 = engines.iter().map(|e| u32::from(e.load.short)).sum();
-    let wanted = (f64::from(short + 1) / SHORT_PER_ENGINE).ceil() as usize;
+    let short: usize = engines.iter().map(|engine| usize::from(engine.load.short)).sum();
+    let wanted = short.div_ceil(SHORT_PER_ENGINE) + SPARE_SHORT_ENGINES;
     wanted.clamp(1, engines.len().saturating_sub(LONG_ENGINES).max(1))
 }
 
 /// Plans a call over `engines`, which every box lists in the same order.
 ///
-/// `None` if no engine, or no group of engines, has the memory.
+/// `None` if no engine, or no group of engines, has the memory now.
 pub fn plan(
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
-    _patience: &Patience,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
     if engines.is_empty() {
         return None;
     }
-    if is_long(model, prompt) {
-        plan_long(model, engines, prompt, rng)
-    } else {
-        plan_short(model, engines, prompt, rng)
+    match is_long(model, prompt) {
+        true => plan_long(model, engines, prompt, rng),
+        false => plan_short(model, engines, prompt, rng),
     }
 }
 
+fn reading_ahead(engine: &EngineState) -> Duration {
+    let reading = Duration::from_millis(u64::from(engine.load.reading_ms));
+    reading.mul_f64(engine.pace.max(1.0))
+}
+
+/// Time until a call that is sent now can be read.
 fn wait(model: &EngineModel, engine: &EngineState) -> Duration {
-    let writers = u32::from(engine.load.short) + u32::from(engine.load.long);
-    let residual = match writers {
+    let residual = match engine.writers() {
         0 => Duration::ZERO,
-        _ => model.pass(writers) / 2,
+        writers => model.pass(writers).mul_f64(engine.pace.max(1.0)) / 2,
     };
-    let reading = Duration::from_millis(u64::from(engine.load.reading_ms));
-    (residual + reading).mul_f64(engine.pace.max(1.0))
+    residual + reading_ahead(engine)
+}
+
+impl EngineState {
+    fn writers(&self) -> u32 {
+        u32::from(self.load.short) + u32::from(self.load.long)
+    }
+
+    fn free_memory(&self, model: &EngineModel) -> u64 {
+        let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
+        usable.saturating_sub(u64::from(self.load.memory_k) * 1_000)
+    }
 }
 
 fn plan_short(
@@ -159,10 +180,9 @@
     let read = model.read(prompt.tokens);
     let cost = |at: usize| {
         let engine = &engines[at];
-        let writers = u32::from(engine.load.short) + u32::from(engine.load.long);
+        let writers = engine.writers();
         let full = writers >= model.slots;
-        let memory = u64::from(engine.load.memory_k) * 1_000 + prompt.memory();
-        let lacks_memory = memory > (model.memory as f64 * USABLE_MEMORY) as u64;
+        let lacks_memory = engine.free_memory(model) < prompt.memory();
         let mut cost = wait(model, engine) + model.pass(writers + 1).mul_f64(engine.pace.max(1.0));
         if at >= lane {
             cost += FOREIGN_LANE;
@@ -187,6 +207,7 @@
         }],
         reserve: false,
         long: false,
+        ahead: reading_ahead(&engines[best]),
         expected: cost(best) + read,
     })
 }
@@ -197,55 +218,27 @@
     prompt: &Prompt,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
-    let lane = short_lane(engines);
     let read = model.read(prompt.tokens);
     let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
     let reserve = prompt.memory() > usable;
-    let mut order: Vec<usize> = (lane.min(engines.len() - 1)..engines.len()).collect();
-    if reserve || order.len() < LONG_ENGINES {
-        order = (0..engines.len()).collect();
-    }
-    let start = rng.random_range(0..order.len());
-    order.rotate_left(start);
-    order.sort_by_key(|&at| {
-        let lent = Duration::from_millis(20) * u32::from(engines[at].load.short);
-        wait(model, &engines[at]) + lent
-    });
+    let order = long_order(model, engines, rng);
     let wanted = (read.as_secs_f64() / PART_READ.as_secs_f64()).ceil() as usize;
     // With reservations the engine that leads is listed among the readers, too.
     let most = MAX_HELPERS + usize::from(!reserve);
     let count = wanted.clamp(1, order.len().min(most));
-    let free = |at: usize| usable.saturating_sub(u64::from(engines[at].load.memory_k) * 1_000);
-    let mut chosen: Vec<usize> = order.iter().copied().take(count).collect();
-    if !reserve {
-        // The engine that leads holds the whole prompt.
-        let fits = |at: &usize| free(*at) >= prompt.memory();
-        let lead = chosen
-            .iter()
-            .position(fits)
-            .or_else(|| order.iter().position(fits).map(|at| at + chosen.len()));
-        match lead {
-            Some(at) if at < chosen.len() => chosen.swap(0, at),
-            Some(at) => {
-                chosen.pop();
-                chosen.insert(0, order[at - count]);
-                chosen.dedup();
-            }
-            None => {}
-        }
-    }
+    let chosen = match reserve {
+        true => with_room_for_shares(model, engines, prompt, order, most)?,
+        false => with_lead(model, engines, prompt, order, count)?,
+    };
     let share = read / chosen.len() as u32;
-    let expected = chosen
-        .iter()
-        .map(|&at| wait(model, &engines[at]) + model.pass(4))
-        .max()
-        .unwrap_or_default()
-        + share;
+    let ahead = chosen.iter().map(|&at| reading_ahead(&engines[at])).max();
+    let before = chosen.iter().map(|&at| wait(model, &engines[at])).max();
+    let share_of_memory = prompt.memory() / chosen.len() as u64 + 1;
     let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
         engine,
         read: share,
         memory: match (reserve, at) {
-            (true, _) => prompt.memory() / chosen.len() as u64 + 1,
+            (true, _) => share_of_memory,
             (false, 0) => prompt.memory(),
             (false, _) => 0,
         },
@@ -254,6 +247,54 @@
         parts: parts.collect(),
         reserve,
         long: true,
-        expected,
+        ahead: ahead.unwrap_or_default(),
+        expected: before.unwrap_or_default() + share + model.pass(2),
     })
 }
+
+/// Engines outside the short calls' own, those that can read soonest first.
+fn long_order(model: &EngineModel, engines: &[EngineState], rng: &mut impl Rng) -> Vec<usize> {
+    let lane = short_lane(engines).min(engines.len() - 1);
+    let mut order: Vec<usize> = (lane..engines.len()).collect();
+    let start = rng.random_range(0..order.len());
+    order.rotate_left(start);
+    order.sort_by_key(|&at| {
+        let beside = BESIDE_SHORT * u32::from(engines[at].load.short);
+        wait(model, &engines[at]) + beside
+    });
+    order
+}
+
+/// The first `count` engines, one of which holds the whole prompt and leads.
+fn with_lead(
+    model: &EngineModel,
+    engines: &[EngineState],
+    prompt: &Prompt,
+    mut order: Vec<usize>,
+    count: usize,
+) -> Option<Vec<usize>> {
+    let lead = order
+        .iter()
+        .position(|&at| engines[at].free_memory(model) >= prompt.memory())?;
+    let lead = order.remove(lead);
+    order.insert(0, lead);
+    order.truncate(count);
+    Some(order)
+}
+
+/// As many engines as may read together, each of which has room for its share.
+fn with_room_for_shares(
+    model: &EngineModel,
+    engines: &[EngineState],
+    prompt: &Prompt,
+    mut order: Vec<usize>,
+    most: usize,
+) -> Option<Vec<usize>> {
+    let free = |at: &usize| engines[*at].free_memory(model);
+    let smallest = prompt.memory() / most.min(order.len()) as u64 + 1;
+    order.retain(|at| free(at) >= smallest);
+    order.truncate(most);
+    let share = prompt.memory() / order.len().max(1) as u64 + 1;
+    let fits = !order.is_empty() && order.iter().all(|at| free(at) >= share);
+    fits.then_some(order)
+}
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod engine_plan;
 pub mod event_join;
 pub mod load_datagram;
+pub mod long_queue;
 pub mod retry_window;
 pub mod route_table;
 pub mod server_book;
