--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -6,6 +6,7 @@
 //! follows from the short calls in flight. Long prompts are read in parts, side by side, on
 //! the other engines. Ways weighed: `docs/design/long-reads.md`.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::Rng;
@@ -26,7 +27,9 @@
 /// Engines kept for short calls beside those that they fill, for calls that come at once.
 const SPARE_SHORT_ENGINES: usize = 1;
 /// Engines that long prompts keep at least.
-const LONG_ENGINES: usize = 2;
+const LONG_ENGINES: usize = 3;
+/// Part of the long prompts' engines that lead and write; the others read for them.
+const LEAD_PART: f64 = 0.25;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
 /// What leaving the short calls' own engines costs, as time to the first event.
@@ -221,14 +224,14 @@
     let read = model.read(prompt.tokens);
     let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
     let reserve = prompt.memory() > usable;
-    let order = long_order(model, engines, rng);
+    let lanes = Lanes::new(engines);
+    let by_wait = |range: Range<usize>, rng: &mut _| soonest_first(model, engines, range, rng);
+    let leads = by_wait(lanes.leads, rng);
+    let helpers = by_wait(lanes.helpers, rng);
     let wanted = (read.as_secs_f64() / PART_READ.as_secs_f64()).ceil() as usize;
-    // With reservations the engine that leads is listed among the readers, too.
-    let most = MAX_HELPERS + usize::from(!reserve);
-    let count = wanted.clamp(1, order.len().min(most));
     let chosen = match reserve {
-        true => with_room_for_shares(model, engines, prompt, order, most)?,
-        false => with_lead(model, engines, prompt, order, count)?,
+        true => with_room_for_shares(model, engines, prompt, &leads, &helpers)?,
+        false => with_lead(model, engines, prompt, &leads, &helpers, wanted)?,
     };
     let share = read / chosen.len() as u32;
     let ahead = chosen.iter().map(|&at| reading_ahead(&engines[at])).max();
@@ -252,12 +255,40 @@
     })
 }
 
-/// Engines outside the short calls' own, those that can read soonest first.
-fn long_order(model: &EngineModel, engines: &[EngineState], rng: &mut impl Rng) -> Vec<usize> {
-    let lane = short_lane(engines).min(engines.len() - 1);
-    let mut order: Vec<usize> = (lane..engines.len()).collect();
-    let start = rng.random_range(0..order.len());
-    order.rotate_left(start);
+/// What the engines are used for, as ranges of the order that all boxes share.
+///
+/// An engine reads parts for others before its own part of a prompt that it leads. Under
+/// load that part would wait for all of theirs, so those that lead read for no one else.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Lanes {
+    leads: Range<usize>,
+    helpers: Range<usize>,
+}
+
+impl Lanes {
+    fn new(engines: &[EngineState]) -> Self {
+        let short = short_lane(engines).min(engines.len() - 1);
+        let long = engines.len() - short;
+        let leads = (long as f64 * LEAD_PART).ceil() as usize;
+        Self {
+            leads: short..short + leads,
+            helpers: short + leads..engines.len(),
+        }
+    }
+}
+
+/// Engines that can read soonest first; those with short streams later.
+fn soonest_first(
+    model: &EngineModel,
+    engines: &[EngineState],
+    range: Range<usize>,
+    rng: &mut impl Rng,
+) -> Vec<usize> {
+    let mut order: Vec<usize> = range.collect();
+    if order.len() > 1 {
+        let start = rng.random_range(0..order.len());
+        order.rotate_left(start);
+    }
     order.sort_by_key(|&at| {
         let beside = BESIDE_SHORT * u32::from(engines[at].load.short);
         wait(model, &engines[at]) + beside
@@ -265,21 +296,20 @@
     order
 }
 
-/// The first `count` engines, one of which holds the whole prompt and leads.
+/// An engine that holds the whole prompt and leads, and others that read with it.
 fn with_lead(
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
-    mut order: Vec<usize>,
-    count: usize,
+    leads: &[usize],
+    helpers: &[usize],
+    parts: usize,
 ) -> Option<Vec<usize>> {
-    let lead = order
-        .iter()
-        .position(|&at| engines[at].free_memory(model) >= prompt.memory())?;
-    let lead = order.remove(lead);
-    order.insert(0, lead);
-    order.truncate(count);
-    Some(order)
+    let holds = |at: &&usize| engines[**at].free_memory(model) >= prompt.memory();
+    let lead = leads.iter().chain(helpers).find(holds)?;
+    let others = helpers.iter().filter(|at| *at != lead);
+    let others = others.take(parts.saturating_sub(1).min(MAX_HELPERS));
+    Some(std::iter::once(lead).chain(others).copied().collect())
 }
 
 /// As many engines as may read together, each of which has room for its share.
@@ -287,14 +317,16 @@
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
-    mut order: Vec<usize>,
-    most: usize,
+    leads: &[usize],
+    helpers: &[usize],
 ) -> Option<Vec<usize>> {
-    let free = |at: &usize| engines[*at].free_memory(model);
-    let smallest = prompt.memory() / most.min(order.len()) as u64 + 1;
-    order.retain(|at| free(at) >= smallest);
-    order.truncate(most);
-    let share = prompt.memory() / order.len().max(1) as u64 + 1;
-    let fits = !order.is_empty() && order.iter().all(|at| free(at) >= share);
-    fits.then_some(order)
+    let free = |at: usize| engines[at].free_memory(model);
+    // The engine that leads is listed among the readers, too.
+    let most = MAX_HELPERS.min(helpers.len() + 1);
+    let smallest = prompt.memory() / most as u64 + 1;
+    let lead = leads.iter().copied().find(|&at| free(at) >= smallest)?;
+    let others = helpers.iter().copied().filter(|&at| free(at) >= smallest);
+    let chosen: Vec<usize> = std::iter::once(lead).chain(others).take(most).collect();
+    let share = prompt.memory() / chosen.len() as u64 + 1;
+    chosen.iter().all(|&at| free(at) >= share).then_some(chosen)
 }
