relay: the shortest reading goes first at engines, too

Cause: engines read the newest part first. A prompt is now sent past those there only if they have more left to read than it.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -143,7 +143,7 @@
     let relay = &call.relay;
     let started = match engine_plan::is_long(model, prompt) {
         true => wait_for_engines(call, tried, model, prompt).await?,
-        false => start(call, tried, model, prompt, Duration::MAX)
+        false => start(call, tried, model, prompt)
             .ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?,
     };
     relay.load_changed.notify_one();
@@ -176,13 +176,12 @@
     works: Works,
 }
 
-/// Plans the call and enters its work, unless more than `most_ahead` stands before it.
+/// Plans the call and enters its work, if it may be sent now.
 fn start(
     call: &Arc<Call>,
     tried: &[ServerName],
     model: &EngineModel,
     prompt: &Prompt,
-    most_ahead: Duration,
 ) -> Option<Started> {
     let relay = &call.relay;
     let now = relay.clock.now();
@@ -197,7 +196,7 @@
     };
     let states: Vec<EngineState> = usable.iter().map(state).collect();
     let plan = engine_plan::plan(model, &states, prompt, &mut rand::rng())?;
-    if plan.ahead > most_ahead {
+    if !plan.may_start {
         return None;
     }
     let address = |part: &Part| {
@@ -264,12 +263,11 @@
     loop {
         let now = relay.clock.now();
         let is_first = lock(&relay.long_queue).is_first(now, place.ticket);
-        if let (true, Some(started)) = (
-            is_first,
-            is_first
-                .then(|| start(call, tried, model, prompt, engine_plan::MOST_AHEAD))
-                .flatten(),
-        ) {
+        let started = match is_first {
+            true => start(call, tried, model, prompt),
+            false => None,
+        };
+        if let Some(started) = started {
             return Ok(started);
         }
         if now >= given_up_at {
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,6 +18,13 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
+/// What reading counts at least until its end is seen: the estimate may be over too early.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// Reading whose end was not seen counts until this many times its estimate, and a bit more.
+const OVERRUN: u32 = 3;
+/// What is added to that, for passes that the reading waits for.
+const OVERRUN_SLACK: Duration = Duration::from_millis(500);
+
 /// Short stable key of an engine, the same at every box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EngineKey(pub u32);
@@ -36,6 +43,8 @@
 pub struct EngineUse {
     /// Reading still to do, in milliseconds of that engine alone.
     pub reading_ms: u32,
+    /// The least that any one call has still to read there, in milliseconds; 0 for none.
+    pub shortest_ms: u32,
     /// Short calls there, whether they read, wait or write.
     pub short: u16,
     /// Long calls that are led there.
@@ -48,6 +57,11 @@
     /// Adds another box's work.
     pub const fn add(&mut self, other: Self) {
         self.reading_ms += other.reading_ms;
+        self.shortest_ms = match (self.shortest_ms, other.shortest_ms) {
+            (0, one) | (one, 0) => one,
+            (one, two) if one < two => one,
+            (_, two) => two,
+        };
         self.short += other.short;
         self.long += other.long;
         self.memory_k += other.memory_k;
@@ -80,8 +94,10 @@
 struct Entry {
     engine: EngineKey,
     work: Work,
-    /// When its reading should be over, if the engine works off what it has in order.
+    /// When its reading should be over.
     read_over: Time,
+    /// When it no longer counts even if its end was not seen.
+    forgotten: Time,
     reading: bool,
 }
 
@@ -107,11 +123,15 @@
     pub fn begin(&mut self, now: Time, engine: EngineKey, work: Work) -> WorkId {
         let id = WorkId(self.next);
         self.next += 1;
-        let ahead = self.at(now, engine).reading_ms;
+        // Engines read what came last first, so this goes before what is there and delays it.
+        for entry in self.own.values_mut().filter(|entry| entry.engine == engine) {
+            entry.delay(work.read);
+        }
         let entry = Entry {
             engine,
             work,
-            read_over: now + Duration::from_millis(u64::from(ahead)) + work.read,
+            read_over: now + work.read,
+            forgotten: now + work.read * OVERRUN + OVERRUN_SLACK,
             reading: true,
         };
         self.own.insert(id, entry);
@@ -189,10 +209,6 @@
         let lives = move |peer: &&PeerTable| now.since(peer.taken) < TABLE_LIFETIME;
         self.peers.values().filter(lives)
     }
-
-    fn at(&self, now: Time, engine: EngineKey) -> EngineUse {
-        self.table(now).get(&engine).copied().unwrap_or_default()
-    }
 }
 
 impl EngineUse {
@@ -200,20 +216,35 @@
     const fn after(self, passed: Duration) -> Self {
         Self {
             reading_ms: self.reading_ms.saturating_sub(passed.as_millis() as u32),
+            shortest_ms: match self.shortest_ms {
+                0 => 0,
+                left => {
+                    let left = left.saturating_sub(passed.as_millis() as u32);
+                    let least = LEAST_LEFT.as_millis() as u32;
+                    if left > least { left } else { least }
+                }
+            },
             ..self
         }
     }
 }
 
 impl Entry {
+    fn delay(&mut self, by: Duration) {
+        self.read_over = self.read_over + by;
+        self.forgotten = self.forgotten + by;
+    }
+
     fn use_at(&self, now: Time) -> EngineUse {
-        let left = match self.reading {
-            true => now.until(self.read_over).min(self.work.read),
+        let reads = self.reading && now < self.forgotten;
+        let left = match reads {
+            true => now.until(self.read_over).max(LEAST_LEFT),
             false => Duration::ZERO,
         };
         let leads = self.work.leads;
         EngineUse {
             reading_ms: left.as_millis() as u32,
+            shortest_ms: left.as_millis() as u32,
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -29,7 +29,7 @@
 /// Engines that long prompts keep at least.
 const LONG_ENGINES: usize = 3;
 /// Part of the long prompts' engines that lead and write; the others read for them.
-const LEAD_PART: f64 = 0.25;
+const LEAD_PART: f64 = 0.2;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
 /// What leaving the short calls' own engines costs, as time to the first event.
@@ -40,9 +40,8 @@
 const OTHER_HALL: Duration = Duration::from_millis(2);
 /// What a short stream costs a part that is read beside it: its pauses grow.
 const BESIDE_SHORT: Duration = Duration::from_millis(20);
-/// Reading ahead of a long prompt's parts up to which they are sent: engines never idle, their
-/// passes stay short, and engines can turn to short calls soon.
-pub const MOST_AHEAD: Duration = Duration::from_millis(250);
+/// A part may be sent while one that ends within this time is still read: engines never idle.
+const NEARLY_READ: Duration = Duration::from_millis(30);
 
 /// How fast an engine is, as the operators state it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -112,8 +111,8 @@
     pub reserve: bool,
     /// Whether the call counts as long.
     pub long: bool,
-    /// Reading that stands before its parts, at the engine where most does.
-    pub ahead: Duration,
+    /// Whether it may be sent now; see [`may_start`].
+    pub may_start: bool,
     /// Expected time to the first event.
     pub expected: Duration,
 }
@@ -210,7 +209,7 @@
         }],
         reserve: false,
         long: false,
-        ahead: reading_ahead(&engines[best]),
+        may_start: true,
         expected: cost(best) + read,
     })
 }
@@ -234,7 +233,7 @@
         false => with_lead(model, engines, prompt, &leads, &helpers, wanted)?,
     };
     let share = read / chosen.len() as u32;
-    let ahead = chosen.iter().map(|&at| reading_ahead(&engines[at])).max();
+    let may_start = chosen.iter().all(|&at| may_start(&engines[at], share));
     let before = chosen.iter().map(|&at| wait(model, &engines[at])).max();
     let share_of_memory = prompt.memory() / chosen.len() as u64 + 1;
     let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
@@ -250,11 +249,20 @@
         parts: parts.collect(),
         reserve,
         long: true,
-        ahead: ahead.unwrap_or_default(),
+        may_start,
         expected: before.unwrap_or_default() + share + model.pass(2),
     })
 }
 
+/// Whether a part may be sent to an engine now.
+///
+/// Engines read the newest part first, so a part sent now delays all that are there. That is
+/// right only for those with more to read than the new one: the shortest reading goes first.
+fn may_start(engine: &EngineState, share: Duration) -> bool {
+    let shortest = Duration::from_millis(u64::from(engine.load.shortest_ms));
+    shortest <= NEARLY_READ || shortest > share
+}
+
 /// What the engines are used for, as ranges of the order that all boxes share.
 ///
 /// An engine reads parts for others before its own part of a prompt that it leads. Under
