--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -28,7 +28,7 @@
 /// Estimate of a plain call's time where nothing is known, for patience with a silent server.
 const PLAIN_EXPECTED: Duration = Duration::from_millis(300);
 /// How often a waiting long prompt looks whether engines can read it; a part takes longer.
-const LOOK_AGAIN: Duration = Duration::from_millis(15);
+const LOOK_AGAIN: Duration = Duration::from_millis(8);
 
 /// Where a try goes.
 #[derive(Debug)]
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -32,7 +32,7 @@
 /// Between datagrams where nothing changes; also how long a neighbour's news takes at most.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Shortest time between two datagrams, for each box told: bounds what all boxes spend.
-const PAUSE_PER_BOX: Duration = Duration::from_millis(6);
+const PAUSE_PER_BOX: Duration = Duration::from_millis(2);
 /// A box is behind when a neighbour had newer state for this long; the watch is faster mostly.
 const BEHIND: Duration = Duration::from_millis(250);
 /// Between pulls while nothing is known.
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,8 +18,12 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// What reading counts at least until its end is seen: the estimate may be over too early.
-const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// What passes and the way add to reading before its end is seen; measured with calls alone.
+const READ_OVERHEAD: Duration = Duration::from_millis(60);
+/// Reading left that no longer keeps others out: engines never idle.
+const NEARLY_READ: Duration = Duration::from_millis(30);
+/// Reading that is late by this much is starved by newer ones, and keeps all others out.
+const STARVED_AFTER: Duration = Duration::from_millis(80);
 /// Reading whose end was not seen counts until this many times its estimate, and a bit more.
 const OVERRUN: u32 = 3;
 /// What is added to that, for passes that the reading waits for.
@@ -43,7 +47,8 @@
 pub struct EngineUse {
     /// Reading still to do, in milliseconds of that engine alone.
     pub reading_ms: u32,
-    /// The least that any one call has still to read there, in milliseconds; 0 for none.
+    /// What the call with the least to read there has left, in milliseconds. A longer part
+    /// must not be sent past it. 0 where none keeps others out.
     pub shortest_ms: u32,
     /// Short calls there, whether they read, wait or write.
     pub short: u16,
@@ -130,7 +135,7 @@
         let entry = Entry {
             engine,
             work,
-            read_over: now + work.read,
+            read_over: now + work.read + READ_OVERHEAD,
             forgotten: now + work.read * OVERRUN + OVERRUN_SLACK,
             reading: true,
         };
@@ -165,12 +170,24 @@
         if peer.lifetime == lifetime && sequence <= peer.sequence {
             return;
         }
-        *peer = PeerTable {
-            sequence,
-            lifetime,
-            taken: now,
-            rows: rows.into_iter().collect(),
-        };
+        let before = std::mem::replace(
+            peer,
+            PeerTable {
+                sequence,
+                lifetime,
+                taken: now,
+                rows: rows.into_iter().collect(),
+            },
+        );
+        let passed = now.since(before.taken);
+        let row_before = |engine: EngineKey| before.rows.get(&engine).copied().unwrap_or_default();
+        for entry in self.own.values_mut() {
+            let row = peer.rows.get(&entry.engine).copied().unwrap_or_default();
+            let old = row_before(entry.engine).after(passed);
+            let added = row.reading_ms.saturating_sub(old.reading_ms);
+            // What another box added since goes before own parts that are there.
+            entry.delay(Duration::from_millis(u64::from(added)));
+        }
     }
 
     /// Whether own work changed since this was last asked.
@@ -220,8 +237,7 @@
                 0 => 0,
                 left => {
                     let left = left.saturating_sub(passed.as_millis() as u32);
-                    let least = LEAST_LEFT.as_millis() as u32;
-                    if left > least { left } else { least }
+                    if left > 1 { left } else { 1 }
                 }
             },
             ..self
@@ -236,18 +252,27 @@
     }
 
     fn use_at(&self, now: Time) -> EngineUse {
-        let reads = self.reading && now < self.forgotten;
-        let left = match reads {
-            true => now.until(self.read_over).max(LEAST_LEFT),
+        let left = match self.reading && now < self.forgotten {
+            true => now.until(self.read_over),
             false => Duration::ZERO,
         };
         let leads = self.work.leads;
         EngineUse {
             reading_ms: left.as_millis() as u32,
-            shortest_ms: left.as_millis() as u32,
+            shortest_ms: self.keeps_out(now, left),
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
         }
     }
+
+    /// The shortest part that must not be sent past this one, in milliseconds; 0 for none.
+    fn keeps_out(&self, now: Time, left: Duration) -> u32 {
+        let is_starved = now >= self.read_over + STARVED_AFTER && now < self.forgotten;
+        match self.reading && self.work.long {
+            true if left > NEARLY_READ => left.as_millis() as u32,
+            true if is_starved => 1,
+            _ => 0,
+        }
+    }
 }
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -40,9 +40,6 @@
 const OTHER_HALL: Duration = Duration::from_millis(2);
 /// What a short stream costs a part that is read beside it: its pauses grow.
 const BESIDE_SHORT: Duration = Duration::from_millis(20);
-/// A part may be sent while one that ends within this time is still read: engines never idle.
-const NEARLY_READ: Duration = Duration::from_millis(30);
-
 /// How fast an engine is, as the operators state it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct EngineModel {
@@ -260,7 +257,7 @@
 /// right only for those with more to read than the new one: the shortest reading goes first.
 fn may_start(engine: &EngineState, share: Duration) -> bool {
     let shortest = Duration::from_millis(u64::from(engine.load.shortest_ms));
-    shortest <= NEARLY_READ || shortest > share
+    shortest.is_zero() || shortest > share
 }
 
 /// What the engines are used for, as ranges of the order that all boxes share.
