relay: an engine reads for one long prompt at a time

Cause: prompts that share engines delay each other, by passes that read all that waits or by newest first. A long prompt now takes engines that read no other, as many as make its parts 300 ms, at least as many as make them 600 ms, or waits at the box, shortest first.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -192,13 +192,11 @@
     let state = |record: &&ServerRecord| EngineState {
         load: table.get(&record.key).copied().unwrap_or_default(),
         near: record.info.hall == relay.settings.hall,
+        preference: relay.preference(record.key),
         pace: record.pace,
     };
     let states: Vec<EngineState> = usable.iter().map(state).collect();
     let plan = engine_plan::plan(model, &states, prompt, &mut rand::rng())?;
-    if !plan.may_start {
-        return None;
-    }
     let address = |part: &Part| {
         let record = usable[part.engine];
         Address {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -9,6 +9,8 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwapOption;
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::relay::engine_load::EngineKey;
 use badgerferry_lib::relay::engine_load::EngineLoads;
 use badgerferry_lib::relay::long_queue::LongQueue;
 use badgerferry_lib::relay::retry_window::RetryWindow;
@@ -103,6 +105,12 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Rank of an engine in this box's own order.
+    pub fn preference(&self, engine: EngineKey) -> u32 {
+        let own = EngineKey::of(&ServerName::new(&self.settings.name));
+        (engine.0 ^ own.0).wrapping_mul(0x9E37_79B1)
+    }
+
     /// Whether new calls are refused.
     pub fn refuses(&self) -> bool {
         self.refusing.load(Ordering::SeqCst)
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,12 +18,6 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// What passes and the way add to reading before its end is seen; measured with calls alone.
-const READ_OVERHEAD: Duration = Duration::from_millis(60);
-/// Reading left that no longer keeps others out: engines never idle.
-const NEARLY_READ: Duration = Duration::from_millis(30);
-/// Reading that is late by this much is starved by newer ones, and keeps all others out.
-const STARVED_AFTER: Duration = Duration::from_millis(80);
 /// Reading whose end was not seen counts until this many times its estimate, and a bit more.
 const OVERRUN: u32 = 3;
 /// What is added to that, for passes that the reading waits for.
@@ -47,9 +41,8 @@
 pub struct EngineUse {
     /// Reading still to do, in milliseconds of that engine alone.
     pub reading_ms: u32,
-    /// What the call with the least to read there has left, in milliseconds. A longer part
-    /// must not be sent past it. 0 where none keeps others out.
-    pub shortest_ms: u32,
+    /// Long prompts of which it reads a part.
+    pub long_reads: u16,
     /// Short calls there, whether they read, wait or write.
     pub short: u16,
     /// Long calls that are led there.
@@ -62,11 +55,7 @@
     /// Adds another box's work.
     pub const fn add(&mut self, other: Self) {
         self.reading_ms += other.reading_ms;
-        self.shortest_ms = match (self.shortest_ms, other.shortest_ms) {
-            (0, one) | (one, 0) => one,
-            (one, two) if one < two => one,
-            (_, two) => two,
-        };
+        self.long_reads += other.long_reads;
         self.short += other.short;
         self.long += other.long;
         self.memory_k += other.memory_k;
@@ -74,7 +63,7 @@
 
     /// Whether there is any.
     pub const fn is_none(&self) -> bool {
-        self.reading_ms == 0 && self.short == 0 && self.long == 0 && self.memory_k == 0
+        self.reading_ms == 0 && self.long_reads == 0 && self.short == 0 && self.long == 0 && self.memory_k == 0
     }
 }
 
@@ -128,14 +117,11 @@
     pub fn begin(&mut self, now: Time, engine: EngineKey, work: Work) -> WorkId {
         let id = WorkId(self.next);
         self.next += 1;
-        // Engines read what came last first, so this goes before what is there and delays it.
-        for entry in self.own.values_mut().filter(|entry| entry.engine == engine) {
-            entry.delay(work.read);
-        }
+        let ahead = self.at(now, engine).reading_ms;
         let entry = Entry {
             engine,
             work,
-            read_over: now + work.read + READ_OVERHEAD,
+            read_over: now + Duration::from_millis(u64::from(ahead)) + work.read,
             forgotten: now + work.read * OVERRUN + OVERRUN_SLACK,
             reading: true,
         };
@@ -170,24 +156,12 @@
         if peer.lifetime == lifetime && sequence <= peer.sequence {
             return;
         }
-        let before = std::mem::replace(
-            peer,
-            PeerTable {
-                sequence,
-                lifetime,
-                taken: now,
-                rows: rows.into_iter().collect(),
-            },
-        );
-        let passed = now.since(before.taken);
-        let row_before = |engine: EngineKey| before.rows.get(&engine).copied().unwrap_or_default();
-        for entry in self.own.values_mut() {
-            let row = peer.rows.get(&entry.engine).copied().unwrap_or_default();
-            let old = row_before(entry.engine).after(passed);
-            let added = row.reading_ms.saturating_sub(old.reading_ms);
-            // What another box added since goes before own parts that are there.
-            entry.delay(Duration::from_millis(u64::from(added)));
-        }
+        *peer = PeerTable {
+            sequence,
+            lifetime,
+            taken: now,
+            rows: rows.into_iter().collect(),
+        };
     }
 
     /// Whether own work changed since this was last asked.
@@ -217,6 +191,10 @@
         table
     }
 
+    fn at(&self, now: Time, engine: EngineKey) -> EngineUse {
+        self.table(now).get(&engine).copied().unwrap_or_default()
+    }
+
     /// Boxes whose tables count now.
     pub fn live_peers(&self, now: Time) -> usize {
         self.live(now).count()
@@ -233,46 +211,25 @@
     const fn after(self, passed: Duration) -> Self {
         Self {
             reading_ms: self.reading_ms.saturating_sub(passed.as_millis() as u32),
-            shortest_ms: match self.shortest_ms {
-                0 => 0,
-                left => {
-                    let left = left.saturating_sub(passed.as_millis() as u32);
-                    if left > 1 { left } else { 1 }
-                }
-            },
             ..self
         }
     }
 }
 
 impl Entry {
-    fn delay(&mut self, by: Duration) {
-        self.read_over = self.read_over + by;
-        self.forgotten = self.forgotten + by;
-    }
-
     fn use_at(&self, now: Time) -> EngineUse {
-        let left = match self.reading && now < self.forgotten {
+        let reads = self.reading && now < self.forgotten;
+        let left = match reads {
             true => now.until(self.read_over),
             false => Duration::ZERO,
         };
         let leads = self.work.leads;
         EngineUse {
             reading_ms: left.as_millis() as u32,
-            shortest_ms: self.keeps_out(now, left),
+            long_reads: u16::from(reads && self.work.long),
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
         }
     }
-
-    /// The shortest part that must not be sent past this one, in milliseconds; 0 for none.
-    fn keeps_out(&self, now: Time, left: Duration) -> u32 {
-        let is_starved = now >= self.read_over + STARVED_AFTER && now < self.forgotten;
-        match self.reading && self.work.long {
-            true if left > NEARLY_READ => left.as_millis() as u32,
-            true if is_starved => 1,
-            _ => 0,
-        }
-    }
 }
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -4,9 +4,9 @@
 //! comes on top, so reading makes the pauses of every stream on that engine longer. Short
 //! calls are therefore packed on the first engines of an order that all boxes share; how many
 //! follows from the short calls in flight. Long prompts are read in parts, side by side, on
-//! the other engines. Ways weighed: `docs/design/long-reads.md`.
+//! the other engines. Each of those reads for one long prompt at a time: two on one engine
+//! delay each other by more than they gain. Ways weighed: `docs/design/long-reads.md`.
 
-use std::ops::Range;
 use std::time::Duration;
 
 use rand::Rng;
@@ -19,17 +19,19 @@
 /// Engines that may read for one call beside the one that leads it; the engines' limit.
 pub const MAX_HELPERS: usize = 16;
 /// Reading alone from which a prompt is long: a short stream's pause suffers from more.
-const LONG_READ: Duration = Duration::from_millis(140);
-/// Reading of one part that a long prompt is cut into, where there are engines enough.
-const PART_READ: Duration = Duration::from_millis(60);
+const LONG_READ: Duration = Duration::from_millis(200);
+/// Reading of one part that a long prompt is cut into, where enough engines are free.
+const PART_READ: Duration = Duration::from_millis(300);
+/// Longest part that a prompt is sent with; it waits until enough engines are free.
+const LONGEST_PART: Duration = Duration::from_millis(600);
+/// Part of the long prompts' engines that even the longest prompt does not wait for in vain.
+const MOST_WAITED_FOR: f64 = 0.7;
 /// Short calls that an engine is packed with; its batch holds a few more for a burst.
 const SHORT_PER_ENGINE: usize = 12;
 /// Engines kept for short calls beside those that they fill, for calls that come at once.
 const SPARE_SHORT_ENGINES: usize = 1;
 /// Engines that long prompts keep at least.
 const LONG_ENGINES: usize = 3;
-/// Part of the long prompts' engines that lead and write; the others read for them.
-const LEAD_PART: f64 = 0.2;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
 /// What leaving the short calls' own engines costs, as time to the first event.
@@ -38,8 +40,7 @@
 const FULL_BATCH: Duration = Duration::from_millis(1_500);
 /// What a trip to another data hall costs, as time.
 const OTHER_HALL: Duration = Duration::from_millis(2);
-/// What a short stream costs a part that is read beside it: its pauses grow.
-const BESIDE_SHORT: Duration = Duration::from_millis(20);
+
 /// How fast an engine is, as the operators state it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct EngineModel {
@@ -84,6 +85,8 @@
     pub load: EngineUse,
     /// Whether it stands in this box's data hall.
     pub near: bool,
+    /// Rank in this box's own order, so that boxes which choose at once choose apart.
+    pub preference: u32,
     /// How many times slower than stated it is; 1 where nothing else is known.
     pub pace: f64,
 }
@@ -108,8 +111,6 @@
     pub reserve: bool,
     /// Whether the call counts as long.
     pub long: bool,
-    /// Whether it may be sent now; see [`may_start`].
-    pub may_start: bool,
     /// Expected time to the first event.
     pub expected: Duration,
 }
@@ -128,7 +129,7 @@
 
 /// Plans a call over `engines`, which every box lists in the same order.
 ///
-/// `None` if no engine, or no group of engines, has the memory now.
+/// `None` if no engine can take it now, or too few are free to read it.
 pub fn plan(
     model: &EngineModel,
     engines: &[EngineState],
@@ -139,7 +140,7 @@
         return None;
     }
     match is_long(model, prompt) {
-        true => plan_long(model, engines, prompt, rng),
+        true => plan_long(model, engines, prompt),
         false => plan_short(model, engines, prompt, rng),
     }
 }
@@ -206,31 +207,29 @@
         }],
         reserve: false,
         long: false,
-        may_start: true,
         expected: cost(best) + read,
     })
 }
 
-fn plan_long(
-    model: &EngineModel,
-    engines: &[EngineState],
-    prompt: &Prompt,
-    rng: &mut impl Rng,
-) -> Option<EnginePlan> {
+fn plan_long(model: &EngineModel, engines: &[EngineState], prompt: &Prompt) -> Option<EnginePlan> {
     let read = model.read(prompt.tokens);
     let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
     let reserve = prompt.memory() > usable;
-    let lanes = Lanes::new(engines);
-    let by_wait = |range: Range<usize>, rng: &mut _| soonest_first(model, engines, range, rng);
-    let leads = by_wait(lanes.leads, rng);
-    let helpers = by_wait(lanes.helpers, rng);
-    let wanted = (read.as_secs_f64() / PART_READ.as_secs_f64()).ceil() as usize;
+    let lane = short_lane(engines).min(engines.len() - 1);
+    let free = free_engines(engines, lane);
+    // With reservations the engine that leads is listed among the readers, too.
+    let most = MAX_HELPERS + usize::from(!reserve);
+    let enough = (engines.len() - lane) as f64 * MOST_WAITED_FOR;
+    let least = parts_of(read, LONGEST_PART).min(enough.ceil() as usize);
+    let wanted = parts_of(read, PART_READ).clamp(least, most);
     let chosen = match reserve {
-        true => with_room_for_shares(model, engines, prompt, &leads, &helpers)?,
-        false => with_lead(model, engines, prompt, &leads, &helpers, wanted)?,
+        true => with_room_for_shares(model, engines, prompt, &free, most)?,
+        false => with_lead(model, engines, prompt, &free, wanted)?,
     };
+    if chosen.len() < least {
+        return None;
+    }
     let share = read / chosen.len() as u32;
-    let may_start = chosen.iter().all(|&at| may_start(&engines[at], share));
     let before = chosen.iter().map(|&at| wait(model, &engines[at])).max();
     let share_of_memory = prompt.memory() / chosen.len() as u64 + 1;
     let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
@@ -246,59 +245,24 @@
         parts: parts.collect(),
         reserve,
         long: true,
-        may_start,
         expected: before.unwrap_or_default() + share + model.pass(2),
     })
 }
 
-/// Whether a part may be sent to an engine now.
-///
-/// Engines read the newest part first, so a part sent now delays all that are there. That is
-/// right only for those with more to read than the new one: the shortest reading goes first.
-fn may_start(engine: &EngineState, share: Duration) -> bool {
-    let shortest = Duration::from_millis(u64::from(engine.load.shortest_ms));
-    shortest.is_zero() || shortest > share
-}
-
-/// What the engines are used for, as ranges of the order that all boxes share.
-///
-/// An engine reads parts for others before its own part of a prompt that it leads. Under
-/// load that part would wait for all of theirs, so those that lead read for no one else.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Lanes {
-    leads: Range<usize>,
-    helpers: Range<usize>,
-}
-
-impl Lanes {
-    fn new(engines: &[EngineState]) -> Self {
-        let short = short_lane(engines).min(engines.len() - 1);
-        let long = engines.len() - short;
-        let leads = (long as f64 * LEAD_PART).ceil() as usize;
-        Self {
-            leads: short..short + leads,
-            helpers: short + leads..engines.len(),
-        }
-    }
+fn parts_of(read: Duration, part: Duration) -> usize {
+    (read.as_secs_f64() / part.as_secs_f64()).ceil().max(1.0) as usize
 }
 
-/// Engines that can read soonest first; those with short streams later.
-fn soonest_first(
-    model: &EngineModel,
-    engines: &[EngineState],
-    range: Range<usize>,
-    rng: &mut impl Rng,
-) -> Vec<usize> {
-    let mut order: Vec<usize> = range.collect();
-    if order.len() > 1 {
-        let start = rng.random_range(0..order.len());
-        order.rotate_left(start);
-    }
-    order.sort_by_key(|&at| {
-        let beside = BESIDE_SHORT * u32::from(engines[at].load.short);
-        wait(model, &engines[at]) + beside
+/// Engines that read no long prompt; those with the fewest streams first.
+fn free_engines(engines: &[EngineState], lane: usize) -> Vec<usize> {
+    let mut free: Vec<usize> = (lane..engines.len())
+        .filter(|&at| engines[at].load.long_reads == 0)
+        .collect();
+    free.sort_by_key(|&at| {
+        let engine = &engines[at];
+        (engine.load.short, engine.load.long, engine.preference)
     });
-    order
+    free
 }
 
 /// An engine that holds the whole prompt and leads, and others that read with it.
@@ -306,14 +270,12 @@
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
-    leads: &[usize],
-    helpers: &[usize],
+    free: &[usize],
     parts: usize,
 ) -> Option<Vec<usize>> {
     let holds = |at: &&usize| engines[**at].free_memory(model) >= prompt.memory();
-    let lead = leads.iter().chain(helpers).find(holds)?;
-    let others = helpers.iter().filter(|at| *at != lead);
-    let others = others.take(parts.saturating_sub(1).min(MAX_HELPERS));
+    let lead = free.iter().find(holds)?;
+    let others = free.iter().filter(|at| *at != lead).take(parts - 1);
     Some(std::iter::once(lead).chain(others).copied().collect())
 }
 
@@ -322,16 +284,15 @@
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
-    leads: &[usize],
-    helpers: &[usize],
+    free: &[usize],
+    most: usize,
 ) -> Option<Vec<usize>> {
-    let free = |at: usize| engines[at].free_memory(model);
-    // The engine that leads is listed among the readers, too.
-    let most = MAX_HELPERS.min(helpers.len() + 1);
+    let room = |at: usize| engines[at].free_memory(model);
+    let most = most.min(free.len()).max(1);
     let smallest = prompt.memory() / most as u64 + 1;
-    let lead = leads.iter().copied().find(|&at| free(at) >= smallest)?;
-    let others = helpers.iter().copied().filter(|&at| free(at) >= smallest);
-    let chosen: Vec<usize> = std::iter::once(lead).chain(others).take(most).collect();
-    let share = prompt.memory() / chosen.len() as u64 + 1;
-    chosen.iter().all(|&at| free(at) >= share).then_some(chosen)
+    let fits = free.iter().copied().filter(|&at| room(at) >= smallest);
+    let chosen: Vec<usize> = fits.take(most).collect();
+    let share = prompt.memory() / chosen.len().max(1) as u64 + 1;
+    let all_fit = !chosen.is_empty() && chosen.iter().all(|&at| room(at) >= share);
+    all_fit.then_some(chosen)
 }
