--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -21,23 +21,29 @@
 /// Reading alone from which a prompt is long: a short stream's pause suffers from more.
 const LONG_READ: Duration = Duration::from_millis(200);
 /// Reading of one part that a long prompt is cut into, where enough engines are free.
-const PART_READ: Duration = Duration::from_millis(300);
+const PART_READ: Duration = Duration::from_millis(250);
 /// Longest part that a prompt is sent with; it waits until enough engines are free.
-const LONGEST_PART: Duration = Duration::from_millis(600);
+const LONGEST_PART: Duration = Duration::from_millis(500);
+/// Reading of one part that a short call is cut into: passes of short streams stay short.
+const SHORT_PART_READ: Duration = Duration::from_millis(50);
 /// Part of the long prompts' engines that even the longest prompt does not wait for in vain.
 const MOST_WAITED_FOR: f64 = 0.7;
 /// Short calls that an engine is packed with; its batch holds a few more for a burst.
 const SHORT_PER_ENGINE: usize = 12;
 /// Engines kept for short calls beside those that they fill, for calls that come at once.
-const SPARE_SHORT_ENGINES: usize = 1;
+const SPARE_SHORT_ENGINES: usize = 2;
 /// Engines that long prompts keep at least.
 const LONG_ENGINES: usize = 3;
+/// Long streams that one engine writes, so that those that lead are read for in turn.
+const MOST_LONG_STREAMS: u16 = 4;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
 /// What leaving the short calls' own engines costs, as time to the first event.
 const FOREIGN_LANE: Duration = Duration::from_millis(60);
 /// What a full batch costs, as time: the call waits for another to end.
 const FULL_BATCH: Duration = Duration::from_millis(1_500);
+/// What a short call's helper may cost more than the engine that leads, as time.
+const HELPER_DELAY: Duration = Duration::from_millis(60);
 /// What a trip to another data hall costs, as time.
 const OTHER_HALL: Duration = Duration::from_millis(2);
 
@@ -196,18 +202,30 @@
         cost
     };
     let start = rng.random_range(0..engines.len());
-    let best = (0..engines.len())
-        .map(|at| (at + start) % engines.len())
-        .min_by_key(|&at| cost(at))?;
+    let mut order: Vec<usize> = (0..engines.len()).collect();
+    order.rotate_left(start);
+    order.sort_by_cached_key(|&at| cost(at));
+    let best = order[0];
+    // Helpers that are busy, or that no short call is meant for, would only delay it.
+    let helps = |at: &usize| *at < lane && cost(*at) <= cost(best) + HELPER_DELAY;
+    let mut chosen = vec![best];
+    let helpers = parts_of(read, SHORT_PART_READ) - 1;
+    chosen.extend(order[1..].iter().copied().filter(helps).take(helpers));
+    let share = read / chosen.len() as u32;
+    let expected = chosen.iter().map(|&at| cost(at)).max().unwrap_or_default() + share;
+    let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
+        engine,
+        read: share,
+        memory: match at {
+            0 => prompt.memory(),
+            _ => 0,
+        },
+    });
     Some(EnginePlan {
-        parts: vec![Part {
-            engine: best,
-            read,
-            memory: prompt.memory(),
-        }],
+        parts: parts.collect(),
         reserve: false,
         long: false,
-        expected: cost(best) + read,
+        expected,
     })
 }
 
@@ -253,19 +271,21 @@
     (read.as_secs_f64() / part.as_secs_f64()).ceil().max(1.0) as usize
 }
 
-/// Engines that read no long prompt; those with the fewest streams first.
+/// Engines that read no long prompt and write no short stream; those with the fewest long
+/// streams first.
 fn free_engines(engines: &[EngineState], lane: usize) -> Vec<usize> {
-    let mut free: Vec<usize> = (lane..engines.len())
-        .filter(|&at| engines[at].load.long_reads == 0)
-        .collect();
-    free.sort_by_key(|&at| {
-        let engine = &engines[at];
-        (engine.load.short, engine.load.long, engine.preference)
-    });
+    let is_free = |at: &usize| {
+        let load = &engines[*at].load;
+        load.long_reads == 0 && load.short == 0
+    };
+    let mut free: Vec<usize> = (lane..engines.len()).filter(is_free).collect();
+    free.sort_by_key(|&at| (engines[at].load.long, engines[at].preference));
     free
 }
 
 /// An engine that holds the whole prompt and leads, and others that read with it.
+///
+/// Long streams are gathered on few engines: the others read without making them pause.
 fn with_lead(
     model: &EngineModel,
     engines: &[EngineState],
@@ -273,8 +293,11 @@
     free: &[usize],
     parts: usize,
 ) -> Option<Vec<usize>> {
-    let holds = |at: &&usize| engines[**at].free_memory(model) >= prompt.memory();
-    let lead = free.iter().find(holds)?;
+    let leads = |at: &&usize| {
+        let engine = &engines[**at];
+        engine.free_memory(model) >= prompt.memory() && engine.load.long < MOST_LONG_STREAMS
+    };
+    let lead = free.iter().rev().find(leads)?;
     let others = free.iter().filter(|at| *at != lead).take(parts - 1);
     Some(std::iter::once(lead).chain(others).copied().collect())
 }
