--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -92,7 +92,11 @@
     pub fn first_arrived(&self) -> Time {
         let left = self.head.time_left.unwrap_or(self.route.time_limit);
         let passed = self.route.time_limit.saturating_sub(left);
-        Time::from_micros(self.arrived.as_micros().saturating_sub(passed.as_micros() as u64))
+        Time::from_micros(
+            self.arrived
+                .as_micros()
+                .saturating_sub(passed.as_micros() as u64),
+        )
     }
 
     /// Whether the box's share of the retry budget has a repeat left.
@@ -170,12 +174,18 @@
         relay: Arc::clone(relay),
         service,
         workspace: holder.map(|holder| holder.workspace.clone()),
-        priority: holder.and_then(|holder| holder.priority).unwrap_or(route.priority),
+        priority: holder
+            .and_then(|holder| holder.priority)
+            .unwrap_or(route.priority),
         deadline: arrived + time_left.min(route.time_limit),
         route: route.clone(),
         head,
         method: parts.method,
-        uri: parts.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from),
+        uri: parts
+            .uri
+            .path_and_query()
+            .cloned()
+            .map_or_else(Uri::default, Uri::from),
         headers: parts.headers,
         body,
         arrived,
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -52,7 +52,11 @@
 impl Chosen {
     /// Addresses of the engines that read parts, for logs; none where there is one reader.
     pub fn read_at(&self) -> Option<String> {
-        let addresses: Vec<&str> = self.readers.iter().map(|row| row.address.as_str()).collect();
+        let addresses: Vec<&str> = self
+            .readers
+            .iter()
+            .map(|row| row.address.as_str())
+            .collect();
         (!addresses.is_empty()).then(|| addresses.join(" "))
     }
 
@@ -143,8 +147,9 @@
     let relay = &call.relay;
     let started = match engine_plan::is_long(model, prompt) {
         true => wait_for_engines(call, tried, model, prompt).await?,
-        false => start(call, tried, model, prompt)
-            .ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?,
+        false => {
+            start(call, tried, model, prompt).ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?
+        }
     };
     relay.load_changed.notify_one();
     let Started {
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -55,7 +55,11 @@
 /// The address can't be listened on.
 pub fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let open = || -> std::io::Result<TcpListener> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        let socket = Socket::new(
+            Domain::for_address(address),
+            Type::STREAM,
+            Some(Protocol::TCP),
+        )?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
@@ -81,7 +85,11 @@
 }
 
 fn limits(relay: &Relay) -> CallerLimits {
-    relay.routes.load().as_ref().map_or(EARLY_LIMITS, |index| index.table().limits)
+    relay
+        .routes
+        .load()
+        .as_ref()
+        .map_or(EARLY_LIMITS, |index| index.table().limits)
 }
 
 async fn serve_connection(stream: TcpStream, relay: Arc<Relay>) {
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -95,7 +95,11 @@
 
 fn set_gauges(relay: &Relay) {
     let revisions = relay.revisions();
-    let version = relay.routes.load().as_ref().map_or(0, |index| index.table().version);
+    let version = relay
+        .routes
+        .load()
+        .as_ref()
+        .map_or(0, |index| index.table().version);
     gauge!("badgerferry_routes_version").set(version as f64);
     gauge!("badgerferry_routes_revision").set(revisions.table as f64);
     gauge!("badgerferry_servers_revision").set(revisions.servers as f64);
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -159,7 +159,9 @@
             behind.clear();
             continue;
         }
-        let since = *behind.entry(datagram.from.clone()).or_insert_with(Instant::now);
+        let since = *behind
+            .entry(datagram.from.clone())
+            .or_insert_with(Instant::now);
         if since.elapsed() >= BEHIND {
             behind.clear();
             pull_from_named(relay, &datagram.from, have).await;
@@ -168,7 +170,10 @@
 }
 
 async fn pull_from_named(relay: &Arc<Relay>, name: &str, have: Revisions) {
-    let address = lock(&relay.followed).boxes.get(name).map(|of| of.pull.clone());
+    let address = lock(&relay.followed)
+        .boxes
+        .get(name)
+        .map(|of| of.pull.clone());
     let Some(address) = address.and_then(|address| address.parse().ok()) else {
         return;
     };
@@ -182,7 +187,11 @@
         let seeds: Vec<SocketAddr> = (relay.settings.seeds.iter().copied())
             .filter(|seed| *seed != own)
             .collect();
-        let known = lock(&relay.followed).boxes.values().cloned().collect::<Vec<_>>();
+        let known = lock(&relay.followed)
+            .boxes
+            .values()
+            .cloned()
+            .collect::<Vec<_>>();
         let known = known.iter().filter_map(|of| of.pull.parse().ok());
         let all: Vec<SocketAddr> = seeds.into_iter().chain(known).collect();
         let drawn = all.choose(&mut rand::rng()).copied();
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -52,9 +52,10 @@
             id,
             addresses,
         };
-        let orders = held.addresses.iter().map(|(address, tokens)| {
-            order(address, orders::reserve(&held.id, *tokens, hold))
-        });
+        let orders = held
+            .addresses
+            .iter()
+            .map(|(address, tokens)| order(address, orders::reserve(&held.id, *tokens, hold)));
         let answers = join_all(orders).await;
         let refused = answers.iter().filter(|answer| {
             !matches!(answer, Some(status) if orders::read_reserved(*status) == Reserved::Held)
@@ -107,7 +108,11 @@
             return;
         }
     }
-    tracing::warn!(reservation = id, address, "memory lapses by itself: no answer to its release");
+    tracing::warn!(
+        reservation = id,
+        address,
+        "memory lapses by itself: no answer to its release"
+    );
 }
 
 /// Gives an order on a connection of its own; no answer gives nothing.
@@ -115,7 +120,11 @@
     match timeout(ORDER_LIMIT, exchange(address, call)).await {
         Ok(Ok(status)) => Some(status),
         Ok(Err(cause)) => {
-            tracing::info!(address, cause = format!("{cause:#}"), "an order got no answer");
+            tracing::info!(
+                address,
+                cause = format!("{cause:#}"),
+                "an order got no answer"
+            );
             None
         }
         Err(_elapsed) => {
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -117,7 +117,10 @@
 
     fn failed(&mut self, cause: &StoreError) -> Duration {
         if *cause == StoreError::HistoryGone {
-            tracing::info!(revision = self.revision, "store's history is gone; reading all");
+            tracing::info!(
+                revision = self.revision,
+                "store's history is gone; reading all"
+            );
             self.revision = None;
             return Duration::ZERO;
         }
@@ -155,7 +158,8 @@
         );
         lock(&self.relay.followed).boxes = boxes;
         let now = self.relay.clock.now();
-        self.relay.change_servers(|servers| servers.replace(now, entries));
+        self.relay
+            .change_servers(|servers| servers.replace(now, entries));
     }
 
     fn take(&self, change: Change) {
@@ -190,7 +194,11 @@
                 lock(&relay.followed).boxes.remove(&name);
             }
             Change::Unreadable { key, cause } => {
-                tracing::error!(key, cause, "a value in the store can't be read; the old stands");
+                tracing::error!(
+                    key,
+                    cause,
+                    "a value in the store can't be read; the old stands"
+                );
             }
             Change::Other => {}
         }
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -253,7 +253,10 @@
 
 async fn read_whole(body: Incoming) -> Option<Bytes> {
     let body = http_body_util::Limited::new(body, MAX_WHOLE_BYTES);
-    body.collect().await.ok().map(http_body_util::Collected::to_bytes)
+    body.collect()
+        .await
+        .ok()
+        .map(http_body_util::Collected::to_bytes)
 }
 
 /// The server's head without what concerns its own connection.
--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -118,7 +118,11 @@
         let rows = resting.get_mut(server)?;
         let now = Instant::now();
         while let Some(row) = rows.pop() {
-            let is_ready = row.connection.sender.as_ref().is_some_and(SendRequest::is_ready);
+            let is_ready = row
+                .connection
+                .sender
+                .as_ref()
+                .is_some_and(SendRequest::is_ready);
             if is_ready && now < row.until {
                 return Some(row.connection);
             }
@@ -127,12 +131,7 @@
     }
 
     /// Takes a connection back whose answer was whole and its own.
-    pub fn rest(
-        &self,
-        server: &ServerName,
-        connection: Connection,
-        keep_alive: Option<Duration>,
-    ) {
+    pub fn rest(&self, server: &ServerName, connection: Connection, keep_alive: Option<Duration>) {
         let rest = match keep_alive {
             Some(told) => told.saturating_sub(REST_MARGIN).min(MAX_REST),
             None => MAX_REST,
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,6 +18,8 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Reading keeps an engine from the next long prompt until this long after its estimate.
+const FREE_AFTER: Duration = Duration::from_millis(10_000);
 /// Reading whose end was not seen counts until this many times its estimate, and a bit more.
 const OVERRUN: u32 = 3;
 /// What is added to that, for passes that the reading waits for.
@@ -63,7 +65,11 @@
 
     /// Whether there is any.
     pub const fn is_none(&self) -> bool {
-        self.reading_ms == 0 && self.long_reads == 0 && self.short == 0 && self.long == 0 && self.memory_k == 0
+        self.reading_ms == 0
+            && self.long_reads == 0
+            && self.short == 0
+            && self.long == 0
+            && self.memory_k == 0
     }
 }
 
@@ -185,7 +191,10 @@
         let mut table = self.own_table(now);
         for peer in self.live(now) {
             for (&engine, &row) in &peer.rows {
-                table.entry(engine).or_default().add(row.after(now.since(peer.taken)));
+                table
+                    .entry(engine)
+                    .or_default()
+                    .add(row.after(now.since(peer.taken)));
             }
         }
         table
@@ -226,7 +235,7 @@
         let leads = self.work.leads;
         EngineUse {
             reading_ms: left.as_millis() as u32,
-            long_reads: u16::from(reads && self.work.long),
+            long_reads: u16::from(reads && self.work.long && now < self.read_over + FREE_AFTER),
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -128,7 +128,10 @@
 
 /// How many of the first engines are kept for short calls.
 pub fn short_lane(engines: &[EngineState]) -> usize {
-    let short: usize = engines.iter().map(|engine| usize::from(engine.load.short)).sum();
+    let short: usize = engines
+        .iter()
+        .map(|engine| usize::from(engine.load.short))
+        .sum();
     let wanted = short.div_ceil(SHORT_PER_ENGINE) + SPARE_SHORT_ENGINES;
     wanted.clamp(1, engines.len().saturating_sub(LONG_ENGINES).max(1))
 }
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -9,8 +9,10 @@
 
 use crate::time::Time;
 
-/// How long after its objective a prompt waits on; then it is refused and its caller may return.
+/// How long after its objective a prompt waits on, as a multiple of that; then it is refused.
 const LATE_PART_OF_OBJECTIVE: f64 = 1.0;
+/// Time that reading and writing need at least; a prompt with less left is refused.
+const LEAST_RUN: Duration = Duration::from_millis(2_000);
 
 /// Identifies a waiting prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -33,7 +35,11 @@
     /// When it is given up.
     pub fn given_up_at(&self) -> Time {
         let late = self.objective.mul_f64(LATE_PART_OF_OBJECTIVE);
-        (self.due + late).min(self.deadline)
+        let last = self
+            .deadline
+            .as_micros()
+            .saturating_sub(LEAST_RUN.as_micros() as u64);
+        (self.due + late).min(Time::from_micros(last))
     }
 
     const fn rank(&self, now: Time) -> (bool, Duration) {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,9 +1,14 @@
 //! The library's tests, in one runner.
 
+mod seeded;
 mod test_docs;
 mod test_lease_seeds;
 mod test_placement;
 mod test_properties;
+mod test_relay_attempts;
+mod test_relay_event_join;
+mod test_relay_retry_window;
+mod test_relay_state;
 mod test_request_seeds;
 mod test_scenarios;
 mod test_settings_seeds;
--- a/lib/tests/test_properties.rs
+++ b/lib/tests/test_properties.rs
@@ -12,16 +12,9 @@
 use badgerferry_testutils::fixtures::add;
 use badgerferry_testutils::fixtures::rng;
 use badgerferry_testutils::fixtures::set;
-use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use rand::Rng;
 
-const TESTS: u64 = 2_000;
-
-fn quickcheck() -> QuickCheck {
-    let seeded = Gen::from_size_and_seed(100, 1);
-    QuickCheck::new().rng(seeded).tests(TESTS).max_tests(TESTS)
-}
+use crate::seeded::seeded;
 
 /// A sound tree, grown from a seed by changes of which the unsound are left out.
 fn tree(seed: u64) -> SettingsTree {
@@ -59,7 +52,7 @@
         let changes = one.changes_to(&other);
         one.faults().is_empty() && one.apply(&changes) == Ok(other)
     }
-    quickcheck().quickcheck(holds as fn(u64, u64) -> bool);
+    seeded().quickcheck(holds as fn(u64, u64) -> bool);
 }
 
 #[test]
@@ -73,7 +66,7 @@
         };
         tree.nodes().keys().all(fits)
     }
-    quickcheck().quickcheck(holds as fn(u64) -> bool);
+    seeded().quickcheck(holds as fn(u64) -> bool);
 }
 
 #[test]
@@ -91,7 +84,7 @@
         let passes_for_another = other.is_ok_and(|other| other != snapshot);
         comes_back && !passes_for_another
     }
-    quickcheck().quickcheck(holds as fn(u64, usize, u8) -> bool);
+    seeded().quickcheck(holds as fn(u64, usize, u8) -> bool);
 }
 
 #[test]
@@ -107,7 +100,7 @@
         let key = [1; peer_wire::KEY_BYTES];
         peer_wire::open(&key, &bytes).is_err() && peer_wire::open(&key, &marked).is_err()
     }
-    quickcheck().quickcheck(holds as fn(Vec<u8>) -> bool);
+    seeded().quickcheck(holds as fn(Vec<u8>) -> bool);
 }
 
 #[test]
@@ -119,5 +112,5 @@
     fn holds(bytes: Vec<u8>) -> bool {
         Head::decode(&bytes).is_err()
     }
-    quickcheck().quickcheck(holds as fn(Vec<u8>) -> bool);
+    seeded().quickcheck(holds as fn(Vec<u8>) -> bool);
 }
--- /dev/null
+++ b/lib/tests/test_relay_attempts.rs
@@ -0,0 +1,155 @@
+//! What follows when a try of a relayed call ends.
+
+use std::time::Duration;
+
+use badgerferry_lib::outcome::FailureReason;
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::attempts::Next;
+use badgerferry_lib::relay::attempts::TryEnd;
+use quickcheck::TestResult;
+
+use crate::seeded::seeded;
+
+const LATER: Duration = Duration::from_millis(250);
+
+fn sent_once(repeatable: bool, max: u32) -> Attempts {
+    let mut attempts = Attempts::new(repeatable, max);
+    attempts.send();
+    attempts
+}
+
+fn is_refusal(next: &Next) -> bool {
+    matches!(next, Next::Refuse(_))
+}
+
+#[test]
+fn a_lost_call_that_may_not_be_repeated_fails_without_a_promise() {
+    let mut attempts = sent_once(false, 3);
+
+    let next = attempts.on_end(TryEnd::Lost, LATER, || true);
+
+    assert_eq!(next, Next::Fail(FailureReason::ServerLost));
+}
+
+#[test]
+fn a_declined_call_that_may_not_be_repeated_goes_to_another_server() {
+    let mut attempts = sent_once(false, 2);
+
+    let next = attempts.on_end(TryEnd::Declined, LATER, || true);
+
+    assert_eq!(next, Next::TryElsewhere);
+}
+
+#[test]
+fn a_declined_call_with_no_attempt_left_is_refused_with_a_time_to_come_back() {
+    let mut attempts = sent_once(false, 1);
+
+    let next = attempts.on_end(TryEnd::Declined, LATER, || true);
+
+    match next {
+        Next::Refuse(refused) => {
+            assert_eq!(refused.reason(), RefusalReason::NoServer);
+            assert_eq!(refused.retry_after(), Some(LATER));
+        }
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn a_connection_that_was_not_made_uses_no_attempt_and_no_budget() {
+    let mut attempts = sent_once(false, 1);
+
+    let next = attempts.on_end(TryEnd::NoConnection, LATER, || panic!("asked for budget"));
+
+    assert_eq!(next, Next::TryElsewhere);
+    assert_eq!(attempts.sent(), 0);
+}
+
+#[test]
+fn connections_are_not_tried_for_ever() {
+    let mut attempts = Attempts::new(true, 1);
+
+    let refused = (0..10).position(|_| {
+        attempts.send();
+        is_refusal(&attempts.on_end(TryEnd::NoConnection, LATER, || true))
+    });
+
+    assert!(refused.is_some_and(|tries| tries < 9));
+}
+
+#[test]
+fn a_lost_call_without_budget_fails() {
+    let mut attempts = sent_once(true, 2);
+
+    let next = attempts.on_end(TryEnd::Lost, LATER, || false);
+
+    assert_eq!(next, Next::Fail(FailureReason::AttemptsUsed));
+}
+
+#[test]
+fn a_servers_own_failure_is_passed_on_where_it_may_not_be_repeated() {
+    let mut attempts = sent_once(false, 2);
+
+    let next = attempts.on_end(TryEnd::ServerError, LATER, || true);
+
+    assert_eq!(next, Next::PassOn);
+}
+
+#[test]
+fn a_call_declined_after_it_was_lost_elsewhere_is_never_called_not_run() {
+    let mut attempts = sent_once(true, 2);
+    assert_eq!(
+        attempts.on_end(TryEnd::Lost, LATER, || true),
+        Next::TryElsewhere
+    );
+    attempts.send();
+
+    let next = attempts.on_end(TryEnd::Declined, LATER, || true);
+
+    assert_eq!(next, Next::Fail(FailureReason::AttemptsUsed));
+}
+
+#[test]
+#[should_panic(expected = "may not be repeated")]
+fn sending_a_lost_call_again_that_may_not_be_repeated_stops_the_process() {
+    let mut attempts = sent_once(false, 2);
+    let _ = attempts.on_end(TryEnd::Lost, LATER, || true);
+
+    attempts.send();
+}
+
+/// Whatever happens: never more sends than allowed, and "not run" only while nothing may have.
+#[test]
+fn promises_hold_for_any_ends() {
+    fn property(repeatable: bool, max: u8, ends: Vec<u8>) -> TestResult {
+        if max == 0 {
+            return TestResult::discard();
+        }
+        let max = u32::from(max % 5) + 1;
+        let mut attempts = Attempts::new(repeatable, max);
+        let mut may_have_run = false;
+        for end in ends {
+            attempts.send();
+            if attempts.sent() > max {
+                return TestResult::failed();
+            }
+            let end = match end % 4 {
+                0 => TryEnd::NoConnection,
+                1 => TryEnd::Declined,
+                2 => TryEnd::Lost,
+                _ => TryEnd::ServerError,
+            };
+            may_have_run |= matches!(end, TryEnd::Lost | TryEnd::ServerError);
+            match attempts.on_end(end, LATER, || true) {
+                Next::TryElsewhere if may_have_run && !repeatable => return TestResult::failed(),
+                Next::TryElsewhere => {}
+                Next::Refuse(_) => return TestResult::from_bool(!may_have_run),
+                Next::Fail(_) => return TestResult::from_bool(may_have_run),
+                Next::PassOn => return TestResult::from_bool(end == TryEnd::ServerError),
+            }
+        }
+        TestResult::passed()
+    }
+    seeded().quickcheck(property as fn(bool, u8, Vec<u8>) -> TestResult);
+}
