--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -4,4 +4,6 @@
 mod test_boxes;
 mod test_command_line;
 mod test_failures;
+mod test_relay_boxes;
+mod test_relay_calls;
 mod test_whole_path;
--- /dev/null
+++ b/daemon/tests/test_relay_boxes.rs
@@ -0,0 +1,315 @@
+//! Boxes on the platform: what they know while the store misbehaves, and how they stop.
+
+use std::net::IpAddr;
+
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::call;
+use badgerferry_standin::relay_box::RelayBox;
+use badgerferry_standin::relay_box::World;
+use badgerferry_standin::relay_box::desired_state;
+use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Behaviour;
+use badgerferry_standin::store::Mode;
+use badgerferry_standin::store::Store;
+
+fn again(id: &str, key: &str) -> String {
+    call("GET", "/again/a", id, "", "").replace("key-1", key)
+}
+
+async fn status(relay: &RelayBox, key: &str) -> anyhow::Result<u16> {
+    Ok(Caller::once(relay.front(), &again("id", key)).await?.status)
+}
+
+async fn wait_status(relay: &RelayBox, key: &str, wanted: u16) -> anyhow::Result<()> {
+    for _ in 0..1_000 {
+        if status(relay, key).await? == wanted {
+            return Ok(());
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    anyhow::bail!("the status never becomes {wanted}; log:\n{}", relay.log())
+}
+
+#[tokio::test]
+async fn a_box_without_routes_is_not_ready_and_promises_that_nothing_ran() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    store.set_mode(Mode::Silent);
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_line(&["daemon started"]).await?;
+
+    let answer = Caller::once(relay.front(), &again("id-1", "key-1")).await?;
+
+    assert_eq!(answer.status, 503);
+    assert!(!relay.is_ready().await);
+    Ok(())
+}
+
+#[tokio::test]
+async fn new_routes_keys_and_servers_are_in_force_soon_after_the_store_took_them()
+-> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world.store.put("op/config", &desired_state(9, &["key-2"]));
+
+    wait_status(&world.relay, "key-2", 200).await?;
+
+    assert_eq!(status(&world.relay, "key-1").await?, 401);
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_older_version_never_comes_back_into_force() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world.store.put("op/config", &desired_state(9, &["key-2"]));
+    wait_status(&world.relay, "key-2", 200).await?;
+
+    world.store.put("op/config", &desired_state(8, &["key-1"]));
+    world
+        .store
+        .put("op/config", &desired_state(10, &["key-2", "key-3"]));
+    wait_status(&world.relay, "key-3", 200).await?;
+
+    assert_eq!(status(&world.relay, "key-1").await?, 401);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_state_that_cant_be_read_leaves_the_old_one_in_force() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world
+        .store
+        .put("op/config", &serde_json::json!({"version": "none"}));
+    world
+        .relay
+        .wait_line(&["can't be read", "op/config"])
+        .await?;
+
+    assert_eq!(status(&world.relay, "key-1").await?, 200);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_leaving_server_gets_no_new_calls() -> anyhow::Result<()> {
+    let world = World::start(2).await?;
+    let leaving = &world.servers[0];
+    world.store.put(&leaving.key(), &leaving.entry("draining"));
+    world
+        .relay
+        .wait_line(&["server entry", "i-0", "\"leaving\":true"])
+        .await?;
+    let before = leaving.seen().len();
+
+    for at in 0..10 {
+        Caller::once(world.relay.front(), &again(&format!("id-{at}"), "key-1")).await?;
+    }
+
+    assert_eq!(leaving.seen().len(), before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn every_way_the_store_fails_leaves_the_box_serving_and_it_catches_up() -> anyhow::Result<()>
+{
+    let world = World::start(1).await?;
+    let modes = [Mode::Busy, Mode::TooMany, Mode::Reset, Mode::Silent];
+    for (version, mode) in (20..).zip(modes) {
+        world.store.set_mode(mode);
+        assert_eq!(status(&world.relay, "key-1").await?, 200, "{mode:?}");
+        let key = format!("key-{version}");
+
+        world
+            .store
+            .put("op/config", &desired_state(version, &["key-1", &key]));
+        world.store.set_mode(Mode::Serving);
+
+        wait_status(&world.relay, &key, 200).await?;
+    }
+    Ok(())
+}
+
+/// Found by a hunt: a watch that began just before the store's return hung for four seconds.
+#[tokio::test]
+async fn a_silent_store_is_asked_again_by_short_calls() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world.store.set_mode(Mode::Silent);
+    world.relay.wait_line(&["store lost"]).await?;
+    let before = world.store.calls();
+
+    // A call that is let hang for long would keep this count from rising.
+    wait_until(|| world.store.calls() >= before + 4).await?;
+    world.store.set_mode(Mode::Serving);
+
+    world.relay.wait_line(&["store regained"]).await
+}
+
+#[tokio::test]
+async fn a_forgotten_history_is_read_anew() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world.store.put("op/config", &desired_state(5, &["key-5"]));
+    world.store.forget_history();
+    world.store.put("op/config", &desired_state(6, &["key-6"]));
+    world.store.forget_history();
+
+    wait_status(&world.relay, "key-6", 200).await
+}
+
+#[tokio::test]
+async fn a_box_that_the_store_turns_away_learns_of_a_revoked_key_from_a_neighbour()
+-> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    let other = RelayBox::start("box-2", world.store.address, &[])?;
+    other.wait_ready().await?;
+    world.relay.wait_line(&["box entry", "box-2"]).await?;
+    // All of a loopback host's calls come from one address: the box is silenced by its own.
+    world.store.put("op/config", &desired_state(4, &["key-1"]));
+    wait_until(|| world.relay.log().matches("routes in force").count() >= 2).await?;
+    world.relay.signal("STOP")?;
+    world.store.put("op/config", &desired_state(5, &["key-2"]));
+    wait_status(&other, "key-2", 200).await?;
+    world.store.set_mode(Mode::Busy);
+    world.relay.signal("CONT")?;
+
+    wait_status(&world.relay, "key-1", 401).await?;
+
+    let log = world.relay.log();
+    assert!(log.contains("\"source\":\"neighbour\""), "{log}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_box_that_starts_while_the_store_is_away_takes_its_state_from_a_neighbour()
+-> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world.store.set_mode(Mode::Silent);
+
+    let late = RelayBox::start("box-2", world.store.address, &[world.relay.ip])?;
+    late.wait_ready().await?;
+
+    assert_eq!(status(&late, "key-1").await?, 200);
+    Ok(())
+}
+
+#[tokio::test]
+async fn entries_that_lapse_with_the_store_do_not_stop_the_box_serving() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    world.store.set_mode(Mode::Silent);
+    world.relay.wait_line(&["store lost"]).await?;
+    world.store.remove("servers/i-0");
+    world.store.set_mode(Mode::Serving);
+    world.relay.wait_line(&["server entry gone", "i-0"]).await?;
+
+    assert_eq!(status(&world.relay, "key-1").await?, 200);
+
+    world.relay.wait_line(&["did not come back"]).await?;
+    wait_status(&world.relay, "key-1", 503).await
+}
+
+#[tokio::test]
+async fn a_planned_stop_serves_what_is_open_and_what_still_arrives() -> anyhow::Result<()> {
+    let mut world = World::start(1).await?;
+    let mut open = Caller::connect(world.relay.front()).await?;
+    let mut streaming = Caller::connect(world.relay.front()).await?;
+    streaming
+        .send(&call("POST", "/stream/a", "id-1", "", ""))
+        .await?;
+
+    world.relay.signal("TERM")?;
+    world.relay.wait_line(&["planned stop begun"]).await?;
+    open.send(&again("id-2", "key-1")).await?;
+    let late = open.answer().await?;
+    let whole = streaming.answer().await?;
+
+    assert!(!world.relay.is_ready().await);
+    assert_eq!(
+        (late.status, late.header("connection")),
+        (200, Some("close"))
+    );
+    assert!(whole.whole);
+    let relay = &mut world.relay;
+    wait_until(|| relay.ended().is_ok_and(|code| code == Some(0))).await
+}
+
+#[tokio::test]
+async fn a_stop_ends_in_time_though_a_call_hangs() -> anyhow::Result<()> {
+    let mut world = World::start(1).await?;
+    world.servers[0].usually(Behaviour::Silent);
+    let mut hangs = Caller::connect(world.relay.front()).await?;
+    hangs.send(&again("id-1", "key-1")).await?;
+    world.relay.wait_line(&["call routed"]).await?;
+
+    world.relay.signal("TERM")?;
+
+    let relay = &mut world.relay;
+    wait_until(|| relay.ended().is_ok_and(|code| code == Some(0))).await
+}
+
+#[tokio::test]
+async fn a_killed_box_comes_back_with_the_stores_state() -> anyhow::Result<()> {
+    let mut world = World::start(1).await?;
+    world.store.put("op/config", &desired_state(5, &["key-5"]));
+
+    world.relay.restart()?;
+    world.relay.wait_ready().await?;
+
+    assert_eq!(status(&world.relay, "key-5").await?, 200);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_box_keeps_its_own_entry_and_a_dead_ones_lapses() -> anyhow::Result<()> {
+    let mut world = World::start(1).await?;
+    let store = world.store.clone();
+    wait_until(|| store.keys("badgerferry/boxes/") == ["badgerferry/boxes/box-1"]).await?;
+
+    world.relay.kill();
+
+    wait_until(|| store.keys("badgerferry/boxes/").is_empty()).await
+}
+
+#[tokio::test]
+async fn an_entry_whose_writing_got_no_answer_is_kept_all_the_same() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    store.put("op/config", &desired_state(3, &["key-1"]));
+    store.lose_answers(1);
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_ready().await?;
+
+    relay.wait_line(&["entry could not be kept"]).await?;
+
+    wait_until(|| store.keys("badgerferry/boxes/") == ["badgerferry/boxes/box-1"]).await
+}
+
+#[tokio::test]
+async fn a_hangup_reads_the_settings_file_again_and_cuts_nothing() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    let mut caller = Caller::connect(world.relay.front()).await?;
+
+    world.relay.signal("HUP")?;
+    world.relay.wait_line(&["settings file unchanged"]).await?;
+    caller.send(&again("id-1", "key-1")).await?;
+
+    assert_eq!(caller.answer().await?.status, 200);
+    Ok(())
+}
+
+#[tokio::test]
+async fn figures_are_served_in_the_prometheus_format() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    status(&world.relay, "key-1").await?;
+    let address = (IpAddr::from(world.relay.ip), 9_464).into();
+
+    let page = Caller::once(address, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n").await?;
+
+    assert_eq!(page.status, 200);
+    assert!(
+        page.body
+            .contains("badgerferry_calls_total{outcome=\"answered\"} 1"),
+        "{}",
+        page.body
+    );
+    assert!(
+        page.body.contains("badgerferry_routes_version 3"),
+        "{}",
+        page.body
+    );
+    Ok(())
+}
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,8 +18,6 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// Reading keeps an engine from the next long prompt until this long after its estimate.
-const FREE_AFTER: Duration = Duration::from_millis(10_000);
 /// Reading whose end was not seen counts until this many times its estimate, and a bit more.
 const OVERRUN: u32 = 3;
 /// What is added to that, for passes that the reading waits for.
@@ -43,7 +41,8 @@
 pub struct EngineUse {
     /// Reading still to do, in milliseconds of that engine alone.
     pub reading_ms: u32,
-    /// Long prompts of which it reads a part.
+    /// Long prompts of which it reads a part, until the part is over by its estimate: what is
+    /// sent then arrives as the engine turns free.
     pub long_reads: u16,
     /// Short calls there, whether they read, wait or write.
     pub short: u16,
@@ -235,7 +234,7 @@
         let leads = self.work.leads;
         EngineUse {
             reading_ms: left.as_millis() as u32,
-            long_reads: u16::from(reads && self.work.long && now < self.read_over + FREE_AFTER),
+            long_reads: u16::from(reads && self.work.long && now < self.read_over),
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -21,20 +21,20 @@
 /// Reading alone from which a prompt is long: a short stream's pause suffers from more.
 const LONG_READ: Duration = Duration::from_millis(200);
 /// Reading of one part that a long prompt is cut into, where enough engines are free.
-const PART_READ: Duration = Duration::from_millis(250);
+const PART_READ: Duration = Duration::from_millis(300);
 /// Longest part that a prompt is sent with; it waits until enough engines are free.
-const LONGEST_PART: Duration = Duration::from_millis(500);
+const LONGEST_PART: Duration = Duration::from_millis(600);
 /// Reading of one part that a short call is cut into: passes of short streams stay short.
 const SHORT_PART_READ: Duration = Duration::from_millis(50);
-/// Part of the long prompts' engines that even the longest prompt does not wait for in vain.
-const MOST_WAITED_FOR: f64 = 0.7;
+/// Short streams beside which a long part may be read; more would pause with it.
+const MOST_SHORT_BESIDE: u16 = 2;
 /// Short calls that an engine is packed with; its batch holds a few more for a burst.
 const SHORT_PER_ENGINE: usize = 12;
 /// Engines kept for short calls beside those that they fill, for calls that come at once.
-const SPARE_SHORT_ENGINES: usize = 2;
+const SPARE_SHORT_ENGINES: usize = 1;
 /// Engines that long prompts keep at least.
 const LONG_ENGINES: usize = 3;
-/// Long streams that one engine writes, so that those that lead are read for in turn.
+/// Long streams that an engine writes at most while it still leads another.
 const MOST_LONG_STREAMS: u16 = 4;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
@@ -240,8 +240,9 @@
     let free = free_engines(engines, lane);
     // With reservations the engine that leads is listed among the readers, too.
     let most = MAX_HELPERS + usize::from(!reserve);
-    let enough = (engines.len() - lane) as f64 * MOST_WAITED_FOR;
-    let least = parts_of(read, LONGEST_PART).min(enough.ceil() as usize);
+    let least = parts_of(read, LONGEST_PART)
+        .min(engines.len() - lane)
+        .min(most);
     let wanted = parts_of(read, PART_READ).clamp(least, most);
     let chosen = match reserve {
         true => with_room_for_shares(model, engines, prompt, &free, most)?,
@@ -274,12 +275,12 @@
     (read.as_secs_f64() / part.as_secs_f64()).ceil().max(1.0) as usize
 }
 
-/// Engines that read no long prompt and write no short stream; those with the fewest long
-/// streams first.
+/// Engines that read no long prompt and write hardly a short stream; those with the fewest
+/// long streams first.
 fn free_engines(engines: &[EngineState], lane: usize) -> Vec<usize> {
     let is_free = |at: &usize| {
         let load = &engines[*at].load;
-        load.long_reads == 0 && load.short == 0
+        load.long_reads == 0 && load.short <= MOST_SHORT_BESIDE
     };
     let mut free: Vec<usize> = (lane..engines.len()).filter(is_free).collect();
     free.sort_by_key(|&at| (engines[at].load.long, engines[at].preference));
@@ -287,8 +288,6 @@
 }
 
 /// An engine that holds the whole prompt and leads, and others that read with it.
-///
-/// Long streams are gathered on few engines: the others read without making them pause.
 fn with_lead(
     model: &EngineModel,
     engines: &[EngineState],
@@ -300,7 +299,7 @@
         let engine = &engines[**at];
         engine.free_memory(model) >= prompt.memory() && engine.load.long < MOST_LONG_STREAMS
     };
-    let lead = free.iter().rev().find(leads)?;
+    let lead = free.iter().find(leads)?;
     let others = free.iter().filter(|at| *at != lead).take(parts - 1);
     Some(std::iter::once(lead).chain(others).copied().collect())
 }
