relay: streams that must not pause are written among the short ones

They are now led among the short calls; only their reading, in parts of 50 ms, goes to the other engines.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -29,9 +29,6 @@
 mod telemetry;
 mod traffic;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Exit code for a box's own file that can't be used.
 const EXIT_BAD_CONFIG: u8 = 2;
 
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -145,7 +145,7 @@
     prompt: &Prompt,
 ) -> Result<Chosen, (RefusalReason, Duration)> {
     let relay = &call.relay;
-    let started = match engine_plan::is_long(model, prompt) {
+    let started = match engine_plan::is_long(model, prompt, call.route.pause) {
         true => wait_for_engines(call, tried, model, prompt).await?,
         false => {
             start(call, tried, model, prompt).ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?
@@ -201,7 +201,7 @@
         pace: record.pace,
     };
     let states: Vec<EngineState> = usable.iter().map(state).collect();
-    let plan = engine_plan::plan(model, &states, prompt, &mut rand::rng())?;
+    let plan = engine_plan::plan(model, &states, prompt, call.route.pause, &mut rand::rng())?;
     let address = |part: &Part| {
         let record = usable[part.engine];
         Address {
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -20,6 +20,9 @@
 pub const MAX_HELPERS: usize = 16;
 /// Reading alone from which a prompt is long: a short stream's pause suffers from more.
 const LONG_READ: Duration = Duration::from_millis(200);
+/// Pause from which a stream may be written where long parts are read: the longest part, the
+/// steps of a pass, and a second part that came with it.
+const LONG_PAUSE: Duration = Duration::from_millis(900);
 /// Reading of one part that a long prompt is cut into, where enough engines are free.
 const PART_READ: Duration = Duration::from_millis(300);
 /// Longest part that a prompt is sent with; it waits until enough engines are free.
@@ -121,9 +124,13 @@
     pub expected: Duration,
 }
 
-/// Whether a prompt is long for these engines.
-pub fn is_long(model: &EngineModel, prompt: &Prompt) -> bool {
-    model.read(prompt.tokens) > LONG_READ
+/// Whether a prompt is read and written on the long prompts' engines.
+///
+/// A stream that must not pause for long is written among the short ones, however long its
+/// prompt is: only its reading is spread over the other engines.
+pub fn is_long(model: &EngineModel, prompt: &Prompt, pause: Option<Duration>) -> bool {
+    let bears_pauses = pause.is_none_or(|pause| pause >= LONG_PAUSE);
+    bears_pauses && model.read(prompt.tokens) > LONG_READ
 }
 
 /// How many of the first engines are kept for short calls.
@@ -143,12 +150,13 @@
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
+    pause: Option<Duration>,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
     if engines.is_empty() {
         return None;
     }
-    match is_long(model, prompt) {
+    match is_long(model, prompt, pause) {
         true => plan_long(model, engines, prompt),
         false => plan_short(model, engines, prompt, rng),
     }
@@ -209,11 +217,17 @@
     order.rotate_left(start);
     order.sort_by_cached_key(|&at| cost(at));
     let best = order[0];
-    // Helpers that are busy, or that no short call is meant for, would only delay it.
-    let helps = |at: &usize| *at < lane && cost(*at) <= cost(best) + HELPER_DELAY;
     let mut chosen = vec![best];
-    let helpers = parts_of(read, SHORT_PART_READ) - 1;
-    chosen.extend(order[1..].iter().copied().filter(helps).take(helpers));
+    let helpers = parts_of(read, SHORT_PART_READ).min(MAX_HELPERS + 1) - 1;
+    if read > LONG_READ {
+        let mut others: Vec<usize> = (lane..engines.len()).filter(|at| *at != best).collect();
+        others.sort_by_key(|&at| (reading_ahead(&engines[at]), engines[at].preference));
+        chosen.extend(others.into_iter().take(helpers));
+    } else {
+        // Helpers that are busy, or that no short call is meant for, would only delay it.
+        let helps = |at: &usize| *at < lane && cost(*at) <= cost(best) + HELPER_DELAY;
+        chosen.extend(order[1..].iter().copied().filter(helps).take(helpers));
+    }
     let share = read / chosen.len() as u32;
     let expected = chosen.iter().map(|&at| cost(at)).max().unwrap_or_default() + share;
     let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
