relay: a hall whose servers stay silent rests as a whole

Now three silent servers in a row rest their hall, one call tries it after a second, and a connection is waited for 200 ms.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -215,6 +215,7 @@
     for (at, part) in plan.parts.iter().enumerate() {
         let work = Work {
             read: part.read,
+            delay: part.delay,
             memory: part.memory,
             leads: at == 0,
             long: plan.long,
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -139,6 +139,7 @@
     };
     let (parts, body) = answer.into_parts();
     let head = headers::read_answer(parts.status, &parts.headers, call.head.id.as_deref());
+    lock(&call.relay.book).answers(&flight.chosen.server);
     if let Some(load) = head.load {
         let told = ToldLoad {
             calls: load.running + load.waiting,
@@ -173,6 +174,10 @@
             flight.end(Evidence::Unreachable);
             TryResult::Ended(TryEnd::NoConnection)
         }
+        SendError::NoAnswer => {
+            flight.end(Evidence::Silent);
+            TryResult::Ended(TryEnd::NoConnection)
+        }
         SendError::Lost(_) => {
             flight.end(Evidence::Bad);
             TryResult::Ended(TryEnd::Lost)
@@ -197,6 +202,10 @@
     };
     if head.not_run && !parts.status.is_success() {
         log_lines::declined(call, &flight.chosen, parts.status, &head);
+        if let Some(address) = &head.at_fault {
+            let now = call.relay.clock.now();
+            lock(&call.relay.book).unreachable_at(now, address);
+        }
         let evidence = match head.other_server {
             true => Evidence::Unreachable,
             false => Evidence::Neutral,
@@ -277,8 +286,8 @@
     }
 }
 
-/// What the first event may take beyond three times its estimate.
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
+/// What the first event may take beyond its objective, or three times its estimate.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(500);
 /// Shortest silence after which a stream is continued elsewhere; callers leave after two seconds.
 const NEXT_EVENT_SLACK: Duration = Duration::from_millis(1_000);
 
--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -23,8 +23,8 @@
 
 use crate::traffic::lock;
 
-/// Longest wait for a connection; halls are milliseconds apart.
-const CONNECT: Duration = Duration::from_millis(400);
+/// Longest wait for a connection; halls are milliseconds apart, regions some tens.
+const CONNECT: Duration = Duration::from_millis(200);
 /// Unacknowledged bytes and unanswered probes end a connection after this time.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
 /// Between probes of a silent peer.
@@ -39,9 +39,12 @@
 /// Why a call got no head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SendError {
-    /// Nothing was sent.
+    /// Nothing was sent: the connection was refused or is closed.
     #[error("no connection: {0}")]
     NotSent(String),
+    /// Nothing was sent: nobody answered to the connection.
+    #[error("no answer to the connection")]
+    NoAnswer,
     /// The call may have run.
     #[error("lost: {0}")]
     Lost(String),
@@ -165,7 +168,7 @@
     let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(cause)) => return Err(not_sent(&cause)),
-        Err(_elapsed) => return Err(not_sent(&"no answer to the connection")),
+        Err(_elapsed) => return Err(SendError::NoAnswer),
     };
     if let Err(cause) = guard_against_silence(&stream) {
         tracing::warn!(address, %cause, "a socket option could not be set");
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -81,6 +81,8 @@
 pub struct Work {
     /// Reading there.
     pub read: Duration,
+    /// Until the engine begins with it, apart from other reading.
+    pub delay: Duration,
     /// Memory that it takes there, in tokens.
     pub memory: u64,
     /// Whether the engine leads the call, or only reads a part.
@@ -126,7 +128,7 @@
         let entry = Entry {
             engine,
             work,
-            read_over: now + Duration::from_millis(u64::from(ahead)) + work.read,
+            read_over: now + Duration::from_millis(u64::from(ahead)) + work.delay + work.read,
             forgotten: now + work.read * OVERRUN + OVERRUN_SLACK,
             reading: true,
         };
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -107,6 +107,8 @@
     pub engine: usize,
     /// Reading there.
     pub read: Duration,
+    /// Until the engine begins a pass that reads it.
+    pub delay: Duration,
     /// Memory taken there, in tokens.
     pub memory: u64,
 }
@@ -167,13 +169,17 @@
     reading.mul_f64(engine.pace.max(1.0))
 }
 
-/// Time until a call that is sent now can be read.
-fn wait(model: &EngineModel, engine: &EngineState) -> Duration {
-    let residual = match engine.writers() {
+/// What is left of the pass that plays now, on average.
+fn residual(model: &EngineModel, engine: &EngineState) -> Duration {
+    match engine.writers() {
         0 => Duration::ZERO,
         writers => model.pass(writers).mul_f64(engine.pace.max(1.0)) / 2,
-    };
-    residual + reading_ahead(engine)
+    }
+}
+
+/// Time until a call that is sent now can be read.
+fn wait(model: &EngineModel, engine: &EngineState) -> Duration {
+    residual(model, engine) + reading_ahead(engine)
 }
 
 impl EngineState {
@@ -233,6 +239,7 @@
     let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
         engine,
         read: share,
+        delay: residual(model, &engines[engine]),
         memory: match at {
             0 => prompt.memory(),
             _ => 0,
@@ -271,6 +278,7 @@
     let parts = chosen.iter().enumerate().map(|(at, &engine)| Part {
         engine,
         read: share,
+        delay: residual(model, &engines[engine]),
         memory: match (reserve, at) {
             (true, _) => share_of_memory,
             (false, 0) => prompt.memory(),
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -21,6 +21,11 @@
 const FAILURES: u32 = 2;
 /// How long it rests; then one call tries it.
 const REST: Duration = Duration::from_millis(1_500);
+/// Servers of a hall in a row that stay silent, after which the whole hall rests: then the way
+/// there is cut, and finding it out at each server by itself would delay a call each time.
+const HALL_FAILURES: u32 = 3;
+/// How long a hall rests; then one call tries it.
+const HALL_REST: Duration = Duration::from_millis(1_000);
 /// A load told with an answer counts this long; calls take some tens of milliseconds.
 const LOAD_LIFETIME: Duration = Duration::from_millis(500);
 /// Weight of the newest answer in the share of failures.
@@ -37,8 +42,10 @@
     Good,
     /// It failed, was silent, or could not be reached.
     Bad,
-    /// It could not be reached at all: no call gets there now.
+    /// It refused the connection, or another server has its address: no call gets there now.
     Unreachable,
+    /// It did not answer to the connection; the way to its hall may be cut.
+    Silent,
     /// Nothing can be said.
     Neutral,
 }
@@ -103,6 +110,7 @@
 pub struct ServerBook {
     records: HashMap<ServerName, ServerRecord>,
     by_service: HashMap<ServiceName, Vec<ServerName>>,
+    halls: HashMap<HallName, Breaker>,
 }
 
 impl ServerBook {
@@ -148,7 +156,8 @@
             .filter(|record| !record.info.leaving)
             .collect();
         let fresh = |record: &&&ServerRecord| !tried.contains(&record.info.name);
-        let works = |record: &&&ServerRecord| !record.rests(now);
+        let works =
+            |record: &&&ServerRecord| !record.rests(now) && self.hall_works(now, &record.info.hall);
         let best: Vec<_> = listed.iter().filter(fresh).filter(works).copied().collect();
         if !best.is_empty() {
             return best;
@@ -176,11 +185,43 @@
         turned.min_by_key(by_cost).copied()
     }
 
+    fn hall_works(&self, now: Time, hall: &HallName) -> bool {
+        self.halls
+            .get(hall)
+            .is_none_or(|breaker| breaker.admits(now))
+    }
+
     /// Records a call sent there.
     pub fn sent(&mut self, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
             record.in_flight += 1;
             record.breaker.on_dispatch();
+            self.halls
+                .entry(record.info.hall.clone())
+                .or_default()
+                .on_dispatch();
+        }
+    }
+
+    /// Records that it answers, though its call may take long: a trial has succeeded.
+    pub fn answers(&mut self, name: &ServerName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.breaker.on_success();
+            self.halls
+                .entry(record.info.hall.clone())
+                .or_default()
+                .on_success();
+        }
+    }
+
+    /// Records that another server can't reach the one at this address.
+    pub fn unreachable_at(&mut self, now: Time, address: &str) {
+        let found = self
+            .records
+            .values_mut()
+            .find(|record| record.info.address == address);
+        if let Some(record) = found {
+            record.breaker.on_failure(now, 1, REST);
         }
     }
 
@@ -190,6 +231,7 @@
             return;
         };
         record.in_flight = record.in_flight.saturating_sub(1);
+        let hall = self.halls.entry(record.info.hall.clone()).or_default();
         let failed = match evidence {
             Evidence::Good => {
                 record.breaker.on_success();
@@ -203,8 +245,14 @@
                 record.breaker.on_failure(now, 1, REST);
                 1.0
             }
+            Evidence::Silent => {
+                record.breaker.on_failure(now, 1, REST);
+                hall.on_failure(now, HALL_FAILURES, HALL_REST);
+                1.0
+            }
             Evidence::Neutral => {
                 record.breaker.on_nothing_learned(now);
+                hall.on_nothing_learned(now);
                 return;
             }
         };
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -264,6 +264,60 @@
     assert!(!book.get(&a).expect("known").rests(Time::from_millis(5_000)));
 }
 
+fn server_in(name: &str, hall: &str) -> ListedServer {
+    ListedServer {
+        hall: HallName::new(hall),
+        ..server(name)
+    }
+}
+
+fn silent(book: &mut ServerBook, name: &str, at: u64) {
+    let name = ServerName::new(name);
+    book.sent(&name);
+    book.ended(Time::from_millis(at), &name, Evidence::Silent);
+}
+
+#[test]
+fn a_hall_whose_servers_stay_silent_rests_as_a_whole_and_is_tried_by_one_call() {
+    let names = ["b1", "b2", "b3", "b4"];
+    let mut rows: Vec<ListedServer> = names.iter().map(|name| server_in(name, "hall-b")).collect();
+    rows.push(server_in("a1", "hall-a"));
+    let mut book = ServerBook::default();
+    book.set_servers(rows);
+    for (name, at) in [("b1", 1), ("b2", 2), ("b3", 3)] {
+        silent(&mut book, name, at);
+    }
+
+    let cut = picks(&book, Time::from_millis(10), &[]);
+    let later = Time::from_millis(1_100);
+    let usable = book.usable(later, &ServiceName::new("boards"), &[]).len();
+    book.sent(&ServerName::new("b4"));
+    let while_tried = book.usable(later, &ServiceName::new("boards"), &[]).len();
+    book.answers(&ServerName::new("b4"));
+    let after = book.usable(later, &ServiceName::new("boards"), &[]).len();
+
+    assert_eq!(cut.keys().collect::<Vec<_>>(), ["a1"]);
+    assert_eq!((usable, while_tried, after), (2, 1, 2));
+}
+
+#[test]
+fn silent_servers_among_answering_ones_do_not_make_their_hall_rest() {
+    let mut book = ServerBook::default();
+    book.set_servers(
+        ["b1", "b2", "b3", "b4"]
+            .map(|name| server_in(name, "hall-b"))
+            .to_vec(),
+    );
+    for (name, at) in [("b1", 1), ("b2", 2), ("b3", 3)] {
+        silent(&mut book, name, at);
+        book.answers(&ServerName::new("b4"));
+    }
+
+    let usable = book.usable(Time::from_millis(10), &ServiceName::new("boards"), &[]);
+
+    assert_eq!(usable.len(), 1);
+}
+
 #[test]
 fn where_all_servers_rest_all_are_used() {
     let mut book = book(&["a", "b"]);
@@ -306,6 +360,7 @@
 fn long_work() -> Work {
     Work {
         read: Duration::from_millis(300),
+        delay: Duration::ZERO,
         memory: 150_000,
         leads: true,
         long: true,
