soak: the real daemon under seeded faults from outside

Processes of the daemon against the stand-in, a loopback proxy, signals, store faults, servers that misbehave; promises checked from what callers and servers see.

--- /dev/null
+++ b/soak/src/ledger.rs
@@ -0,0 +1,105 @@
+//! What callers saw, and the promises that it is held against.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use badgerferry_standin::caller::Answer;
+use badgerferry_standin::server::Server;
+
+/// What was asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// May run once.
+    Once,
+    /// May run again.
+    Again,
+    /// A stream that may be continued.
+    Stream,
+}
+
+/// One call and its end.
+#[derive(Debug, Clone)]
+pub struct Row {
+    /// The caller's id.
+    pub id: String,
+    /// What was asked.
+    pub kind: Kind,
+    /// What came; none where there was no connection.
+    pub answer: Option<Answer>,
+    /// How long it took.
+    pub took: Duration,
+    /// How long the caller would wait.
+    pub patience: Duration,
+}
+
+/// What a hang is: no end this long after the caller's own limit.
+const HANG: Duration = Duration::from_secs(3);
+
+/// Holds rows against the promises.
+///
+/// # Errors
+///
+/// The first promise that is broken.
+pub fn check(rows: &[Row], servers: &[Server]) -> anyhow::Result<()> {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    let mut arrivals: BTreeMap<String, usize> = BTreeMap::new();
+    for seen in servers.iter().flat_map(Server::seen) {
+        *runs.entry(seen.id().to_owned()).or_default() += usize::from(seen.ran);
+        *arrivals.entry(seen.id().to_owned()).or_default() += 1;
+    }
+    for id in arrivals.keys() {
+        let known = id.starts_with("recovery-") || rows.iter().any(|row| row.id == *id);
+        anyhow::ensure!(known, "a server got call {id}, which nobody sent");
+    }
+    for row in rows {
+        let ran = runs.get(&row.id).copied().unwrap_or_default();
+        check_row(row, ran, servers[0].events)?;
+    }
+    Ok(())
+}
+
+fn check_row(row: &Row, ran: usize, events: u64) -> anyhow::Result<()> {
+    let id = &row.id;
+    anyhow::ensure!(
+        row.kind != Kind::Once || ran <= 1,
+        "call {id} may run once and ran {ran} times"
+    );
+    anyhow::ensure!(
+        row.took <= row.patience + HANG,
+        "call {id} hung for {:?}",
+        row.took
+    );
+    let Some(answer) = &row.answer else {
+        return Ok(());
+    };
+    match (answer.status, row.kind) {
+        (503 | 429 | 408 | 421, Kind::Once) => anyhow::ensure!(
+            ran == 0,
+            "call {id} was told that it has not run, and it ran {ran} times"
+        ),
+        (200, Kind::Stream) => check_stream(id, answer, events)?,
+        (200, _) if answer.whole => anyhow::ensure!(
+            answer.body.ends_with(&format!(" served {id}")),
+            "call {id} got another answer: {}",
+            answer.body
+        ),
+        (401 | 403 | 404, _) => anyhow::bail!("call {id} was denied: {}", answer.status),
+        _ => {}
+    }
+    Ok(())
+}
+
+fn check_stream(id: &str, answer: &Answer, events: u64) -> anyhow::Result<()> {
+    let all: String = (0..events)
+        .map(|at| format!("id: {at}\ndata: piece {at}\n\n"))
+        .collect();
+    match answer.whole {
+        true => anyhow::ensure!(answer.body == all, "stream {id}: {:?}", answer.body),
+        false => anyhow::ensure!(
+            all.starts_with(&answer.body),
+            "cut stream {id}: {:?}",
+            answer.body
+        ),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,78 @@
+//! Soaks the real daemon: processes on this machine, faults from outside, promises checked
+//! from what callers and servers see.
+//!
+//! A seed gives the plan: what goes wrong, where, when and for how long. Faults overlap and
+//! come in series. The timing of the processes themselves is not part of the seed.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+mod callers;
+mod faults;
+mod ledger;
+mod proxy;
+mod run;
+
+/// Seeds that failed once, each with its cause; they run first, every time.
+const REGRESSIONS: &str = include_str!("../regressions.txt");
+
+/// Soak the daemon under seeded faults.
+#[derive(FromArgs)]
+struct Args {
+    /// seeds to run beside the regressions (3)
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// first seed; fresh ones are drawn where it is not given
+    #[argh(option)]
+    first: Option<u64>,
+    /// seconds of faults in each run (6)
+    #[argh(option, default = "6")]
+    seconds: u64,
+    /// boxes in each run (3)
+    #[argh(option, default = "3")]
+    boxes: usize,
+    /// servers in each run (4)
+    #[argh(option, default = "4")]
+    servers: usize,
+    /// leave out the regressions
+    #[argh(switch)]
+    no_regressions: bool,
+}
+
+fn regressions() -> Vec<u64> {
+    let rows = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
+    rows.filter_map(|line| line.split_whitespace().next()?.parse().ok())
+        .collect()
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let first = args
+        .first
+        .unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let mut seeds = match args.no_regressions {
+        true => Vec::new(),
+        false => regressions(),
+    };
+    seeds.extend(first..first + args.seeds);
+    let mut failed = 0;
+    for seed in &seeds {
+        let size = run::Size {
+            boxes: args.boxes,
+            servers: args.servers,
+            faults_for: Duration::from_secs(args.seconds),
+        };
+        match run::run(*seed, size).await {
+            Ok(summary) => println!("seed {seed}: {summary}"),
+            Err(cause) => {
+                failed += 1;
+                println!("seed {seed}: FAILED: {cause:#}");
+            }
+        }
+    }
+    println!("{} passed, {failed} failed", seeds.len() - failed);
+    ExitCode::from(u8::from(failed > 0))
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,289 @@
+//! One seed: starts everything, brings the faults about, and holds the rows to the promises.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context;
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::call;
+use badgerferry_standin::relay_box::RelayBox;
+use badgerferry_standin::relay_box::desired_state;
+use badgerferry_standin::relay_box::draw_ip;
+use badgerferry_standin::server::Server;
+use badgerferry_standin::store::Mode;
+use badgerferry_standin::store::Store;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Mutex;
+
+use crate::callers;
+use crate::callers::Rows;
+use crate::faults;
+use crate::faults::Fault;
+use crate::faults::Planned;
+use crate::ledger;
+use crate::proxy::Link;
+use crate::proxy::Proxy;
+
+/// Callers for each box.
+const CALLERS: usize = 4;
+/// Time that a stopping box has before it is killed, as its settings say, and a bit more.
+const STOP_TIME: Duration = Duration::from_secs(9);
+/// Tries to be served after the faults, a tenth of a second apart, before a run counts as lost.
+const RECOVERY_TRIES: usize = 200;
+
+/// How large a run is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Boxes.
+    pub boxes: usize,
+    /// Servers.
+    pub servers: usize,
+    /// How long faults come.
+    pub faults_for: Duration,
+}
+
+/// What a run did.
+#[derive(Debug)]
+pub struct Summary {
+    faults: usize,
+    calls: usize,
+    served: usize,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            faults,
+            calls,
+            served,
+        } = self;
+        write!(f, "{faults} faults, {calls} calls, {served} served")
+    }
+}
+
+struct Stage {
+    store: Store,
+    store_way: Proxy,
+    servers: Vec<Server>,
+    ways: Vec<Proxy>,
+    boxes: Vec<Mutex<RelayBox>>,
+    version: AtomicU64,
+}
+
+/// Runs a seed.
+///
+/// # Errors
+///
+/// A promise is broken, or something could not be started.
+pub async fn run(seed: u64, size: Size) -> anyhow::Result<Summary> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let plan = faults::plan(&mut rng, size.faults_for, size.boxes, size.servers);
+    let stage = Arc::new(Stage::start(size).await?);
+    let rows = Rows::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let fronts = stage.fronts().await;
+    let callers: Vec<_> = (0..CALLERS * size.boxes)
+        .map(|name| {
+            let rng = ChaCha8Rng::seed_from_u64(seed ^ (name as u64 + 1));
+            let (rows, stop) = (Arc::clone(&rows), Arc::clone(&stop));
+            tokio::spawn(callers::run(name, fronts.clone(), rng, rows, stop))
+        })
+        .collect();
+    let begun = tokio::time::Instant::now();
+    let faults: Vec<_> = (plan.iter().copied())
+        .map(|planned| {
+            let stage = Arc::clone(&stage);
+            tokio::spawn(async move {
+                tokio::time::sleep_until(begun + planned.at).await;
+                stage.bring_about(planned).await
+            })
+        })
+        .collect();
+    for fault in faults {
+        fault.await?.context("a fault could not be brought about")?;
+    }
+    stage.heal();
+    let recovered = stage.recovers(&fronts).await;
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.await?;
+    }
+    let rows = rows.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let checked = recovered.and_then(|()| ledger::check(&rows, &stage.servers));
+    if let Err(cause) = checked {
+        let logs = stage.keep_logs(seed).await?;
+        return Err(cause.context(format!("plan {plan:#?}; logs in {logs}")));
+    }
+    let served = rows.iter().filter_map(|row| row.answer.as_ref());
+    let served = served
+        .filter(|answer| answer.status == 200 && answer.whole)
+        .count();
+    Ok(Summary {
+        faults: plan.len(),
+        calls: rows.len(),
+        served,
+    })
+}
+
+impl Stage {
+    async fn start(size: Size) -> anyhow::Result<Self> {
+        let store = Store::start().await?;
+        store.put("op/config", &desired_state(1, &["key-1"]));
+        let store_way = Proxy::start(store.address).await?;
+        let (mut servers, mut ways) = (Vec::new(), Vec::new());
+        for at in 0..size.servers {
+            let pace = Duration::from_millis(15);
+            let server = Server::start(&format!("i-{at}"), "boards", pace).await?;
+            let way = Proxy::start(server.address).await?;
+            store.put(&server.key(), &server.entry_at("ready", way.address));
+            servers.push(server);
+            ways.push(way);
+        }
+        let ips: Vec<_> = (0..size.boxes).map(|_| draw_ip()).collect();
+        let mut boxes = Vec::new();
+        for (at, ip) in ips.iter().enumerate() {
+            let seeds = &ips[..ips.len().min(3)];
+            let name = format!("box-{at}");
+            let started = RelayBox::start_at(&name, *ip, store_way.address, seeds)?;
+            boxes.push(Mutex::new(started));
+        }
+        for a_box in &boxes {
+            a_box.lock().await.wait_ready().await?;
+        }
+        Ok(Self {
+            store,
+            store_way,
+            servers,
+            ways,
+            boxes,
+            version: AtomicU64::new(1),
+        })
+    }
+
+    async fn fronts(&self) -> Vec<SocketAddr> {
+        let mut fronts = Vec::new();
+        for a_box in &self.boxes {
+            fronts.push(a_box.lock().await.front());
+        }
+        fronts
+    }
+
+    async fn bring_about(&self, planned: Planned) -> anyhow::Result<()> {
+        let last = || tokio::time::sleep(planned.lasts);
+        match planned.fault {
+            Fault::ServerLink(at, link) => {
+                self.ways[at].set(link);
+                last().await;
+                self.ways[at].set(Link::Open);
+            }
+            Fault::StoreLink(link) => {
+                self.store_way.set(link);
+                last().await;
+                self.store_way.set(Link::Open);
+            }
+            Fault::StoreMode(mode) => {
+                self.store.set_mode(mode);
+                last().await;
+                self.store.set_mode(Mode::Serving);
+            }
+            Fault::LoseAnswers(count) => self.store.lose_answers(count),
+            Fault::ForgetHistory => self.store.forget_history(),
+            Fault::Lapse(at) => {
+                self.store.remove(&self.servers[at].key());
+                last().await;
+                self.list(at, "ready");
+            }
+            Fault::Leave(at) => {
+                self.list(at, "draining");
+                last().await;
+                self.list(at, "ready");
+            }
+            Fault::Misbehave(at, behaviour, count) => {
+                self.servers[at].next(&vec![behaviour; count]);
+            }
+            Fault::Kill(at) => self.boxes[at].lock().await.restart()?,
+            Fault::Terminate(at) => self.stop_in_order(at).await?,
+            Fault::Freeze(at) => {
+                let a_box = self.boxes[at].lock().await;
+                a_box.signal("STOP")?;
+                last().await;
+                a_box.signal("CONT")?;
+            }
+            Fault::Hangup(at) => self.boxes[at].lock().await.signal("HUP")?,
+            Fault::NewRoutes => {
+                let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+                self.store
+                    .put("op/config", &desired_state(version, &["key-1"]));
+            }
+        }
+        Ok(())
+    }
+
+    fn list(&self, at: usize, state: &str) {
+        let server = &self.servers[at];
+        let entry = server.entry_at(state, self.ways[at].address);
+        self.store.put(&server.key(), &entry);
+    }
+
+    async fn stop_in_order(&self, at: usize) -> anyhow::Result<()> {
+        let mut a_box = self.boxes[at].lock().await;
+        a_box.signal("TERM")?;
+        let begun = tokio::time::Instant::now();
+        while a_box.ended()?.is_none() {
+            anyhow::ensure!(
+                begun.elapsed() < STOP_TIME,
+                "box {at} does not stop in time"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        anyhow::ensure!(a_box.ended()? == Some(0), "box {at} stopped with an error");
+        a_box.restart()
+    }
+
+    fn heal(&self) {
+        self.ways.iter().for_each(|way| way.set(Link::Open));
+        self.store_way.set(Link::Open);
+        self.store.set_mode(Mode::Serving);
+        (0..self.servers.len()).for_each(|at| self.list(at, "ready"));
+    }
+
+    async fn recovers(&self, fronts: &[SocketAddr]) -> anyhow::Result<()> {
+        for (at, front) in fronts.iter().enumerate() {
+            let mut served = false;
+            for number in 0..RECOVERY_TRIES {
+                let text = call(
+                    "GET",
+                    "/again/a",
+                    &format!("recovery-{at}-{number}"),
+                    "",
+                    "",
+                );
+                let answer = Caller::once(*front, &text).await;
+                served = answer.is_ok_and(|answer| answer.status == 200);
+                if served {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            anyhow::ensure!(served, "box {at} does not serve after the faults");
+        }
+        Ok(())
+    }
+
+    async fn keep_logs(&self, seed: u64) -> anyhow::Result<String> {
+        let folder = std::env::temp_dir().join(format!("badgerferry-soak-{seed}"));
+        std::fs::create_dir_all(&folder)?;
+        for (at, a_box) in self.boxes.iter().enumerate() {
+            let log = a_box.lock().await.log();
+            std::fs::write(folder.join(format!("box-{at}.log")), log)?;
+        }
+        Ok(folder.display().to_string())
+    }
+}
