relay: take signals before anything else

Now signals are taken first; what is left is the start of the program itself, after which the platform, and now the soak too, starts the process again.

--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -31,13 +31,15 @@
 ///
 /// An address can't be listened on, or a thread can't be started.
 pub fn run(settings: BoxSettings) -> anyhow::Result<()> {
-    let metrics = crate::telemetry::start_metrics()?;
-    let relay = Arc::new(state::Relay::new(settings));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("failed to build the traffic runtime")?;
     runtime.block_on(async {
+        // First of all: a signal that comes before this ends the process.
+        let signals = stop::Signals::take().context("failed to take signals")?;
+        let metrics = crate::telemetry::start_metrics()?;
+        let relay = Arc::new(state::Relay::new(settings));
         let front = front::listen(relay.settings.front)?;
         let ready = front::listen(relay.settings.ready)?;
         start_control(&relay)?;
@@ -52,7 +54,7 @@
         tokio::spawn(front::serve(front, Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_ready(ready, Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_metrics(metrics, Arc::clone(&relay)));
-        stop::wait(&relay).await;
+        stop::wait(&relay, signals).await;
         Ok(())
     })
 }
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::Instant;
@@ -25,23 +26,37 @@
 /// How often resting connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// The signals that the platform sends.
+#[derive(Debug)]
+pub struct Signals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Takes signals from now on; before that any of them ends the process.
+    ///
+    /// # Errors
+    ///
+    /// The runtime can't take signals.
+    pub fn take() -> std::io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Returns when the process may end.
-pub async fn wait(relay: &Arc<Relay>) {
-    let signals = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-        signal(SignalKind::hangup()),
-    );
-    let (Ok(mut term), Ok(mut interrupt), Ok(mut hangup)) = signals else {
-        tracing::error!("signals can't be waited for; only a kill ends this process");
-        return std::future::pending().await;
-    };
+pub async fn wait(relay: &Arc<Relay>, mut signals: Signals) {
     let mut sweep = tokio::time::interval(SWEEP);
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(relay),
+            _ = signals.term.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload(relay),
             _ = sweep.tick() => relay.upstream.sweep(),
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -38,6 +38,9 @@
 /// Tries to be served after the faults, a tenth of a second apart, before a run counts as lost.
 const RECOVERY_TRIES: usize = 200;
 
+/// What is told of a process that a signal ended.
+const BY_SIGNAL: i32 = -1;
+
 /// How large a run is.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -256,6 +259,7 @@
 
     async fn recovers(&self, fronts: &[SocketAddr]) -> anyhow::Result<()> {
         for (at, front) in fronts.iter().enumerate() {
+            self.start_again_if_ended(at).await?;
             let mut served = false;
             for number in 0..RECOVERY_TRIES {
                 let text = call(
@@ -277,6 +281,16 @@
         Ok(())
     }
 
+    /// The platform starts a process again that a signal ended before it could take signals.
+    async fn start_again_if_ended(&self, at: usize) -> anyhow::Result<()> {
+        let mut a_box = self.boxes[at].lock().await;
+        match a_box.ended()? {
+            None => Ok(()),
+            Some(BY_SIGNAL) => a_box.restart(),
+            Some(code) => anyhow::bail!("box {at} ended by itself with code {code}"),
+        }
+    }
+
     async fn keep_logs(&self, seed: u64) -> anyhow::Result<String> {
         let folder = std::env::temp_dir().join(format!("badgerferry-soak-{seed}"));
         std::fs::create_dir_all(&folder)?;
