relay: long streams keep their pauses beside large parts

Cause: streams of the largest kind were late by pauses over a second where another prompt's part of more than 650 ms was read beside them. Such prompts now take only engines without long streams, and wait for them.

--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -29,6 +29,8 @@
 const LONGEST_PART: Duration = Duration::from_millis(600);
 /// Reading of one part that a short call is cut into: passes of short streams stay short.
 const SHORT_PART_READ: Duration = Duration::from_millis(50);
+/// Longest part that is read beside long streams: they would pause too long with a larger one.
+const LONGEST_BESIDE_STREAMS: Duration = Duration::from_millis(650);
 /// Short streams beside which a long part may be read; more would pause with it.
 const MOST_SHORT_BESIDE: u16 = 2;
 /// Short calls that an engine is packed with; its batch holds a few more for a burst.
@@ -258,13 +260,16 @@
     let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
     let reserve = prompt.memory() > usable;
     let lane = short_lane(engines).min(engines.len() - 1);
-    let free = free_engines(engines, lane);
+    let mut free = free_engines(engines, lane);
     // With reservations the engine that leads is listed among the readers, too.
     let most = MAX_HELPERS + usize::from(!reserve);
     let least = parts_of(read, LONGEST_PART)
         .min(engines.len() - lane)
         .min(most);
     let wanted = parts_of(read, PART_READ).clamp(least, most);
+    if read / wanted.min(free.len()).max(1) as u32 > LONGEST_BESIDE_STREAMS {
+        free.retain(|&at| engines[at].load.long == 0);
+    }
     let chosen = match reserve {
         true => with_room_for_shares(model, engines, prompt, &free, most)?,
         false => with_lead(model, engines, prompt, &free, wanted)?,
