relay: few boxes follow the store, the others follow them; fewer engines drawn among many boxes

Now two boxes a hall watch, whoever hears none of them watches itself, an answer is followed by a pause of 100 ms, and the more boxes there are the fewer engines are drawn.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -190,6 +190,7 @@
 ) -> Option<Started> {
     let relay = &call.relay;
     let now = relay.clock.now();
+    let boxes = relay.boxes();
     let book = lock(&relay.book);
     let mut loads = lock(&relay.loads);
     let table = loads.table(now);
@@ -201,7 +202,8 @@
         pace: record.pace,
     };
     let states: Vec<EngineState> = usable.iter().map(state).collect();
-    let plan = engine_plan::plan(model, &states, prompt, call.route.pause, &mut rand::rng())?;
+    let rng = &mut rand::rng();
+    let plan = engine_plan::plan(model, &states, prompt, call.route.pause, boxes, rng)?;
     let address = |part: &Part| {
         let record = usable[part.engine];
         Address {
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -32,7 +32,7 @@
 /// Between datagrams where nothing changes; also how long a neighbour's news takes at most.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Shortest time between two datagrams, for each box told: bounds what all boxes spend.
-const PAUSE_PER_BOX: Duration = Duration::from_millis(2);
+const PAUSE_PER_BOX: Duration = Duration::from_millis(1);
 /// A box is behind when a neighbour had newer state for this long; the watch is faster mostly.
 const BEHIND: Duration = Duration::from_millis(250);
 /// Between pulls while nothing is known.
@@ -89,6 +89,7 @@
             lifetime: relay.lifetime,
             sequence,
             have: relay.revisions(),
+            follows_store: relay.follows_store(),
             rows,
         };
         let bytes = datagram.encode();
@@ -154,6 +155,9 @@
             datagram.sequence,
             datagram.rows,
         );
+        if datagram.follows_store {
+            lock(&relay.followed).neighbour_at = Some(now);
+        }
         let have = relay.revisions();
         if datagram.have.table <= have.table && datagram.have.servers <= have.servers {
             behind.clear();
@@ -162,7 +166,11 @@
         let since = *behind
             .entry(datagram.from.clone())
             .or_insert_with(Instant::now);
-        if since.elapsed() >= BEHIND {
+        let waits = match relay.must_follow_store() {
+            true => BEHIND,
+            false => Duration::ZERO,
+        };
+        if since.elapsed() >= waits {
             behind.clear();
             pull_from_named(relay, &datagram.from, have).await;
         }
@@ -226,7 +234,11 @@
     }
     if let Some(entries) = answer.servers {
         let now = relay.clock.now();
-        relay.change_servers(|servers| servers.replace(now, entries));
+        let hold_left = answer.hold_left;
+        relay.change_servers(|servers| {
+            servers.hold_for(now, hold_left);
+            servers.replace(now, entries);
+        });
     }
     let mut followed = lock(&relay.followed);
     for of in answer.boxes {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use badgerferry_lib::ids::ServerName;
@@ -23,6 +24,7 @@
 use badgerferry_lib::relay::state_pull::PullAnswer;
 use badgerferry_lib::relay::state_pull::Revisions;
 use badgerferry_lib::relay::state_pull::StampedTable;
+use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use tokio::sync::Notify;
 
@@ -39,8 +41,19 @@
     pub servers: ServerList,
     /// Other boxes, by name.
     pub boxes: BTreeMap<String, BoxAddresses>,
+    /// When the store last answered this box.
+    pub store_at: Option<Time>,
+    /// When a neighbour last said that the store answers it.
+    pub neighbour_at: Option<Time>,
 }
 
+/// A store that answered within this time is followed; a watch takes little less.
+const FOLLOWS: Duration = Duration::from_millis(4_000);
+/// Without a word of a neighbour that follows the store for this long, a box follows it itself.
+const NEIGHBOUR_SILENCE: Duration = Duration::from_millis(1_500);
+/// Boxes of each hall that always follow the store.
+const FOLLOWERS_PER_HALL: usize = 2;
+
 /// What the threads share.
 #[derive(Debug)]
 pub struct Relay {
@@ -121,6 +134,27 @@
         lock(&self.followed).boxes.len().max(1)
     }
 
+    /// Whether the store answered lately.
+    pub fn follows_store(&self) -> bool {
+        let now = self.clock.now();
+        let at = lock(&self.followed).store_at;
+        at.is_some_and(|at| now.since(at) < FOLLOWS)
+    }
+
+    /// Whether this box asks the store itself, or takes news from neighbours that do.
+    ///
+    /// Each call to the store is paid for, so only the first boxes of each hall follow it, and
+    /// whoever hears of none that does.
+    pub fn must_follow_store(&self) -> bool {
+        let now = self.clock.now();
+        let followed = lock(&self.followed);
+        let hall = self.settings.hall.as_str();
+        let before = followed.boxes.values().filter(|of| of.hall == hall);
+        let before = before.filter(|of| of.name < self.settings.name).count();
+        let hears = |at: Time| now.since(at) < NEIGHBOUR_SILENCE;
+        before < FOLLOWERS_PER_HALL || !followed.neighbour_at.is_some_and(hears)
+    }
+
     /// Which state this box has.
     pub fn revisions(&self) -> Revisions {
         let followed = lock(&self.followed);
@@ -144,6 +178,7 @@
         PullAnswer {
             table,
             servers: (entries.revision > have.servers).then(|| entries.clone()),
+            hold_left: followed.servers.hold_left(self.clock.now()),
             boxes: followed.boxes.values().cloned().collect(),
         }
     }
@@ -170,6 +205,8 @@
         );
         let index = Arc::new(RouteIndex::new(stamped.table));
         self.routes.store(Some(index));
+        // Neighbours are told at once.
+        self.load_changed.notify_one();
     }
 
     /// Changes what is believed of the servers and shows it to traffic.
@@ -179,5 +216,6 @@
         let servers = followed.servers.servers();
         drop(followed);
         lock(&self.book).set_servers(servers);
+        self.load_changed.notify_one();
     }
 }
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -30,6 +30,10 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// How long it waits while the store does not answer.
 const LOST_WATCH_WAIT: Duration = Duration::from_millis(50);
+/// Pause after an answer: changes that come together are fetched by one call.
+const GATHER: Duration = Duration::from_millis(100);
+/// How often a box that follows its neighbours looks whether they still follow the store.
+const LOOK_AT_NEIGHBOURS: Duration = Duration::from_millis(250);
 /// Longest pause after a failure: a change is to be known within four seconds of the store's
 /// return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
@@ -43,10 +47,15 @@
     let mut store = Store::new(relay.settings.store, CALL_LIMIT);
     let mut follow = Follow::new(relay);
     loop {
+        if follow.revision.is_some() && !relay.must_follow_store() {
+            follow.from_neighbours();
+            tokio::time::sleep(LOOK_AT_NEIGHBOURS).await;
+            continue;
+        }
         let pause = match follow.step(&mut store).await {
             Ok(()) => {
                 follow.answered();
-                Duration::ZERO
+                GATHER
             }
             Err(cause) => follow.failed(&cause),
         };
@@ -103,7 +112,17 @@
 
     fn store_answers(&self) {
         let now = self.relay.clock.now();
-        lock(&self.relay.followed).servers.store_answers(now);
+        let mut followed = lock(&self.relay.followed);
+        followed.servers.store_answers(now);
+        followed.store_at = Some(now);
+    }
+
+    /// Goes on from where the neighbours' news are, should this box follow the store again.
+    fn from_neighbours(&mut self) {
+        let have = self.relay.revisions();
+        self.revision = self.revision.max(Some(have.servers));
+        self.lost_since = None;
+        self.failures = 0;
     }
 
     fn answered(&mut self) {
@@ -211,6 +230,7 @@
     let lifetime = ENTRY_LIFETIME.max(relay.settings.shortest_lease);
     let entry = BoxAddresses {
         name: relay.settings.name.clone(),
+        hall: relay.settings.hall.to_string(),
         pull: relay.settings.pull.to_string(),
         load: relay.settings.load.to_string(),
     };
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -43,6 +44,8 @@
 const MOST_LONG_STREAMS: u16 = 4;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
+/// Boxes up to which nearly all engines are weighed; what they tell each other is fresh then.
+const FRESH_BOXES: usize = 10;
 /// What leaving the short calls' own engines costs, as time to the first event.
 const FOREIGN_LANE: Duration = Duration::from_millis(60);
 /// What a full batch costs, as time: the call waits for another to end.
@@ -149,12 +152,15 @@
 
 /// Plans a call over `engines`, which every box lists in the same order.
 ///
+/// `boxes` choose apart from each other, this one included.
+///
 /// `None` if no engine can take it now, or too few are free to read it.
 pub fn plan(
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
     pause: Option<Duration>,
+    boxes: usize,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
     if engines.is_empty() {
@@ -162,7 +168,7 @@
     }
     match is_long(model, prompt, pause) {
         true => plan_long(model, engines, prompt),
-        false => plan_short(model, engines, prompt, rng),
+        false => plan_short(model, engines, prompt, boxes, rng),
     }
 }
 
@@ -199,6 +205,7 @@
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
+    boxes: usize,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
     let lane = short_lane(engines);
@@ -220,11 +227,23 @@
         }
         cost
     };
-    let start = rng.random_range(0..engines.len());
+    // The more boxes there are, the older is what each knows, and the fewer engines are drawn:
+    // else all of them would choose the same one.
+    let draws = (lane * FRESH_BOXES).div_ceil(FRESH_BOXES + boxes).max(2);
     let mut order: Vec<usize> = (0..engines.len()).collect();
-    order.rotate_left(start);
+    order[..lane].shuffle(rng);
+    let drawn = order[..lane]
+        .iter()
+        .copied()
+        .take(draws)
+        .min_by_key(|&at| cost(at));
     order.sort_by_cached_key(|&at| cost(at));
-    let best = order[0];
+    let best = match drawn {
+        Some(drawn) if cost(drawn) <= cost(order[0]) + FOREIGN_LANE => drawn,
+        _ => order[0],
+    };
+    order.retain(|at| *at != best);
+    order.insert(0, best);
     let mut chosen = vec![best];
     let helpers = parts_of(read, SHORT_PART_READ).min(MAX_HELPERS + 1) - 1;
     if read > LONG_READ {
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -26,6 +26,8 @@
     pub sequence: u64,
     /// The state that it has.
     pub have: Revisions,
+    /// Whether the store answered it lately, so that others may follow it in place of the store.
+    pub follows_store: bool,
     /// Its work.
     pub rows: Vec<(EngineKey, EngineUse)>,
 }
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -73,6 +73,17 @@
         }
     }
 
+    /// How much longer missing entries are held; another box that takes over these entries
+    /// must hold as long.
+    pub const fn hold_left(&self, now: Time) -> Duration {
+        now.until(self.hold_until)
+    }
+
+    /// Holds missing entries at least this long, as a box does that follows the store.
+    pub fn hold_for(&mut self, now: Time, left: Duration) {
+        self.hold_until = self.hold_until.max(now + left);
+    }
+
     /// Takes all entries at a revision; an older one than known is ignored.
     pub fn replace(&mut self, now: Time, entries: ServerEntries) {
         if entries.revision < self.entries.revision {
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -1,5 +1,7 @@
 //! How a box takes newer state from another one.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -45,6 +47,8 @@
     pub table: Option<StampedTable>,
     /// All server entries, if newer.
     pub servers: Option<ServerEntries>,
+    /// How much longer entries that are missing now are to be held.
+    pub hold_left: Duration,
     /// Other boxes that are known.
     pub boxes: Vec<BoxAddresses>,
 }
@@ -54,6 +58,8 @@
 pub struct BoxAddresses {
     /// Its name.
     pub name: String,
+    /// Its data hall.
+    pub hall: String,
     /// Where it answers pulls, as `ip:port` over TCP.
     pub pull: String,
     /// Where it takes load datagrams, as `ip:port` over UDP.
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -482,6 +482,7 @@
             table: 3,
             servers: 900,
         },
+        follows_store: true,
         rows,
     }
 }
