--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use badgerferry_lib::relay::stop_plan::StopPlan;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -15,12 +16,6 @@
 
 use crate::relay::state::Relay;
 
-/// The balancer notices after two questions, a second apart, and callers' connections after.
-const NOTICE: Duration = Duration::from_millis(2_500);
-/// From here on new calls are refused: they could not end in time.
-const REFUSE_AFTER: Duration = Duration::from_millis(3_500);
-/// Kept for the last bytes and the end of the process.
-const LAST_BYTES: Duration = Duration::from_millis(300);
 /// How often the count of calls in flight is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 /// How often resting connections are looked at.
@@ -82,20 +77,19 @@
 }
 
 async fn drain(relay: &Arc<Relay>, began: Instant) {
-    let end = relay.settings.stop_time.saturating_sub(LAST_BYTES);
+    let plan = StopPlan::new(relay.settings.stop_time);
     let mut quiet_since: Option<Instant> = None;
-    while began.elapsed() < end {
+    loop {
         let passed = began.elapsed();
-        if passed >= REFUSE_AFTER {
+        if plan.refuses(passed) {
             relay.refusing.store(true, Ordering::SeqCst);
         }
-        if in_flight(relay) > 0 {
-            quiet_since = None;
-        } else if passed >= NOTICE {
-            let since = *quiet_since.get_or_insert_with(Instant::now);
-            if since.elapsed() >= LAST_BYTES {
-                return;
-            }
+        quiet_since = match in_flight(relay) {
+            0 => quiet_since.or_else(|| Some(Instant::now())),
+            _ => None,
+        };
+        if plan.ends(passed, quiet_since.map(|since| since.elapsed())) {
+            return;
         }
         tokio::time::sleep(LOOK).await;
     }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -16,3 +16,4 @@
 pub mod server_book;
 pub mod server_list;
 pub mod state_pull;
+pub mod stop_plan;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_relay_event_join;
 mod test_relay_retry_window;
 mod test_relay_state;
+mod test_relay_stop;
 mod test_request_seeds;
 mod test_scenarios;
 mod test_settings_seeds;
