relay: a stopping box refuses prompts that still wait for engines

Cause of LOST (mix): a prompt waited in the queue of a stopping box until the process ended, and its connection closed without an answer. Test seen failing (no answer), then passing (503).

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -279,6 +279,9 @@
         if let Some(started) = started {
             return Ok(started);
         }
+        if relay.refuses() {
+            return Err((RefusalReason::Leaving, NO_SERVER_RETRY));
+        }
         if now >= given_up_at {
             return Err((RefusalReason::WouldMissDeadline, NO_SERVER_RETRY));
         }
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -1,6 +1,7 @@
 //! Boxes on the platform: what they know while the store misbehaves, and how they stop.
 
 use std::net::IpAddr;
+use std::time::Duration;
 
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::call;
@@ -9,6 +10,7 @@
 use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::relay_box::wait_until;
 use badgerferry_standin::server::Behaviour;
+use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Mode;
 use badgerferry_standin::store::Store;
 
@@ -25,7 +27,7 @@
         if status(relay, key).await? == wanted {
             return Ok(());
         }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     anyhow::bail!("the status never becomes {wanted}; log:\n{}", relay.log())
 }
@@ -242,6 +244,29 @@
     wait_until(|| relay.ended().is_ok_and(|code| code == Some(0))).await
 }
 
+/// Found by a hunt: a prompt that waited for engines was cut without an answer.
+#[tokio::test]
+async fn a_prompt_that_waits_for_engines_is_refused_by_a_box_that_stops() -> anyhow::Result<()> {
+    let mut world = World::start(1).await?;
+    let engine = Server::start("e-0", "engines", Duration::from_millis(20)).await?;
+    world.store.put(&engine.key(), &engine.entry("ready"));
+    world.relay.wait_line(&["server entry", "e-0"]).await?;
+    let mut waits = Caller::connect(world.relay.front()).await?;
+    // More than the one engine holds, so it waits for others.
+    let tokens = "Badgerferry-Token-Counts: 500000,100\r\n";
+    let text = call("POST", "/long/a", "id-1", tokens, "").replace("5000", "20000");
+    waits.send(&text).await?;
+
+    world.relay.signal("TERM")?;
+    let answer = waits.answer().await?;
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.body.contains("box_leaving"), "{}", answer.body);
+    assert!(engine.seen().is_empty());
+    let relay = &mut world.relay;
+    wait_until(|| relay.ended().is_ok_and(|code| code == Some(0))).await
+}
+
 #[tokio::test]
 async fn a_killed_box_comes_back_with_the_stores_state() -> anyhow::Result<()> {
     let mut world = World::start(1).await?;
