--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_placement;
 mod test_properties;
 mod test_relay_attempts;
+mod test_relay_engine_plan;
 mod test_relay_event_join;
 mod test_relay_retry_window;
 mod test_relay_state;
--- a/lib/tests/test_docs.rs
+++ b/lib/tests/test_docs.rs
@@ -44,7 +44,13 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let page = fs::read_to_string(root.join("docs/guarantees.md")).expect("the page is there");
     let mut found = BTreeSet::new();
-    for folder in ["lib/tests", "daemon/tests", "cli/tests", "edges/tests"] {
+    for folder in [
+        "lib/tests",
+        "daemon/tests",
+        "cli/tests",
+        "edges/tests",
+        "platform/tests",
+    ] {
         collect(&root.join(folder), &mut found);
     }
 
--- /dev/null
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -0,0 +1,214 @@
+//! Where a generation runs.
+
+use std::time::Duration;
+
+use badgerferry_lib::relay::call::Prompt;
+use badgerferry_lib::relay::engine_load::EngineUse;
+use badgerferry_lib::relay::engine_plan;
+use badgerferry_lib::relay::engine_plan::EngineModel;
+use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EngineState;
+use badgerferry_lib::relay::engine_plan::MAX_HELPERS;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const MODEL: EngineModel = EngineModel {
+    slots: 16,
+    memory: 315_000,
+    step_ms: 0.85,
+    per_writer_ms: 0.004_25,
+    per_kilo_context_ms: 0.002_85,
+    read_per_ms: 177.0,
+    per_million_pairs_ms: 0.184,
+    steps_per_pass: 51,
+};
+const PATIENT: Option<Duration> = Some(Duration::from_millis(1_000));
+const SHORT: Option<Duration> = Some(Duration::from_millis(250));
+const MIDDLE: Option<Duration> = Some(Duration::from_millis(600));
+
+fn idle(count: usize) -> Vec<EngineState> {
+    (0..count)
+        .map(|at| EngineState {
+            load: EngineUse::default(),
+            near: true,
+            preference: at as u32,
+            pace: 1.0,
+        })
+        .collect()
+}
+
+const fn prompt(tokens: u64) -> Prompt {
+    Prompt {
+        tokens,
+        max_output: 800,
+    }
+}
+
+fn plan(engines: &[EngineState], tokens: u64, pause: Option<Duration>) -> Option<EnginePlan> {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    engine_plan::plan(&MODEL, engines, &prompt(tokens), pause, 6, &mut rng)
+}
+
+fn engines_of(plan: &EnginePlan) -> Vec<usize> {
+    plan.parts.iter().map(|part| part.engine).collect()
+}
+
+#[test]
+fn short_calls_stay_on_the_first_engines() {
+    let mut engines = idle(18);
+    engines[0].load.short = 12;
+
+    let plan = plan(&engines, 5_000, SHORT).expect("there is room");
+
+    assert!(!plan.long);
+    assert_eq!(
+        engines_of(&plan),
+        [1],
+        "the second is the spare one, and it is idle"
+    );
+}
+
+#[test]
+fn the_lane_grows_with_the_short_calls_in_flight() {
+    let mut engines = idle(18);
+    assert_eq!(engine_plan::short_lane(&engines), 1);
+
+    engines[3].load.short = 100;
+
+    assert_eq!(engine_plan::short_lane(&engines), 10);
+}
+
+#[test]
+fn a_long_prompt_takes_free_engines_outside_the_lane_in_parts() {
+    let plan = plan(&idle(18), 154_000, PATIENT).expect("all are free");
+
+    assert!(plan.long && !plan.reserve);
+    assert!(plan.parts.len() >= 10, "{} parts", plan.parts.len());
+    assert!(!engines_of(&plan).contains(&0));
+    assert!(
+        plan.parts
+            .iter()
+            .all(|part| part.read <= Duration::from_millis(320))
+    );
+    assert_eq!(plan.parts[0].memory, prompt(154_000).memory());
+}
+
+#[test]
+fn an_engine_reads_for_one_long_prompt_at_a_time() {
+    let mut engines = idle(18);
+    engines[5].load.long_reads = 1;
+
+    let plan = plan(&engines, 154_000, PATIENT).expect("others are free");
+
+    assert!(!engines_of(&plan).contains(&5));
+}
+
+#[test]
+fn a_prompt_waits_where_too_few_engines_are_free() {
+    let mut engines = idle(18);
+    engines[3..]
+        .iter_mut()
+        .for_each(|engine| engine.load.long_reads = 1);
+
+    assert_eq!(plan(&engines, 154_000, PATIENT), None);
+    assert!(
+        plan(&engines, 60_000, PATIENT).is_some(),
+        "a smaller one needs fewer"
+    );
+}
+
+#[test]
+fn large_parts_stay_away_from_long_streams() {
+    let mut engines = idle(18);
+    engines[8..]
+        .iter_mut()
+        .for_each(|engine| engine.load.long = 1);
+
+    assert!(plan(&engines, 100_000, PATIENT).is_some());
+    assert_eq!(
+        plan(&engines, 310_000, PATIENT),
+        None,
+        "seven engines don't make it small"
+    );
+}
+
+#[test]
+fn a_stream_that_must_not_pause_is_led_among_the_short_ones() {
+    let plan = plan(&idle(18), 45_000, MIDDLE).expect("there is room");
+
+    assert!(!plan.long);
+    assert_eq!(plan.parts[0].engine, 0);
+    assert!(
+        plan.parts
+            .iter()
+            .all(|part| part.read <= Duration::from_millis(60))
+    );
+    assert!(engines_of(&plan)[1..].iter().all(|&at| at >= 1));
+}
+
+#[test]
+fn a_prompt_larger_than_one_engine_sets_memory_aside_everywhere() {
+    let plan = plan(&idle(18), 700_000, PATIENT).expect("all are free");
+
+    assert!(plan.reserve);
+    assert!(
+        plan.parts.len() <= MAX_HELPERS,
+        "the one that leads is listed, too"
+    );
+    let memory: u64 = plan.parts.iter().map(|part| part.memory).sum();
+    assert!(memory >= prompt(700_000).memory());
+}
+
+#[test]
+fn a_prompt_that_no_group_can_hold_is_not_planned() {
+    let mut engines = idle(18);
+    engines
+        .iter_mut()
+        .for_each(|engine| engine.load.memory_k = 299);
+
+    assert_eq!(plan(&engines, 700_000, PATIENT), None);
+    assert_eq!(plan(&[], 5_000, SHORT), None);
+}
+
+#[test]
+fn plans_are_sound_for_any_load() {
+    for seed in 0..2_000 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut engines = idle(rng.random_range(1..70));
+        for engine in &mut engines {
+            engine.load = EngineUse {
+                reading_ms: rng.random_range(0..800),
+                long_reads: rng.random_range(0..2),
+                short: rng.random_range(0..20),
+                long: rng.random_range(0..4),
+                memory_k: rng.random_range(0..320),
+            };
+            engine.pace = rng.random_range(0.5..8.0);
+        }
+        let tokens = rng.random_range(1..1_000_000);
+        let pause = [SHORT, MIDDLE, PATIENT, None][rng.random_range(0..4)];
+        let prompt = prompt(tokens);
+        let boxes = rng.random_range(1..400);
+        let found = engine_plan::plan(&MODEL, &engines, &prompt, pause, boxes, &mut rng);
+        let Some(plan) = found else { continue };
+
+        let mut used = engines_of(&plan);
+        let parts = used.len();
+        used.sort_unstable();
+        used.dedup();
+        assert_eq!(used.len(), parts, "seed {seed}: an engine twice");
+        assert!(used.iter().all(|&at| at < engines.len()), "seed {seed}");
+        assert!(
+            parts <= MAX_HELPERS + 1 - usize::from(plan.reserve),
+            "seed {seed}"
+        );
+        let memory: u64 = plan.parts.iter().map(|part| part.memory).sum();
+        assert!(memory >= prompt.memory(), "seed {seed}: {memory}");
+        let alone = used.iter().all(|&at| engines[at].load.long_reads == 0);
+        assert!(
+            !plan.long || alone,
+            "seed {seed}: a long prompt beside another"
+        );
+    }
+}
