relay: long prompts start in one order over all boxes, and engines read until seen done

Cause: on the grown sites many long prompts took 4 to 12 s to their first event though 0.5 to 2 s were expected. Short calls behind those parts waited for a second and more.

Ruled out: processor time (0.0106 cores in the mean), the store, too few engines (about 46 of 60 are needed by the read times alone).

Change: a box tells which of its prompts comes first, a prompt gives way to another box's that goes before it, and what long prompts do is told at once. An engine counts as reading until the prompt's first event.

a_part_that_is_late_counts_until_its_prompt_is_read was seen failing on the code before.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -15,8 +15,10 @@
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::engine_plan::Part;
 use badgerferry_lib::relay::long_queue::Ticket;
+use badgerferry_lib::relay::long_queue::Turn;
 use badgerferry_lib::relay::long_queue::Waiting;
 use badgerferry_lib::relay::server_book::ServerRecord;
+use badgerferry_lib::time::Time;
 use badgerferry_platform::headers::Reader;
 
 use crate::relay::call::Call;
@@ -69,7 +71,7 @@
             loads.read_done(id);
         }
         drop(loads);
-        call.relay.load_changed.notify_one();
+        self.works.changed();
     }
 }
 
@@ -78,6 +80,18 @@
 struct Works {
     relay: Arc<Relay>,
     ids: Vec<WorkId>,
+    long: bool,
+}
+
+impl Works {
+    /// Lets the other boxes know.
+    fn changed(&self) {
+        if self.long {
+            self.relay.long_changed.notify_one();
+        } else {
+            self.relay.load_changed.notify_one();
+        }
+    }
 }
 
 impl Drop for Works {
@@ -87,7 +101,7 @@
             loads.end(id);
         }
         drop(loads);
-        self.relay.load_changed.notify_one();
+        self.changed();
     }
 }
 
@@ -135,6 +149,7 @@
         works: Works {
             relay: Arc::clone(relay),
             ids: Vec::new(),
+            long: false,
         },
         _reservations: None,
     })
@@ -150,14 +165,18 @@
     let started = if engine_plan::is_long(model, prompt, call.route.pause) {
         wait_for_engines(call, tried, model, prompt).await?
     } else {
-        start(call, tried, model, prompt).ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?
+        let planned = plan(call, tried, model, prompt);
+        enter(
+            relay,
+            planned.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?,
+        )
     };
-    relay.load_changed.notify_one();
     let Started {
         addresses,
         plan,
         works,
     } = started;
+    works.changed();
     let reservations = if plan.reserve {
         Some(reserve(call, &addresses, &plan).await?)
     } else {
@@ -183,19 +202,26 @@
     works: Works,
 }
 
-/// Plans the call and enters its work, if it may be sent now.
-fn start(
-    call: &Arc<Call>,
+/// A plan with the engines that it names; nothing is entered yet.
+struct Planned {
+    addresses: Vec<Engine>,
+    /// Reading that each of them has before it, without this call's.
+    ahead: Vec<Duration>,
+    plan: EnginePlan,
+}
+
+/// Plans the call, if it may be sent now.
+fn plan(
+    call: &Call,
     tried: &[ServerName],
     model: &EngineModel,
     prompt: &Prompt,
-) -> Option<Started> {
+) -> Option<Planned> {
     let relay = &call.relay;
     let now = relay.clock.now();
     let boxes = relay.boxes();
     let book = lock(&relay.book);
-    let mut loads = lock(&relay.loads);
-    let table = loads.table(now);
+    let table = lock(&relay.loads).table(now);
     let usable = book.usable(now, &call.service, tried);
     let state = |record: &&ServerRecord| EngineState {
         load: table.get(&record.key).copied().unwrap_or_default(),
@@ -214,12 +240,28 @@
             key: record.key,
         }
     };
-    let addresses: Vec<Engine> = plan.parts.iter().map(address).collect();
+    let ahead = |part: &Part| Duration::from_millis(states[part.engine].load.reading_ms.into());
+    Some(Planned {
+        addresses: plan.parts.iter().map(address).collect(),
+        ahead: plan.parts.iter().map(ahead).collect(),
+        plan,
+    })
+}
+
+/// Enters the work of a plan.
+fn enter(relay: &Arc<Relay>, planned: Planned) -> Started {
+    let Planned {
+        addresses,
+        ahead,
+        plan,
+    } = planned;
+    let now = relay.clock.now();
+    let mut loads = lock(&relay.loads);
     let mut ids = Vec::with_capacity(plan.parts.len());
     for (at, part) in plan.parts.iter().enumerate() {
         let work = Work {
             read: part.read,
-            delay: part.delay,
+            delay: ahead[at] + part.delay,
             memory: part.memory,
             leads: at == 0,
             long: plan.long,
@@ -230,12 +272,13 @@
     let works = Works {
         relay: Arc::clone(relay),
         ids,
+        long: plan.long,
     };
-    Some(Started {
+    Started {
         addresses,
         plan,
         works,
-    })
+    }
 }
 
 /// A place in the queue of long prompts, given up when dropped.
@@ -247,6 +290,25 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         lock(&self.relay.long_queue).remove(self.ticket);
+        self.relay.long_changed.notify_one();
+    }
+}
+
+impl Place<'_> {
+    /// Takes the prompt's turn, if it is its turn and engines can read it.
+    fn take_turn(&self, now: Time, plan: impl FnOnce() -> Option<Planned>) -> Option<Planned> {
+        let turn = lock(&self.relay.long_queue).turn(now, self.ticket, &self.relay.settings.name);
+        match turn {
+            Turn::Waits => None,
+            Turn::First => plan(),
+            Turn::GivesWay => {
+                let planned = plan();
+                let could_start = planned.is_some();
+                let mut queue = lock(&self.relay.long_queue);
+                let long_enough = queue.gave_way(now, self.ticket, could_start);
+                planned.filter(|_| long_enough)
+            }
+        }
     }
 }
 
@@ -266,18 +328,13 @@
     let given_up_at = waiting.given_up_at();
     let place = Place {
         relay,
-        ticket: lock(&relay.long_queue).push(waiting),
+        ticket: lock(&relay.long_queue).push(relay.clock.now(), waiting),
     };
+    relay.long_changed.notify_one();
     loop {
         let now = relay.clock.now();
-        let is_first = lock(&relay.long_queue).is_first(now, place.ticket);
-        let started = if is_first {
-            start(call, tried, model, prompt)
-        } else {
-            None
-        };
-        if let Some(started) = started {
-            return Ok(started);
+        if let Some(planned) = place.take_turn(now, || plan(call, tried, model, prompt)) {
+            return Ok(enter(relay, planned));
         }
         if relay.refuses() {
             return Err((RefusalReason::Leaving, NO_SERVER_RETRY));
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -32,7 +32,11 @@
 
 /// Between datagrams where nothing changes; also how long a neighbour's news takes at most.
 const HEARTBEAT: Duration = Duration::from_millis(400);
-/// Shortest time between two datagrams, for each box told: bounds what all boxes spend.
+/// The same while a long prompt waits here, to which other boxes give way.
+const WAITING_HEARTBEAT: Duration = Duration::from_millis(150);
+/// Shortest time between two datagrams, for each box told: bounds what all boxes spend. What
+/// long prompts do is told at once all the same: it is rare, and boxes that don't know of it
+/// send theirs to the same engines.
 const PAUSE_PER_BOX: Duration = Duration::from_millis(1);
 /// A box is behind when a neighbour had newer state for this long; the watch is faster mostly.
 const BEHIND: Duration = Duration::from_millis(250);
@@ -74,15 +78,11 @@
 async fn tell(relay: &Arc<Relay>, socket: &UdpSocket) {
     let mut sequence = 0;
     loop {
-        // A change within the pause is told with the next datagram.
-        let _ = timeout(HEARTBEAT, relay.load_changed.notified()).await;
         let now = relay.clock.now();
         end_holds(relay);
-        let rows = {
-            let mut loads = lock(&relay.loads);
-            loads.take_changed();
-            loads.own_table(now).into_iter().take(MAX_ROWS).collect()
-        };
+        let rows = lock(&relay.loads).own_table(now);
+        let rows = rows.into_iter().take(MAX_ROWS).collect();
+        let waits = lock(&relay.long_queue).head(now);
         sequence += 1;
         let datagram = LoadDatagram {
             version: FRAME_VERSION,
@@ -91,6 +91,7 @@
             sequence,
             have: relay.revisions(),
             follows_store: relay.follows_store(),
+            waits,
             rows,
         };
         let bytes = datagram.encode();
@@ -104,7 +105,23 @@
                 tracing::debug!(%address, %cause, "a datagram could not be sent");
             }
         }
-        tokio::time::sleep(PAUSE_PER_BOX * others.len().max(1) as u32).await;
+        let heartbeat = match waits {
+            Some(_) => WAITING_HEARTBEAT,
+            None => HEARTBEAT,
+        };
+        wait_to_tell(relay, PAUSE_PER_BOX * others.len() as u32, heartbeat).await;
+    }
+}
+
+/// Waits until there is something to tell. A change within the pause is told after it.
+async fn wait_to_tell(relay: &Relay, pause: Duration, heartbeat: Duration) {
+    let changed = async {
+        tokio::time::sleep(pause).await;
+        let _ = timeout(heartbeat, relay.load_changed.notified()).await;
+    };
+    tokio::select! {
+        () = changed => {}
+        () = relay.long_changed.notified() => {}
     }
 }
 
@@ -150,13 +167,16 @@
             }
         };
         let now = relay.clock.now();
-        lock(&relay.loads).take_table(
+        let is_newer = lock(&relay.loads).take_table(
             now,
             &datagram.from,
             datagram.lifetime,
             datagram.sequence,
             datagram.rows,
         );
+        if is_newer {
+            lock(&relay.long_queue).take_head(now, &datagram.from, datagram.waits);
+        }
         if datagram.follows_store {
             lock(&relay.followed).neighbour_at = Some(now);
         }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -78,6 +78,8 @@
     pub followed: Mutex<Followed>,
     /// Wakes the sender of load datagrams.
     pub load_changed: Notify,
+    /// Wakes it at once: a long prompt waits, starts or has been read.
+    pub long_changed: Notify,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Whether new calls are refused, late in a planned stop.
@@ -101,6 +103,7 @@
             upstream: Upstream::default(),
             followed: Mutex::default(),
             load_changed: Notify::new(),
+            long_changed: Notify::new(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -18,10 +18,12 @@
 
 /// A box's table counts this long; three of the longest intervals between two of them.
 pub const TABLE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// Reading whose end was not seen counts until this many times its estimate, and a bit more.
-const OVERRUN: u32 = 3;
+/// Reading whose end was not seen counts until it is late by this many times its length, and a
+/// bit more: parts that wait behind others take several times as long, and no caller waits
+/// beyond.
+const OVERRUN: u32 = 10;
 /// What is added to that, for passes that the reading waits for.
-const OVERRUN_SLACK: Duration = Duration::from_millis(500);
+const OVERRUN_SLACK: Duration = Duration::from_secs(5);
 
 /// Short stable key of an engine, the same at every box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -41,8 +43,9 @@
 pub struct EngineUse {
     /// Reading still to do, in milliseconds of that engine alone.
     pub reading_ms: u32,
-    /// Long prompts of which it reads a part, until the part is over by its estimate: what is
-    /// sent then arrives as the engine turns free.
+    /// Long prompts of which it reads a part, until the first event shows that all parts are
+    /// over: an engine reads the part that came last first, so a second one would hold up both
+    /// that part and all others of the first prompt.
     pub long_reads: u16,
     /// Short calls there, whether they read, wait or write.
     pub short: u16,
@@ -81,7 +84,7 @@
 pub struct Work {
     /// Reading there.
     pub read: Duration,
-    /// Until the engine begins with it, apart from other reading.
+    /// Until the engine begins with it.
     pub delay: Duration,
     /// Memory that it takes there, in tokens.
     pub memory: u64,
@@ -97,7 +100,7 @@
     work: Work,
     /// When its reading should be over.
     read_over: Time,
-    /// When it no longer counts even if its end was not seen.
+    /// When it no longer counts as reading even if its end was not seen.
     forgotten: Time,
     reading: bool,
 }
@@ -107,7 +110,7 @@
     sequence: u64,
     lifetime: u64,
     taken: Time,
-    rows: HashMap<EngineKey, EngineUse>,
+    rows: Vec<(EngineKey, EngineUse)>,
 }
 
 /// All work that this box knows of.
@@ -116,7 +119,6 @@
     next: u64,
     own: HashMap<WorkId, Entry>,
     peers: HashMap<String, PeerTable>,
-    changed: bool,
 }
 
 impl EngineLoads {
@@ -124,16 +126,15 @@
     pub fn begin(&mut self, now: Time, engine: EngineKey, work: Work) -> WorkId {
         let id = WorkId(self.next);
         self.next += 1;
-        let ahead = self.at(now, engine).reading_ms;
+        let read_over = now + work.delay + work.read;
         let entry = Entry {
             engine,
             work,
-            read_over: now + Duration::from_millis(u64::from(ahead)) + work.delay + work.read,
-            forgotten: now + work.read * OVERRUN + OVERRUN_SLACK,
+            read_over,
+            forgotten: read_over + work.read * OVERRUN + OVERRUN_SLACK,
             reading: true,
         };
         self.own.insert(id, entry);
-        self.changed = true;
         id
     }
 
@@ -141,39 +142,34 @@
     pub fn read_done(&mut self, id: WorkId) {
         if let Some(entry) = self.own.get_mut(&id) {
             entry.reading = false;
-            self.changed = true;
         }
     }
 
     /// Records its end.
     pub fn end(&mut self, id: WorkId) {
-        self.changed |= self.own.remove(&id).is_some();
+        self.own.remove(&id);
     }
 
-    /// Takes another box's table; one that is older than the last is ignored.
+    /// Takes another box's table; false if it is older than the last, and ignored.
     pub fn take_table(
         &mut self,
         now: Time,
         from: &str,
         lifetime: u64,
         sequence: u64,
-        rows: impl IntoIterator<Item = (EngineKey, EngineUse)>,
-    ) {
+        rows: Vec<(EngineKey, EngineUse)>,
+    ) -> bool {
         let peer = self.peers.entry(from.to_owned()).or_default();
         if peer.lifetime == lifetime && sequence <= peer.sequence {
-            return;
+            return false;
         }
         *peer = PeerTable {
             sequence,
             lifetime,
             taken: now,
-            rows: rows.into_iter().collect(),
+            rows,
         };
-    }
-
-    /// Whether own work changed since this was last asked.
-    pub const fn take_changed(&mut self) -> bool {
-        std::mem::replace(&mut self.changed, false)
+        true
     }
 
     /// Own work by engine, for the other boxes.
@@ -191,7 +187,7 @@
     pub fn table(&self, now: Time) -> HashMap<EngineKey, EngineUse> {
         let mut table = self.own_table(now);
         for peer in self.live(now) {
-            for (&engine, &row) in &peer.rows {
+            for &(engine, row) in &peer.rows {
                 table
                     .entry(engine)
                     .or_default()
@@ -201,15 +197,6 @@
         table
     }
 
-    fn at(&self, now: Time, engine: EngineKey) -> EngineUse {
-        self.table(now).get(&engine).copied().unwrap_or_default()
-    }
-
-    /// Boxes whose tables count now.
-    pub fn live_peers(&self, now: Time) -> usize {
-        self.live(now).count()
-    }
-
     fn live(&self, now: Time) -> impl Iterator<Item = &PeerTable> {
         let lives = move |peer: &&PeerTable| now.since(peer.taken) < TABLE_LIFETIME;
         self.peers.values().filter(lives)
@@ -227,17 +214,27 @@
 }
 
 impl Entry {
+    /// By the estimate; past it, as long again as it is late, up to the whole part.
+    fn reading_left(&self, now: Time) -> Duration {
+        let late = now.since(self.read_over);
+        if late.is_zero() {
+            now.until(self.read_over)
+        } else {
+            late.min(self.work.read)
+        }
+    }
+
     fn use_at(&self, now: Time) -> EngineUse {
         let reads = self.reading && now < self.forgotten;
         let left = if reads {
-            now.until(self.read_over)
+            self.reading_left(now)
         } else {
             Duration::ZERO
         };
         let leads = self.work.leads;
         EngineUse {
             reading_ms: left.as_millis() as u32,
-            long_reads: u16::from(reads && self.work.long && now < self.read_over),
+            long_reads: u16::from(reads && self.work.long),
             short: u16::from(leads && !self.work.long),
             long: u16::from(leads && self.work.long),
             memory_k: (self.work.memory / 1_000) as u32,
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -5,6 +5,7 @@
 
 use crate::relay::engine_load::EngineKey;
 use crate::relay::engine_load::EngineUse;
+use crate::relay::long_queue::QueueHead;
 use crate::relay::state_pull::FRAME_VERSION;
 use crate::relay::state_pull::Revisions;
 
@@ -28,6 +29,8 @@
     pub have: Revisions,
     /// Whether the store answered it lately, so that others may follow it in place of the store.
     pub follows_store: bool,
+    /// The long prompt that it would send next, if one waits there.
+    pub waits: Option<QueueHead>,
     /// Its work.
     pub rows: Vec<(EngineKey, EngineUse)>,
 }
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -4,9 +4,19 @@
 //! Those that can be on time go first, the shortest reading before longer: most prompts are
 //! on time so. One that is late already goes when nothing else waits, and is given up while
 //! its caller can still come back.
+//!
+//! The order holds over all boxes: each tells the others which of its prompts comes first, and
+//! a prompt waits while another box has one that goes before it. Without that, all boxes see
+//! the same engines turn free and take them in the same moment. Nothing depends on it for
+//! correctness: what a box tells lapses soon, and a prompt that could be read for a while
+//! stops giving way.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::time::Time;
 
 /// How long after its objective a prompt waits on, as a multiple of that; then it is refused.
@@ -14,6 +24,16 @@
 /// Time that reading and writing need at least; a prompt with less left is refused.
 const LEAST_RUN: Duration = Duration::from_secs(2);
 
+/// How long another box's first prompt counts: three times as long as a box that has one waiting
+/// is silent.
+const HEAD_LIFETIME: Duration = Duration::from_millis(450);
+/// How long a prompt gives way to other boxes' while engines could read it: a box that could
+/// start its own would have done so and said it.
+const GIVES_WAY: Duration = Duration::from_millis(100);
+/// Least time between a prompt's arrival and its start, so that other boxes hear of it first: a
+/// datagram takes about a millisecond between halls, and up to ten where processors are slow.
+const ANNOUNCED: Duration = Duration::from_millis(8);
+
 /// Identifies a waiting prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(u64);
@@ -42,49 +62,130 @@
         (self.due + late).min(Time::from_micros(last))
     }
 
-    const fn rank(&self, now: Time) -> (bool, Duration) {
-        let is_late = now.as_micros() > self.due.as_micros();
-        (is_late, self.read)
+    fn head(&self, now: Time) -> QueueHead {
+        QueueHead {
+            is_late: now > self.due,
+            read_ms: self.read.as_millis() as u32,
+        }
     }
 }
 
-/// The waiting prompts of one box.
+/// What a box tells of the prompt that it would send next; the smallest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct QueueHead {
+    /// Whether its first event is late already.
+    pub is_late: bool,
+    /// Reading, in milliseconds of one engine alone.
+    pub read_ms: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Row {
+    ticket: Ticket,
+    waiting: Waiting,
+    since: Time,
+    /// Since when engines could read it while it gives way to another box's.
+    gives_way_since: Option<Time>,
+}
+
+/// Whether a prompt may be sent now, if engines can read it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Another prompt of this box goes first, or other boxes have not heard of this one.
+    Waits,
+    /// Another box has one that goes first: it is sent only if that has lasted too long.
+    GivesWay,
+    /// It is first.
+    First,
+}
+
+/// The waiting prompts of one box, and the first ones of the others.
 #[derive(Debug, Default)]
 pub struct LongQueue {
     next: u64,
-    rows: Vec<(Ticket, Waiting)>,
+    rows: Vec<Row>,
+    others: HashMap<String, (QueueHead, Time)>,
 }
 
 impl LongQueue {
     /// Lets a prompt wait.
-    pub fn push(&mut self, waiting: Waiting) -> Ticket {
+    pub fn push(&mut self, now: Time, waiting: Waiting) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
-        self.rows.push((ticket, waiting));
+        self.rows.push(Row {
+            ticket,
+            waiting,
+            since: now,
+            gives_way_since: None,
+        });
         ticket
     }
 
     /// Takes a prompt out.
     pub fn remove(&mut self, ticket: Ticket) {
-        self.rows.retain(|(row, _)| *row != ticket);
+        self.rows.retain(|row| row.ticket != ticket);
     }
 
-    /// Whether it is this prompt's turn.
-    pub fn is_first(&self, now: Time, ticket: Ticket) -> bool {
-        let first = self.rows.iter().min_by_key(|(row, waiting)| {
-            let (is_late, read) = waiting.rank(now);
-            (is_late, read, *row)
-        });
-        first.is_some_and(|(row, _)| *row == ticket)
+    /// The prompt that goes first here, for the other boxes.
+    pub fn head(&self, now: Time) -> Option<QueueHead> {
+        self.rows.iter().map(|row| row.waiting.head(now)).min()
+    }
+
+    /// Takes what another box told.
+    pub fn take_head(&mut self, now: Time, from: &str, head: Option<QueueHead>) {
+        match head {
+            Some(head) => {
+                self.others.insert(from.to_owned(), (head, now));
+            }
+            None => {
+                self.others.remove(from);
+            }
+        }
+    }
+
+    /// Whose turn it is; `own` is this box's name, which decides between equals.
+    pub fn turn(&self, now: Time, ticket: Ticket, own: &str) -> Turn {
+        let first = self
+            .rows
+            .iter()
+            .min_by_key(|row| (row.waiting.head(now), row.ticket));
+        let Some(first) = first.filter(|row| row.ticket == ticket) else {
+            return Turn::Waits;
+        };
+        if now.since(first.since) < ANNOUNCED {
+            return Turn::Waits;
+        }
+        let head = first.waiting.head(now);
+        let goes_before = |(name, (other, told)): (&String, &(QueueHead, Time))| {
+            now.since(*told) < HEAD_LIFETIME && (*other, name.as_str()) < (head, own)
+        };
+        if self.others.iter().any(goes_before) {
+            Turn::GivesWay
+        } else {
+            Turn::First
+        }
+    }
+
+    /// Records whether engines could read a prompt that gives way; true once that has lasted so
+    /// long that it is sent all the same.
+    pub fn gave_way(&mut self, now: Time, ticket: Ticket, could_start: bool) -> bool {
+        let Some(row) = self.rows.iter_mut().find(|row| row.ticket == ticket) else {
+            return false;
+        };
+        let since = *row.gives_way_since.get_or_insert(now);
+        if !could_start {
+            row.gives_way_since = None;
+        }
+        could_start && now.since(since) >= GIVES_WAY
     }
 
     /// Prompts that wait.
-    pub fn len(&self) -> usize {
+    pub const fn len(&self) -> usize {
         self.rows.len()
     }
 
     /// Whether none waits.
-    pub fn is_empty(&self) -> bool {
+    pub const fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
 }
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -15,6 +15,7 @@
 use badgerferry_lib::relay::load_datagram::BadDatagram;
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::long_queue::LongQueue;
+use badgerferry_lib::relay::long_queue::Turn;
 use badgerferry_lib::relay::long_queue::Waiting;
 use badgerferry_lib::relay::route_table::CallerLimits;
 use badgerferry_lib::relay::route_table::Denied;
@@ -376,7 +377,7 @@
         ..EngineUse::default()
     };
 
-    loads.take_table(Time::ZERO, "box-b", 1, 1, [(engine, told)]);
+    loads.take_table(Time::ZERO, "box-b", 1, 1, vec![(engine, told)]);
     let early = loads.table(Time::from_millis(10)).get(&engine).copied();
     let late = loads
         .table(Time::ZERO + TABLE_LIFETIME)
@@ -397,10 +398,10 @@
     };
     let now = Time::from_millis(1);
 
-    loads.take_table(now, "box-b", 1, 9, [(engine, short(3))]);
-    loads.take_table(now, "box-b", 1, 8, [(engine, short(5))]);
+    loads.take_table(now, "box-b", 1, 9, vec![(engine, short(3))]);
+    loads.take_table(now, "box-b", 1, 8, vec![(engine, short(5))]);
     let after_old = loads.table(now)[&engine].short;
-    loads.take_table(now, "box-b", 2, 1, [(engine, short(1))]);
+    loads.take_table(now, "box-b", 2, 1, vec![(engine, short(1))]);
 
     assert_eq!(after_old, 3);
     assert_eq!(loads.table(now)[&engine].short, 1);
@@ -429,6 +430,20 @@
     assert!(loads.table(now).is_empty());
 }
 
+#[test]
+fn a_part_that_is_late_counts_until_its_prompt_is_read() {
+    let mut loads = EngineLoads::default();
+    let engine = EngineKey(1);
+    let id = loads.begin(Time::ZERO, engine, long_work());
+
+    let late = loads.table(Time::from_millis(1_900))[&engine];
+    loads.read_done(id);
+    let read = loads.table(Time::from_millis(1_900))[&engine];
+
+    assert_eq!((late.long_reads, late.reading_ms), (1, 300));
+    assert_eq!((read.long_reads, read.reading_ms), (0, 0));
+}
+
 #[test]
 fn reading_whose_end_is_never_seen_does_not_count_for_ever() {
     let mut loads = EngineLoads::default();
@@ -449,19 +464,71 @@
     }
 }
 
+/// When other boxes have heard of a prompt that began to wait at zero.
+const ANNOUNCED: Time = Time::from_millis(100);
+
 #[test]
 fn the_shortest_reading_goes_first_and_late_prompts_last() {
     let mut queue = LongQueue::default();
-    let long = queue.push(waiting(3_000, 3_000));
-    let short = queue.push(waiting(400, 3_000));
-    let late = queue.push(waiting(100, 10));
-    let now = Time::from_millis(100);
+    let long = queue.push(Time::ZERO, waiting(3_000, 3_000));
+    let short = queue.push(Time::ZERO, waiting(400, 3_000));
+    let late = queue.push(Time::ZERO, waiting(100, 10));
+    let is_first = |queue: &LongQueue, ticket| queue.turn(ANNOUNCED, ticket, "a") == Turn::First;
 
-    assert!(queue.is_first(now, short));
+    assert!(is_first(&queue, short));
+    assert!(!is_first(&queue, long));
     queue.remove(short);
-    assert!(queue.is_first(now, long));
+    assert!(is_first(&queue, long));
     queue.remove(long);
-    assert!(queue.is_first(now, late));
+    assert!(is_first(&queue, late));
+}
+
+#[test]
+fn a_prompt_waits_until_other_boxes_have_heard_of_it() {
+    let mut queue = LongQueue::default();
+    let ticket = queue.push(Time::ZERO, waiting(400, 3_000));
+
+    assert_eq!(queue.turn(Time::from_millis(1), ticket, "a"), Turn::Waits);
+    assert_eq!(queue.turn(ANNOUNCED, ticket, "a"), Turn::First);
+}
+
+#[test]
+fn boxes_with_waiting_prompts_agree_on_one_that_goes_first() {
+    let mut here = LongQueue::default();
+    let mut there = LongQueue::default();
+    let ours = here.push(Time::ZERO, waiting(400, 3_000));
+    let theirs = there.push(Time::ZERO, waiting(400, 3_000));
+
+    here.take_head(ANNOUNCED, "b", there.head(ANNOUNCED));
+    there.take_head(ANNOUNCED, "a", here.head(ANNOUNCED));
+
+    assert_eq!(here.turn(ANNOUNCED, ours, "a"), Turn::First);
+    assert_eq!(there.turn(ANNOUNCED, theirs, "b"), Turn::GivesWay);
+    there.take_head(ANNOUNCED, "a", None);
+    assert_eq!(there.turn(ANNOUNCED, theirs, "b"), Turn::First);
+}
+
+#[test]
+fn a_dead_boxs_prompt_holds_nobody_up_for_long() {
+    let mut queue = LongQueue::default();
+    let ticket = queue.push(Time::ZERO, waiting(3_000, 3_000));
+    let mut dead = LongQueue::default();
+    dead.push(Time::ZERO, waiting(400, 3_000));
+    queue.take_head(Time::ZERO, "b", dead.head(Time::ZERO));
+
+    assert_eq!(queue.turn(ANNOUNCED, ticket, "a"), Turn::GivesWay);
+    assert_eq!(queue.turn(Time::from_millis(500), ticket, "a"), Turn::First);
+}
+
+#[test]
+fn a_prompt_that_engines_could_read_stops_giving_way() {
+    let mut queue = LongQueue::default();
+    let ticket = queue.push(Time::ZERO, waiting(3_000, 3_000));
+
+    assert!(!queue.gave_way(Time::from_millis(100), ticket, true));
+    assert!(!queue.gave_way(Time::from_millis(300), ticket, false));
+    assert!(!queue.gave_way(Time::from_millis(400), ticket, true));
+    assert!(queue.gave_way(Time::from_millis(2_400), ticket, true));
 }
 
 #[test]
@@ -483,6 +550,7 @@
             servers: 900,
         },
         follows_store: true,
+        waits: None,
         rows,
     }
 }
