relay: silent halls are avoided by what boxes hear; large prompts start on fewer engines

Change: a hall whose boxes are all silent gets no calls until one is heard or a server there answers. A prompt with time left is read in parts of up to 2.5 s where nothing is written, takes at most 0.6 of the free engines where its parts stay short, is refused before half of its caller's time is over, and waits again when it comes back. Short calls are drawn among engines of like cost.

The tests of engine plans pass the time until the first event is due; what they ask for stands.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -88,6 +88,11 @@
         self.relay.clock.now().until(self.deadline)
     }
 
+    /// When its answer, or its first event, should be there.
+    pub fn due(&self) -> Time {
+        self.first_arrived() + self.route.objective
+    }
+
     /// When the caller first asked: one that comes back has less time left than its route gives.
     pub fn first_arrived(&self) -> Time {
         let left = self.head.time_left.unwrap_or(self.route.time_limit);
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -10,6 +10,7 @@
 use badgerferry_lib::relay::engine_load::Work;
 use badgerferry_lib::relay::engine_load::WorkId;
 use badgerferry_lib::relay::engine_plan;
+use badgerferry_lib::relay::engine_plan::Aims;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
 use badgerferry_lib::relay::engine_plan::EngineState;
@@ -231,7 +232,11 @@
     };
     let states: Vec<EngineState> = usable.iter().map(state).collect();
     let rng = &mut rand::rng();
-    let plan = engine_plan::plan(model, &states, prompt, call.route.pause, boxes, rng)?;
+    let aims = Aims {
+        due_in: now.until(call.due()),
+        pause: call.route.pause,
+    };
+    let plan = engine_plan::plan(model, &states, prompt, aims, boxes, rng)?;
     let address = |part: &Part| {
         let record = usable[part.engine];
         Engine {
@@ -321,8 +326,8 @@
     let relay = &call.relay;
     let waiting = Waiting {
         read: model.read(prompt.tokens),
-        due: call.first_arrived() + call.route.objective,
-        objective: call.route.objective,
+        due: call.due(),
+        arrived: call.arrived,
         deadline: call.deadline,
     };
     let given_up_at = waiting.given_up_at();
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use badgerferry_lib::ids::HallName;
+use badgerferry_lib::relay::hall_reach::HEARTBEAT;
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
 use badgerferry_lib::relay::load_datagram::MAX_ROWS;
@@ -14,6 +16,7 @@
 use badgerferry_lib::relay::state_pull::PullAnswer;
 use badgerferry_lib::relay::state_pull::PullRequest;
 use badgerferry_lib::relay::state_pull::Revisions;
+use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use metrics::counter;
 use rand::seq::IndexedRandom;
@@ -30,8 +33,6 @@
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
-/// Between datagrams where nothing changes; also how long a neighbour's news takes at most.
-const HEARTBEAT: Duration = Duration::from_millis(400);
 /// The same while a long prompt waits here, to which other boxes give way.
 const WAITING_HEARTBEAT: Duration = Duration::from_millis(150);
 /// Shortest time between two datagrams, for each box told: bounds what all boxes spend. What
@@ -158,7 +159,7 @@
                 continue;
             }
         };
-        let datagram = match datagram {
+        let mut datagram = match datagram {
             Ok(datagram) => datagram,
             Err(cause) => {
                 counter!("badgerferry_datagrams_dropped_total", "why" => "malformed").increment(1);
@@ -172,13 +173,13 @@
             &datagram.from,
             datagram.lifetime,
             datagram.sequence,
-            datagram.rows,
+            std::mem::take(&mut datagram.rows),
         );
         if is_newer {
             lock(&relay.long_queue).take_head(now, &datagram.from, datagram.waits);
         }
-        if datagram.follows_store {
-            lock(&relay.followed).neighbour_at = Some(now);
+        if let Some(hall) = note_neighbour(relay, now, &datagram) {
+            lock(&relay.book).heard(now, &hall, &datagram.from);
         }
         let have = relay.revisions();
         if datagram.have.table <= have.table && datagram.have.servers <= have.servers {
@@ -205,6 +206,16 @@
     }
 }
 
+/// Notes what a datagram says of its box; gives back where that stands, if it is known.
+fn note_neighbour(relay: &Relay, now: Time, datagram: &LoadDatagram) -> Option<HallName> {
+    let mut followed = lock(&relay.followed);
+    if datagram.follows_store {
+        followed.neighbour_at = Some(now);
+    }
+    let of = followed.boxes.get(&datagram.from)?;
+    Some(HallName::new(&of.hall))
+}
+
 async fn pull_from_named(relay: &Arc<Relay>, name: &str, have: Revisions) {
     let address = lock(&relay.followed)
         .boxes
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -117,7 +117,8 @@
 
 impl Flight {
     fn new(call: &Arc<Call>, chosen: Chosen) -> Self {
-        lock(&call.relay.book).sent(&chosen.server);
+        let now = call.relay.clock.now();
+        lock(&call.relay.book).sent(now, &chosen.server);
         Self {
             call: Arc::clone(call),
             chosen,
@@ -175,7 +176,8 @@
     };
     let (parts, body) = answer.into_parts();
     let head = headers::read_answer(parts.status, &parts.headers, call.head.id.as_deref());
-    lock(&call.relay.book).answers(&flight.chosen.server);
+    let now = call.relay.clock.now();
+    lock(&call.relay.book).answers(now, &flight.chosen.server);
     if let Some(load) = head.load {
         let told = ToldLoad {
             calls: load.running + load.waiting,
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -26,8 +26,17 @@
 const LONG_PAUSE: Duration = Duration::from_millis(900);
 /// Reading of one part that a long prompt is cut into, where enough engines are free.
 const PART_READ: Duration = Duration::from_millis(300);
+/// Part of the free engines that one prompt takes at most if its parts stay short enough: the
+/// next one need not wait for it then.
+const MOST_OF_FREE: f64 = 0.6;
 /// Longest part that a prompt is sent with; it waits until enough engines are free.
 const LONGEST_PART: Duration = Duration::from_millis(600);
+/// Part of the time until its first event is due that a prompt's reading may take; the rest
+/// covers passes and other reading.
+const READ_PART_OF_TIME: f64 = 0.6;
+/// Longest part of a prompt that has time enough; it is read where nothing is written. Fewer
+/// engines need to be free at once for a large prompt so.
+const LONGEST_PART_ALONE: Duration = Duration::from_millis(2_500);
 /// Reading of one part that a short call is cut into: passes of short streams stay short.
 const SHORT_PART_READ: Duration = Duration::from_millis(50);
 /// Longest part that is read beside long streams: they would pause too long with a larger one.
@@ -118,6 +127,15 @@
     pub memory: u64,
 }
 
+/// What a caller expects of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Aims {
+    /// Until its first event is due.
+    pub due_in: Duration,
+    /// Longest good pause between events, if any is stated.
+    pub pause: Option<Duration>,
+}
+
 /// How a generation runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EnginePlan {
@@ -160,15 +178,15 @@
     model: &EngineModel,
     engines: &[EngineState],
     prompt: &Prompt,
-    pause: Option<Duration>,
+    aims: Aims,
     boxes: usize,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
     if engines.is_empty() {
         return None;
     }
-    if is_long(model, prompt, pause) {
-        plan_long(model, engines, prompt)
+    if is_long(model, prompt, aims.pause) {
+        plan_long(model, engines, prompt, aims.due_in)
     } else {
         Some(plan_short(model, engines, prompt, boxes, rng))
     }
@@ -238,17 +256,15 @@
         .map(|(at, engine)| short_cost(model, engine, prompt, at < lane))
         .collect();
     let mut order: Vec<usize> = (0..engines.len()).collect();
-    order[..lane].shuffle(rng);
-    // The more boxes there are, the older is what each knows, and the fewer engines are weighed:
-    // else all of them would choose the same one.
-    let weighed = (lane * FRESH_BOXES).div_ceil(FRESH_BOXES + boxes).max(2);
-    let candidate = order[..lane].iter().copied().take(weighed);
-    let candidate = candidate.min_by_key(|&at| costs[at]);
     order.sort_by_key(|&at| costs[at]);
-    let cheapest = order[0];
-    let lead = candidate
-        .filter(|&at| costs[at] <= costs[cheapest] + FOREIGN_LANE)
-        .unwrap_or(cheapest);
+    let most = costs[order[0]] + FOREIGN_LANE;
+    let good = |in_lane: bool| {
+        let good = |at: &usize| costs[*at] <= most && (*at < lane || !in_lane);
+        (0..engines.len()).filter(good).collect::<Vec<usize>>()
+    };
+    let lead = draw(&costs, good(true), boxes, rng)
+        .or_else(|| draw(&costs, good(false), boxes, rng))
+        .unwrap_or(order[0]);
     order.retain(|&at| at != lead);
     let helpers = parts_of(read, SHORT_PART_READ).min(MAX_HELPERS + 1) - 1;
     if read > LONG_READ {
@@ -276,7 +292,28 @@
     }
 }
 
-fn plan_long(model: &EngineModel, engines: &[EngineState], prompt: &Prompt) -> Option<EnginePlan> {
+/// The cheapest of those drawn.
+///
+/// The more boxes there are, the older is what each knows, and the fewer engines are drawn: else
+/// all of them would choose the same one.
+fn draw(
+    costs: &[Duration],
+    mut engines: Vec<usize>,
+    boxes: usize,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let drawn = (engines.len() * FRESH_BOXES).div_ceil(FRESH_BOXES + boxes);
+    engines.shuffle(rng);
+    engines.truncate(drawn.max(2));
+    engines.into_iter().min_by_key(|&at| costs[at])
+}
+
+fn plan_long(
+    model: &EngineModel,
+    engines: &[EngineState],
+    prompt: &Prompt,
+    due_in: Duration,
+) -> Option<EnginePlan> {
     let read = model.read(prompt.tokens);
     let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
     let reserve = prompt.memory() > usable;
@@ -284,12 +321,15 @@
     let mut free = free_engines(engines, lane);
     // With reservations the engine that leads is listed among the readers, too.
     let most = MAX_HELPERS + usize::from(!reserve);
-    let least = parts_of(read, LONGEST_PART)
-        .min(engines.len() - lane)
-        .min(most);
-    let wanted = parts_of(read, PART_READ).clamp(least, most);
+    let longest = due_in.mul_f64(READ_PART_OF_TIME);
+    let longest = longest.clamp(LONGEST_PART, LONGEST_PART_ALONE);
+    let least = parts_of(read, longest).min(engines.len() - lane).min(most);
+    let share_of_free = (free.len() as f64 * MOST_OF_FREE) as usize;
+    let wanted = parts_of(read, PART_READ)
+        .min(share_of_free)
+        .clamp(least, most);
     if read / wanted.min(free.len()).max(1) as u32 > LONGEST_BESIDE_STREAMS {
-        free.retain(|&at| engines[at].load.long == 0);
+        free.retain(|&at| engines[at].writers() == 0);
     }
     let chosen = if reserve {
         with_room_for_shares(model, engines, prompt, &free, most)?
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -19,8 +19,9 @@
 
 use crate::time::Time;
 
-/// How long after its objective a prompt waits on, as a multiple of that; then it is refused.
-const LATE_PART_OF_OBJECTIVE: f64 = 1.0;
+/// Part of a caller's time that a prompt waits at most: refused then, its caller can still come
+/// back to another box with time enough.
+const HELD_PART: f64 = 0.45;
 /// Time that reading and writing need at least; a prompt with less left is refused.
 const LEAST_RUN: Duration = Duration::from_secs(2);
 
@@ -45,8 +46,8 @@
     pub read: Duration,
     /// When its first event is due to be on time.
     pub due: Time,
-    /// Its objective, as a length of time.
-    pub objective: Duration,
+    /// When it came.
+    pub arrived: Time,
     /// When its answer must be whole.
     pub deadline: Time,
 }
@@ -54,12 +55,8 @@
 impl Waiting {
     /// When it is given up.
     pub fn given_up_at(&self) -> Time {
-        let late = self.objective.mul_f64(LATE_PART_OF_OBJECTIVE);
-        let last = self
-            .deadline
-            .as_micros()
-            .saturating_sub(LEAST_RUN.as_micros() as u64);
-        (self.due + late).min(Time::from_micros(last))
+        let left = self.deadline.since(self.arrived);
+        self.arrived + left.mul_f64(HELD_PART).min(left.saturating_sub(LEAST_RUN))
     }
 
     fn head(&self, now: Time) -> QueueHead {
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -9,6 +9,7 @@
 pub mod engine_load;
 pub mod engine_plan;
 pub mod event_join;
+pub mod hall_reach;
 pub mod load_datagram;
 pub mod long_queue;
 pub mod retry_window;
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -13,6 +13,7 @@
 use crate::ids::HallName;
 use crate::ids::ServerName;
 use crate::relay::engine_load::EngineKey;
+use crate::relay::hall_reach::HallReach;
 use crate::relay::route_table::ServiceName;
 use crate::relay::server_list::ListedServer;
 use crate::time::Time;
@@ -112,6 +113,7 @@
     records: HashMap<ServerName, ServerRecord>,
     by_service: HashMap<ServiceName, Vec<ServerName>>,
     halls: HashMap<HallName, Breaker>,
+    reach: HallReach,
 }
 
 impl ServerBook {
@@ -184,14 +186,19 @@
     }
 
     fn hall_works(&self, now: Time, hall: &HallName) -> bool {
-        self.halls
-            .get(hall)
-            .is_none_or(|breaker| breaker.admits(now))
+        let breaker = self.halls.get(hall);
+        breaker.is_none_or(|breaker| breaker.admits(now)) && self.reach.admits(now, hall)
+    }
+
+    /// Records that a box of another hall was heard.
+    pub fn heard(&mut self, now: Time, hall: &HallName, from: &str) {
+        self.reach.heard(now, hall, from);
     }
 
     /// Records a call sent there.
-    pub fn sent(&mut self, name: &ServerName) {
+    pub fn sent(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
+            self.reach.sent(now, &record.info.hall);
             record.in_flight += 1;
             record.breaker.on_dispatch();
             self.halls
@@ -202,8 +209,9 @@
     }
 
     /// Records that it answers, though its call may take long: a trial has succeeded.
-    pub fn answers(&mut self, name: &ServerName) {
+    pub fn answers(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
+            self.reach.answered(now, &record.info.hall);
             record.breaker.on_success();
             self.halls
                 .entry(record.info.hall.clone())
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_relay_attempts;
 mod test_relay_engine_plan;
 mod test_relay_event_join;
+mod test_relay_hall_reach;
 mod test_relay_retry_window;
 mod test_relay_state;
 mod test_relay_stop;
--- a/lib/tests/test_relay_engine_plan.rs
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -5,6 +5,7 @@
 use badgerferry_lib::relay::call::Prompt;
 use badgerferry_lib::relay::engine_load::EngineUse;
 use badgerferry_lib::relay::engine_plan;
+use badgerferry_lib::relay::engine_plan::Aims;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
 use badgerferry_lib::relay::engine_plan::EngineState;
@@ -23,6 +24,8 @@
     per_million_pairs_ms: 0.184,
     steps_per_pass: 51,
 };
+/// So little that parts are cut as small as can be waited for.
+const DUE_IN: Duration = Duration::from_millis(500);
 const PATIENT: Option<Duration> = Some(Duration::from_secs(1));
 const SHORT: Option<Duration> = Some(Duration::from_millis(250));
 const MIDDLE: Option<Duration> = Some(Duration::from_millis(600));
@@ -47,7 +50,20 @@
 
 fn plan(engines: &[EngineState], tokens: u64, pause: Option<Duration>) -> Option<EnginePlan> {
     let mut rng = ChaCha8Rng::seed_from_u64(3);
-    engine_plan::plan(&MODEL, engines, &prompt(tokens), pause, 6, &mut rng)
+    let aims = Aims {
+        due_in: DUE_IN,
+        pause,
+    };
+    engine_plan::plan(&MODEL, engines, &prompt(tokens), aims, 6, &mut rng)
+}
+
+fn plan_due(engines: &[EngineState], tokens: u64, due_in: Duration) -> Option<EnginePlan> {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let aims = Aims {
+        due_in,
+        pause: PATIENT,
+    };
+    engine_plan::plan(&MODEL, engines, &prompt(tokens), aims, 6, &mut rng)
 }
 
 fn engines_of(plan: &EnginePlan) -> Vec<usize> {
@@ -201,7 +217,11 @@
         let pause = [SHORT, MIDDLE, PATIENT, None][rng.random_range(0..4)];
         let prompt = prompt(tokens);
         let boxes = rng.random_range(1..400);
-        let found = engine_plan::plan(&MODEL, &engines, &prompt, pause, boxes, &mut rng);
+        let aims = Aims {
+            due_in: Duration::from_millis(rng.random_range(0..5_000)),
+            pause,
+        };
+        let found = engine_plan::plan(&MODEL, &engines, &prompt, aims, boxes, &mut rng);
         let Some(plan) = found else { continue };
 
         let mut used = engines_of(&plan);
@@ -223,3 +243,34 @@
         );
     }
 }
+
+#[test]
+fn a_large_prompt_with_time_starts_on_few_free_engines_and_a_late_one_waits_for_more() {
+    let mut engines = idle(18);
+    for engine in &mut engines[8..] {
+        engine.load.long_reads = 1;
+    }
+
+    let early = plan_due(&engines, 250_000, Duration::from_secs(3));
+    let late = plan_due(&engines, 250_000, Duration::from_millis(500));
+
+    let early = early.expect("seven engines read it in time");
+    assert!(early.parts.iter().all(|part| part.engine < 8));
+    assert!(early.expected < Duration::from_secs(2));
+    assert_eq!(late, None);
+}
+
+#[test]
+fn a_part_that_would_pause_streams_for_long_goes_where_nothing_is_written() {
+    let mut engines = idle(18);
+    for engine in &mut engines[8..] {
+        engine.load.long_reads = 1;
+    }
+    engines[3].load.short = 1;
+    engines[4].load.long = 1;
+
+    let plan = plan_due(&engines, 250_000, Duration::from_secs(3)).expect("five are left");
+
+    let used = engines_of(&plan);
+    assert!(!used.contains(&3) && !used.contains(&4), "{used:?}");
+}
--- /dev/null
+++ b/lib/tests/test_relay_hall_reach.rs
@@ -0,0 +1,83 @@
+//! Which halls can be reached, by what is heard from the boxes there.
+
+use badgerferry_lib::ids::HallName;
+use badgerferry_lib::relay::hall_reach::HallReach;
+use badgerferry_lib::time::Time;
+
+/// When the last datagram of the silent hall came.
+const LAST: u64 = 10_000;
+
+fn hall(name: &str) -> HallName {
+    HallName::new(name)
+}
+
+/// Boxes of both halls are heard every 100 ms, those of hall b until [`LAST`] only.
+fn reach(boxes_there: usize, now_ms: u64) -> HallReach {
+    let mut reach = HallReach::default();
+    for at in (LAST - 1_000..=now_ms).step_by(100) {
+        reach.heard(Time::from_millis(at), &hall("a"), "a1");
+        for number in 0..boxes_there {
+            if at <= LAST {
+                reach.heard(Time::from_millis(at), &hall("b"), &format!("b{number}"));
+            }
+        }
+    }
+    reach
+}
+
+#[test]
+fn a_hall_whose_boxes_are_all_silent_gets_no_calls_until_one_is_heard() {
+    let now = Time::from_millis(LAST + 400);
+    let mut reach = reach(20, LAST + 400);
+
+    assert!(!reach.admits(now, &hall("b")));
+    assert!(reach.admits(now, &hall("a")));
+    reach.heard(now, &hall("b"), "b3");
+    assert!(reach.admits(now, &hall("b")));
+}
+
+#[test]
+fn the_silence_of_few_boxes_says_something_later_than_that_of_many() {
+    let now = Time::from_millis(LAST + 400);
+
+    assert!(reach(2, LAST + 400).admits(now, &hall("b")));
+    assert!(!reach(20, LAST + 400).admits(now, &hall("b")));
+    let later = Time::from_millis(LAST + 700);
+    assert!(!reach(2, LAST + 700).admits(later, &hall("b")));
+}
+
+#[test]
+fn a_hall_whose_servers_answer_is_not_cut_off_though_its_boxes_are_gone() {
+    let now = Time::from_millis(LAST + 400);
+    let mut reach = reach(20, LAST + 400);
+
+    reach.answered(Time::from_millis(LAST + 300), &hall("b"));
+
+    assert!(reach.admits(now, &hall("b")));
+}
+
+#[test]
+fn a_silent_hall_is_tried_by_one_call_now_and_then() {
+    let now = Time::from_millis(LAST + 1_000);
+    let mut reach = reach(20, LAST + 5_000);
+    reach.sent(now, &hall("b"));
+
+    assert!(!reach.admits(Time::from_millis(LAST + 2_000), &hall("b")));
+    assert!(reach.admits(Time::from_millis(LAST + 4_500), &hall("b")));
+}
+
+#[test]
+fn a_box_that_hears_nobody_says_nothing_about_halls() {
+    let now = Time::from_millis(LAST + 3_000);
+    let reach = reach(20, LAST);
+
+    assert!(reach.admits(now, &hall("b")));
+    assert!(reach.admits(now, &hall("a")));
+}
+
+#[test]
+fn a_hall_without_boxes_is_admitted() {
+    let reach = reach(0, LAST);
+
+    assert!(reach.admits(Time::from_millis(LAST), &hall("b")));
+}
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -256,7 +256,7 @@
 fn an_unreachable_server_rests_and_is_tried_again() {
     let mut book = book(&["a", "b"]);
     let a = ServerName::new("a");
-    book.sent(&a);
+    book.sent(Time::ZERO, &a);
     book.ended(Time::ZERO, &a, Evidence::Unreachable);
 
     let at_once = picks(&book, Time::from_millis(10), &[]);
@@ -274,7 +274,7 @@
 
 fn silent(book: &mut ServerBook, name: &str, at: u64) {
     let name = ServerName::new(name);
-    book.sent(&name);
+    book.sent(Time::from_millis(at), &name);
     book.ended(Time::from_millis(at), &name, Evidence::Silent);
 }
 
@@ -292,9 +292,9 @@
     let cut = picks(&book, Time::from_millis(10), &[]);
     let later = Time::from_millis(1_100);
     let usable = book.usable(later, &ServiceName::new("boards"), &[]).len();
-    book.sent(&ServerName::new("b4"));
+    book.sent(later, &ServerName::new("b4"));
     let while_tried = book.usable(later, &ServiceName::new("boards"), &[]).len();
-    book.answers(&ServerName::new("b4"));
+    book.answers(later, &ServerName::new("b4"));
     let after = book.usable(later, &ServiceName::new("boards"), &[]).len();
 
     assert_eq!(cut.keys().collect::<Vec<_>>(), ["a1"]);
@@ -311,7 +311,7 @@
     );
     for (name, at) in [("b1", 1), ("b2", 2), ("b3", 3)] {
         silent(&mut book, name, at);
-        book.answers(&ServerName::new("b4"));
+        book.answers(Time::from_millis(at), &ServerName::new("b4"));
     }
 
     let usable = book.usable(Time::from_millis(10), &ServiceName::new("boards"), &[]);
@@ -323,7 +323,7 @@
 fn where_all_servers_rest_all_are_used() {
     let mut book = book(&["a", "b"]);
     for name in ["a", "b"].map(ServerName::new) {
-        book.sent(&name);
+        book.sent(Time::ZERO, &name);
         book.ended(Time::ZERO, &name, Evidence::Unreachable);
     }
 
@@ -459,7 +459,7 @@
     Waiting {
         read: Duration::from_millis(read_ms),
         due: Time::from_millis(due_ms),
-        objective: Duration::from_secs(3),
+        arrived: Time::ZERO,
         deadline: Time::from_millis(due_ms + 12_000),
     }
 }
