relay: boxes tell each other of servers at fault; prompts without memory wait again

Prompts whose memory was not set aside at one engine were refused at once.

Change: servers named as being at fault are told in the datagrams; a box is believed about its own hall, and by its hall about all. They rest for 3 s, then 6 s where they are named again. A prompt whose memory was not set aside waits again; engines that refuse orders or are silent rest.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -24,6 +24,7 @@
 
 use crate::relay::call::Call;
 use crate::relay::call::NO_SERVER_RETRY;
+use crate::relay::reservations::NotReserved;
 use crate::relay::reservations::Reservations;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -35,6 +36,10 @@
 /// How often a waiting long prompt looks whether engines can read it; a part takes longer.
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
 
+/// Pause after memory was not set aside everywhere; each order has a price, and a stream that
+/// holds memory ends within about a second.
+const RESERVE_AGAIN: Duration = Duration::from_millis(200);
+
 /// Where a try goes.
 #[derive(Debug)]
 pub struct Chosen {
@@ -162,30 +167,37 @@
     model: &EngineModel,
     prompt: &Prompt,
 ) -> Result<Chosen, (RefusalReason, Duration)> {
-    let relay = &call.relay;
-    let started = if engine_plan::is_long(model, prompt, call.route.pause) {
-        wait_for_engines(call, tried, model, prompt).await?
-    } else {
+    if !engine_plan::is_long(model, prompt, call.route.pause) {
         let planned = plan(call, tried, model, prompt);
-        enter(
-            relay,
-            planned.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?,
-        )
-    };
+        let planned = planned.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
+        let started = enter(&call.relay, planned);
+        started.works.changed();
+        return Ok(chosen(call, started, None));
+    }
+    loop {
+        let started = wait_for_engines(call, tried, model, prompt).await?;
+        started.works.changed();
+        if !started.plan.reserve {
+            return Ok(chosen(call, started, None));
+        }
+        // Where an engine sets no memory aside, nothing was sent: the prompt waits again.
+        match reserve(call, &started).await {
+            Ok(reserved) => return Ok(chosen(call, started, Some(reserved))),
+            Err(refused) => note_refused(&call.relay, &refused),
+        }
+        tokio::time::sleep(RESERVE_AGAIN).await;
+    }
+}
+
+fn chosen(call: &Call, started: Started, reservations: Option<Reservations>) -> Chosen {
     let Started {
         addresses,
         plan,
         works,
     } = started;
-    works.changed();
-    let reservations = if plan.reserve {
-        Some(reserve(call, &addresses, &plan).await?)
-    } else {
-        None
-    };
     let readers = readers(&addresses, reservations.as_ref());
     let lead = &addresses[0];
-    Ok(Chosen {
+    Chosen {
         server: lead.server.clone(),
         address: lead.address.clone(),
         readers,
@@ -193,7 +205,19 @@
         expected: plan.expected,
         works,
         _reservations: reservations,
-    })
+    }
+}
+
+/// Engines that take no reservations rest; those that have no room now may have some soon.
+fn note_refused(relay: &Relay, refused: &[(String, NotReserved)]) {
+    let now = relay.clock.now();
+    let mut book = lock(&relay.book);
+    for (address, why) in refused {
+        match why {
+            NotReserved::NoRoom => {}
+            NotReserved::Refused | NotReserved::Silent => book.at_fault(now, address),
+        }
+    }
 }
 
 /// A plan whose work is entered in the load table.
@@ -353,13 +377,11 @@
 
 async fn reserve(
     call: &Arc<Call>,
-    addresses: &[Engine],
-    plan: &EnginePlan,
-) -> Result<Reservations, (RefusalReason, Duration)> {
-    let wanted = addresses.iter().zip(&plan.parts);
-    let wanted = wanted.map(|(address, part)| (address.address.clone(), part.memory));
-    let reserved = Reservations::make(call, wanted.collect()).await;
-    reserved.ok_or((RefusalReason::NoServer, plan.expected.max(NO_SERVER_RETRY)))
+    started: &Started,
+) -> Result<Reservations, Vec<(String, NotReserved)>> {
+    let wanted = started.addresses.iter().zip(&started.plan.parts);
+    let wanted = wanted.map(|(engine, part)| (engine.address.clone(), part.memory));
+    Reservations::make(call, wanted.collect()).await
 }
 
 /// Who reads beside the engine that leads; with reservations, it lists its own first.
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -84,6 +84,7 @@
         let rows = lock(&relay.loads).own_table(now);
         let rows = rows.into_iter().take(MAX_ROWS).collect();
         let waits = lock(&relay.long_queue).head(now);
+        let faults = lock(&relay.book).faults(now);
         sequence += 1;
         let datagram = LoadDatagram {
             version: FRAME_VERSION,
@@ -93,6 +94,7 @@
             have: relay.revisions(),
             follows_store: relay.follows_store(),
             waits,
+            faults,
             rows,
         };
         let bytes = datagram.encode();
@@ -179,7 +181,9 @@
             lock(&relay.long_queue).take_head(now, &datagram.from, datagram.waits);
         }
         if let Some(hall) = note_neighbour(relay, now, &datagram) {
-            lock(&relay.book).heard(now, &hall, &datagram.from);
+            let mut book = lock(&relay.book);
+            book.heard(now, &hall, &datagram.from);
+            book.told_faults(now, &relay.settings.hall, &hall, &datagram.faults);
         }
         let have = relay.revisions();
         if datagram.have.table <= have.table && datagram.have.servers <= have.servers {
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -42,7 +42,14 @@
 
 impl Reservations {
     /// Sets memory aside at each address, or nowhere.
-    pub async fn make(call: &Arc<Call>, wanted: Vec<(String, u64)>) -> Option<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Which engines did not set it aside, and why.
+    pub async fn make(
+        call: &Arc<Call>,
+        wanted: Vec<(String, u64)>,
+    ) -> Result<Self, Vec<(String, NotReserved)>> {
         let id = format!("{:016x}", rand::random::<u64>());
         let hold = HOLD.min(call.relay.settings.longest_hold);
         let addresses = Arc::new(wanted);
@@ -57,18 +64,24 @@
             .iter()
             .map(|(address, tokens)| order(address, orders::reserve(&reserved.id, *tokens, hold)));
         let answers = join_all(orders).await;
-        let refused = answers.iter().filter(|answer| {
-            !matches!(answer, Some(status) if orders::read_reserved(*status) == Reserved::Held)
-        });
-        let refused = refused.count();
+        let refused = answers.into_iter().zip(reserved.addresses.iter());
+        let refused: Vec<(String, NotReserved)> = refused
+            .filter_map(|(answer, (address, _))| Some((address.clone(), not_reserved(answer)?)))
+            .collect();
         tracing::info!(
             call = call.id(),
             reservation = reserved.id,
-            engines = answers.len(),
-            refused,
+            engines = reserved.addresses.len(),
+            refused = refused.len(),
+            first_refused = refused.first().map(|(address, _)| address),
+            why = refused.first().map(|(_, why)| format!("{why:?}")),
             "memory asked for"
         );
-        (refused == 0).then_some(reserved)
+        if refused.is_empty() {
+            Ok(reserved)
+        } else {
+            Err(refused)
+        }
     }
 
     /// Its id, the same at each engine.
@@ -77,6 +90,26 @@
     }
 }
 
+/// Why an engine set no memory aside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotReserved {
+    /// It has no room now.
+    NoRoom,
+    /// It takes no reservations, or none so large.
+    Refused,
+    /// It did not answer.
+    Silent,
+}
+
+fn not_reserved(answer: Option<StatusCode>) -> Option<NotReserved> {
+    match answer.map(orders::read_reserved) {
+        Some(Reserved::Held) => None,
+        Some(Reserved::NoRoom) => Some(NotReserved::NoRoom),
+        Some(Reserved::Impossible) => Some(NotReserved::Refused),
+        None => Some(NotReserved::Silent),
+    }
+}
+
 impl Drop for Reservations {
     fn drop(&mut self) {
         self.renewal.abort();
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -274,7 +274,8 @@
     log_lines::declined(call, &flight.chosen, parts.status, &head);
     if let Some(address) = &head.at_fault {
         let now = call.relay.clock.now();
-        lock(&call.relay.book).unreachable_at(now, address);
+        lock(&call.relay.book).at_fault(now, address);
+        call.relay.long_changed.notify_one();
     }
     if read_whole(body).await.is_some() {
         put_back(call, &flight.chosen.server, connection, after);
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -41,6 +41,8 @@
 const SHORT_PART_READ: Duration = Duration::from_millis(50);
 /// Longest part that is read beside long streams: they would pause too long with a larger one.
 const LONGEST_BESIDE_STREAMS: Duration = Duration::from_millis(650);
+/// What is left of a long part that should be over by its estimate and is not.
+const LATE_PART: Duration = Duration::from_millis(150);
 /// Short streams beside which a long part may be read; more would pause with it.
 const MOST_SHORT_BESIDE: u16 = 2;
 /// Part of an engine's batch that is filled with short calls; the rest is for a burst.
@@ -194,7 +196,11 @@
 
 fn reading_ahead(engine: &EngineState) -> Duration {
     let reading = Duration::from_millis(u64::from(engine.load.reading_ms));
-    reading.mul_f64(engine.pace.max(1.0))
+    let least = match engine.load.long_reads {
+        0 => Duration::ZERO,
+        _ => LATE_PART,
+    };
+    reading.max(least).mul_f64(engine.pace.max(1.0))
 }
 
 /// What is left of the pass that plays now, on average.
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -31,6 +31,8 @@
     pub follows_store: bool,
     /// The long prompt that it would send next, if one waits there.
     pub waits: Option<QueueHead>,
+    /// Servers that others named to it as being at fault lately.
+    pub faults: Vec<EngineKey>,
     /// Its work.
     pub rows: Vec<(EngineKey, EngineUse)>,
 }
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -22,6 +22,16 @@
 const FAILURES: u32 = 2;
 /// How long it rests; then one call tries it.
 const REST: Duration = Duration::from_millis(1_500);
+/// How long a server rests that another server named as being at fault: it leaves, helps as many
+/// as it may, or can't be reached, and each call that names it costs a try.
+const FAULT_REST: Duration = Duration::from_secs(3);
+/// How many times as long it rests at most, where it is named again after each rest: one that
+/// leaves serves on for some seconds.
+const MAX_FAULT_RESTS: u32 = 2;
+/// How long other boxes are told of it; datagrams go several times in that time.
+const FAULT_TOLD: Duration = Duration::from_secs(1);
+/// Servers told of at once; the rest follows when these have been told.
+const MAX_FAULTS_TOLD: usize = 16;
 /// Servers of a hall in a row that stay silent, after which the whole hall rests: then the way
 /// there is cut, and finding it out at each server by itself would delay a call each time.
 const HALL_FAILURES: u32 = 3;
@@ -75,6 +85,10 @@
     pub pace: f64,
     told: Option<ToldLoad>,
     breaker: Breaker,
+    /// When another server last named it as being at fault, to this box.
+    at_fault: Option<Time>,
+    /// Rests after which it was named again.
+    fault_rests: u32,
 }
 
 impl ServerRecord {
@@ -87,6 +101,8 @@
             pace: 1.0,
             told: None,
             breaker: Breaker::Closed,
+            at_fault: None,
+            fault_rests: 0,
         }
     }
 
@@ -95,6 +111,14 @@
         !self.breaker.admits(now)
     }
 
+    fn rest_at_fault(&mut self, now: Time) {
+        if self.breaker.admits(now) {
+            self.fault_rests = (self.fault_rests + 1).min(MAX_FAULT_RESTS);
+        }
+        let rest = FAULT_REST * self.fault_rests.max(1);
+        self.breaker.on_failure(now, 1, rest);
+    }
+
     fn cost(&self, now: Time, hall: &HallName) -> f64 {
         let told = self.told.filter(|told| now.since(told.at) < LOAD_LIFETIME);
         let calls = told.map_or(self.in_flight, |told| told.calls.max(self.in_flight));
@@ -220,14 +244,37 @@
         }
     }
 
-    /// Records that another server can't reach the one at this address.
-    pub fn unreachable_at(&mut self, now: Time, address: &str) {
-        let found = self
-            .records
-            .values_mut()
-            .find(|record| record.info.address == address);
-        if let Some(record) = found {
-            record.breaker.on_failure(now, 1, REST);
+    /// Records that another server named the one at this address as being at fault.
+    pub fn at_fault(&mut self, now: Time, address: &str) {
+        let mut records = self.records.values_mut();
+        if let Some(record) = records.find(|record| record.info.address == address) {
+            record.rest_at_fault(now);
+            record.at_fault = Some(now);
+        }
+    }
+
+    /// Servers that were named to this box lately, for the other boxes.
+    pub fn faults(&self, now: Time) -> Vec<EngineKey> {
+        let told = |record: &&ServerRecord| {
+            let at = record.at_fault;
+            at.is_some_and(|at| now.since(at) < FAULT_TOLD)
+        };
+        let told = self.records.values().filter(told);
+        told.map(|record| record.key)
+            .take(MAX_FAULTS_TOLD)
+            .collect()
+    }
+
+    /// Takes what another box tells of servers at fault.
+    ///
+    /// A box is believed about the servers of its own hall, and by the boxes of its hall about
+    /// all: elsewhere the way that failed for it may be sound.
+    pub fn told_faults(&mut self, now: Time, own: &HallName, from: &HallName, keys: &[EngineKey]) {
+        for record in self.records.values_mut() {
+            let is_believed = from == own || record.info.hall == *from;
+            if is_believed && keys.contains(&record.key) {
+                record.rest_at_fault(now);
+            }
         }
     }
 
@@ -241,6 +288,7 @@
         let failed = match evidence {
             Evidence::Good => {
                 record.breaker.on_success();
+                record.fault_rests = 0;
                 0.0
             }
             Evidence::Bad => {
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -268,6 +268,7 @@
 fn server_in(name: &str, hall: &str) -> ListedServer {
     ListedServer {
         hall: HallName::new(hall),
+        address: format!("{name}:1"),
         ..server(name)
     }
 }
@@ -319,6 +320,71 @@
     assert_eq!(usable.len(), 1);
 }
 
+fn book_of_two_halls() -> ServerBook {
+    let mut book = ServerBook::default();
+    book.set_servers(vec![
+        server_in("a1", "hall-a"),
+        server_in("b1", "hall-b"),
+        server_in("b2", "hall-b"),
+    ]);
+    book
+}
+
+fn usable_names(book: &ServerBook, at: u64) -> Vec<String> {
+    let usable = book.usable(Time::from_millis(at), &ServiceName::new("boards"), &[]);
+    let mut names: Vec<String> = usable.iter().map(|row| row.info.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_server_at_fault_rests_at_the_boxes_that_are_told_of_it() {
+    let (here, there) = (HallName::new("hall-a"), HallName::new("hall-b"));
+    let mut teller = book_of_two_halls();
+    let mut told = book_of_two_halls();
+    let address = teller
+        .get(&ServerName::new("b1"))
+        .expect("known")
+        .info
+        .address
+        .clone();
+
+    teller.at_fault(Time::ZERO, &address);
+    let faults = teller.faults(Time::from_millis(100));
+    told.told_faults(Time::from_millis(100), &here, &there, &faults);
+
+    assert_eq!(usable_names(&told, 200), ["a1", "b2"]);
+    assert_eq!(usable_names(&told, 3_200), ["a1", "b1", "b2"]);
+    assert_eq!(teller.faults(Time::from_millis(1_100)), []);
+}
+
+#[test]
+fn another_halls_box_is_not_believed_about_servers_that_it_reaches_from_afar() {
+    let (here, there) = (HallName::new("hall-a"), HallName::new("hall-b"));
+    let mut book = book_of_two_halls();
+    let far = book.get(&ServerName::new("a1")).expect("known").key;
+
+    book.told_faults(Time::ZERO, &here, &there, &[far]);
+    let from_afar = usable_names(&book, 10);
+    book.told_faults(Time::ZERO, &here, &here, &[far]);
+
+    assert_eq!(from_afar, ["a1", "b1", "b2"]);
+    assert_eq!(usable_names(&book, 10), ["b1", "b2"]);
+}
+
+#[test]
+fn a_server_that_is_named_again_after_its_rest_rests_longer() {
+    let here = HallName::new("hall-a");
+    let mut book = book_of_two_halls();
+    let key = book.get(&ServerName::new("b1")).expect("known").key;
+
+    book.told_faults(Time::ZERO, &here, &here, &[key]);
+    book.told_faults(Time::from_millis(3_500), &here, &here, &[key]);
+
+    assert_eq!(usable_names(&book, 9_000), ["a1", "b2"]);
+    assert_eq!(usable_names(&book, 9_600), ["a1", "b1", "b2"]);
+}
+
 #[test]
 fn where_all_servers_rest_all_are_used() {
     let mut book = book(&["a", "b"]);
@@ -551,6 +617,7 @@
         },
         follows_store: true,
         waits: None,
+        faults: Vec::new(),
         rows,
     }
 }
