--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -13,6 +13,8 @@
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::attempts::Next;
 use badgerferry_lib::relay::attempts::TryEnd;
+use badgerferry_lib::relay::retry_window::RetryRule;
+use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::relay::route_table::Route;
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::ServiceName;
@@ -106,25 +108,25 @@
 
     /// Whether the box's share of the retry budget has a repeat left.
     pub fn has_retry_budget(&self) -> bool {
-        let now = self.relay.clock.now();
-        let boxes = self.relay.boxes();
-        let mut retries = lock(&self.relay.retries);
-        let window = retries.entry(self.service.clone()).or_default();
-        window.has_left(now, &self.relay.settings.retries, boxes)
+        let (now, boxes) = (self.relay.clock.now(), self.relay.boxes());
+        self.with_retries(|window, rule| window.has_left(now, rule, boxes))
     }
 
     /// Takes one repeat from the box's share of the retry budget, if there is one.
     pub fn may_repeat(&self) -> bool {
-        let now = self.relay.clock.now();
-        let boxes = self.relay.boxes();
-        let mut retries = lock(&self.relay.retries);
-        let window = retries.entry(self.service.clone()).or_default();
-        let allowed = window.spend(now, &self.relay.settings.retries, boxes);
+        let (now, boxes) = (self.relay.clock.now(), self.relay.boxes());
+        let allowed = self.with_retries(|window, rule| window.spend(now, rule, boxes));
         if !allowed {
             tracing::info!(call = self.id(), service = %self.service, boxes, "no retry budget left");
         }
         allowed
     }
+
+    fn with_retries<T>(&self, f: impl FnOnce(&mut RetryWindow, &RetryRule) -> T) -> T {
+        let mut retries = lock(&self.relay.retries);
+        let window = retries.entry(self.service.clone()).or_default();
+        f(window, &self.relay.settings.retries)
+    }
 }
 
 /// Answers a call.
@@ -226,11 +228,7 @@
 async fn run(call: Call) -> Response<AnswerBody> {
     let call = Arc::new(call);
     let mut attempts = Attempts::new(call.route.kind.is_repeatable(), call.route.max_attempts);
-    {
-        let mut retries = lock(&call.relay.retries);
-        let window = retries.entry(call.service.clone()).or_default();
-        window.first(call.arrived, &call.relay.settings.retries);
-    }
+    call.with_retries(|window, rule| window.first(call.arrived, rule));
     let mut tried = Vec::new();
     loop {
         let result = match timeout(
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -1,11 +1,9 @@
 //! Callers' connections: accepted, bounded in time and size, and handed to [`super::call`].
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use badgerferry_lib::relay::route_table::CallerLimits;
 use http::HeaderValue;
 use http::Request;
@@ -15,10 +13,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use socket2::Domain;
-use socket2::Protocol;
-use socket2::Socket;
-use socket2::Type;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -29,11 +23,10 @@
 use crate::relay::caller_io::CallHold;
 use crate::relay::caller_io::CallerIo;
 use crate::relay::caller_io::Standing;
+use crate::relay::listener;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
-/// Connections that wait to be accepted; a burst of callers comes at once.
-const BACKLOG: i32 = 1_024;
 /// Bounds before the first route table: the users' usual ones.
 const EARLY_LIMITS: CallerLimits = CallerLimits {
     header_bytes: 16_384,
@@ -45,43 +38,13 @@
 const MIN_READ_BUFFER: usize = 8_192;
 /// How often a connection's timers are looked at.
 const LOOK: Duration = Duration::from_millis(500);
-/// Pause after a failed accept, so that a lack of descriptors does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Listens, also where the process before left connections that wait for their end.
-///
-/// # Errors
-///
-/// The address can't be listened on.
-pub fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let open = || -> std::io::Result<TcpListener> {
-        let socket = Socket::new(
-            Domain::for_address(address),
-            Type::STREAM,
-            Some(Protocol::TCP),
-        )?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(BACKLOG)?;
-        TcpListener::from_std(socket.into())
-    };
-    open().with_context(|| format!("failed to listen on {address}"))
-}
-
-/// Takes connections for ever.
+/// Takes callers' connections for ever.
 pub async fn serve(listener: TcpListener, relay: Arc<Relay>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _peer)) => {
-                tokio::spawn(serve_connection(stream, Arc::clone(&relay)));
-            }
-            Err(cause) => {
-                tracing::warn!(%cause, "a connection could not be accepted");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    listener::serve_each(listener, |stream| {
+        serve_connection(stream, Arc::clone(&relay))
+    })
+    .await;
 }
 
 fn limits(relay: &Relay) -> CallerLimits {
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -14,81 +14,65 @@
 use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::relay::answer_body::AnswerBody;
 use crate::relay::answer_body::Answered;
-use crate::relay::front;
+use crate::relay::listener;
 use crate::relay::state::Relay;
 
 /// Where figures are served; the deploy file names the same port.
 const METRICS_PORT: u16 = 9_464;
 /// Longest that one of these connections lasts.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Answers the balancer for ever: 200 while callers may be sent here.
 pub async fn serve_ready(listener: TcpListener, relay: Arc<Relay>) {
-    loop {
-        let Some(stream) = accept(&listener).await else {
-            continue;
+    serve_page(listener, move || {
+        let (status, text) = if relay.is_ready() {
+            (StatusCode::OK, "ready")
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready")
         };
-        let relay = Arc::clone(&relay);
-        let service = service_fn(move |_req: Request<Incoming>| {
-            let ready = relay.is_ready();
-            let mut answer =
-                Response::new(AnswerBody::whole(if ready { "ready" } else { "not ready" }));
-            if !ready {
-                *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            }
-            std::future::ready(Answered::Ok(answer))
-        });
-        tokio::spawn(async move {
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // The balancer asks again by itself, whatever became of this connection.
-            let _ = timeout(CONNECTION_LIMIT, connection).await;
-        });
-    }
+        let mut answer = Response::new(AnswerBody::whole(text));
+        *answer.status_mut() = status;
+        answer
+    })
+    .await;
 }
 
 /// Serves figures in the Prometheus text format for ever.
 pub async fn serve_metrics(metrics: PrometheusHandle, relay: Arc<Relay>) {
     let address = SocketAddr::new(relay.settings.front.ip(), METRICS_PORT);
-    let listener = match front::listen(address) {
-        Ok(listener) => listener,
+    match listener::listen(address) {
+        Ok(listener) => {
+            let page = move || {
+                set_gauges(&relay);
+                Response::new(AnswerBody::whole(metrics.render()))
+            };
+            serve_page(listener, page).await;
+        }
         Err(cause) => {
             tracing::warn!(%address, cause = format!("{cause:#}"), "figures are not served");
-            return;
         }
-    };
-    loop {
-        let Some(stream) = accept(&listener).await else {
-            continue;
-        };
-        let (metrics, relay) = (metrics.clone(), Arc::clone(&relay));
-        let service = service_fn(move |_req: Request<Incoming>| {
-            set_gauges(&relay);
-            let answer = Response::new(AnswerBody::whole(metrics.render()));
-            std::future::ready(Answered::Ok(answer))
-        });
-        tokio::spawn(async move {
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = timeout(CONNECTION_LIMIT, connection).await;
-        });
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    match listener.accept().await {
-        Ok((stream, _peer)) => Some(stream),
-        Err(cause) => {
-            tracing::warn!(%cause, "a connection could not be accepted");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            None
+/// Gives the same page to whoever connects.
+async fn serve_page(
+    listener: TcpListener,
+    page: impl Fn() -> Response<AnswerBody> + Clone + Send + 'static,
+) {
+    listener::serve_each(listener, |stream| {
+        let page = page.clone();
+        let service =
+            service_fn(move |_req: Request<Incoming>| std::future::ready(Answered::Ok(page())));
+        async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Whoever wants the page asks again, whatever became of this connection.
+            let _ = timeout(CONNECTION_LIMIT, connection).await;
         }
-    }
+    })
+    .await;
 }
 
 fn set_gauges(relay: &Relay) {
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod caller_io;
 mod engines;
 mod front;
+mod listener;
 mod live_stream;
 mod log_lines;
 mod metrics_page;
@@ -40,8 +41,8 @@
         let signals = stop::Signals::take().context("failed to take signals")?;
         let metrics = crate::telemetry::start_metrics()?;
         let relay = Arc::new(state::Relay::new(settings));
-        let front = front::listen(relay.settings.front)?;
-        let ready = front::listen(relay.settings.ready)?;
+        let front = listener::listen(relay.settings.front)?;
+        let ready = listener::listen(relay.settings.ready)?;
         start_control(&relay)?;
         tracing::info!(
             r#box = relay.settings.name,
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -29,7 +29,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-use crate::relay::front;
+use crate::relay::listener;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -61,7 +61,7 @@
 pub async fn bind(settings: &BoxSettings) -> anyhow::Result<Links> {
     let load = UdpSocket::bind(settings.load).await;
     let load = load.with_context(|| format!("failed to take datagrams on {}", settings.load))?;
-    let pull = front::listen(settings.pull)?;
+    let pull = listener::listen(settings.pull)?;
     Ok(Links { load, pull })
 }
 
@@ -301,17 +301,7 @@
 }
 
 async fn answer_pulls(relay: &Arc<Relay>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _peer)) => {
-                tokio::spawn(answer_pull(Arc::clone(relay), stream));
-            }
-            Err(cause) => {
-                tracing::warn!(%cause, "a neighbour's connection could not be accepted");
-                tokio::time::sleep(HEARTBEAT).await;
-            }
-        }
-    }
+    listener::serve_each(listener, |stream| answer_pull(Arc::clone(relay), stream)).await;
 }
 
 async fn answer_pull(relay: Arc<Relay>, mut stream: TcpStream) {
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -16,12 +16,11 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::relay::call::Call;
+use crate::relay::upstream;
 
 /// How long memory is set aside without renewal; what lapses later counts as leaked.
 const HOLD: Duration = Duration::from_secs(3);
@@ -168,20 +167,15 @@
 }
 
 async fn exchange(address: &str, call: EngineCall) -> anyhow::Result<StatusCode> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::spawn(connection);
+    let mut connection = upstream::connect(address).await?;
     let request = Request::builder()
         .method(call.method)
         .uri(call.path)
         .header(http::header::HOST, address)
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(call.body)))?;
-    let answer = sender.send_request(request).await?;
+    let answer = connection.send(request).await?;
     let status = answer.status();
     answer.into_body().collect().await?;
-    task.abort();
     Ok(status)
 }
--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -57,6 +57,28 @@
     task: AbortHandle,
 }
 
+impl Connection {
+    /// Sends a request once and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] only where no byte was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let sender = self.sender.as_mut();
+        let sender = sender.ok_or_else(|| SendError::NotSent("closed".to_owned()))?;
+        match sender.try_send_request(request).await {
+            Ok(answer) => Ok(answer),
+            Err(mut unsent) => match unsent.take_message() {
+                Some(_request) => Err(SendError::NotSent(unsent.into_error().to_string())),
+                None => Err(SendError::Lost(unsent.into_error().to_string())),
+            },
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -105,15 +127,8 @@
             Some(connection) => connection,
             None => connect(address).await?,
         };
-        let sender = connection.sender.as_mut();
-        let sender = sender.ok_or_else(|| SendError::NotSent("closed".to_owned()))?;
-        match sender.try_send_request(request).await {
-            Ok(answer) => Ok((answer, connection)),
-            Err(mut unsent) => match unsent.take_message() {
-                Some(_request) => Err(SendError::NotSent(unsent.into_error().to_string())),
-                None => Err(SendError::Lost(unsent.into_error().to_string())),
-            },
-        }
+        let answer = connection.send(request).await?;
+        Ok((answer, connection))
     }
 
     fn take(&self, server: &ServerName) -> Option<Connection> {
@@ -163,7 +178,12 @@
     }
 }
 
-async fn connect(address: &str) -> Result<Connection, SendError> {
+/// Opens a connection.
+///
+/// # Errors
+///
+/// It is refused, or nobody answers.
+pub async fn connect(address: &str) -> Result<Connection, SendError> {
     let not_sent = |cause: &dyn std::fmt::Display| SendError::NotSent(cause.to_string());
     let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -77,8 +77,6 @@
     pub step_ms: f64,
     /// What each call that writes adds to a step, in milliseconds.
     pub per_writer_ms: f64,
-    /// What each thousand tokens of their context add to a step, in milliseconds.
-    pub per_kilo_context_ms: f64,
     /// Prompt tokens read in a millisecond.
     pub read_per_ms: f64,
     /// What a million pairs of a token and an earlier one add, in milliseconds.
--- a/lib/src/relay/route_table.rs
+++ b/lib/src/relay/route_table.rs
@@ -58,8 +58,6 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one server takes from all boxes together.
-    pub max_connections: u32,
     /// How its servers generate, where they are model engines.
     pub engine: Option<EngineModel>,
 }
--- a/lib/tests/test_relay_engine_plan.rs
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -19,7 +19,6 @@
     memory: 315_000,
     step_ms: 0.85,
     per_writer_ms: 0.004_25,
-    per_kilo_context_ms: 0.002_85,
     read_per_ms: 177.0,
     per_million_pairs_ms: 0.184,
     steps_per_pass: 51,
