--- /dev/null
+++ b/daemon/tests/test_relay_reservations.rs
@@ -0,0 +1,77 @@
+//! Memory set aside at engines for prompts larger than one of them.
+
+use std::time::Duration;
+
+use badgerferry_standin::caller::Answer;
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::call;
+use badgerferry_standin::relay_box::World;
+use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Server;
+
+/// A box and engines of 100,000 tokens each; one is kept for short calls.
+async fn engines(count: usize) -> anyhow::Result<(World, Vec<Server>)> {
+    let world = World::start(1).await?;
+    let mut engines = Vec::new();
+    for at in 0..count {
+        let name = format!("e-{at}");
+        let engine = Server::start(&name, "engines", Duration::from_millis(5)).await?;
+        world.store.put(&engine.key(), &engine.entry("ready"));
+        world.relay.wait_line(&["server entry", &name]).await?;
+        engines.push(engine);
+    }
+    Ok((world, engines))
+}
+
+/// Asks for a prompt that three engines hold together.
+async fn ask(world: &World) -> anyhow::Result<Answer> {
+    let tokens = "Badgerferry-Token-Counts: 250000,100\r\n";
+    let text = call("POST", "/long/stream", "id-1", tokens, "").replace("Ms: 5000", "Ms: 20000");
+    let mut caller = Caller::connect(world.relay.front()).await?;
+    caller.send(&text).await?;
+    caller.answer().await
+}
+
+fn orders(engine: &Server, operation: &str) -> Vec<String> {
+    let orders = engine.orders();
+    let orders = orders
+        .iter()
+        .filter(|order| order["operation"] == operation);
+    orders.map(|order| order["id"].to_string()).collect()
+}
+
+fn reserved_is_released(engines: &[Server]) -> bool {
+    engines.iter().all(|engine| {
+        let released = orders(engine, "release");
+        let reserved = orders(engine, "reserve");
+        reserved.iter().all(|id| released.contains(id))
+    })
+}
+
+#[tokio::test]
+async fn memory_is_given_back_where_its_call_ends() -> anyhow::Result<()> {
+    let (world, engines) = engines(4).await?;
+
+    let answer = ask(&world).await?;
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let holders = engines.iter().filter(|engine| !engine.orders().is_empty());
+    assert_eq!(holders.count(), 3);
+    wait_until(|| reserved_is_released(&engines)).await
+}
+
+#[tokio::test]
+async fn a_prompt_whose_memory_is_not_set_aside_everywhere_waits_and_is_read_later()
+-> anyhow::Result<()> {
+    let (world, engines) = engines(4).await?;
+    for engine in &engines {
+        engine.refuse_reservations(1);
+    }
+
+    let answer = ask(&world).await?;
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let ran: usize = engines.iter().map(|engine| engine.seen().len()).sum();
+    assert_eq!(ran, 1);
+    wait_until(|| reserved_is_released(&engines)).await
+}
