relay: no pace of engines, which nothing ever set

The pace stood at 1 in every record and multiplied estimates. Tried in its place, and reverted: learning it from the first events of calls that one engine read alone (weight 0.3, forgotten in 3 s, at most 6). Engines' own reports name their pace, at the price of a probe each; not tried.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -252,7 +252,6 @@
         load: table.get(&record.key).copied().unwrap_or_default(),
         near: record.info.hall == relay.settings.hall,
         preference: relay.preference(record.key),
-        pace: record.pace,
     };
     let states: Vec<EngineState> = usable.iter().map(state).collect();
     let rng = &mut rand::rng();
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -110,8 +110,6 @@
     pub near: bool,
     /// Rank in this box's own order, so that boxes which choose at once choose apart.
     pub preference: u32,
-    /// How many times slower than stated it is; 1 where nothing else is known.
-    pub pace: f64,
 }
 
 /// One engine's part of a plan.
@@ -198,14 +196,14 @@
         0 => Duration::ZERO,
         _ => LATE_PART,
     };
-    reading.max(least).mul_f64(engine.pace.max(1.0))
+    reading.max(least)
 }
 
 /// What is left of the pass that plays now, on average.
 fn residual(model: &EngineModel, engine: &EngineState) -> Duration {
     match engine.writers() {
         0 => Duration::ZERO,
-        writers => model.pass(writers).mul_f64(engine.pace.max(1.0)) / 2,
+        writers => model.pass(writers) / 2,
     }
 }
 
@@ -234,7 +232,7 @@
     in_lane: bool,
 ) -> Duration {
     let writers = engine.writers();
-    let mut cost = wait(model, engine) + model.pass(writers + 1).mul_f64(engine.pace.max(1.0));
+    let mut cost = wait(model, engine) + model.pass(writers + 1);
     if !in_lane {
         cost += FOREIGN_LANE;
     }
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -81,8 +81,6 @@
     pub in_flight: u32,
     /// Share of recent own calls that failed, from 0 to 1.
     pub failing: f64,
-    /// How many times slower than its engine model it is.
-    pub pace: f64,
     told: Option<ToldLoad>,
     breaker: Breaker,
     /// When another server last named it as being at fault, to this box.
@@ -98,7 +96,6 @@
             info,
             in_flight: 0,
             failing: 0.0,
-            pace: 1.0,
             told: None,
             breaker: Breaker::Closed,
             at_fault: None,
--- a/lib/tests/test_relay_engine_plan.rs
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -35,7 +35,6 @@
             load: EngineUse::default(),
             near: true,
             preference: at as u32,
-            pace: 1.0,
         })
         .collect()
 }
@@ -210,7 +209,6 @@
                 long: rng.random_range(0..4),
                 memory_k: rng.random_range(0..320),
             };
-            engine.pace = rng.random_range(0.5..8.0);
         }
         let tokens = rng.random_range(1..1_000_000);
         let pause = [SHORT, MIDDLE, PATIENT, None][rng.random_range(0..4)];
