relay: lines for silent halls, told faults and waiting; a box's own hall is never silent

What a box comes to believe by its neighbours had no line: a hall that falls silent or is heard again, a server at fault by another's word. The line of a routed call gains how long it waited in the order over all boxes. By reading: a box whose neighbours in its own hall were all dead could have taken that hall for cut off, if it sent few calls there; its own hall is left out now, and hearing it says that the box itself is not cut off from boxes.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -53,6 +53,8 @@
     pub rank: Option<u8>,
     /// Expected time to the first event.
     pub expected: Duration,
+    /// How long the call waited for engines, in the order over all boxes.
+    pub waited: Duration,
     /// Own work entered in the load table, until dropped.
     works: Works,
     /// Memory set aside, until dropped.
@@ -152,6 +154,7 @@
         readers: Vec::new(),
         rank: None,
         expected: PLAIN_EXPECTED,
+        waited: Duration::ZERO,
         works: Works {
             relay: Arc::clone(relay),
             ids: Vec::new(),
@@ -172,24 +175,31 @@
         let planned = planned.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
         let started = enter(&call.relay, planned);
         started.works.changed();
-        return Ok(chosen(call, started, None));
+        return Ok(chosen(call, started, None, Duration::ZERO));
     }
+    let since = call.relay.clock.now();
     loop {
         let started = wait_for_engines(call, tried, model, prompt).await?;
+        let waited = call.relay.clock.now().since(since);
         started.works.changed();
         if !started.plan.reserve {
-            return Ok(chosen(call, started, None));
+            return Ok(chosen(call, started, None, waited));
         }
         // Where an engine sets no memory aside, nothing was sent: the prompt waits again.
         match reserve(call, &started).await {
-            Ok(reserved) => return Ok(chosen(call, started, Some(reserved))),
+            Ok(reserved) => return Ok(chosen(call, started, Some(reserved), waited)),
             Err(refused) => note_refused(&call.relay, &refused),
         }
         tokio::time::sleep(RESERVE_AGAIN).await;
     }
 }
 
-fn chosen(call: &Call, started: Started, reservations: Option<Reservations>) -> Chosen {
+fn chosen(
+    call: &Call,
+    started: Started,
+    reservations: Option<Reservations>,
+    waited: Duration,
+) -> Chosen {
     let Started {
         addresses,
         plan,
@@ -203,6 +213,7 @@
         readers,
         rank: Some(call.priority.min(LAST_RANK)),
         expected: plan.expected,
+        waited,
         works,
         _reservations: reservations,
     }
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -67,6 +67,7 @@
         readers = chosen.readers.len(),
         read_at = chosen.read_at(),
         tokens = call.head.prompt.map(|prompt| prompt.tokens),
+        waited_ms = chosen.waited.as_millis() as u64,
         expected_ms = chosen.expected.as_millis() as u64,
         left_ms = call.time_left().as_millis() as u64,
         "call routed"
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -81,6 +81,7 @@
     loop {
         let now = relay.clock.now();
         end_holds(relay);
+        log_reach(relay);
         let rows = lock(&relay.loads).own_table(now);
         let rows = rows.into_iter().take(MAX_ROWS).collect();
         let waits = lock(&relay.long_queue).head(now);
@@ -139,6 +140,19 @@
     }
 }
 
+fn log_reach(relay: &Relay) {
+    let now = relay.clock.now();
+    for change in lock(&relay.book).take_reach_changes(now) {
+        let heard_ms = change.heard_ago.as_millis() as u64;
+        let answered_ms = change.answered_ago.as_millis() as u64;
+        if change.is_silent {
+            tracing::warn!(hall = %change.hall, heard_ms, answered_ms, "hall silent");
+        } else {
+            tracing::info!(hall = %change.hall, heard_ms, answered_ms, "hall heard again");
+        }
+    }
+}
+
 fn others(relay: &Relay) -> Vec<SocketAddr> {
     let followed = lock(&relay.followed);
     let others = followed.boxes.values();
@@ -182,8 +196,13 @@
         }
         if let Some(hall) = note_neighbour(relay, now, &datagram) {
             let mut book = lock(&relay.book);
-            book.heard(now, &hall, &datagram.from);
-            book.told_faults(now, &relay.settings.hall, &hall, &datagram.faults);
+            let own = &relay.settings.hall;
+            book.heard(now, own, &hall, &datagram.from);
+            let resting = book.told_faults(now, own, &hall, &datagram.faults);
+            drop(book);
+            for server in resting {
+                tracing::info!(%server, from = datagram.from, "server at fault, by a neighbour");
+            }
         }
         let have = relay.revisions();
         if datagram.have.table <= have.table && datagram.have.servers <= have.servers {
--- a/lib/src/relay/hall_reach.rs
+++ b/lib/src/relay/hall_reach.rs
@@ -31,6 +31,21 @@
     answered: Time,
     /// When a call may try it although it is silent.
     next_trial: Time,
+    /// Whether it was silent when that was last asked for.
+    was_silent: bool,
+}
+
+/// A hall that fell silent, or is heard again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReachChange {
+    /// The hall.
+    pub hall: HallName,
+    /// Whether it is silent now.
+    pub is_silent: bool,
+    /// How long ago its boxes were last heard.
+    pub heard_ago: Duration,
+    /// How long ago a server there last answered.
+    pub answered_ago: Duration,
 }
 
 impl Reach {
@@ -53,10 +68,17 @@
 #[derive(Debug, Default)]
 pub struct HallReach {
     halls: HashMap<HallName, Reach>,
+    /// When another box of this box's own hall was last heard; that hall is never cut off.
+    near: Option<Time>,
 }
 
 impl HallReach {
-    /// Records a datagram of a box.
+    /// Records a datagram of another box of the same hall.
+    pub fn heard_near(&mut self, now: Time) {
+        self.near = Some(now);
+    }
+
+    /// Records a datagram of a box of another hall.
     pub fn heard(&mut self, now: Time, hall: &HallName, from: &str) {
         let reach = self.of(hall);
         reach.heard = now;
@@ -87,7 +109,32 @@
         !self.is_silent(now, hall) || trial.is_some_and(|trial| now >= trial)
     }
 
+    /// What changed since this was last asked for.
+    pub fn take_changes(&mut self, now: Time) -> Vec<ReachChange> {
+        let silent: Vec<bool> = self
+            .halls
+            .keys()
+            .map(|hall| self.is_silent(now, hall))
+            .collect();
+        let rows = self.halls.iter_mut().zip(silent);
+        let changed = rows.filter(|((_, reach), is_silent)| reach.was_silent != *is_silent);
+        let change = |((hall, reach), is_silent): ((&HallName, &mut Reach), bool)| {
+            reach.was_silent = is_silent;
+            ReachChange {
+                hall: hall.clone(),
+                is_silent,
+                heard_ago: now.since(reach.heard),
+                answered_ago: now.since(reach.answered),
+            }
+        };
+        changed.map(change).collect()
+    }
+
     fn is_silent(&self, now: Time, hall: &HallName) -> bool {
+        let hears_near = || {
+            let lately = |near: Time| now.since(near) <= SILENCE + HEARTBEAT * 2;
+            self.near.is_some_and(lately)
+        };
         let hears_others = || {
             let others = self.halls.iter().filter(|(name, _)| *name != hall);
             others.into_iter().any(|(_, reach)| {
@@ -95,7 +142,7 @@
             })
         };
         let reach = self.halls.get(hall);
-        reach.is_some_and(|reach| reach.is_silent(now)) && hears_others()
+        reach.is_some_and(|reach| reach.is_silent(now)) && (hears_near() || hears_others())
     }
 
     fn of(&mut self, hall: &HallName) -> &mut Reach {
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -14,6 +14,7 @@
 use crate::ids::ServerName;
 use crate::relay::engine_load::EngineKey;
 use crate::relay::hall_reach::HallReach;
+use crate::relay::hall_reach::ReachChange;
 use crate::relay::route_table::ServiceName;
 use crate::relay::server_list::ListedServer;
 use crate::time::Time;
@@ -211,9 +212,18 @@
         breaker.is_none_or(|breaker| breaker.admits(now)) && self.reach.admits(now, hall)
     }
 
-    /// Records that a box of another hall was heard.
-    pub fn heard(&mut self, now: Time, hall: &HallName, from: &str) {
-        self.reach.heard(now, hall, from);
+    /// Halls that fell silent or are heard again since this was last asked for.
+    pub fn take_reach_changes(&mut self, now: Time) -> Vec<ReachChange> {
+        self.reach.take_changes(now)
+    }
+
+    /// Records that a box was heard; `own` is this box's hall.
+    pub fn heard(&mut self, now: Time, own: &HallName, hall: &HallName, from: &str) {
+        if hall == own {
+            self.reach.heard_near(now);
+        } else {
+            self.reach.heard(now, hall, from);
+        }
     }
 
     /// Records a call sent there.
@@ -265,14 +275,28 @@
     /// Takes what another box tells of servers at fault.
     ///
     /// A box is believed about the servers of its own hall, and by the boxes of its hall about
-    /// all: elsewhere the way that failed for it may be sound.
-    pub fn told_faults(&mut self, now: Time, own: &HallName, from: &HallName, keys: &[EngineKey]) {
+    /// all: elsewhere the way that failed for it may be sound. Gives back those that rest from now.
+    pub fn told_faults(
+        &mut self,
+        now: Time,
+        own: &HallName,
+        from: &HallName,
+        keys: &[EngineKey],
+    ) -> Vec<ServerName> {
+        let mut resting = Vec::new();
+        if keys.is_empty() {
+            return resting;
+        }
         for record in self.records.values_mut() {
             let is_believed = from == own || record.info.hall == *from;
             if is_believed && keys.contains(&record.key) {
+                if !record.rests(now) {
+                    resting.push(record.info.name.clone());
+                }
                 record.rest_at_fault(now);
             }
         }
+        resting
     }
 
     /// Records the end of a call sent there.
--- a/lib/tests/test_relay_hall_reach.rs
+++ b/lib/tests/test_relay_hall_reach.rs
@@ -81,3 +81,42 @@
 
     assert!(reach.admits(Time::from_millis(LAST), &hall("b")));
 }
+
+#[test]
+fn a_halls_silence_and_return_are_told_once_each() {
+    let silent_at = Time::from_millis(LAST + 400);
+    let mut reach = reach(20, LAST + 400);
+
+    let fell_silent = reach.take_changes(silent_at);
+    let still_silent = reach.take_changes(silent_at);
+    reach.heard(silent_at, &hall("b"), "b3");
+    let returned = reach.take_changes(silent_at);
+
+    assert_eq!(fell_silent.len(), 1);
+    assert!(fell_silent[0].is_silent && fell_silent[0].hall == hall("b"));
+    assert_eq!(still_silent, []);
+    assert_eq!(returned.len(), 1);
+    assert!(!returned[0].is_silent);
+}
+
+#[test]
+fn a_box_that_hears_its_own_hall_only_knows_that_it_is_cut_off() {
+    let now = Time::from_millis(LAST + 3_000);
+    let mut reach = reach(20, LAST);
+
+    reach.heard_near(now);
+
+    assert!(!reach.admits(now, &hall("a")));
+    assert!(!reach.admits(now, &hall("b")));
+}
+
+#[test]
+fn a_boxs_own_hall_is_never_silent() {
+    let now = Time::from_millis(LAST + 3_000);
+    let mut reach = HallReach::default();
+    reach.heard_near(Time::from_millis(LAST));
+    reach.heard(now, &hall("b"), "b1");
+
+    assert!(reach.admits(now, &hall("own")));
+    assert!(reach.admits(now, &hall("b")));
+}
