relay: a datagram always fits into a packet; figures for waiting prompts

A datagram that was too long was counted as dropped and sent all the same, and the new fields made that likelier. Rows are left out until it fits, and counted.

--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -54,6 +54,10 @@
 
 /// A server was chosen.
 pub fn routed(call: &Call, attempts: &Attempts, chosen: &Chosen) {
+    if !chosen.waited.is_zero() {
+        histogram!("badgerferry_relay_engine_wait_seconds", "service" => call.service.to_string())
+            .record(chosen.waited.as_secs_f64());
+    }
     if attempts.sent() == 0 && !may_write_good_line() {
         return;
     }
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -20,6 +20,7 @@
 use crate::relay::answer_body::Answered;
 use crate::relay::listener;
 use crate::relay::state::Relay;
+use crate::traffic::lock;
 
 /// Where figures are served; the deploy file names the same port.
 const METRICS_PORT: u16 = 9_464;
@@ -85,6 +86,7 @@
     gauge!("badgerferry_routes_version").set(version as f64);
     gauge!("badgerferry_routes_revision").set(revisions.table as f64);
     gauge!("badgerferry_servers_revision").set(revisions.servers as f64);
+    gauge!("badgerferry_long_prompts_waiting").set(lock(&relay.long_queue).len() as f64);
     gauge!("badgerferry_boxes_known").set(relay.boxes() as f64);
     gauge!("badgerferry_ready").set(f64::from(u8::from(relay.is_ready())));
     let in_flight = relay.in_flight.load(std::sync::atomic::Ordering::SeqCst);
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -10,7 +10,6 @@
 use badgerferry_lib::relay::hall_reach::HEARTBEAT;
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
-use badgerferry_lib::relay::load_datagram::MAX_ROWS;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
 use badgerferry_lib::relay::state_pull::MAX_FRAME_BYTES;
 use badgerferry_lib::relay::state_pull::PullAnswer;
@@ -83,11 +82,10 @@
         end_holds(relay);
         log_reach(relay);
         let rows = lock(&relay.loads).own_table(now);
-        let rows = rows.into_iter().take(MAX_ROWS).collect();
         let waits = lock(&relay.long_queue).head(now);
         let faults = lock(&relay.book).faults(now);
         sequence += 1;
-        let datagram = LoadDatagram {
+        let mut datagram = LoadDatagram {
             version: FRAME_VERSION,
             from: relay.settings.name.clone(),
             lifetime: relay.lifetime,
@@ -96,12 +94,11 @@
             follows_store: relay.follows_store(),
             waits,
             faults,
-            rows,
+            rows: rows.into_iter().collect(),
         };
+        let left_out = datagram.fit();
+        counter!("badgerferry_load_rows_left_out_total").increment(left_out as u64);
         let bytes = datagram.encode();
-        if bytes.len() > MAX_DATAGRAM_BYTES {
-            counter!("badgerferry_datagrams_dropped_total", "why" => "too_long").increment(1);
-        }
         let others = others(relay);
         for address in &others {
             if let Err(cause) = socket.send_to(&bytes, address).await {
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -11,8 +11,6 @@
 
 /// Largest datagram; stays under the usual packet size.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
-/// Engines told of in one datagram; a row takes at most about 18 bytes.
-pub const MAX_ROWS: usize = 70;
 
 /// A box's own work at the engines, and which state it has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +56,16 @@
         postcard::to_stdvec(self).expect("a datagram can be encoded")
     }
 
+    /// Leaves out rows until it fits into a packet; gives back how many.
+    pub fn fit(&mut self) -> usize {
+        let before = self.rows.len();
+        while self.encode().len() > MAX_DATAGRAM_BYTES && !self.rows.is_empty() {
+            let most = self.rows.len() * 4 / 5;
+            self.rows.truncate(most);
+        }
+        before - self.rows.len()
+    }
+
     /// Decodes one.
     ///
     /// # Errors
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -14,6 +14,7 @@
 use badgerferry_lib::relay::engine_load::Work;
 use badgerferry_lib::relay::load_datagram::BadDatagram;
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
+use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
 use badgerferry_lib::relay::long_queue::LongQueue;
 use badgerferry_lib::relay::long_queue::Turn;
 use badgerferry_lib::relay::long_queue::Waiting;
@@ -622,6 +623,31 @@
     }
 }
 
+#[test]
+fn a_datagram_leaves_out_what_does_not_fit_into_a_packet() {
+    let row = |key| {
+        let row = EngineUse {
+            reading_ms: u32::MAX,
+            long_reads: u16::MAX,
+            short: u16::MAX,
+            long: u16::MAX,
+            memory_k: u32::MAX,
+        };
+        (EngineKey(u32::MAX - key), row)
+    };
+    let mut large = datagram((0..300).map(row).collect());
+    large.faults = (0..16).map(|key| EngineKey(u32::MAX - key)).collect();
+    let mut small = datagram((0..5).map(row).collect());
+
+    let (left_out, none) = (large.fit(), small.fit());
+
+    assert!(large.encode().len() <= MAX_DATAGRAM_BYTES);
+    assert_eq!(LoadDatagram::decode(&large.encode()), Ok(large.clone()));
+    assert_eq!(left_out + large.rows.len(), 300);
+    assert!(large.rows.len() > 30, "{}", large.rows.len());
+    assert_eq!(none, 0);
+}
+
 #[test]
 fn a_datagram_of_another_version_is_dropped() {
     let mut bytes = datagram(Vec::new()).encode();
