relay: a prompt that is late already may be read in large parts

Cause: a prompt past its objective had to be read in parts of 600 ms, so one of 300,000 tokens or more needed sixteen free engines at once although it had nothing to be on time for; it was refused, came back and was refused again, each at a part of its credit.

Now it may be read in parts of 2.5 s where nothing is written, when nothing else waits.

--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -323,8 +323,13 @@
     let mut free = free_engines(engines, lane);
     // With reservations the engine that leads is listed among the readers, too.
     let most = MAX_HELPERS + usize::from(!reserve);
-    let longest = due_in.mul_f64(READ_PART_OF_TIME);
-    let longest = longest.clamp(LONGEST_PART, LONGEST_PART_ALONE);
+    let longest = match due_in {
+        // Late already, it goes when nothing else waits: it only has to be read at all.
+        Duration::ZERO => LONGEST_PART_ALONE,
+        due_in => due_in
+            .mul_f64(READ_PART_OF_TIME)
+            .clamp(LONGEST_PART, LONGEST_PART_ALONE),
+    };
     let least = parts_of(read, longest).min(engines.len() - lane).min(most);
     let share_of_free = (free.len() as f64 * MOST_OF_FREE) as usize;
     let wanted = parts_of(read, PART_READ)
--- a/lib/tests/test_relay_engine_plan.rs
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -242,7 +242,7 @@
 }
 
 #[test]
-fn a_large_prompt_with_time_starts_on_few_free_engines_and_a_late_one_waits_for_more() {
+fn a_large_prompt_starts_on_few_free_engines_unless_it_needs_more_to_be_on_time() {
     let mut engines = idle(18);
     for engine in &mut engines[8..] {
         engine.load.long_reads = 1;
@@ -250,11 +250,13 @@
 
     let early = plan_due(&engines, 250_000, Duration::from_secs(3));
     let late = plan_due(&engines, 250_000, Duration::from_millis(500));
+    let past = plan_due(&engines, 250_000, Duration::ZERO);
 
     let early = early.expect("seven engines read it in time");
     assert!(early.parts.iter().all(|part| part.engine < 8));
     assert!(early.expected < Duration::from_secs(2));
     assert_eq!(late, None);
+    assert!(past.is_some(), "it can only be read late, on what is free");
 }
 
 #[test]
