relay: a box that is behind is told only what changed, and boxes only when it asks

While servers enter themselves, every box pulls several times a second, and each pull carried all servers and all boxes; a revision that the store raised for any reason made all boxes pull again; a box that follows the store copied its whole server list for each entry of a watch.

Change: a list remembers the last 2,000 changes, and a box that is behind gets what changed since its revision, or everything where that is not remembered. Revisions rise with servers' entries only. Boxes' addresses go along when the asking box heard one that it does not know, or knows hardly any. 150 ms between pulls; the list is shown to traffic once for a watch's answer.

--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -10,6 +10,7 @@
 use badgerferry_lib::relay::hall_reach::HEARTBEAT;
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
+use badgerferry_lib::relay::server_list::ServerNews;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
 use badgerferry_lib::relay::state_pull::MAX_FRAME_BYTES;
 use badgerferry_lib::relay::state_pull::PullAnswer;
@@ -40,6 +41,10 @@
 const PAUSE_PER_BOX: Duration = Duration::from_millis(1);
 /// A box is behind when a neighbour had newer state for this long; the watch is faster mostly.
 const BEHIND: Duration = Duration::from_millis(250);
+/// Between two pulls: changes that come together are fetched by one.
+const PULL_PAUSE: Duration = Duration::from_millis(150);
+/// Between two pulls that ask for boxes: the one that was heard may be known nowhere yet.
+const BOXES_PAUSE: Duration = Duration::from_secs(1);
 /// Between pulls while nothing is known.
 const START_PULL: Duration = Duration::from_millis(400);
 /// Longest pull: a neighbour answers in milliseconds, or another one is asked.
@@ -202,7 +207,8 @@
             }
         }
         let have = relay.revisions();
-        if datagram.have.table <= have.table && datagram.have.servers <= have.servers {
+        let lacks_state = datagram.have.table > have.table || datagram.have.servers > have.servers;
+        if !lacks_state && !wants_boxes(relay) {
             behind.clear();
             continue;
         }
@@ -221,6 +227,7 @@
             let relay = Arc::clone(relay);
             pulling = Some(tokio::spawn(async move {
                 pull_from_named(&relay, &datagram.from, have).await;
+                tokio::time::sleep(PULL_PAUSE).await;
             }));
         }
     }
@@ -232,15 +239,36 @@
     if datagram.follows_store {
         followed.neighbour_at = Some(now);
     }
-    let of = followed.boxes.get(&datagram.from)?;
-    Some(HallName::new(&of.hall))
+    let hall = followed.boxes.get(&datagram.from);
+    let hall = hall.map(|of| HallName::new(&of.hall));
+    followed.heard_unknown |= hall.is_none();
+    hall
 }
 
+/// Whether this box lacks addresses of others, and has not asked for them just now.
+fn wants_boxes(relay: &Relay) -> bool {
+    let now = relay.clock.now();
+    let followed = lock(&relay.followed);
+    let asked_lately = followed
+        .boxes_asked
+        .is_some_and(|at| now.since(at) < BOXES_PAUSE);
+    (followed.heard_unknown || followed.boxes.len() < 2) && !asked_lately
+}
+
+/// Pulls from a box, or from any other one if its address is not known.
 async fn pull_from_named(relay: &Arc<Relay>, name: &str, have: Revisions) {
-    let address = lock(&relay.followed)
-        .boxes
-        .get(name)
-        .map(|of| of.pull.clone());
+    let address = {
+        let followed = lock(&relay.followed);
+        let named = followed.boxes.get(name).map(|of| of.pull.clone());
+        named.or_else(|| {
+            let others = followed.boxes.values();
+            let others = others.filter(|of| of.name != relay.settings.name);
+            let others: Vec<&str> = others.map(|of| of.pull.as_str()).collect();
+            others
+                .choose(&mut rand::rng())
+                .map(|&address| address.to_owned())
+        })
+    };
     let Some(address) = address.and_then(|address| address.parse().ok()) else {
         return;
     };
@@ -269,7 +297,17 @@
 }
 
 async fn pull(relay: &Arc<Relay>, address: SocketAddr, have: Revisions) {
-    let answer = match timeout(PULL_LIMIT, ask(address, have)).await {
+    let request = PullRequest {
+        version: FRAME_VERSION,
+        have,
+        wants_boxes: wants_boxes(relay),
+    };
+    if request.wants_boxes {
+        let mut followed = lock(&relay.followed);
+        followed.boxes_asked = Some(relay.clock.now());
+        followed.heard_unknown = false;
+    }
+    let answer = match timeout(PULL_LIMIT, ask(address, &request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(cause)) => {
             tracing::info!(%address, cause = format!("{cause:#}"), "no state from a neighbour");
@@ -285,18 +323,18 @@
         have_table = have.table,
         have_servers = have.servers,
         table = answer.table.as_ref().map(|stamped| stamped.revision),
-        servers = answer.servers.as_ref().map(|entries| entries.revision),
+        servers = answer.servers.as_ref().map(news_for_log),
         "state from a neighbour"
     );
     if let Some(stamped) = answer.table {
         relay.offer_table(stamped, "neighbour");
     }
-    if let Some(entries) = answer.servers {
+    if let Some(news) = answer.servers {
         let now = relay.clock.now();
         let hold_left = answer.hold_left;
         relay.change_servers(|servers| {
             servers.hold_for(now, hold_left);
-            servers.replace(now, entries);
+            servers.take_news(now, news);
         });
     }
     let mut followed = lock(&relay.followed);
@@ -305,13 +343,22 @@
     }
 }
 
-async fn ask(address: SocketAddr, have: Revisions) -> anyhow::Result<PullAnswer> {
+/// Revision and extent of news, for logs.
+fn news_for_log(news: &ServerNews) -> String {
+    match news {
+        ServerNews::All(entries) => {
+            format!("all {} at {}", entries.servers.len(), entries.revision)
+        }
+        ServerNews::Changes(changes) => {
+            let count = changes.put.len() + changes.gone.len();
+            format!("{count} changes to {}", changes.revision)
+        }
+    }
+}
+
+async fn ask(address: SocketAddr, request: &PullRequest) -> anyhow::Result<PullAnswer> {
     let mut stream = TcpStream::connect(address).await?;
-    let request = PullRequest {
-        version: FRAME_VERSION,
-        have,
-    };
-    write_frame(&mut stream, &postcard::to_stdvec(&request)?).await?;
+    write_frame(&mut stream, &postcard::to_stdvec(request)?).await?;
     let bytes = read_frame(&mut stream).await?;
     Ok(postcard::from_bytes(&bytes)?)
 }
@@ -325,7 +372,7 @@
         let bytes = read_frame(&mut stream).await?;
         let request: PullRequest = postcard::from_bytes(&bytes)?;
         anyhow::ensure!(request.version == FRAME_VERSION, "another version");
-        let answer = relay.newer_than(request.have);
+        let answer = relay.newer_than(&request);
         write_frame(&mut stream, &postcard::to_stdvec(&answer)?).await
     });
     match answered.await {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -21,6 +21,7 @@
 use badgerferry_lib::relay::server_list::ServerList;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
 use badgerferry_lib::relay::state_pull::PullAnswer;
+use badgerferry_lib::relay::state_pull::PullRequest;
 use badgerferry_lib::relay::state_pull::Revisions;
 use badgerferry_lib::relay::state_pull::StampedTable;
 use badgerferry_lib::time::Time;
@@ -44,6 +45,10 @@
     pub store_at: Option<Time>,
     /// When a neighbour last said that the store answers it.
     pub neighbour_at: Option<Time>,
+    /// Whether a box was heard that is not known.
+    pub heard_unknown: bool,
+    /// When boxes were last asked for.
+    pub boxes_asked: Option<Time>,
 }
 
 /// A store that answered within this time is followed; a watch takes little less.
@@ -167,7 +172,8 @@
     }
 
     /// What another box lacks.
-    pub fn newer_than(&self, have: Revisions) -> PullAnswer {
+    pub fn newer_than(&self, request: &PullRequest) -> PullAnswer {
+        let have = request.have;
         let followed = lock(&self.followed);
         let table = (followed.table_revision > have.table)
             .then(|| self.routes.load_full())
@@ -176,12 +182,16 @@
                 revision: followed.table_revision,
                 table: index.table().clone(),
             });
-        let entries = followed.servers.entries();
+        let boxes = if request.wants_boxes {
+            followed.boxes.values().cloned().collect()
+        } else {
+            Vec::new()
+        };
         PullAnswer {
             table,
-            servers: (entries.revision > have.servers).then(|| entries.clone()),
+            servers: followed.servers.news_since(have.servers),
             hold_left: followed.servers.hold_left(self.clock.now()),
-            boxes: followed.boxes.values().cloned().collect(),
+            boxes,
         }
     }
 
@@ -213,10 +223,13 @@
 
     /// Changes what is believed of the servers and shows it to traffic.
     pub fn change_servers(&self, f: impl FnOnce(&mut ServerList)) {
-        let mut followed = lock(&self.followed);
-        f(&mut followed.servers);
-        let servers = followed.servers.servers();
-        drop(followed);
+        f(&mut lock(&self.followed).servers);
+        self.show_servers();
+    }
+
+    /// Shows traffic what is believed of the servers.
+    pub fn show_servers(&self) {
+        let servers = lock(&self.followed).servers.servers();
         lock(&self.book).set_servers(servers);
         self.load_changed.notify_one();
     }
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -101,11 +101,15 @@
         };
         let seen = store.watch(after, wait).await?;
         self.store_answers();
+        let mut servers_changed = false;
         for change in seen.changes {
+            servers_changed |= matches!(change, Change::Server { .. } | Change::ServerGone { .. });
             self.take(change);
         }
-        let relay = self.relay;
-        relay.change_servers(|servers| servers.seen_until(seen.revision));
+        if servers_changed {
+            // Once for all of them: each time, the list is copied whole.
+            self.relay.show_servers();
+        }
         self.revision = Some(seen.revision);
         Ok(())
     }
@@ -200,12 +204,13 @@
                     revision,
                     "server entry"
                 );
-                relay.change_servers(|servers| servers.put(revision, server));
+                lock(&relay.followed).servers.put(revision, server);
             }
             Change::ServerGone { revision, name } => {
                 tracing::info!(server = %name, revision, "server entry gone");
                 let now = relay.clock.now();
-                relay.change_servers(|servers| servers.remove(now, revision, &name));
+                let mut followed = lock(&relay.followed);
+                followed.servers.remove(now, revision, &name);
             }
             Change::Box(of) => {
                 tracing::info!(r#box = of.name, "box entry");
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -6,6 +6,8 @@
 //! missing entry is held. What a server said of its own leaving always counts at once.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -45,10 +47,37 @@
     pub servers: BTreeMap<ServerName, ListedServer>,
 }
 
+/// What changed between two revisions of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerChanges {
+    /// The revision at which the changes are complete.
+    pub revision: u64,
+    /// Entries that are new or changed, as they are now.
+    pub put: Vec<ListedServer>,
+    /// Servers whose entries went.
+    pub gone: Vec<ServerName>,
+}
+
+/// What a box that is behind is told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerNews {
+    /// Everything: what changed since its revision is not known any more.
+    All(ServerEntries),
+    /// What changed since then.
+    Changes(ServerChanges),
+}
+
+/// Changes that are remembered; with more at once, a box that is behind is told everything.
+const MAX_CHANGES: usize = 2_000;
+
 /// What one box believes of the servers.
 #[derive(Debug, Default)]
 pub struct ServerList {
     entries: ServerEntries,
+    /// Names of changed entries by revision, oldest first.
+    changes: VecDeque<(u64, ServerName)>,
+    /// The revision since which no change is missing from `changes`.
+    complete_since: u64,
     held: BTreeMap<ServerName, ListedServer>,
     away: bool,
     hold_until: Time,
@@ -89,6 +118,8 @@
         if entries.revision < self.entries.revision {
             return;
         }
+        self.changes.clear();
+        self.complete_since = entries.revision;
         let before = std::mem::replace(&mut self.entries, entries);
         for (name, server) in before.servers {
             if !self.entries.servers.contains_key(&name) {
@@ -101,22 +132,66 @@
 
     /// Takes one changed entry.
     pub fn put(&mut self, revision: u64, server: ListedServer) {
-        self.entries.revision = self.entries.revision.max(revision);
+        self.changed(revision, &server.name);
         self.held.remove(&server.name);
         self.entries.servers.insert(server.name.clone(), server);
     }
 
     /// Takes the end of an entry.
     pub fn remove(&mut self, now: Time, revision: u64, name: &ServerName) {
-        self.entries.revision = self.entries.revision.max(revision);
+        self.changed(revision, name);
         if let Some(server) = self.entries.servers.remove(name) {
             self.went(now, server);
         }
     }
 
-    /// Notes that the store has shown all changes up to this revision.
-    pub fn seen_until(&mut self, revision: u64) {
+    /// What a box lacks that has seen all changes up to a revision.
+    pub fn news_since(&self, revision: u64) -> Option<ServerNews> {
+        if revision >= self.entries.revision {
+            return None;
+        }
+        if revision < self.complete_since {
+            return Some(ServerNews::All(self.entries.clone()));
+        }
+        let newer = self.changes.iter().filter(|(at, _)| *at > revision);
+        let names: BTreeSet<&ServerName> = newer.map(|(_, name)| name).collect();
+        let mut changes = ServerChanges {
+            revision: self.entries.revision,
+            ..ServerChanges::default()
+        };
+        for name in names {
+            match self.entries.servers.get(name) {
+                Some(server) => changes.put.push(server.clone()),
+                None => changes.gone.push(name.clone()),
+            }
+        }
+        Some(ServerNews::Changes(changes))
+    }
+
+    /// Takes what another box told; news that are older than what is known are ignored.
+    pub fn take_news(&mut self, now: Time, news: ServerNews) {
+        match news {
+            ServerNews::All(entries) => self.replace(now, entries),
+            ServerNews::Changes(changes) if changes.revision > self.entries.revision => {
+                for server in changes.put {
+                    self.put(changes.revision, server);
+                }
+                for name in changes.gone {
+                    self.remove(now, changes.revision, &name);
+                }
+                self.entries.revision = changes.revision;
+            }
+            ServerNews::Changes(_) => {}
+        }
+    }
+
+    fn changed(&mut self, revision: u64, name: &ServerName) {
         self.entries.revision = self.entries.revision.max(revision);
+        self.changes.push_back((revision, name.clone()));
+        if self.changes.len() > MAX_CHANGES {
+            let forgotten = self.changes.pop_front();
+            self.complete_since = forgotten.map_or(self.complete_since, |(at, _)| at);
+        }
     }
 
     /// Lets go of what was held long enough; true if anything went.
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::relay::route_table::RouteTable;
-use crate::relay::server_list::ServerEntries;
+use crate::relay::server_list::ServerNews;
 
 /// Version of the frames between boxes; a frame of another version is dropped.
 pub const FRAME_VERSION: u8 = 2;
@@ -29,6 +29,8 @@
     pub version: u8,
     /// What the asking box has.
     pub have: Revisions,
+    /// Whether it lacks boxes: it knows hardly any, or heard of one that it does not know.
+    pub wants_boxes: bool,
 }
 
 /// A route table with the revision at which the store took it.
@@ -45,11 +47,11 @@
 pub struct PullAnswer {
     /// The route table, if newer.
     pub table: Option<StampedTable>,
-    /// All server entries, if newer.
-    pub servers: Option<ServerEntries>,
+    /// Server entries, if newer.
+    pub servers: Option<ServerNews>,
     /// How much longer entries that are missing now are to be held.
     pub hold_left: Duration,
-    /// Other boxes that are known.
+    /// Other boxes that are known, if they were asked for.
     pub boxes: Vec<BoxAddresses>,
 }
 
--- a/lib/tests/test_relay_state.rs
+++ b/lib/tests/test_relay_state.rs
@@ -32,6 +32,7 @@
 use badgerferry_lib::relay::server_list::ListedServer;
 use badgerferry_lib::relay::server_list::ServerEntries;
 use badgerferry_lib::relay::server_list::ServerList;
+use badgerferry_lib::relay::server_list::ServerNews;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
 use badgerferry_lib::relay::state_pull::Revisions;
 use badgerferry_lib::time::Time;
@@ -235,6 +236,96 @@
     assert_eq!(names(&list), ["a"]);
 }
 
+#[test]
+fn a_box_that_is_behind_is_told_only_what_changed() {
+    let mut teller = ServerList::default();
+    teller.replace(Time::ZERO, entries(5, &["a", "b"]));
+    let mut told = ServerList::default();
+    told.replace(Time::ZERO, entries(5, &["a", "b"]));
+    teller.put(6, server("c"));
+    teller.remove(Time::ZERO, 7, &ServerName::new("a"));
+
+    let news = teller.news_since(5).expect("it is behind");
+    told.take_news(Time::ZERO, news.clone());
+
+    let ServerNews::Changes(changes) = news else {
+        panic!("all was told");
+    };
+    assert_eq!((changes.put.len(), changes.gone.len()), (1, 1));
+    assert_eq!(told.entries(), teller.entries());
+    assert_eq!(teller.news_since(7), None);
+}
+
+#[test]
+fn a_box_that_is_too_far_behind_is_told_everything() {
+    let mut teller = ServerList::default();
+    teller.replace(Time::ZERO, entries(5, &["a", "b"]));
+    for revision in 6..4_000 {
+        teller.put(revision, server("c"));
+    }
+
+    let before_the_last_read = teller.news_since(4);
+    let before_what_is_remembered = teller.news_since(10);
+    let lately = teller.news_since(3_990);
+
+    assert!(matches!(before_the_last_read, Some(ServerNews::All(_))));
+    assert!(matches!(
+        before_what_is_remembered,
+        Some(ServerNews::All(_))
+    ));
+    assert!(matches!(lately, Some(ServerNews::Changes(_))));
+}
+
+#[test]
+fn changes_pass_through_a_box_that_was_told_of_them() {
+    let mut first = ServerList::default();
+    first.replace(Time::ZERO, entries(5, &["a"]));
+    let (mut second, mut third) = (ServerList::default(), ServerList::default());
+    second.replace(Time::ZERO, entries(5, &["a"]));
+    third.replace(Time::ZERO, entries(5, &["a"]));
+    for revision in 6..9 {
+        first.put(revision, server("b"));
+        let news = first.news_since(revision - 1).expect("it is behind");
+        second.take_news(Time::ZERO, news);
+    }
+
+    let news = second.news_since(5).expect("it is behind");
+    third.take_news(Time::ZERO, news);
+
+    assert_eq!(third.entries(), first.entries());
+}
+
+#[test]
+fn old_news_never_move_the_list_back() {
+    let mut teller = ServerList::default();
+    teller.replace(Time::ZERO, entries(5, &["a"]));
+    teller.put(6, server("b"));
+    let old = teller.news_since(5).expect("there is news");
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries(9, &["c"]));
+
+    list.take_news(Time::ZERO, old);
+
+    assert_eq!(names(&list), ["c"]);
+}
+
+#[test]
+fn a_server_that_went_by_a_neighbours_word_is_held_as_long_as_there() {
+    let mut teller = ServerList::default();
+    teller.replace(Time::ZERO, entries(5, &["a", "b"]));
+    let mut told = ServerList::default();
+    told.replace(Time::ZERO, entries(5, &["a", "b"]));
+    teller.remove(Time::ZERO, 6, &ServerName::new("a"));
+
+    told.hold_for(Time::ZERO, Duration::from_secs(1));
+    told.take_news(Time::ZERO, teller.news_since(5).expect("it is behind"));
+    let held = names(&told);
+    told.tick(Time::from_millis(1_001));
+
+    assert_eq!(held, ["a", "b"]);
+    assert_eq!(names(&told), ["b"]);
+}
+
 fn book(names: &[&str]) -> ServerBook {
     let mut book = ServerBook::default();
     book.set_servers(names.iter().map(|name| server(name)).collect());
