--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -43,13 +43,13 @@
 /// The first promise that is broken.
 pub fn check(rows: &[Row], servers: &[Server]) -> anyhow::Result<()> {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for seen in servers.iter().flat_map(Server::seen) {
-        *runs.entry(seen.id().to_owned()).or_default() += usize::from(seen.ran);
-    }
     let sent: BTreeSet<&str> = rows.iter().map(|row| row.id.as_str()).collect();
-    for id in runs.keys() {
-        let known = id.starts_with("recovery-") || sent.contains(id.as_str());
-        anyhow::ensure!(known, "a server got call {id}, which nobody sent");
+    for seen in servers.iter().flat_map(Server::seen) {
+        let id = seen.id();
+        let known = id.starts_with("recovery-") || sent.contains(id);
+        let line = &seen.line;
+        anyhow::ensure!(known, "a server got call {id}, which nobody sent: {line}");
+        *runs.entry(id.to_owned()).or_default() += usize::from(seen.ran);
     }
     for row in rows {
         let ran = runs.get(&row.id).copied().unwrap_or_default();
