soak: told to stop, it ends its boxes

Cause of the failure of seed 9102: a soak that had been ended left three boxes behind, which went on asking for their store at 127.0.0.1:33855. From 16:54:09.5 on one of them logged answers that it did not understand: the address had been given to a server of seed 9102, which began then, and which saw a call without an id. Ruled out: the product sends servers only what callers sent, and orders, which the stand-in keeps apart; the seed passed twice alone.

Now a soak ends its boxes when it is told to stop by a signal. One that is killed outright still can't. a_soak_that_is_told_to_stop_ends_its_boxes failed before and passes.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
 use argh::FromArgs;
 
 mod callers;
@@ -47,6 +51,13 @@
         .collect()
 }
 
+async fn told_to_stop(term: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -59,6 +70,13 @@
         regressions()
     };
     seeds.extend(first..first + args.seeds);
+    let (Ok(mut term), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        println!("signals can't be taken, and boxes would be left behind");
+        return ExitCode::FAILURE;
+    };
     let mut failed = 0;
     for seed in &seeds {
         let size = run::Size {
@@ -66,7 +84,16 @@
             servers: args.servers,
             faults_for: Duration::from_secs(args.seconds),
         };
-        match run::run(*seed, size).await {
+        // Dropping a run ends its boxes: left behind, they would go on asking for their store at
+        // an address that another run's server may get.
+        let result = tokio::select! {
+            result = run::run(*seed, size) => result,
+            () = told_to_stop(&mut term, &mut interrupt) => {
+                println!("seed {seed}: stopped; its boxes are ended");
+                return ExitCode::FAILURE;
+            }
+        };
+        match result {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(cause) => {
                 failed += 1;
--- /dev/null
+++ b/soak/tests/test_stop.rs
@@ -0,0 +1,61 @@
+//! A soak that is told to stop leaves no box behind.
+
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+/// Looks before a condition counts as never met; each takes [`LOOK`].
+const LOOKS: u32 = 1_500;
+const LOOK: Duration = Duration::from_millis(20);
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..LOOKS {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(LOOK);
+    }
+    panic!("waited in vain until {what}");
+}
+
+fn start_soak() -> Child {
+    Command::new(env!("CARGO_BIN_EXE_badgerferry-soak"))
+        .args(["--seeds", "1", "--first", "1", "--seconds", "60"])
+        .arg("--no-regressions")
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the soak can be started")
+}
+
+fn children(parent: u32) -> Vec<u32> {
+    let path = format!("/proc/{parent}/task/{parent}/children");
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    text.split_whitespace()
+        .filter_map(|pid| pid.parse().ok())
+        .collect()
+}
+
+#[test]
+fn a_soak_that_is_told_to_stop_ends_its_boxes() {
+    let mut soak = start_soak();
+    let mut boxes = Vec::new();
+    wait_until("a box runs", || {
+        boxes = children(soak.id());
+        !boxes.is_empty()
+    });
+
+    let told = Command::new("kill")
+        .args(["-TERM", &soak.id().to_string()])
+        .status();
+
+    assert!(told.is_ok_and(|status| status.success()));
+    wait_until("the soak ends", || {
+        soak.try_wait().is_ok_and(|status| status.is_some())
+    });
+    wait_until("its boxes are gone", || {
+        let gone = |pid: &u32| !Path::new(&format!("/proc/{pid}/exe")).exists();
+        boxes.iter().all(gone)
+    });
+}
