--- /dev/null
+++ b/lib/tests/listed_server.rs
@@ -0,0 +1,18 @@
+//! A server as the tests of lists and books know it.
+
+use badgerferry_lib::ids::HallName;
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::relay::server_list::ListedServer;
+
+/// A server of the service `boards` in `hall-a`.
+pub fn server(name: &str) -> ListedServer {
+    ListedServer {
+        name: ServerName::new(name),
+        service: ServiceName::new("boards"),
+        address: "127.0.0.1:1".to_owned(),
+        hall: HallName::new("hall-a"),
+        slots: 6,
+        leaving: false,
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! The library's tests, in one runner.
 
+mod listed_server;
 mod seeded;
 mod test_docs;
 mod test_lease_seeds;
--- a/lib/tests/test_relay_server_book.rs
+++ b/lib/tests/test_relay_server_book.rs
@@ -12,16 +12,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-fn server(name: &str) -> ListedServer {
-    ListedServer {
-        name: ServerName::new(name),
-        service: ServiceName::new("boards"),
-        address: "127.0.0.1:1".to_owned(),
-        hall: HallName::new("hall-a"),
-        slots: 6,
-        leaving: false,
-    }
-}
+use crate::listed_server::server;
 
 fn book(names: &[&str]) -> ServerBook {
     let mut book = ServerBook::default();
--- a/lib/tests/test_relay_server_list.rs
+++ b/lib/tests/test_relay_server_list.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use badgerferry_lib::ids::HallName;
 use badgerferry_lib::ids::ServerName;
-use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_list::HOLD_AFTER_RETURN;
 use badgerferry_lib::relay::server_list::ListedServer;
 use badgerferry_lib::relay::server_list::ServerEntries;
@@ -12,16 +10,7 @@
 use badgerferry_lib::relay::server_list::ServerNews;
 use badgerferry_lib::time::Time;
 
-fn server(name: &str) -> ListedServer {
-    ListedServer {
-        name: ServerName::new(name),
-        service: ServiceName::new("boards"),
-        address: "127.0.0.1:1".to_owned(),
-        hall: HallName::new("hall-a"),
-        slots: 6,
-        leaving: false,
-    }
-}
+use crate::listed_server::server;
 
 fn entries(revision: u64, names: &[&str]) -> ServerEntries {
     ServerEntries {
