relay: reading that waits at an engine counts once; lines of outcomes tell the prompt's size

Cause: an entry's time left ran to its estimated end, which holds the reading ahead of it, and the sum over entries counted that again for each. In a jam of two seconds the estimate of a short call climbed to 300 s; silence limits, choices and log lines went by it. Ruled out: late entries, which were bounded. what_is_read_ahead_counts_once gave 6,300 ms for six parts of 300 ms in a row and gives 1,800 now.

A refused prompt's line did not tell its size, so it could not be seen which sizes are refused.

--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -161,6 +161,7 @@
         outcome,
         status = status.as_u16(),
         sent = attempts.sent(),
+        tokens = call.head.prompt.map(|prompt| prompt.tokens),
         took_ms = took.as_millis() as u64,
         longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u64),
         "call ended"
--- a/lib/src/relay/engine_load.rs
+++ b/lib/src/relay/engine_load.rs
@@ -215,13 +215,17 @@
 
 impl Entry {
     /// By the estimate; past it, as long again as it is late, up to the whole part.
+    ///
+    /// Never more than the part itself: what is read before it has entries of its own, and
+    /// counting that again in each one told of 300 s of reading in a jam of two seconds.
     fn reading_left(&self, now: Time) -> Duration {
         let late = now.since(self.read_over);
-        if late.is_zero() {
+        let left = if late.is_zero() {
             now.until(self.read_over)
         } else {
-            late.min(self.work.read)
-        }
+            late
+        };
+        left.min(self.work.read)
     }
 
     fn use_at(&self, now: Time) -> EngineUse {
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -102,6 +102,25 @@
     assert_eq!((read.long_reads, read.reading_ms), (0, 0));
 }
 
+#[test]
+fn what_is_read_ahead_counts_once() {
+    let mut loads = EngineLoads::default();
+    let engine = EngineKey(1);
+    let now = Time::from_millis(100);
+    let mut ahead = Duration::ZERO;
+
+    for _ in 0..6 {
+        let work = Work {
+            delay: ahead,
+            ..long_work()
+        };
+        loads.begin(now, engine, work);
+        ahead = Duration::from_millis(loads.table(now)[&engine].reading_ms.into());
+    }
+
+    assert_eq!(ahead, long_work().read * 6, "each is read once");
+}
+
 #[test]
 fn reading_whose_end_is_never_seen_does_not_count_for_ever() {
     let mut loads = EngineLoads::default();
