cli: lost tells why calls were late or not served

On call, the lines of a failed request led to its cause, but nothing told what is lost most. The last line of a call now holds what decided (objective, wait for engines, estimate, first event, pauses), and badgerferry lost FILE... adds up the lines of any boxes by prompt size and cause, with ids to look at, the worst seconds, and reading against its estimate. Lines of late calls were sampled like those of good ones; they have a higher bound of their own now, 200 in a second.

--- a/cli/src/command_line.rs
+++ b/cli/src/command_line.rs
@@ -9,6 +9,8 @@
 use crate::commands::explain::cmd_explain;
 use crate::commands::key_digest::KeyDigestArgs;
 use crate::commands::key_digest::cmd_key_digest;
+use crate::commands::lost::LostArgs;
+use crate::commands::lost::cmd_lost;
 use crate::commands::settings::SettingsArgs;
 use crate::commands::settings::cmd_settings;
 use crate::commands::status::StatusArgs;
@@ -41,6 +43,7 @@
     Status(StatusArgs),
     Explain(ExplainArgs),
     KeyDigest(KeyDigestArgs),
+    Lost(LostArgs),
 }
 
 /// Runs the command that the process was started with.
@@ -92,6 +95,7 @@
                 cmd_key_digest(&args);
                 Ok(())
             }
+            Command::Lost(args) => cmd_lost(&args),
         }
     })
 }
--- /dev/null
+++ b/cli/src/commands/lost.rs
@@ -0,0 +1,161 @@
+//! `badgerferry lost`
+
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use badgerferry_lib::relay::lost_calls::CallLine;
+use badgerferry_lib::relay::lost_calls::LostCalls;
+use badgerferry_lib::relay::lost_calls::LostRow;
+use badgerferry_lib::relay::lost_calls::MESSAGE;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::exit::CommandError;
+use crate::exit::CommandResult;
+use crate::exit::Failure;
+use crate::output::Format;
+use crate::output::Table;
+
+/// Worst seconds that are listed.
+const WORST_SECONDS: usize = 5;
+/// Bytes of a line's time that tell its second, as in 2026-03-07T04:57:50.
+const SECOND_LEN: usize = 19;
+
+/// Say why calls were late or not served, from the boxes' logs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "lost")]
+pub struct LostArgs {
+    /// logs of boxes on the platform; lines of several boxes may be mixed
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+#[derive(Serialize)]
+struct Report<'a> {
+    sizes: Vec<SizeRow>,
+    lost: Vec<CauseRow<'a>>,
+    worst_seconds: Vec<(&'a str, u64)>,
+}
+
+#[derive(Serialize)]
+struct SizeRow {
+    size: String,
+    calls: u64,
+    read_over_expected: Option<badgerferry_lib::relay::lost_calls::Estimate>,
+}
+
+#[derive(Serialize)]
+struct CauseRow<'a> {
+    size: String,
+    cause: String,
+    #[serde(flatten)]
+    row: &'a LostRow,
+}
+
+/// Adds up the files' lines.
+pub fn cmd_lost(args: &LostArgs) -> CommandResult {
+    if args.files.is_empty() {
+        let error = CommandError::new(Failure::Usage, "no log is named");
+        return Err(error.hint("badgerferry lost FILE..."));
+    }
+    let mut all = LostCalls::default();
+    for path in &args.files {
+        read(path, &mut all)?;
+    }
+    let report = report(&all);
+    Format::from_switch(args.json).print(&report, || text_of(&report));
+    Ok(())
+}
+
+fn read(path: &Path, all: &mut LostCalls) -> CommandResult {
+    let failed = |cause: std::io::Error| {
+        let message = format!("failed to read {}: {cause}", path.display());
+        CommandError::new(Failure::Refused, message)
+    };
+    let file = File::open(path).map_err(failed)?;
+    for line in BufReader::new(file).split(b'\n') {
+        let line = line.map_err(failed)?;
+        if let Some((second, line)) = call_line(&String::from_utf8_lossy(&line)) {
+            all.take(&second, &line);
+        }
+    }
+    Ok(())
+}
+
+/// The last line of a call; a log collector may have put its own words before it.
+fn call_line(text: &str) -> Option<(String, CallLine)> {
+    let value: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
+    if value.get("message")?.as_str()? != MESSAGE {
+        return None;
+    }
+    let second = value.get("timestamp")?.as_str()?.get(..SECOND_LEN)?;
+    let second = second.to_owned();
+    Some((second, serde_json::from_value(value).ok()?))
+}
+
+fn report(all: &LostCalls) -> Report<'_> {
+    let estimates = all.estimates();
+    let sizes = all.calls.iter().map(|(size, &calls)| SizeRow {
+        size: size.to_string(),
+        calls,
+        read_over_expected: estimates.get(size).copied(),
+    });
+    let mut lost: Vec<CauseRow<'_>> = (all.lost.iter())
+        .map(|((size, cause), row)| CauseRow {
+            size: size.to_string(),
+            cause: cause.to_string(),
+            row,
+        })
+        .collect();
+    lost.sort_by_key(|row| std::cmp::Reverse((row.row.tokens, row.row.calls)));
+    let mut worst_seconds: Vec<(&str, u64)> = (all.seconds.iter())
+        .map(|(second, &calls)| (second.as_str(), calls))
+        .collect();
+    worst_seconds.sort_by_key(|&(_, calls)| std::cmp::Reverse(calls));
+    worst_seconds.truncate(WORST_SECONDS);
+    Report {
+        sizes: sizes.collect(),
+        lost,
+        worst_seconds,
+    }
+}
+
+fn text_of(report: &Report<'_>) -> String {
+    let heading = ["SIZE", "CALLS", "READ/EXPECTED: MEDIAN", "P90", "WORST"];
+    let mut sizes = Table::new(&heading);
+    for row in &report.sizes {
+        let ratio =
+            |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.2}"));
+        let read = row.read_over_expected;
+        sizes.row([
+            row.size.clone(),
+            row.calls.to_string(),
+            ratio(read.map(|read| read.median)),
+            ratio(read.map(|read| read.p90)),
+            ratio(read.map(|read| read.worst)),
+        ]);
+    }
+    let mut lost = Table::new(&["SIZE", "LOST", "TOKENS", "CAUSE", "LOOK AT"]);
+    for CauseRow { size, cause, row } in &report.lost {
+        lost.row([
+            size.clone(),
+            row.calls.to_string(),
+            row.tokens.to_string(),
+            cause.clone(),
+            row.examples.join(" "),
+        ]);
+    }
+    let mut seconds = Table::new(&["SECOND", "LOST"]);
+    for (second, calls) in &report.worst_seconds {
+        seconds.row([(*second).to_owned(), calls.to_string()]);
+    }
+    let tables = [sizes.render(), lost.render(), seconds.render()];
+    tables.join("\n")
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod explain;
 pub mod key_digest;
+pub mod lost;
 pub mod settings;
 pub mod settings_add;
 pub mod settings_check;
--- a/cli/tests/test_output.rs
+++ b/cli/tests/test_output.rs
@@ -57,3 +57,28 @@
     let told = text(&output).replace(&path.display().to_string(), "FILE");
     insta::assert_snapshot!(told);
 }
+
+fn call_line(id: &str, tokens: u64, first_event_ms: u64, waited_ms: u64) -> String {
+    format!(
+        r#"box-1 {{"timestamp":"2026-03-07T04:57:50.72Z","level":"INFO","message":"call ended","call":"{id}","route":"r","outcome":"answered","status":200,"sent":1,"tokens":{tokens},"took_ms":9000,"objective_ms":3000,"first_event_ms":{first_event_ms},"waited_ms":{waited_ms},"expected_ms":1000,"longest_pause_ms":100,"pause_limit_ms":1000}}"#
+    )
+}
+
+#[test]
+fn lost_calls_are_told_by_size_and_cause() {
+    let path = std::env::temp_dir().join(format!("badgerferry-log-{}.json", std::process::id()));
+    let lines = [
+        call_line("a1", 180_000, 5_000, 3_900),
+        call_line("a2", 200_000, 900, 0),
+        call_line("a3", 5_000, 3_100, 0),
+        r#"{"timestamp":"2026-03-07T04:57:51.02Z","message":"call ended","call":"a4","outcome":"no_server","status":503,"sent":0,"took_ms":800,"objective_ms":150}"#.to_owned(),
+        r#"{"timestamp":"2026-03-07T04:57:51.02Z","message":"call routed","call":"a5"}"#.to_owned(),
+        "a line that is none of ours".to_owned(),
+    ];
+    std::fs::write(&path, lines.join("\n")).expect("the file can be written");
+
+    let output = run(&["lost", &path.display().to_string()]);
+
+    std::fs::remove_file(&path).expect("the file is there");
+    insta::assert_snapshot!(text(&output));
+}
--- a/daemon/src/relay/live_stream.rs
+++ b/daemon/src/relay/live_stream.rs
@@ -23,6 +23,7 @@
 use crate::relay::call::Call;
 use crate::relay::call::NO_SERVER_RETRY;
 use crate::relay::log_lines;
+use crate::relay::log_lines::StreamTimes;
 use crate::relay::tries;
 use crate::relay::tries::Live;
 use crate::relay::tries::TryResult;
@@ -59,6 +60,7 @@
     live: Box<Live>,
     tx: mpsc::Sender<Piece>,
 ) {
+    let mut times = StreamTimes::begin(&call, &live);
     let mut pauses = Pauses::begin();
     let ended = timeout(
         call.time_left(),
@@ -66,7 +68,8 @@
     )
     .await;
     let how = ended.unwrap_or("deadline_while_running");
-    log_lines::stream_ended(&call, &attempts, how, pauses.longest);
+    times.longest_pause = pauses.longest;
+    log_lines::stream_ended(&call, &attempts, how, times);
     if how != COMPLETE {
         // Without room the caller does not read; dropping the sender would look complete.
         let _ = tx.send(Piece::Cut).await;
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -1,6 +1,7 @@
 //! Log lines of calls: one for each decision, with the call's id and what decided it.
 //!
-//! Lines of calls that went well are sampled beyond a rate; those of failures never are.
+//! Lines of calls that were served are sampled beyond a rate, and late ones beyond a higher one;
+//! those of failures never are.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -21,23 +22,41 @@
 
 /// Lines of good calls written in each second; the rest are counted.
 const GOOD_LINES_PER_SECOND: u32 = 100;
+/// Lines of late calls written in each second: all of them, unless a box is overloaded.
+const LATE_LINES_PER_SECOND: u32 = 200;
 
-/// Lines written in the current second.
-static GOOD_LINES: Mutex<Option<(Instant, u32)>> = Mutex::new(None);
+/// Lines of one sort written in the current second.
+struct LineBudget {
+    most: u32,
+    written: Mutex<Option<(Instant, u32)>>,
+}
 
-fn may_write_good_line() -> bool {
-    let mut lines = lock(&GOOD_LINES);
-    let now = Instant::now();
-    let (since, written) = match *lines {
-        Some((since, written)) if now - since < Duration::from_secs(1) => (since, written),
-        _ => (now, 0),
-    };
-    let may = written < GOOD_LINES_PER_SECOND;
-    *lines = Some((since, written + u32::from(may)));
-    if !may {
-        counter!("badgerferry_log_lines_sampled_total").increment(1);
+static GOOD_LINES: LineBudget = LineBudget::new(GOOD_LINES_PER_SECOND);
+static LATE_LINES: LineBudget = LineBudget::new(LATE_LINES_PER_SECOND);
+
+impl LineBudget {
+    const fn new(most: u32) -> Self {
+        Self {
+            most,
+            written: Mutex::new(None),
+        }
+    }
+
+    /// Whether one more may be written; those that may not are counted.
+    fn take(&self) -> bool {
+        let mut lines = lock(&self.written);
+        let now = Instant::now();
+        let (since, written) = match *lines {
+            Some((since, written)) if now - since < Duration::from_secs(1) => (since, written),
+            _ => (now, 0),
+        };
+        let may = written < self.most;
+        *lines = Some((since, written + u32::from(may)));
+        if !may {
+            counter!("badgerferry_log_lines_sampled_total").increment(1);
+        }
+        may
     }
-    may
 }
 
 /// A call was turned down before it had a route.
@@ -58,7 +77,7 @@
         histogram!("badgerferry_relay_engine_wait_seconds", "service" => call.service.to_string())
             .record(chosen.waited.as_secs_f64());
     }
-    if attempts.sent() == 0 && !may_write_good_line() {
+    if attempts.sent() == 0 && !GOOD_LINES.take() {
         return;
     }
     tracing::info!(
@@ -114,7 +133,7 @@
     let took = call.relay.clock.now().since(call.arrived);
     histogram!("badgerferry_relay_first_event_seconds", "service" => call.service.to_string())
         .record(took.as_secs_f64());
-    if !may_write_good_line() {
+    if !GOOD_LINES.take() {
         return;
     }
     tracing::info!(
@@ -131,14 +150,43 @@
     outcome_line(call, attempts, outcome, status, None);
 }
 
+/// What came of a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct StreamTimes {
+    /// From the call's head to its first event.
+    pub first_event: Duration,
+    /// How long its first run waited for engines.
+    pub waited: Duration,
+    /// What that run was expected to take until the first event.
+    pub expected: Duration,
+    /// The longest pause between events.
+    pub longest_pause: Duration,
+}
+
+impl StreamTimes {
+    /// The times of a stream that begins now.
+    pub fn begin(call: &Call, live: &Live) -> Self {
+        Self {
+            first_event: call.relay.clock.now().since(call.arrived),
+            waited: live.flight.chosen.waited,
+            expected: live.flight.chosen.expected,
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    /// Whether the caller got it in time.
+    fn are_good(&self, call: &Call) -> bool {
+        let pauses_well = call
+            .route
+            .pause
+            .is_none_or(|most| self.longest_pause <= most);
+        self.first_event <= call.route.objective && pauses_well
+    }
+}
+
 /// A stream has its outcome.
-pub fn stream_ended(
-    call: &Call,
-    attempts: &Attempts,
-    outcome: &'static str,
-    longest_pause: Duration,
-) {
-    outcome_line(call, attempts, outcome, StatusCode::OK, Some(longest_pause));
+pub fn stream_ended(call: &Call, attempts: &Attempts, outcome: &'static str, times: StreamTimes) {
+    outcome_line(call, attempts, outcome, StatusCode::OK, Some(times));
 }
 
 fn outcome_line(
@@ -146,15 +194,25 @@
     attempts: &Attempts,
     outcome: &'static str,
     status: StatusCode,
-    longest_pause: Option<Duration>,
+    times: Option<StreamTimes>,
 ) {
     let took = call.relay.clock.now().since(call.arrived);
     counter!("badgerferry_calls_total", "outcome" => outcome).increment(1);
     histogram!("badgerferry_relay_call_seconds", "service" => call.service.to_string())
         .record(took.as_secs_f64());
-    if outcome == "answered" && !may_write_good_line() {
+    let on_time = match times {
+        Some(times) => times.are_good(call),
+        None => took <= call.route.objective,
+    };
+    let is_written = match (outcome, on_time) {
+        ("answered", true) => GOOD_LINES.take(),
+        ("answered", false) => LATE_LINES.take(),
+        _ => true,
+    };
+    if !is_written {
         return;
     }
+    let millis = |time: Duration| time.as_millis() as u64;
     tracing::info!(
         call = call.id(),
         route = call.route.name,
@@ -162,8 +220,13 @@
         status = status.as_u16(),
         sent = attempts.sent(),
         tokens = call.head.prompt.map(|prompt| prompt.tokens),
-        took_ms = took.as_millis() as u64,
-        longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u64),
+        took_ms = millis(took),
+        objective_ms = millis(call.route.objective),
+        first_event_ms = times.map(|times| millis(times.first_event)),
+        waited_ms = times.map(|times| millis(times.waited)),
+        expected_ms = times.map(|times| millis(times.expected)),
+        longest_pause_ms = times.map(|times| millis(times.longest_pause)),
+        pause_limit_ms = call.route.pause.map(millis),
         "call ended"
     );
 }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod hall_reach;
 pub mod load_datagram;
 pub mod long_queue;
+pub mod lost_calls;
 pub mod retry_window;
 pub mod route_table;
 pub mod server_book;
--- /dev/null
+++ b/lib/tests/test_relay_lost_calls.rs
@@ -0,0 +1,122 @@
+//! Why calls are lost, by their last lines.
+
+use badgerferry_lib::relay::lost_calls::CallLine;
+use badgerferry_lib::relay::lost_calls::Cause;
+use badgerferry_lib::relay::lost_calls::LostCalls;
+use badgerferry_lib::relay::lost_calls::Size;
+
+/// A long prompt that was answered on time.
+fn good() -> CallLine {
+    CallLine {
+        call: "c1".to_owned(),
+        outcome: "answered".to_owned(),
+        sent: 1,
+        took_ms: 2_000,
+        tokens: Some(180_000),
+        objective_ms: 3_000,
+        first_event_ms: Some(900),
+        waited_ms: Some(100),
+        expected_ms: Some(700),
+        longest_pause_ms: Some(300),
+        pause_limit_ms: Some(1_000),
+    }
+}
+
+#[test]
+fn a_call_that_is_on_time_is_not_lost() {
+    assert_eq!(good().cause(), None);
+}
+
+#[test]
+fn the_cause_is_the_first_thing_that_made_it_late() {
+    let late = CallLine {
+        first_event_ms: Some(3_500),
+        ..good()
+    };
+    let again = CallLine {
+        sent: 2,
+        ..late.clone()
+    };
+    let waited = CallLine {
+        waited_ms: Some(1_300),
+        ..late.clone()
+    };
+    let expected = CallLine {
+        expected_ms: Some(2_500),
+        ..late.clone()
+    };
+    let other = CallLine {
+        waited_ms: Some(1_100),
+        expected_ms: Some(2_300),
+        ..late.clone()
+    };
+
+    assert_eq!(late.cause(), Some(Cause::ReadSlower));
+    assert_eq!(again.cause(), Some(Cause::TriedAgain));
+    assert_eq!(waited.cause(), Some(Cause::WaitedForEngines));
+    assert_eq!(expected.cause(), Some(Cause::ExpectedLate));
+    assert_eq!(other.cause(), Some(Cause::Late));
+}
+
+#[test]
+fn pauses_and_outcomes_lose_a_call_that_began_on_time() {
+    let paused = CallLine {
+        longest_pause_ms: Some(1_001),
+        ..good()
+    };
+    let unlimited = CallLine {
+        pause_limit_ms: None,
+        ..paused.clone()
+    };
+    let refused = CallLine {
+        outcome: "would_miss_deadline".to_owned(),
+        first_event_ms: None,
+        ..good()
+    };
+
+    assert_eq!(paused.cause(), Some(Cause::Paused));
+    assert_eq!(unlimited.cause(), None);
+    assert_eq!(
+        refused.cause().map(|cause| cause.to_string()).as_deref(),
+        Some("not served: would_miss_deadline")
+    );
+}
+
+#[test]
+fn an_answer_that_is_no_stream_is_late_by_its_whole_time() {
+    let plain = CallLine {
+        tokens: None,
+        objective_ms: 150,
+        took_ms: 151,
+        first_event_ms: None,
+        waited_ms: None,
+        expected_ms: None,
+        ..good()
+    };
+
+    assert_eq!(plain.cause(), Some(Cause::Late));
+    assert_eq!(Size::of(plain.tokens), Size::Plain);
+}
+
+#[test]
+fn lines_add_up_by_size_cause_and_second() {
+    let mut all = LostCalls::default();
+    let paused = CallLine {
+        longest_pause_ms: Some(1_001),
+        ..good()
+    };
+
+    for _ in 0..5 {
+        all.take("10:00:01", &paused);
+    }
+    all.take("10:00:02", &good());
+
+    assert_eq!(all.calls[&Size::Long], 6);
+    let row = &all.lost[&(Size::Long, Cause::Paused)];
+    assert_eq!((row.calls, row.examples.len()), (5, 3));
+    assert_eq!(all.seconds["10:00:01"], 5);
+    assert!(!all.seconds.contains_key("10:00:02"));
+    let estimate = all.estimates()[&Size::Long];
+    assert_eq!(estimate.prompts, 6);
+    assert!((estimate.median - 800.0 / 700.0).abs() < 1e-9);
+}
