--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -15,15 +15,16 @@
 use serde::Serialize;
 
 use crate::relay::call::Prompt;
+use crate::relay::engine_group::Bearable;
+use crate::relay::engine_group::EngineGroup;
+use crate::relay::engine_group::LONG_PAUSE;
+use crate::relay::engine_group::LONGEST_PART_ALONE;
 use crate::relay::engine_load::EngineUse;
 
 /// Engines that may read for one call beside the one that leads it; the engines' limit.
 pub const MAX_HELPERS: usize = 16;
 /// Reading alone from which a prompt is long: a short stream's pause suffers from more.
 const LONG_READ: Duration = Duration::from_millis(200);
-/// Pause from which a stream may be written where long parts are read: the longest part, the
-/// steps of a pass, and a second part that came with it.
-const LONG_PAUSE: Duration = Duration::from_millis(900);
 /// Reading of one part that a long prompt is cut into, where enough engines are free. With 150 ms
 /// worth fell by 0.005 (standard error 0.004, 36 paired plays of 18 engines): more engines end
 /// the same pass later.
@@ -39,31 +40,20 @@
 /// covers passes and other reading. Against 0.6 it gains 0.009 of worth (standard error 0.004, 36
 /// paired plays of 18 engines): a large prompt starts on seven engines where it waited for nine.
 const READ_PART_OF_TIME: f64 = 0.8;
-/// Longest part of a prompt that has time enough; it is read where nothing is written. Fewer
-/// engines need to be free at once for a large prompt so.
-const LONGEST_PART_ALONE: Duration = Duration::from_millis(2_500);
 /// One in so many engines reads a prompt that all together can't read in parts of
 /// [`LONGEST_PART_ALONE`]. It is late in any case, and calls that come meanwhile find the others:
 /// 0.002 of worth above reading it on all (standard error 0.004, 36 paired plays of 18 engines).
 const HUGE_SHARE: usize = 2;
 /// Reading of one part that a short call is cut into: passes of short streams stay short.
 const SHORT_PART_READ: Duration = Duration::from_millis(50);
-/// Part of what short streams bear that one part of reading may take; the rest is for other
-/// calls' prompts that are read in the same pass.
-const READ_PART_OF_PAUSE: f64 = 0.75;
 /// What is left of a long part that should be over by its estimate and is not.
 const LATE_PART: Duration = Duration::from_millis(150);
-/// Short streams beside which a long part may be read; more would pause with it. Against two it
-/// gains 0.006 of worth, against none 0.004 (standard error 0.004, 36 paired plays of 18 engines).
-const MOST_SHORT_BESIDE: u16 = 1;
 /// Part of an engine's batch that is filled with short calls; the rest is for a burst.
 const SHORT_PART_OF_BATCH: f64 = 0.75;
 /// Engines kept for short calls beside those that they fill, for calls that come at once.
 const SPARE_SHORT_ENGINES: usize = 1;
 /// Engines that long prompts keep at least.
 const LONG_ENGINES: usize = 3;
-/// Long streams that an engine writes at most while it still leads another.
-const MOST_LONG_STREAMS: u16 = 4;
 /// Part of an engine's memory that is planned with; the rest covers what isn't known.
 const USABLE_MEMORY: f64 = 0.95;
 /// Boxes up to which nearly all engines are weighed; what they tell each other is fresh then.
@@ -226,11 +216,13 @@
 }
 
 impl EngineState {
-    fn writers(&self) -> u32 {
+    /// Streams that it writes.
+    pub(crate) fn writers(&self) -> u32 {
         u32::from(self.load.short) + u32::from(self.load.long)
     }
 
-    fn free_memory(&self, model: &EngineModel) -> u64 {
+    /// Tokens that it has room for.
+    pub(crate) fn free_memory(&self, model: &EngineModel) -> u64 {
         let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
         usable.saturating_sub(u64::from(self.load.memory_k) * 1_000)
     }
@@ -352,25 +344,16 @@
     } else {
         all
     };
-    let longest = match aims.due_in {
-        // Late already, it goes when nothing else waits: it only has to be read at all.
-        Duration::ZERO => LONGEST_PART_ALONE,
-        due_in => due_in
-            .mul_f64(READ_PART_OF_TIME)
-            .clamp(LONGEST_PART, LONGEST_PART_ALONE),
-    };
-    let least = parts_of(read, longest).min(engines.len() - lane).min(most);
+    let least = parts_of(read, longest_part(aims.due_in))
+        .min(engines.len() - lane)
+        .min(most);
     let group = EngineGroup {
         model,
         engines,
         prompt,
         lane,
         reserve,
-        longest_alone: if is_huge {
-            Duration::MAX
-        } else {
-            LONGEST_PART_ALONE
-        },
+        is_huge,
         bearable: Bearable::new(model, aims.least_pause),
     };
     let wanted = if reserve {
@@ -384,6 +367,17 @@
     // As many as are wanted or fewer, then more and smaller parts, which the lane bears, too.
     let mut counts = (least..=wanted).rev().chain(wanted + 1..=most);
     let chosen = counts.find_map(|count| group.choose(count, read / count as u32))?;
+    Some(long_plan(&group, &chosen, read))
+}
+
+fn long_plan(group: &EngineGroup<'_>, chosen: &[usize], read: Duration) -> EnginePlan {
+    let EngineGroup {
+        model,
+        engines,
+        prompt,
+        reserve,
+        ..
+    } = *group;
     let share = read / chosen.len() as u32;
     let before = chosen.iter().map(|&at| wait(model, &engines[at])).max();
     let share_of_memory = prompt.memory() / chosen.len() as u64 + 1;
@@ -397,105 +391,22 @@
             (false, _) => 0,
         },
     });
-    Some(EnginePlan {
+    EnginePlan {
         parts: parts.collect(),
         reserve,
         long: true,
         expected: before.unwrap_or_default() + share + model.pass(2),
-    })
-}
-
-/// Longest part of reading beside which streams still pause well.
-#[derive(Debug, Clone, Copy)]
-struct Bearable {
-    /// Beside any number of the most urgent streams.
-    beside_short: Duration,
-    /// Beside streams of long prompts only.
-    beside_long: Duration,
-}
-
-impl Bearable {
-    /// A pass with a full batch plays beside the part.
-    fn new(model: &EngineModel, least_pause: Option<Duration>) -> Self {
-        let pass = model.pass(model.slots);
-        let short = least_pause.unwrap_or(LONG_PAUSE).saturating_sub(pass);
-        Self {
-            beside_short: short.mul_f64(READ_PART_OF_PAUSE),
-            beside_long: LONG_PAUSE.saturating_sub(pass),
-        }
     }
 }
 
-/// Chooses engines that read a long prompt together.
-///
-/// Each engine bears parts up to a length that depends on what it writes. Against a fixed share
-/// of the engines without short streams this gains 0.007 of worth (standard error 0.004, 36
-/// paired plays of 18 engines), most where short calls fill the fleet.
-struct EngineGroup<'a> {
-    model: &'a EngineModel,
-    engines: &'a [EngineState],
-    prompt: &'a Prompt,
-    lane: usize,
-    reserve: bool,
-    /// Longest part where nothing is written.
-    longest_alone: Duration,
-    bearable: Bearable,
-}
-
-impl EngineGroup<'_> {
-    /// Longest part that an engine may read.
-    fn bears(&self, at: usize) -> Duration {
-        let load = &self.engines[at].load;
-        match (load.short, load.long) {
-            _ if load.long_reads > 0 => Duration::ZERO,
-            _ if at < self.lane => self.bearable.beside_short,
-            (0, 0) => self.longest_alone,
-            (short, _) if short <= MOST_SHORT_BESIDE => self.bearable.beside_long,
-            _ => self.bearable.beside_short,
-        }
-    }
-
-    /// Engines that read and write little enough for parts of any usual length.
-    fn free(&self) -> usize {
-        let engines = 0..self.engines.len();
-        engines
-            .filter(|&at| self.bears(at) > self.bearable.beside_short)
-            .count()
-    }
-
-    /// Whether it may hold the whole prompt and write its stream.
-    fn leads(&self, at: usize) -> bool {
-        let engine = &self.engines[at];
-        engine.free_memory(self.model) >= self.prompt.memory()
-            && engine.load.long < MOST_LONG_STREAMS
-            && engine.writers() < self.model.slots
-    }
-
-    /// Whether it has room for its share of a prompt that no engine holds alone.
-    fn has_room(&self, at: usize, count: usize) -> bool {
-        let share = self.prompt.memory() / count as u64 + 1;
-        self.engines[at].free_memory(self.model) >= share
-    }
-
-    /// So many engines that can read parts of this length; the one that leads is first.
-    fn choose(&self, count: usize, part: Duration) -> Option<Vec<usize>> {
-        let is_able =
-            |at: &usize| self.bears(*at) >= part && (!self.reserve || self.has_room(*at, count));
-        let mut able: Vec<usize> = (0..self.engines.len()).filter(is_able).collect();
-        if able.len() < count {
-            return None;
-        }
-        able.sort_by_key(|&at| {
-            let engine = &self.engines[at];
-            let writes_short = self.bears(at) <= self.bearable.beside_short;
-            (writes_short, engine.load.long, engine.preference)
-        });
-        if !self.reserve {
-            let lead = able.iter().position(|&at| self.leads(at))?;
-            able[..=lead].rotate_right(1);
-        }
-        able.truncate(count);
-        Some(able)
+/// Longest part that a prompt is sent with; it waits until enough engines are free for that.
+fn longest_part(due_in: Duration) -> Duration {
+    match due_in {
+        // Late already, it goes when nothing else waits: it only has to be read at all.
+        Duration::ZERO => LONGEST_PART_ALONE,
+        due_in => due_in
+            .mul_f64(READ_PART_OF_TIME)
+            .clamp(LONGEST_PART, LONGEST_PART_ALONE),
     }
 }
 
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempts;
 pub mod call;
+pub(crate) mod engine_group;
 pub mod engine_load;
 pub mod engine_plan;
 pub mod event_join;
