tests: a waiting prompt of the size that the test means

The test wrote a longer time for its caller by replacing 5000, which also stood in the prompt's size: it asked for 2,000,000 tokens in place of 500,000. Its claim is the same, on the size that it names.

--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -299,7 +299,7 @@
     let mut waits = Caller::connect(world.relay.front()).await?;
     // More than the one engine holds, so it waits for others.
     let tokens = "Badgerferry-Token-Counts: 500000,100\r\n";
-    let text = call("POST", "/long/a", "id-1", tokens, "").replace("5000", "20000");
+    let text = call("POST", "/long/a", "id-1", tokens, "").replace("Ms: 5000", "Ms: 20000");
     waits.send(&text).await?;
 
     world.relay.signal("TERM")?;
