tests: the dead service is gone before the call that finds it so

Failed once in a whole run beside three busy processes and a build (74 passed, 1 failed): the call was told "maybe" where the test wants "no". By reading, the service ends itself after the run, and a connection that comes before its process is gone is made and lost, which is no proof that nothing ran: the box's answer was true. Not shown by a run of its own. The test waits until the service refuses connections, its claims are the same.

--- a/daemon/tests/test_failures.rs
+++ b/daemon/tests/test_failures.rs
@@ -153,6 +153,12 @@
         .set_faults(fleet.service.address, &json!({"die_after_run": true}))
         .await?;
     let lost = fleet.notify(0, "alert", &once).await?;
+    // A process that is ending still takes connections for a moment; a call lost there may have run.
+    let address = fleet.service.address;
+    wait_until("the service is gone", async || {
+        tokio::net::TcpStream::connect(address).await.is_err()
+    })
+    .await?;
     let gone = fleet.notify(0, "alert", &once).await?;
 
     assert_eq!(
