testutils: a fleet before model engines in virtual time, with the library's decisions

emulate relay plays a scenario file with seeds on all cores and gives JSON lines; emulate compare pairs two of them. Engines read and write in passes; what boxes know, the order of long prompts and the plans are the library's own. Not modelled: faults, plain services, repeats, processor time.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_relay_hall_reach;
 mod test_relay_long_queue;
 mod test_relay_lost_calls;
+mod test_relay_model;
 mod test_relay_retry_window;
 mod test_relay_route_table;
 mod test_relay_server_book;
--- a/testutils/src/bin/emulate/main.rs
+++ b/testutils/src/bin/emulate/main.rs
@@ -1,5 +1,7 @@
 //! Runs the library's decisions in virtual time: seeded runs with faults, and load.
 
+mod relay;
+
 use std::fmt::Debug;
 use std::time::Duration;
 
@@ -31,6 +33,8 @@
 enum Command {
     Seeds(SeedsArgs),
     Load(LoadArgs),
+    Relay(relay::RelayArgs),
+    Compare(relay::CompareArgs),
 }
 
 /// Run seeds with faults and assert the invariants.
@@ -237,15 +241,21 @@
     )
 }
 
-fn main() {
+fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
     let args = match args.command {
         Command::Seeds(args) => args,
-        Command::Load(args) => return measure_load(&args),
+        Command::Load(args) => {
+            measure_load(&args);
+            return Ok(());
+        }
+        Command::Relay(args) => return relay::play(&args),
+        Command::Compare(args) => return relay::compare(&args),
     };
     match args.what.as_str() {
         "leases" => run_and_tell(&args, seeded_leases::run, LeaseCounts::add),
         "settings" => run_and_tell(&args, seeded_settings::run, SettingsCounts::add),
         _ => run_and_tell(&args, seeded_requests::run, RunCounts::add),
     }
+    Ok(())
 }
--- /dev/null
+++ b/testutils/src/bin/emulate/relay.rs
@@ -0,0 +1,175 @@
+//! Plays scenarios of the platform's engines, and compares two builds or policies by their results.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use anyhow::Context;
+use argh::FromArgs;
+use badgerferry_lib::relay::cells::Scope;
+use badgerferry_testutils::relay_model;
+use badgerferry_testutils::relay_model::DayResult;
+use badgerferry_testutils::relay_model::Scenario;
+use badgerferry_testutils::seeds::run_seeds;
+
+/// Play a scenario of boxes before model engines; results as JSON lines.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "relay")]
+pub struct RelayArgs {
+    /// the scenario file
+    #[argh(positional)]
+    scenario: String,
+    /// first seed (0)
+    #[argh(option, default = "0")]
+    from: u64,
+    /// how many seeds (24)
+    #[argh(option, default = "24")]
+    seeds: u64,
+    /// whom boxes tell of their work: fleet (all boxes) or hall
+    #[argh(option, default = "String::from(\"fleet\")")]
+    scope: String,
+    /// print each call of the first seed in place of results
+    #[argh(switch)]
+    calls: bool,
+}
+
+/// Compare two files of results, seed by seed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+pub struct CompareArgs {
+    /// results of the old policy
+    #[argh(positional)]
+    old: String,
+    /// results of the new policy
+    #[argh(positional)]
+    new: String,
+}
+
+/// Plays.
+///
+/// # Errors
+///
+/// The scenario can't be read, or a seed panicked.
+pub fn play(args: &RelayArgs) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(&args.scenario)
+        .with_context(|| format!("failed to read {}", args.scenario))?;
+    let scenario = Scenario::parse(&text).with_context(|| args.scenario.clone())?;
+    let scope = match args.scope.as_str() {
+        "fleet" => Scope::Fleet,
+        "hall" => Scope::Hall,
+        other => anyhow::bail!("--scope: fleet or hall is expected, not {other}"),
+    };
+    if args.calls {
+        let (_, calls) = relay_model::run(&scenario, Some(scope), args.from);
+        for call in calls {
+            println!("{}", serde_json::to_string(&call)?);
+        }
+        return Ok(());
+    }
+    let seeds = args.from..args.from + args.seeds;
+    let one = |seed| relay_model::run(&scenario, Some(scope), seed).0;
+    let (mut results, broken) = run_seeds(seeds, one);
+    anyhow::ensure!(broken.is_empty(), "these seeds panicked: {broken:?}");
+    results.sort_by_key(|result| result.seed);
+    for result in &results {
+        println!("{}", serde_json::to_string(result)?);
+    }
+    for (name, figure) in figures(&scenario, &results) {
+        eprintln!("{name:28} {figure:.4}");
+    }
+    Ok(())
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0), |(sum, count), value| (sum + value, count + 1));
+    sum / f64::from(count.max(1))
+}
+
+fn figures(scenario: &Scenario, results: &[DayResult]) -> Vec<(String, f64)> {
+    let mut figures = vec![
+        (
+            "worth".to_owned(),
+            mean(results.iter().map(|row| row.worth)),
+        ),
+        (
+            "worst seconds".to_owned(),
+            mean(results.iter().map(|row| row.worst_seconds)),
+        ),
+        (
+            "engines busy".to_owned(),
+            mean(results.iter().map(|row| row.engines_busy)),
+        ),
+        (
+            "over estimate, median".to_owned(),
+            mean(results.iter().map(|row| row.over_estimate[0])),
+        ),
+        (
+            "over estimate, 9 in 10".to_owned(),
+            mean(results.iter().map(|row| row.over_estimate[1])),
+        ),
+    ];
+    let weakest = |row: &DayResult| {
+        let kinds = row.by_kind.iter().chain(&row.largest);
+        kinds.copied().fold(1.0, f64::min)
+    };
+    let weakest = mean(results.iter().map(weakest));
+    figures.push(("weakest kind or size".to_owned(), weakest));
+    for (at, kind) in scenario.kinds.iter().enumerate() {
+        let mut add = |what: &str, of: &dyn Fn(&DayResult) -> f64| {
+            let figure = mean(results.iter().map(of));
+            figures.push((format!("{} {what}", kind.name), figure));
+        };
+        add("on time", &|row| row.on_time[at]);
+        add("largest tenth on time", &|row| row.largest_on_time[at]);
+        add("largest tenth served", &|row| row.largest_served[at]);
+        add("refused", &|row| row.refused[at] as f64);
+    }
+    figures
+}
+
+/// Compares.
+///
+/// # Errors
+///
+/// A file can't be read, or they have no seed in common.
+pub fn compare(args: &CompareArgs) -> anyhow::Result<()> {
+    let (old, new) = (read(&args.old)?, read(&args.new)?);
+    let paired: Vec<(&DayResult, &DayResult)> = old
+        .iter()
+        .filter_map(|(seed, old)| Some((old, new.get(seed)?)))
+        .collect();
+    anyhow::ensure!(
+        paired.len() > 1,
+        "the files have fewer than two seeds in common"
+    );
+    tell_difference("worth", &paired, |row| row.worth);
+    tell_difference("worst seconds", &paired, |row| row.worst_seconds);
+    let kinds = paired[0].0.by_kind.len();
+    for kind in 0..kinds {
+        tell_difference(&format!("kind {kind}"), &paired, |row| row.by_kind[kind]);
+    }
+    Ok(())
+}
+
+fn read(path: &str) -> anyhow::Result<BTreeMap<u64, DayResult>> {
+    let text = std::fs::read_to_string(Path::new(path))
+        .with_context(|| format!("failed to read {path}"))?;
+    let row = |line: &str| -> anyhow::Result<(u64, DayResult)> {
+        let result: DayResult = serde_json::from_str(line)?;
+        Ok((result.seed, result))
+    };
+    text.lines().map(row).collect()
+}
+
+fn tell_difference(
+    name: &str,
+    paired: &[(&DayResult, &DayResult)],
+    of: impl Fn(&DayResult) -> f64,
+) {
+    let differences: Vec<f64> = paired.iter().map(|(old, new)| of(new) - of(old)).collect();
+    let count = differences.len() as f64;
+    let mean = differences.iter().sum::<f64>() / count;
+    let squares = differences.iter().map(|one| (one - mean).powi(2));
+    let error = (squares.sum::<f64>() / (count - 1.0) / count).sqrt();
+    let old = paired.iter().map(|(old, _)| of(old)).sum::<f64>() / count;
+    println!("{name:16} {old:.4} {mean:+.4} (standard error {error:.4}, {count} seeds)");
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod load;
 pub mod processes;
+pub mod relay_model;
 pub mod seeded_leases;
 pub mod seeded_requests;
 pub mod seeded_settings;
--- /dev/null
+++ b/testutils/src/relay_model/boxes.rs
@@ -0,0 +1,203 @@
+//! A box: what it knows, by the library's own types, and how it chooses.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use badgerferry_lib::ids::HallName;
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::relay::call::Prompt;
+use badgerferry_lib::relay::cells::Scope;
+use badgerferry_lib::relay::engine_cell::Cells;
+use badgerferry_lib::relay::engine_load::EngineKey;
+use badgerferry_lib::relay::engine_load::EngineLoads;
+use badgerferry_lib::relay::engine_load::EngineUse;
+use badgerferry_lib::relay::engine_load::WorkId;
+use badgerferry_lib::relay::engine_plan::Aims;
+use badgerferry_lib::relay::engine_plan::EngineModel;
+use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EngineState;
+use badgerferry_lib::relay::long_queue::LongQueue;
+use badgerferry_lib::relay::long_queue::QueueHead;
+use badgerferry_lib::time::Time;
+use rand::Rng;
+
+/// All engines as every box lists them.
+#[derive(Debug)]
+pub(super) struct EngineList {
+    /// Key, hall and place in the run's own list, sorted by key.
+    rows: Vec<(EngineKey, usize, usize)>,
+}
+
+impl EngineList {
+    pub(super) fn new(halls: usize, per_hall: usize) -> Self {
+        let row = |at: usize| {
+            let name = ServerName::new(format!("engine-{at}"));
+            (EngineKey::of(&name), at / per_hall, at)
+        };
+        let mut rows: Vec<_> = (0..halls * per_hall).map(row).collect();
+        rows.sort_unstable();
+        Self { rows }
+    }
+}
+
+/// What a box tells others of itself.
+#[derive(Debug)]
+pub(super) struct Told {
+    pub(super) sequence: u64,
+    pub(super) is_urgent: bool,
+    pub(super) waits: Option<QueueHead>,
+    pub(super) rows: Vec<(EngineKey, EngineUse)>,
+}
+
+/// A call that a box places.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Asked {
+    pub(super) prompt: Prompt,
+    pub(super) due: Time,
+    pub(super) pause: Duration,
+}
+
+/// A plan, with engines by their place in the run's list.
+#[derive(Debug)]
+pub(super) struct Placed {
+    pub(super) plan: EnginePlan,
+    pub(super) engines: Vec<usize>,
+    pub(super) works: Vec<WorkId>,
+}
+
+/// One box.
+#[derive(Debug)]
+pub(super) struct ModelBox {
+    pub(super) name: String,
+    pub(super) hall: usize,
+    pub(super) loads: EngineLoads,
+    pub(super) queue: LongQueue,
+    pub(super) last_told: Time,
+    pub(super) tells_at: Option<Time>,
+    sequence: u64,
+}
+
+/// What all boxes go by.
+#[derive(Debug)]
+pub(super) struct Rules {
+    pub(super) model: EngineModel,
+    pub(super) scope: Scope,
+    /// Boxes that choose among the same engines.
+    pub(super) boxes: usize,
+    pub(super) least_pause: Option<Duration>,
+    pub(super) engines: EngineList,
+}
+
+impl ModelBox {
+    pub(super) fn new(at: usize, hall: usize) -> Self {
+        Self {
+            name: format!("box-{at:04}"),
+            hall,
+            loads: EngineLoads::default(),
+            queue: LongQueue::default(),
+            last_told: Time::ZERO,
+            tells_at: None,
+            sequence: 0,
+        }
+    }
+
+    /// What it tells now.
+    pub(super) fn tell(&mut self, now: Time, is_urgent: bool) -> Told {
+        self.sequence += 1;
+        self.last_told = now;
+        self.tells_at = None;
+        Told {
+            sequence: self.sequence,
+            is_urgent,
+            waits: self.queue.head(now),
+            rows: self.loads.own_table(now).into_iter().collect(),
+        }
+    }
+
+    /// Takes what another one told.
+    pub(super) fn hear(&mut self, now: Time, from: &str, told: &Told) {
+        let rows = told.rows.clone();
+        if self.loads.take_table(now, from, 1, told.sequence, rows) {
+            self.queue.take_head(now, from, told.waits);
+        }
+    }
+
+    /// What it tells other halls of its own.
+    pub(super) fn tell_hall(&self, now: Time) -> Told {
+        Told {
+            sequence: now.as_micros() + 1,
+            is_urgent: false,
+            waits: self.queue.head_of_hall(now),
+            rows: self.loads.hall_table(now, |_| true).into_iter().collect(),
+        }
+    }
+
+    /// Takes what another hall told.
+    pub(super) fn hear_hall(&mut self, now: Time, hall: &HallName, told: &Told) {
+        let rows = told.rows.clone();
+        if self
+            .loads
+            .take_hall_table(now, hall, 1, told.sequence, rows)
+        {
+            self.queue.take_hall_head(now, hall, told.waits);
+        }
+    }
+
+    /// Plans a call, if it may be sent now.
+    pub(super) fn plan(
+        &self,
+        now: Time,
+        rules: &Rules,
+        asked: &Asked,
+        rng: &mut impl Rng,
+    ) -> Option<(EnginePlan, Vec<EngineState>)> {
+        let table: HashMap<EngineKey, EngineUse> = self.loads.table(now);
+        let own = EngineKey::of(&ServerName::new(&self.name)).0;
+        let rows = &rules.engines.rows;
+        let state = |&(key, hall, _): &(EngineKey, usize, usize)| EngineState {
+            load: table.get(&key).copied().unwrap_or_default(),
+            near: hall == self.hall,
+            preference: (key.0 ^ own).wrapping_mul(0x9E37_79B1),
+        };
+        let states: Vec<EngineState> = rows.iter().map(state).collect();
+        // The box's own hall is number 0.
+        let number = |&(_, hall, _): &(EngineKey, usize, usize)| match hall {
+            hall if hall == self.hall => 0,
+            0 => self.hall,
+            hall => hall,
+        };
+        let halls: Vec<usize> = rows.iter().map(number).collect();
+        let cells = Cells {
+            engines: &states,
+            halls: &halls,
+            scope: rules.scope,
+            boxes: rules.boxes,
+        };
+        let aims = Aims {
+            due_in: now.until(asked.due),
+            pause: Some(asked.pause),
+            least_pause: rules.least_pause,
+        };
+        let plan = cells.plan(&rules.model, &asked.prompt, aims, rng)?;
+        Some((plan, states))
+    }
+
+    /// Enters a plan's work.
+    pub(super) fn enter(
+        &mut self,
+        now: Time,
+        rules: &Rules,
+        (plan, states): (EnginePlan, Vec<EngineState>),
+    ) -> Placed {
+        let rows = &rules.engines.rows;
+        let entered = plan.parts.iter().zip(plan.works(&states));
+        let works = entered.map(|(part, work)| self.loads.begin(now, rows[part.engine].0, work));
+        let works = works.collect();
+        let engines = plan.parts.iter().map(|part| rows[part.engine].2).collect();
+        Placed {
+            plan,
+            engines,
+            works,
+        }
+    }
+}
