relay: boxes that all start at once have routes sooner, and callers wait for them

Ruled out: the store's own trouble, it was stable then. Both tests were seen failing without the change.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -43,6 +43,9 @@
 use crate::relay::tries::TryResult;
 use crate::traffic::lock;
 
+/// How long a call waits at most for the first routes of a box that has just started; half of its
+/// time where that is less. Hundreds of boxes that start at once have them within about a second.
+const ROUTES_SOON: Duration = Duration::from_secs(2);
 /// When to come back where this box has no routes yet, or is leaving.
 const SOON: Duration = Duration::from_millis(300);
 /// When to come back where no server took the call; a restarting one needs about that long.
@@ -144,15 +147,16 @@
     req: Request<Incoming>,
 ) -> Result<Call, Response<AnswerBody>> {
     let (parts, body) = req.into_parts();
-    let Some(routes) = relay.routes.load_full() else {
-        log_lines::turned_away("-", "no_settings");
-        return Err(caller_answer::not_run("no_settings", Some(SOON)));
-    };
     let head = headers::read_call(&parts.headers).map_err(|cause| {
         log_lines::turned_away("-", cause.0);
         caller_answer::bad(StatusCode::BAD_REQUEST, cause.0)
     })?;
     let id = head.id.clone().unwrap_or_else(|| "-".to_owned());
+    let patience = head.time_left.map_or(ROUTES_SOON, |left| left / 2);
+    let Some(routes) = relay.routes_within(patience.min(ROUTES_SOON)).await else {
+        log_lines::turned_away(&id, "no_settings");
+        return Err(caller_answer::not_run("no_settings", Some(SOON)));
+    };
     let host = parts.uri.host().map(str::to_owned).or_else(|| {
         let value = parts.headers.get(http::header::HOST)?;
         value.to_str().ok().map(str::to_owned)
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -34,10 +34,15 @@
 const START_PULL: Duration = Duration::from_millis(400);
 /// Longest pull: a neighbour answers in milliseconds, or another one is asked.
 const PULL_LIMIT: Duration = Duration::from_millis(700);
-/// Pulls answered at a time. A route table of 1,500 routes takes 20 Mbit/s about 0.1 s, so so many
+/// Large pulls answered at a time. A route table of 1,500 routes takes 20 Mbit/s about 0.1 s, so so many
 /// are over within [`PULL_LIMIT`].
 const ANSWERS_AT_ONCE: usize = 4;
 
+/// The other box answers as many as it does at a time.
+#[derive(Debug, thiserror::Error)]
+#[error("it answers others just now")]
+struct Busy;
+
 /// An answer of two frames: what is newer, and the route table if that is.
 type Answer = (PullAnswer, Option<StampedTable>);
 
@@ -106,6 +111,10 @@
     }
     let (answer, table) = match timeout(PULL_LIMIT, ask(address, &request)).await {
         Ok(Ok(answer)) => answer,
+        Ok(Err(cause)) if cause.is::<Busy>() => {
+            tracing::debug!(%address, "a neighbour answers others just now");
+            return;
+        }
         Ok(Err(cause)) => {
             tracing::info!(%address, cause = format!("{cause:#}"), "no state from a neighbour");
             return;
@@ -157,7 +166,7 @@
     let mut stream = TcpStream::connect(address).await?;
     write_frame(&mut stream, &postcard::to_stdvec(request)?).await?;
     let bytes = read_frame(&mut stream).await?;
-    anyhow::ensure!(!bytes.is_empty(), "it answers others just now");
+    anyhow::ensure!(!bytes.is_empty(), Busy);
     let answer: PullAnswer = postcard::from_bytes(&bytes)?;
     let table = if answer.table_follows {
         let bytes = read_frame(&mut stream).await?;
@@ -182,11 +191,14 @@
         let bytes = read_frame(&mut stream).await?;
         let request: PullRequest = postcard::from_bytes(&bytes)?;
         anyhow::ensure!(request.version == FRAME_VERSION, "another version");
-        let Ok(_slot) = slots.try_acquire() else {
+        let answer = relay.newer_than(&request);
+        // A few changes cost less than telling the other box to come back.
+        let slot = answer.is_large().then(|| slots.try_acquire());
+        if let Some(Err(_all_taken)) = slot {
             counter!("badgerferry_pulls_turned_away_total").increment(1);
             return write_frame(&mut stream, &[]).await;
-        };
-        let (answer, table) = relay.newer_than(&request);
+        }
+        let table = relay.table_for(&answer);
         write_frame(&mut stream, &postcard::to_stdvec(&answer)?).await?;
         if let Some(table) = table {
             write_frame(&mut stream, &table).await?;
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -30,6 +30,7 @@
 use badgerferry_platform::settings_file::BoxSettings;
 use hyper::body::Bytes;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::relay::upstream::Upstream;
@@ -112,6 +113,8 @@
     pub clock: Clock,
     /// The route table in force.
     pub routes: ArcSwapOption<RouteIndex>,
+    /// Wakes calls that wait for the first route table.
+    routes_known: Notify,
     /// Servers and how they do.
     pub book: Mutex<ServerBook>,
     /// Work at engines, of all boxes.
@@ -153,6 +156,7 @@
             lifetime: rand::random(),
             clock: Clock::start(),
             routes: ArcSwapOption::empty(),
+            routes_known: Notify::new(),
             book: Mutex::default(),
             loads: Mutex::default(),
             long_queue: Mutex::default(),
@@ -174,6 +178,21 @@
         self.routes.load().is_some() && !self.is_stopping()
     }
 
+    /// The route table in force; waits at most so long for the first one.
+    pub async fn routes_within(&self, patience: Duration) -> Option<Arc<RouteIndex>> {
+        // Listens before it looks: a table that comes between the two is not missed.
+        let known = self.routes_known.notified();
+        match self.routes.load_full() {
+            Some(routes) => Some(routes),
+            None if self.is_stopping() => None,
+            None => {
+                // Whether it came or not is looked at below.
+                let _ = timeout(patience, known).await;
+                self.routes.load_full()
+            }
+        }
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
@@ -239,35 +258,30 @@
         of.is_some_and(|of| of.hall == self.settings.hall.as_str())
     }
 
-    /// What another box lacks, and the route table if that is part of it.
-    pub fn newer_than(&self, request: &PullRequest) -> (PullAnswer, Option<Bytes>) {
+    /// What another box lacks; see [`Self::table_for`].
+    pub fn newer_than(&self, request: &PullRequest) -> PullAnswer {
         let have = request.have;
-        let (revision, answer) = {
-            let followed = lock(&self.followed);
-            let boxes = if request.wants_boxes {
-                followed.boxes.values().cloned().collect()
-            } else {
-                Vec::new()
-            };
-            let answer = PullAnswer {
-                table_follows: false,
-                servers: followed.servers.news_since(have.servers),
-                hold_left: followed.servers.hold_left(self.clock.now()),
-                boxes,
-            };
-            (followed.table_revision, answer)
+        let followed = lock(&self.followed);
+        let boxes = if request.wants_boxes {
+            followed.boxes.values().cloned().collect()
+        } else {
+            Vec::new()
         };
-        let table = (revision > have.table)
+        PullAnswer {
+            table_follows: followed.table_revision > have.table && self.routes.load().is_some(),
+            servers: followed.servers.news_since(have.servers),
+            hold_left: followed.servers.hold_left(self.clock.now()),
+            boxes,
+        }
+    }
+
+    /// The route table in force as it follows an answer.
+    pub fn table_for(&self, answer: &PullAnswer) -> Option<Bytes> {
+        let revision = lock(&self.followed).table_revision;
+        answer
+            .table_follows
             .then(|| self.encoded_table(revision))
-            .flatten();
-        let table_follows = table.is_some();
-        (
-            PullAnswer {
-                table_follows,
-                ..answer
-            },
-            table,
-        )
+            .flatten()
     }
 
     /// The route table in force, which is as new as this revision.
@@ -316,6 +330,7 @@
         );
         let index = Arc::new(RouteIndex::new(stamped.table));
         self.routes.store(Some(index));
+        self.routes_known.notify_waiters();
         // Neighbours are told at once.
         self.load_changed.notify_one();
     }
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -16,6 +16,9 @@
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Mode;
 use badgerferry_standin::store::Store;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 fn again(id: &str, key: &str) -> String {
     call("GET", "/again/a", id, "", "").replace("key-1", key)
@@ -49,6 +52,25 @@
     Ok(())
 }
 
+/// Found by a play: callers of boxes that had all just started were turned away, twice each.
+#[tokio::test]
+async fn a_call_that_comes_before_the_first_routes_waits_for_them() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    store.put_routes(&desired_state(3, &["key-1"]));
+    let server = Server::start("i-0", "boards", Duration::from_millis(20)).await?;
+    store.put(&server.key(), &server.entry("ready"));
+    store.set_mode(Mode::Busy);
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_line(&["store lost"]).await?;
+    let mut caller = Caller::connect(relay.front()).await?;
+
+    caller.send(&again("id-1", "key-1")).await?;
+    store.set_mode(Mode::Serving);
+
+    assert_eq!(caller.answer().await?.status, 200);
+    Ok(())
+}
+
 #[tokio::test]
 async fn new_routes_keys_and_servers_are_in_force_soon_after_the_store_took_them()
 -> anyhow::Result<()> {
@@ -357,6 +379,34 @@
     wait_until(|| store.revision_of(key) > 0).await
 }
 
+/// Answers one call with a list that comes in pieces, with a pause before each.
+async fn answer_in_pieces(listener: TcpListener, pause: Duration) -> anyhow::Result<()> {
+    let (mut stream, _peer) = listener.accept().await?;
+    let _ = stream.read(&mut [0; 4_096]).await?;
+    let body = "{\"items\":[],\"has_more\":false,\"timestamp\":7}";
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await?;
+    for piece in body.as_bytes().chunks(body.len().div_ceil(5)) {
+        tokio::time::sleep(pause).await;
+        stream.write_all(piece).await?;
+    }
+    Ok(())
+}
+
+/// Found by a play: boxes that read everything at once over one link gave up half-way.
+#[tokio::test]
+async fn a_store_whose_answer_keeps_coming_is_not_given_up() -> anyhow::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let limit = Duration::from_secs(2);
+    let mut client = Client::new(listener.local_addr()?, limit);
+    let answers = tokio::spawn(answer_in_pieces(listener, limit / 4));
+
+    let all = client.read_all().await?;
+
+    assert_eq!(all.revision, 7);
+    answers.await?
+}
+
 #[tokio::test]
 async fn an_entry_that_was_written_again_is_not_removed() -> anyhow::Result<()> {
     let store = Store::start().await?;
