--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -34,7 +34,7 @@
 const START_PULL: Duration = Duration::from_millis(400);
 /// Longest pull: a neighbour answers in milliseconds, or another one is asked.
 const PULL_LIMIT: Duration = Duration::from_millis(700);
-/// Large pulls answered at a time. A route table of 1,500 routes takes 20 Mbit/s about 0.1 s, so so many
+/// Pulls answered at a time. A route table of 1,500 routes takes 20 Mbit/s about 0.1 s, so so many
 /// are over within [`PULL_LIMIT`].
 const ANSWERS_AT_ONCE: usize = 4;
 
@@ -191,13 +191,11 @@
         let bytes = read_frame(&mut stream).await?;
         let request: PullRequest = postcard::from_bytes(&bytes)?;
         anyhow::ensure!(request.version == FRAME_VERSION, "another version");
-        let answer = relay.newer_than(&request);
-        // A few changes cost less than telling the other box to come back.
-        let slot = answer.is_large().then(|| slots.try_acquire());
-        if let Some(Err(_all_taken)) = slot {
+        let Ok(_slot) = slots.try_acquire() else {
             counter!("badgerferry_pulls_turned_away_total").increment(1);
             return write_frame(&mut stream, &[]).await;
-        }
+        };
+        let answer = relay.newer_than(&request);
         let table = relay.table_for(&answer);
         write_frame(&mut stream, &postcard::to_stdvec(&answer)?).await?;
         if let Some(table) = table {
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -56,14 +56,6 @@
     pub boxes: Vec<BoxAddresses>,
 }
 
-impl PullAnswer {
-    /// Whether it holds more than a few changes.
-    pub const fn is_large(&self) -> bool {
-        let all_servers = matches!(self.servers, Some(ServerNews::All(_)));
-        self.table_follows || all_servers || !self.boxes.is_empty()
-    }
-}
-
 /// Where a box is reached by other boxes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct BoxAddresses {
