relay: what a plan is made over is one type

Planning took seven arguments, in four functions that passed them on; the engines, their model and the boxes that choose among them are one EnginePool now. No decision changes.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -15,6 +15,7 @@
 use badgerferry_lib::relay::engine_plan::Aims;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EnginePool;
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::engine_plan::Part;
 use badgerferry_lib::relay::long_queue::Ticket;
@@ -289,12 +290,15 @@
         least_pause: call.routes.least_pause(&call.service),
     };
     let cells = Cells {
-        engines: &states,
+        pool: EnginePool {
+            model,
+            engines: &states,
+            boxes,
+        },
         halls: &hall_numbers(&usable, &relay.settings.hall),
         scope,
-        boxes,
     };
-    let plan = cells.plan(model, prompt, aims, rng)?;
+    let plan = cells.plan(prompt, aims, rng)?;
     let address = |part: &Part| {
         let record = usable[part.engine];
         Engine {
--- a/lib/src/relay/engine_cell.rs
+++ b/lib/src/relay/engine_cell.rs
@@ -12,8 +12,8 @@
 use crate::relay::cells::Scope;
 use crate::relay::engine_plan;
 use crate::relay::engine_plan::Aims;
-use crate::relay::engine_plan::EngineModel;
 use crate::relay::engine_plan::EnginePlan;
+use crate::relay::engine_plan::EnginePool;
 use crate::relay::engine_plan::EngineState;
 
 /// Part of the time until its first event is due that a short call may be expected to take in
@@ -25,41 +25,33 @@
 /// The engines that a box may use, by hall.
 #[derive(Debug)]
 pub struct Cells<'a> {
-    /// All engines that may take work, in the order that all boxes share.
-    pub engines: &'a [EngineState],
+    /// All engines that may take work.
+    pub pool: EnginePool<'a>,
     /// The hall of each engine, as a number; 0 is this box's own.
     pub halls: &'a [usize],
     /// Whether the halls are cells, or all boxes know all engines alike.
     pub scope: Scope,
-    /// Boxes that choose among the same engines, this one included.
-    pub boxes: usize,
 }
 
 impl Cells<'_> {
     /// Plans a call.
     ///
     /// `None` if no engine can take it now.
-    pub fn plan(
-        &self,
-        model: &EngineModel,
-        prompt: &Prompt,
-        aims: Aims,
-        rng: &mut impl Rng,
-    ) -> Option<EnginePlan> {
+    pub fn plan(&self, prompt: &Prompt, aims: Aims, rng: &mut impl Rng) -> Option<EnginePlan> {
         if self.scope == Scope::Fleet {
-            return engine_plan::plan(model, self.engines, prompt, aims, self.boxes, rng);
+            return engine_plan::plan(&self.pool, prompt, aims, rng);
         }
-        if engine_plan::is_long(model, prompt, aims.pause) {
-            return self.plan_over_halls(model, prompt, aims, rng);
+        if engine_plan::is_long(self.pool.model, prompt, aims.pause) {
+            return self.plan_over_halls(prompt, aims, rng);
         }
-        let home = self.plan_in(0, model, prompt, aims, rng);
+        let home = self.plan_in(0, prompt, aims, rng);
         let most = home.as_ref().map(|plan| plan.expected);
         if most.is_some_and(|most| most <= aims.due_in.mul_f64(PATIENCE_AT_HOME)) {
             return home;
         }
         let others = 1..=self.halls.iter().copied().max().unwrap_or_default();
         let away = others
-            .filter_map(|hall| self.plan_in(hall, model, prompt, aims, rng))
+            .filter_map(|hall| self.plan_in(hall, prompt, aims, rng))
             .min_by_key(|plan| plan.expected);
         let gains = |away: &EnginePlan| most.is_none_or(|most| away.expected + LEAST_GAIN < most);
         away.filter(gains).or(home)
@@ -69,7 +61,6 @@
     /// engines for short calls.
     fn plan_over_halls(
         &self,
-        model: &EngineModel,
         prompt: &Prompt,
         aims: Aims,
         rng: &mut impl Rng,
@@ -79,9 +70,9 @@
         let mut others: Vec<usize> = Vec::new();
         for hall in halls {
             let at: Vec<usize> = self.engines_of(hall);
-            let engines: Vec<EngineState> = at.iter().map(|&at| self.engines[at]).collect();
+            let engines = self.states_of(&at);
             if !engines.is_empty() {
-                let lane = engine_plan::short_lane(model, &engines);
+                let lane = engine_plan::short_lane(self.pool.model, &engines);
                 lanes.extend(&at[..lane]);
                 others.extend(&at[lane..]);
             }
@@ -89,7 +80,7 @@
         let lane = lanes.len();
         lanes.extend(others);
         let own_first = |at: &usize| {
-            let engine = self.engines[*at];
+            let engine = self.pool.engines[*at];
             let far = u32::from(!engine.near) << 31;
             EngineState {
                 preference: engine.preference >> 1 | far,
@@ -97,27 +88,36 @@
             }
         };
         let engines: Vec<EngineState> = lanes.iter().map(own_first).collect();
-        let boxes = self.boxes;
-        let plan = engine_plan::plan_beside_lane(model, &engines, lane, prompt, aims, boxes, rng);
+        let pool = EnginePool {
+            engines: &engines,
+            ..self.pool
+        };
+        let plan = engine_plan::plan_beside_lane(&pool, lane, prompt, aims, rng);
         plan.map(|plan| placed_at(plan, &lanes))
     }
 
     fn engines_of(&self, hall: usize) -> Vec<usize> {
-        let all = 0..self.engines.len();
+        let all = 0..self.pool.engines.len();
         all.filter(|&at| self.halls[at] == hall).collect()
     }
 
+    fn states_of(&self, at: &[usize]) -> Vec<EngineState> {
+        at.iter().map(|&at| self.pool.engines[at]).collect()
+    }
+
     fn plan_in(
         &self,
         hall: usize,
-        model: &EngineModel,
         prompt: &Prompt,
         aims: Aims,
         rng: &mut impl Rng,
     ) -> Option<EnginePlan> {
         let at = self.engines_of(hall);
-        let engines: Vec<EngineState> = at.iter().map(|&at| self.engines[at]).collect();
-        let plan = engine_plan::plan(model, &engines, prompt, aims, self.boxes, rng)?;
+        let pool = EnginePool {
+            engines: &self.states_of(&at),
+            ..self.pool
+        };
+        let plan = engine_plan::plan(&pool, prompt, aims, rng)?;
         Some(placed_at(plan, &at))
     }
 }
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -127,6 +127,17 @@
     pub memory: u64,
 }
 
+/// The engines that a call is planned over, and who else chooses among them.
+#[derive(Debug, Clone, Copy)]
+pub struct EnginePool<'a> {
+    /// How fast each is.
+    pub model: &'a EngineModel,
+    /// Those that may take work, in the order that all boxes share.
+    pub engines: &'a [EngineState],
+    /// Boxes that choose apart from each other, this one included.
+    pub boxes: usize,
+}
+
 /// What a caller expects of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Aims {
@@ -188,40 +199,34 @@
     wanted.clamp(1, engines.len().saturating_sub(LONG_ENGINES).max(1))
 }
 
-/// Plans a call over `engines`, which every box lists in the same order.
-///
-/// `boxes` choose apart from each other, this one included.
+/// Plans a call.
 ///
 /// `None` if no engine can take it now, or too few are free to read it.
 pub fn plan(
-    model: &EngineModel,
-    engines: &[EngineState],
+    pool: &EnginePool<'_>,
     prompt: &Prompt,
     aims: Aims,
-    boxes: usize,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
-    let lane = short_lane(model, engines);
-    plan_beside_lane(model, engines, lane, prompt, aims, boxes, rng)
+    let lane = short_lane(pool.model, pool.engines);
+    plan_beside_lane(pool, lane, prompt, aims, rng)
 }
 
 /// Plans a call where the first `lane` engines are those kept for short calls.
 pub(crate) fn plan_beside_lane(
-    model: &EngineModel,
-    engines: &[EngineState],
+    pool: &EnginePool<'_>,
     lane: usize,
     prompt: &Prompt,
     aims: Aims,
-    boxes: usize,
     rng: &mut impl Rng,
 ) -> Option<EnginePlan> {
-    if engines.is_empty() {
+    if pool.engines.is_empty() {
         return None;
     }
-    if is_long(model, prompt, aims.pause) {
-        plan_long(model, engines, lane, prompt, aims, boxes)
+    if is_long(pool.model, prompt, aims.pause) {
+        plan_long(pool, lane, prompt, aims)
     } else {
-        Some(plan_short(model, engines, lane, prompt, aims, boxes, rng))
+        Some(plan_short(pool, lane, prompt, aims, rng))
     }
 }
 
@@ -283,14 +288,18 @@
 }
 
 fn plan_short(
-    model: &EngineModel,
-    engines: &[EngineState],
+    pool: &EnginePool<'_>,
     lane: usize,
     prompt: &Prompt,
     aims: Aims,
-    boxes: usize,
     rng: &mut impl Rng,
 ) -> EnginePlan {
+    let EnginePool {
+        model,
+        engines,
+        boxes,
+        ..
+    } = *pool;
     let read = model.read(prompt.tokens);
     let costs: Vec<Duration> = (engines.iter().enumerate())
         .map(|(at, engine)| short_cost(model, engine, prompt, at < lane))
@@ -358,13 +367,12 @@
 }
 
 fn plan_long(
-    model: &EngineModel,
-    engines: &[EngineState],
+    pool: &EnginePool<'_>,
     lane: usize,
     prompt: &Prompt,
     aims: Aims,
-    boxes: usize,
 ) -> Option<EnginePlan> {
+    let EnginePool { model, engines, .. } = *pool;
     let read = model.read(prompt.tokens);
     let usable = (model.memory as f64 * USABLE_MEMORY) as u64;
     let reserve = prompt.memory() > usable;
@@ -392,7 +400,7 @@
     let wanted = if reserve {
         most
     } else {
-        let free = group.free() as f64 * share_of_free(boxes);
+        let free = group.free() as f64 * share_of_free(pool.boxes);
         parts_of(read, PART_READ)
             .min(free as usize)
             .clamp(least, most)
--- a/lib/tests/test_relay_engine_cell.rs
+++ b/lib/tests/test_relay_engine_cell.rs
@@ -9,6 +9,7 @@
 use badgerferry_lib::relay::engine_plan::Aims;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EnginePool;
 use badgerferry_lib::relay::engine_plan::EngineState;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -39,10 +40,13 @@
 
 fn plan(engines: &[EngineState], halls: &[usize], tokens: u64) -> Option<EnginePlan> {
     let cells = Cells {
-        engines,
+        pool: EnginePool {
+            model: &MODEL,
+            engines,
+            boxes: 59,
+        },
         halls,
         scope: Scope::Hall,
-        boxes: 59,
     };
     let prompt = Prompt {
         tokens,
@@ -55,7 +59,7 @@
         pause: Some(pause),
         least_pause: Some(Duration::from_millis(300)),
     };
-    cells.plan(&MODEL, &prompt, aims, &mut ChaCha8Rng::seed_from_u64(1))
+    cells.plan(&prompt, aims, &mut ChaCha8Rng::seed_from_u64(1))
 }
 
 /// Makes a hall's engines read long prompts and write many short ones.
--- a/lib/tests/test_relay_engine_plan.rs
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -8,6 +8,7 @@
 use badgerferry_lib::relay::engine_plan::Aims;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EnginePool;
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::engine_plan::MAX_HELPERS;
 use rand::Rng;
@@ -55,9 +56,17 @@
     }
 }
 
+const fn pool(engines: &[EngineState], boxes: usize) -> EnginePool<'_> {
+    EnginePool {
+        model: &MODEL,
+        engines,
+        boxes,
+    }
+}
+
 fn plan_with(engines: &[EngineState], tokens: u64, aims: Aims, boxes: usize) -> Option<EnginePlan> {
     let mut rng = ChaCha8Rng::seed_from_u64(3);
-    engine_plan::plan(&MODEL, engines, &prompt(tokens), aims, boxes, &mut rng)
+    engine_plan::plan(&pool(engines, boxes), &prompt(tokens), aims, &mut rng)
 }
 
 fn plan(engines: &[EngineState], tokens: u64, pause: Option<Duration>) -> Option<EnginePlan> {
@@ -318,7 +327,7 @@
             pause,
             least_pause: [SHORT, MIDDLE, None][rng.random_range(0..3)],
         };
-        let found = engine_plan::plan(&MODEL, &engines, &prompt, aims, boxes, &mut rng);
+        let found = engine_plan::plan(&pool(&engines, boxes), &prompt, aims, &mut rng);
         let Some(plan) = found else { continue };
 
         let mut used = engines_of(&plan);
--- a/testutils/src/relay_model/boxes.rs
+++ b/testutils/src/relay_model/boxes.rs
@@ -15,6 +15,7 @@
 use badgerferry_lib::relay::engine_plan::Aims;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::engine_plan::EnginePlan;
+use badgerferry_lib::relay::engine_plan::EnginePool;
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::long_queue::LongQueue;
 use badgerferry_lib::relay::long_queue::QueueHead;
@@ -168,17 +169,20 @@
         };
         let halls: Vec<usize> = rows.iter().map(number).collect();
         let cells = Cells {
-            engines: &states,
+            pool: EnginePool {
+                model: &rules.model,
+                engines: &states,
+                boxes: rules.boxes,
+            },
             halls: &halls,
             scope: rules.scope,
-            boxes: rules.boxes,
         };
         let aims = Aims {
             due_in: now.until(asked.due),
             pause: Some(asked.pause),
             least_pause: rules.least_pause,
         };
-        let plan = cells.plan(&rules.model, &asked.prompt, aims, rng)?;
+        let plan = cells.plan(&asked.prompt, aims, rng)?;
         Some((plan, states))
     }
 
