relay: who reads of a leaving server in the store tells the other boxes at once

Ways: the list by pulls (as it stood); the leaving servers' keys in the next datagram, at once. Pushing the whole list to all was ruled out: 300 boxes, 20 Mbit/s each.

--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -164,6 +164,10 @@
     teller: Teller,
     rows: HashMap<EngineKey, EngineUse>,
 ) -> LoadDatagram {
+    let (faults, departures) = {
+        let mut book = lock(&relay.book);
+        (book.faults(now), book.departures(now))
+    };
     let slow = match teller {
         Teller::Box => lock(&relay.paces).own(now),
         Teller::Hall { .. } => lock(&relay.paces).of_hall(now),
@@ -178,7 +182,8 @@
         have: relay.revisions(),
         follows_store: relay.follows_store(),
         waits: None,
-        faults: lock(&relay.book).faults(now),
+        faults,
+        departures,
         slow,
         rows: rows.into_iter().collect(),
     }
@@ -405,6 +410,7 @@
     lock(&relay.paces).told(now, said_by, &datagram.slow);
     let mut book = lock(&relay.book);
     book.heard(now, own, &hall, &datagram.from);
+    book.told_departures(now, &datagram.departures);
     let resting = book.told_faults(now, own, &hall, &datagram.faults);
     drop(book);
     for server in resting {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -346,6 +346,17 @@
         self.show_servers();
     }
 
+    /// Shows traffic what is believed of the servers after news of the store, and tells the other
+    /// boxes at once of those that leave.
+    pub fn show_servers_of_store(&self) {
+        let servers = lock(&self.followed).servers.servers();
+        let departs = lock(&self.book).note_departures(self.clock.now(), &servers);
+        self.show_servers();
+        if departs {
+            self.long_changed.notify_one();
+        }
+    }
+
     /// Shows traffic what is believed of the servers.
     pub fn show_servers(&self) {
         let servers = lock(&self.followed).servers.servers();
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -127,7 +127,7 @@
         }
         if servers_changed {
             // Once for all of them: each time, the list is copied whole.
-            self.relay.show_servers();
+            self.relay.show_servers_of_store();
         }
         self.revision = Some(seen.revision);
         self.sweep(store).await
@@ -242,8 +242,8 @@
         boxes.insert(self.own.name.clone(), self.own.clone());
         lock(&self.relay.followed).boxes = boxes;
         let now = self.relay.clock.now();
-        self.relay
-            .change_servers(|servers| servers.replace(now, entries));
+        lock(&self.relay.followed).servers.replace(now, entries);
+        self.relay.show_servers_of_store();
     }
 
     fn take(&mut self, change: Change) {
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -50,6 +50,8 @@
     pub waits: Option<QueueHead>,
     /// Servers that others named to it as being at fault lately.
     pub faults: Vec<EngineKey>,
+    /// Servers that leave or are gone, as the store told it lately.
+    pub departures: Vec<EngineKey>,
     /// Engines that told it, or a box of the hall that it tells of, of being slow lately.
     pub slow: Vec<EngineKey>,
     /// The work.
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -5,6 +5,7 @@
 //! where all rest, all are used, since a doubtful server serves more than none.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -19,6 +20,13 @@
 use crate::relay::server_list::ListedServer;
 use crate::time::Time;
 
+/// How long other boxes are told of servers that leave; datagrams go several times in that time.
+const DEPARTURE_TOLD: Duration = Duration::from_secs(1);
+/// How long a box goes by what it was told of them: until it has the list that says so. An entry
+/// that comes back after an outage of the store does so about as soon.
+const DEPARTURE_BELIEVED: Duration = Duration::from_secs(2);
+/// Departures told of at once, of those that are newest; the list tells the others.
+const MOST_DEPARTURES_TOLD: usize = 64;
 /// Failures in a row after which a server rests.
 const FAILURES: u32 = 2;
 /// How long it rests; then one call tries it.
@@ -88,6 +96,8 @@
     at_fault: Option<Time>,
     /// Rests after which it was named again.
     fault_rests: u32,
+    /// When another box last told that it leaves or is gone.
+    told_leaving: Option<Time>,
 }
 
 impl ServerRecord {
@@ -101,9 +111,16 @@
             breaker: Breaker::Closed,
             at_fault: None,
             fault_rests: 0,
+            told_leaving: None,
         }
     }
 
+    /// Whether it leaves by what other boxes told, before the list says so here.
+    fn is_told_leaving(&self, now: Time) -> bool {
+        let told = self.told_leaving;
+        told.is_some_and(|at| now.since(at) < DEPARTURE_BELIEVED)
+    }
+
     /// Whether it rests after failures.
     pub fn rests(&self, now: Time) -> bool {
         !self.breaker.admits(now)
@@ -136,9 +153,48 @@
     by_service: HashMap<ServiceName, Vec<ServerName>>,
     halls: HashMap<HallName, Breaker>,
     reach: HallReach,
+    /// Servers that this box knows to leave or to be gone, and since when.
+    departed: Vec<(EngineKey, Time)>,
 }
 
 impl ServerBook {
+    /// Notes which servers leave or are gone by a newer list of the store; true if any does.
+    ///
+    /// The boxes that follow the store tell it to the others with the next datagram: a long prompt
+    /// was declined for one such server of a group that other boxes had known of for 0.3 s.
+    pub fn note_departures(&mut self, now: Time, listed: &[ListedServer]) -> bool {
+        let stays = |server: &&ListedServer| !server.leaving;
+        let staying = listed.iter().filter(stays).map(|server| &server.name);
+        let staying: HashSet<&ServerName> = staying.collect();
+        let known = self.records.values();
+        let departed = known.filter(|record| !record.info.leaving);
+        let departed = departed.filter(|record| !staying.contains(&record.info.name));
+        let before = self.departed.len();
+        self.departed
+            .extend(departed.map(|record| (record.key, now)));
+        self.departed.len() > before
+    }
+
+    /// Servers that leave or are gone since lately, for the other boxes.
+    pub fn departures(&mut self, now: Time) -> Vec<EngineKey> {
+        self.departed
+            .retain(|(_, since)| now.since(*since) < DEPARTURE_TOLD);
+        let newest = self.departed.iter().rev().take(MOST_DEPARTURES_TOLD);
+        newest.map(|(key, _)| *key).collect()
+    }
+
+    /// Takes what another box tells of servers that leave or are gone. The store's word is as good
+    /// from any box.
+    pub fn told_departures(&mut self, now: Time, keys: &[EngineKey]) {
+        if keys.is_empty() {
+            return;
+        }
+        let told = |record: &&mut ServerRecord| keys.contains(&record.key);
+        for record in self.records.values_mut().filter(told) {
+            record.told_leaving = Some(now);
+        }
+    }
+
     /// Takes the list of servers that may live.
     pub fn set_servers(&mut self, listed: Vec<ListedServer>) {
         let mut before = std::mem::take(&mut self.records);
@@ -181,8 +237,11 @@
             .filter(|record| !record.info.leaving)
             .collect();
         let fresh = |record: &&&ServerRecord| !tried.contains(&record.info.name);
-        let works =
-            |record: &&&ServerRecord| !record.rests(now) && self.hall_works(now, &record.info.hall);
+        let works = |record: &&&ServerRecord| {
+            !record.rests(now)
+                && !record.is_told_leaving(now)
+                && self.hall_works(now, &record.info.hall)
+        };
         let best: Vec<_> = listed.iter().filter(fresh).filter(works).copied().collect();
         if !best.is_empty() {
             return best;
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -187,6 +187,7 @@
         follows_store: true,
         waits: None,
         faults: Vec::new(),
+        departures: Vec::new(),
         slow: Vec::new(),
         rows,
     }
--- a/lib/tests/test_relay_server_book.rs
+++ b/lib/tests/test_relay_server_book.rs
@@ -203,3 +203,37 @@
         ["b"]
     );
 }
+
+/// Found by a play: boxes chose servers that others had known to leave for 0.3 s.
+#[test]
+fn what_one_box_reads_of_servers_that_leave_spares_the_others_a_try() {
+    let (mut follower, mut other) = (book(&["a", "b", "c"]), book(&["a", "b", "c"]));
+    let leaving = ListedServer {
+        leaving: true,
+        ..server("a")
+    };
+
+    let departs = follower.note_departures(Time::ZERO, &[leaving, server("b")]);
+    let told = follower.departures(Time::from_millis(900));
+    other.told_departures(Time::from_millis(900), &told);
+
+    assert!(departs);
+    let left = picks(&other, Time::from_millis(1_000), &[]);
+    assert_eq!(left.keys().collect::<Vec<_>>(), ["b"], "c is gone");
+    assert_eq!(follower.departures(Time::from_millis(1_000)), []);
+    assert_eq!(
+        picks(&other, Time::from_millis(2_900), &[]).len(),
+        3,
+        "the list decides"
+    );
+}
+
+#[test]
+fn a_list_without_departures_tells_of_none() {
+    let mut follower = book(&["a", "b"]);
+
+    let departs = follower.note_departures(Time::ZERO, &[server("a"), server("b"), server("c")]);
+
+    assert!(!departs);
+    assert_eq!(follower.departures(Time::ZERO), []);
+}
