cli: engines says what engines did while prompts waited

Lines that can't be used are counted and told. A line of a call that is routed says what each engine reads, and where the call runs. The command lost reads files by the same code.

What it can't tell from the lines: which part of a group came last.

--- a/cli/src/command_line.rs
+++ b/cli/src/command_line.rs
@@ -5,6 +5,8 @@
 
 use argh::FromArgs;
 
+use crate::commands::engines::EnginesArgs;
+use crate::commands::engines::cmd_engines;
 use crate::commands::explain::ExplainArgs;
 use crate::commands::explain::cmd_explain;
 use crate::commands::key_digest::KeyDigestArgs;
@@ -44,6 +46,7 @@
     Explain(ExplainArgs),
     KeyDigest(KeyDigestArgs),
     Lost(LostArgs),
+    Engines(EnginesArgs),
 }
 
 /// Runs the command that the process was started with.
@@ -96,6 +99,7 @@
                 Ok(())
             }
             Command::Lost(args) => cmd_lost(&args),
+            Command::Engines(args) => cmd_engines(&args),
         }
     })
 }
--- a/cli/src/commands/lost.rs
+++ b/cli/src/commands/lost.rs
@@ -1,9 +1,5 @@
 //! `badgerferry lost`
 
-use std::fs::File;
-use std::io::BufRead;
-use std::io::BufReader;
-use std::path::Path;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -13,11 +9,12 @@
 use badgerferry_lib::relay::lost_calls::LostRow;
 use badgerferry_lib::relay::lost_calls::MESSAGE;
 use serde::Serialize;
-use serde_json::Value;
 
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
 use crate::exit::Failure;
+use crate::log_files;
+use crate::log_files::LogLine;
 use crate::output::Format;
 use crate::output::Table;
 
@@ -68,37 +65,26 @@
     }
     let mut all = LostCalls::default();
     for path in &args.files {
-        read(path, &mut all)?;
+        log_files::read(path, |line| {
+            if let Some((second, line)) = line.as_ref().and_then(call_line) {
+                all.take(&second, &line);
+            }
+        })?;
     }
     let report = report(&all);
     Format::from_switch(args.json).print(&report, || text_of(&report));
     Ok(())
 }
 
-fn read(path: &Path, all: &mut LostCalls) -> CommandResult {
-    let failed = |cause: std::io::Error| {
-        let message = format!("failed to read {}: {cause}", path.display());
-        CommandError::new(Failure::Refused, message)
-    };
-    let file = File::open(path).map_err(failed)?;
-    for line in BufReader::new(file).split(b'\n') {
-        let line = line.map_err(failed)?;
-        if let Some((second, line)) = call_line(&String::from_utf8_lossy(&line)) {
-            all.take(&second, &line);
-        }
-    }
-    Ok(())
-}
-
-/// The last line of a call; a log collector may have put its own words before it.
-fn call_line(text: &str) -> Option<(String, CallLine)> {
-    let value: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
+/// The last line of a call, and the second in which it was written.
+fn call_line(line: &LogLine) -> Option<(String, CallLine)> {
+    let value = &line.value;
     if value.get("message")?.as_str()? != MESSAGE {
         return None;
     }
     let second = value.get("timestamp")?.as_str()?.get(..SECOND_LEN)?;
-    let second = second.to_owned();
-    Some((second, serde_json::from_value(value).ok()?))
+    let line = serde_json::from_value(value.clone()).ok()?;
+    Some((second.to_owned(), line))
 }
 
 fn report(all: &LostCalls) -> Report<'_> {
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One file for each command: its arguments and what it does.
 
+pub mod engines;
 pub mod explain;
 pub mod key_digest;
 pub mod lost;
--- a/cli/tests/test_output.rs
+++ b/cli/tests/test_output.rs
@@ -82,3 +82,41 @@
     std::fs::remove_file(&path).expect("the file is there");
     insta::assert_snapshot!(text(&output));
 }
+
+#[test]
+fn engines_are_told_by_second_with_the_lines_that_were_skipped() {
+    let path = std::env::temp_dir().join(format!("badgerferry-engines-{}.log", std::process::id()));
+    let log = [
+        r#"{"timestamp":"2026-03-07T04:57:50.000000Z","message":"daemon started"}"#,
+        r#"{"timestamp":"2026-03-07T04:57:51.000000Z","message":"call routed","call":"a","address":"10.0.0.1:1","read_at":"10.0.0.2:1","part_ms":400,"long":true,"waited_ms":500,"expected_ms":450}"#,
+        r#"{"timestamp":"2026-03-07T04:57:51.600000Z","message":"stream begins","call":"a"}"#,
+        r#"{"timestamp":"2026-03-07T04:57:52.500000Z","message":"call ended","call":"a"}"#,
+        r#"{"timestamp":"2026-03-07T04:57:53.000000Z","message":"call routed","call":"b"}"#,
+        r#"{"timestamp":"2026-03-07T04:57:5"#,
+    ];
+    std::fs::write(&path, log.join("\n")).expect("the file can be written");
+    let plot = path.with_extension("svg");
+
+    let told = run(&["engines", &path.display().to_string()]);
+    let json = run(&["engines", "--json", &path.display().to_string()]);
+    let drawn = run(&[
+        "engines",
+        &path.display().to_string(),
+        "--plot",
+        &plot.display().to_string(),
+    ]);
+
+    let svg = std::fs::read_to_string(&plot).expect("the plot is there");
+    for file in [&path, &plot] {
+        std::fs::remove_file(file).expect("the file is there");
+    }
+    assert!(drawn.status.success() && svg.contains("prompts waiting"));
+    insta::assert_snapshot!(text(&told) + &text(&json));
+}
+
+#[test]
+fn engines_without_a_log_are_a_usage_error() {
+    let output = run(&["engines"]);
+
+    assert_eq!(output.status.code(), Some(2), "{}", text(&output));
+}
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -52,6 +52,8 @@
     pub address: String,
     /// Engines that read parts of the prompt.
     pub readers: Vec<Reader>,
+    /// What each engine reads of the prompt, by the operators' figures.
+    pub part: Option<Duration>,
     /// Rank at the engine.
     pub rank: Option<u8>,
     /// Expected time to the first event.
@@ -77,6 +79,11 @@
         (!addresses.is_empty()).then(|| addresses.join(" "))
     }
 
+    /// Whether it is a long prompt, whose engines read for no other one meanwhile.
+    pub const fn is_long(&self) -> bool {
+        self.works.long
+    }
+
     /// Notes that all reading is over.
     pub fn read_done(&self, call: &Call) {
         if let Some(late) = &self.late {
@@ -169,6 +176,7 @@
         server: record.info.name.clone(),
         address: record.info.address.clone(),
         readers: Vec::new(),
+        part: None,
         rank: None,
         expected: PLAIN_EXPECTED,
         waited: Duration::ZERO,
@@ -230,6 +238,7 @@
         server: lead.server.clone(),
         address: lead.address.clone(),
         readers,
+        part: plan.parts.first().map(|part| part.read),
         rank: Some(call.priority.min(LAST_RANK)),
         expected: plan.expected,
         waited,
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod engine_load;
 pub mod engine_pace;
 pub mod engine_plan;
+pub mod engine_time;
 pub mod event_join;
 pub mod hall_reach;
 pub mod load_datagram;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_relay_engine_load;
 mod test_relay_engine_pace;
 mod test_relay_engine_plan;
+mod test_relay_engine_time;
 mod test_relay_event_join;
 mod test_relay_hall_reach;
 mod test_relay_long_queue;
--- /dev/null
+++ b/lib/tests/test_relay_engine_time.rs
@@ -0,0 +1,133 @@
+//! What engines did, by the lines of calls.
+
+use badgerferry_lib::relay::engine_time::EngineLine;
+use badgerferry_lib::relay::engine_time::EngineLog;
+use badgerferry_lib::relay::engine_time::RoutedLine;
+
+fn routed(call: &str, engines: &[&str], part_ms: u64, waited_ms: u64) -> EngineLine {
+    EngineLine::Routed(RoutedLine {
+        call: call.to_owned(),
+        address: engines[0].to_owned(),
+        read_at: Some(engines[1..].join(" ")),
+        part_ms: Some(part_ms),
+        long: true,
+        waited_ms,
+        expected_ms: 400,
+    })
+}
+
+fn begins(call: &str) -> EngineLine {
+    EngineLine::Begins {
+        call: call.to_owned(),
+    }
+}
+
+fn ended(call: &str) -> EngineLine {
+    EngineLine::Ended {
+        call: call.to_owned(),
+    }
+}
+
+fn is_near(one: f64, other: f64) -> bool {
+    (one - other).abs() < 0.05
+}
+
+#[test]
+fn a_long_prompts_engines_read_are_held_and_one_of_them_writes() {
+    let mut log = EngineLog::default();
+    log.take(1_000, routed("a", &["x", "y"], 400, 0));
+    log.take(1_600, begins("a"));
+    log.take(2_000, ended("a"));
+
+    let report = log.report();
+
+    assert_eq!(report.engines, 2);
+    let time = report.seconds[0].time;
+    assert!(is_near(time.reads, 0.4), "{time:?}");
+    assert!(is_near(time.held, 0.2), "{time:?}");
+    assert!(is_near(time.writes, 0.2), "{time:?}");
+    assert!(is_near(time.unused, 0.2), "{time:?}");
+    assert_eq!(report.while_waiting, None);
+}
+
+#[test]
+fn a_short_calls_helpers_are_not_held() {
+    let mut log = EngineLog::default();
+    let EngineLine::Routed(line) = routed("a", &["x", "y"], 400, 0) else {
+        unreachable!("it was just made");
+    };
+    log.take(
+        0,
+        EngineLine::Routed(RoutedLine {
+            long: false,
+            ..line
+        }),
+    );
+    log.take(800, begins("a"));
+    log.take(1_000, ended("a"));
+
+    let time = log.report().seconds[0].time;
+
+    assert!(is_near(time.reads, 0.4), "{time:?}");
+    assert!(is_near(time.held, 0.0), "{time:?}");
+    assert!(is_near(time.writes, 0.3), "{time:?}");
+}
+
+/// The measure of engines that stand unused while prompts wait.
+#[test]
+fn what_engines_do_while_prompts_wait_is_told_apart() {
+    let mut log = EngineLog::default();
+    log.take(1_000, routed("a", &["x", "y"], 500, 0));
+    log.take(1_500, begins("a"));
+    log.take(1_500, ended("a"));
+    log.take(2_000, routed("b", &["x"], 500, 500));
+    log.take(2_500, begins("b"));
+    log.take(2_500, ended("b"));
+
+    let report = log.report();
+
+    let waiting = report.while_waiting.expect("b waited from 1,500 on");
+    assert!(is_near(waiting.unused, 1.0), "{waiting:?}");
+    assert!(is_near(report.seconds[0].waiting, 0.5));
+}
+
+#[test]
+fn engines_far_over_their_estimates_come_first() {
+    let mut log = EngineLog::default();
+    for (at, call) in ["a", "b", "c"].into_iter().enumerate() {
+        let at = 10_000 * at as u64;
+        log.take(at, routed(call, &["slow", "beside"], 400, 0));
+        log.take(at + 2_000, begins(call));
+        for again in [5_000, 7_000] {
+            let other = format!("{call}-{again}");
+            log.take(at + again, routed(&other, &["beside"], 400, 0));
+            log.take(at + again + 400, begins(&other));
+        }
+    }
+
+    let estimates = log.report().estimates;
+
+    assert_eq!(estimates[0].engine, "slow");
+    assert!((estimates[0].over_expected - 5.0).abs() < 1e-9);
+    assert_eq!(estimates[1].calls, 9);
+}
+
+#[test]
+fn plain_calls_and_lines_of_unknown_calls_tell_nothing() {
+    let mut log = EngineLog::default();
+    let EngineLine::Routed(line) = routed("plain", &["server"], 0, 0) else {
+        unreachable!("it was just made");
+    };
+    log.take(
+        0,
+        EngineLine::Routed(RoutedLine {
+            part_ms: None,
+            ..line
+        }),
+    );
+    log.take(5, begins("unknown"));
+
+    let report = log.report();
+
+    assert_eq!((report.engines, report.seconds.len()), (0, 0));
+}
