relay: a box that starts never asks itself for its first state

Cause: a box knows itself from the start, so the boxes that it may ask held its own address; the seeds were filtered, the known ones not. The choice is the library's now, each address once. The test has the case.

--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -15,6 +15,7 @@
 use badgerferry_lib::relay::state_pull::PullRequest;
 use badgerferry_lib::relay::state_pull::Revisions;
 use badgerferry_lib::relay::state_pull::StampedTable;
+use badgerferry_lib::relay::state_pull::first_sources;
 use metrics::counter;
 use rand::seq::IndexedRandom;
 use tokio::io::AsyncReadExt;
@@ -80,17 +81,8 @@
 pub async fn pull_at_start(relay: &Arc<Relay>) {
     while relay.routes.load().is_none() {
         tokio::time::sleep(START_PULL).await;
-        let own = relay.settings.pull;
-        let seeds: Vec<SocketAddr> = (relay.settings.seeds.iter().copied())
-            .filter(|seed| *seed != own)
-            .collect();
-        let known = lock(&relay.followed)
-            .boxes
-            .values()
-            .cloned()
-            .collect::<Vec<_>>();
-        let known = known.iter().filter_map(|of| of.pull.parse().ok());
-        let all: Vec<SocketAddr> = seeds.into_iter().chain(known).collect();
+        let settings = &relay.settings;
+        let all = first_sources(settings.pull, &settings.seeds, &lock(&relay.followed).boxes);
         let drawn = all.choose(&mut rand::rng()).copied();
         if let (None, Some(address)) = (relay.routes.load().as_ref(), drawn) {
             pull(relay, address, relay.revisions()).await;
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -1,10 +1,13 @@
 //! How a box takes newer state from another one.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::relay::cells::Boxes;
 use crate::relay::route_table::RouteTable;
 use crate::relay::server_list::ServerNews;
 
@@ -71,3 +74,11 @@
     #[serde(default)]
     pub processor: u16,
 }
+
+/// Where a box that has no state yet may ask for it: the seeds and the boxes that it knows, each
+/// once. Never itself, though it knows itself from the start: that pull would be lost.
+pub fn first_sources(own: SocketAddr, seeds: &[SocketAddr], boxes: &Boxes) -> Vec<SocketAddr> {
+    let known = boxes.values().filter_map(|of| of.pull.parse().ok());
+    let all: BTreeSet<SocketAddr> = known.chain(seeds.iter().copied()).collect();
+    all.into_iter().filter(|address| *address != own).collect()
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_relay_route_table;
 mod test_relay_server_book;
 mod test_relay_server_list;
+mod test_relay_state_pull;
 mod test_relay_stop;
 mod test_request_seeds;
 mod test_scenarios;
