testutils: slow engines of the model in a file of their own; pauses stand once

The pauses of waiting prompts and of questions stood in the daemon and in the model; they are the library's now. No decision changes.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -18,6 +18,8 @@
 use badgerferry_lib::relay::engine_plan::EnginePool;
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::engine_plan::Part;
+use badgerferry_lib::relay::long_queue::LOOK_AGAIN;
+use badgerferry_lib::relay::long_queue::RESERVE_AGAIN;
 use badgerferry_lib::relay::long_queue::Ticket;
 use badgerferry_lib::relay::long_queue::Waiting;
 use badgerferry_lib::relay::server_book::ServerRecord;
@@ -36,12 +38,6 @@
 const PLAIN_EXPECTED: Duration = Duration::from_millis(300);
 /// The last rank that engines know.
 const LAST_RANK: u8 = 9;
-/// How often a waiting long prompt looks whether engines can read it; a part takes longer.
-const LOOK_AGAIN: Duration = Duration::from_millis(8);
-
-/// Pause after memory was not set aside everywhere; each order has a price, and a stream that
-/// holds memory ends within about a second.
-const RESERVE_AGAIN: Duration = Duration::from_millis(200);
 
 /// Where a try goes.
 #[derive(Debug)]
--- a/daemon/src/relay/late_calls.rs
+++ b/daemon/src/relay/late_calls.rs
@@ -5,6 +5,7 @@
 
 use badgerferry_lib::relay::engine_load::EngineKey;
 use badgerferry_lib::relay::engine_pace;
+use badgerferry_lib::relay::engine_pace::ASK_JITTER;
 use badgerferry_lib::relay::engine_pace::ASK_PAUSE;
 use badgerferry_platform::reports;
 use metrics::counter;
@@ -19,10 +20,6 @@
 
 /// Longest wait for a report; engines answer it at once, whatever they do.
 const REPORT_LIMIT: Duration = Duration::from_millis(500);
-/// What is added to the pause before the next question at most, as a part of it: of the boxes that
-/// asked at once one asks first, and tells the others.
-const JITTER: f64 = 0.25;
-
 /// An engine that reads for a call.
 #[derive(Debug, Clone)]
 pub struct ReadingEngine {
@@ -92,7 +89,7 @@
         }
         // The others are told at once.
         relay.long_changed.notify_one();
-        let jitter = rand::rng().random_range(0.0..JITTER);
+        let jitter = rand::rng().random_range(0.0..ASK_JITTER);
         tokio::time::sleep(ASK_PAUSE + ASK_PAUSE.mul_f64(jitter)).await;
         if !lock(&relay.paces).may_ask_again(relay.clock.now(), key) {
             return;
--- a/lib/src/relay/engine_pace.rs
+++ b/lib/src/relay/engine_pace.rs
@@ -28,6 +28,9 @@
 const SLOW: f64 = 2.0;
 /// Least time until a box asks the same engine again; each report is paid for.
 pub const ASK_PAUSE: Duration = Duration::from_secs(1);
+/// What is added to that before an engine is asked again, at most, as a part of it: of the boxes that
+/// asked at once one asks first, and tells the others.
+pub const ASK_JITTER: f64 = 0.25;
 /// How long a box tells of its own sign; datagrams go several times in that time.
 const TOLD: Duration = Duration::from_millis(500);
 /// How long a sign counts: until it has been asked for and told again.
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -21,6 +21,11 @@
 use crate::relay::engine_plan::MAX_HELPERS;
 use crate::time::Time;
 
+/// How often a waiting long prompt looks whether engines can read it; a part takes longer.
+pub const LOOK_AGAIN: Duration = Duration::from_millis(8);
+/// Pause after memory was not set aside everywhere; each order has a price, and a stream that
+/// holds memory ends within about a second.
+pub const RESERVE_AGAIN: Duration = Duration::from_millis(200);
 /// Engines that read one prompt at most.
 const MOST_READERS: u32 = MAX_HELPERS as u32 + 1;
 /// Time that passes and writing need at least, beside the reading.
--- a/testutils/src/relay_model/run.rs
+++ b/testutils/src/relay_model/run.rs
@@ -11,15 +11,15 @@
 use badgerferry_lib::relay::cells::Scope;
 use badgerferry_lib::relay::cells::WAITING_HEARTBEAT;
 use badgerferry_lib::relay::engine_pace;
-use badgerferry_lib::relay::engine_pace::ASK_PAUSE;
 use badgerferry_lib::relay::engine_plan;
 use badgerferry_lib::relay::hall_reach::HEARTBEAT;
+use badgerferry_lib::relay::long_queue::LOOK_AGAIN;
+use badgerferry_lib::relay::long_queue::RESERVE_AGAIN;
 use badgerferry_lib::relay::long_queue::Ticket;
 use badgerferry_lib::relay::long_queue::Waiting;
 use badgerferry_lib::time::Time;
 use rand::Rng;
 use rand::SeedableRng;
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::agenda::Agenda;
@@ -36,10 +36,8 @@
 use crate::relay_model::scenario::Kind;
 use crate::relay_model::scenario::Scenario;
 
-/// How often a waiting prompt looks again, as in the daemon.
-const LOOK_AGAIN: Duration = Duration::from_millis(8);
-/// Pause after memory could not be set aside, as in the daemon.
-const RESERVE_AGAIN: Duration = Duration::from_millis(200);
+mod slow_engines;
+
 /// How long a run goes on after its last arrival: no deadline is longer.
 const TAIL: Duration = Duration::from_secs(20);
 
@@ -158,20 +156,6 @@
         world
     }
 
-    fn put_slow_engines(&mut self) {
-        for slow in &self.scenario.slow {
-            let mut engines: Vec<usize> = (0..self.engines.len()).collect();
-            engines.shuffle(&mut self.rng);
-            engines.truncate((engines.len() as f64 * slow.share).round() as usize);
-            let from = Time::ZERO + Duration::from_secs_f64(slow.from_s);
-            let until = from + Duration::from_secs_f64(slow.for_s);
-            for engine in engines {
-                self.agenda.put(from, Event::Slows(engine, slow.factor));
-                self.agenda.put(until, Event::Slows(engine, 1.0));
-            }
-        }
-    }
-
     /// Draws all arrivals ahead, so that they don't depend on what boxes decide.
     fn put_arrivals(&mut self, seed: u64) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -265,12 +249,7 @@
             }
             Event::IsLate(id) => self.is_late(now, id),
             Event::Reports(box_at, engine) => self.reports(now, box_at, engine),
-            Event::AsksAgain(box_at, engine) => {
-                let key = self.rules.engines.key(engine);
-                if self.boxes[box_at].paces.may_ask_again(now, key) {
-                    self.asks(now, box_at, engine);
-                }
-            }
+            Event::AsksAgain(box_at, engine) => self.asks_again(now, box_at, engine),
             Event::Slows(engine, factor) => self.engines[engine].slowness = factor,
             Event::HearsFar(hall, told) => {
                 let name = HallName::new(format!("hall-{hall}"));
@@ -407,37 +386,6 @@
         self.calls[id].placed = Some(placed);
     }
 
-    /// A call whose first event is late: the engines that read for it are asked for their pace.
-    fn is_late(&mut self, now: Time, id: CallId) {
-        let call = &self.calls[id];
-        let waits = call.first_event.is_none();
-        let placed = call.placed.as_ref().filter(|_| waits);
-        let engines = placed.map_or_else(Vec::new, |placed| placed.engines.clone());
-        let box_at = call.box_at;
-        for engine in engines {
-            let key = self.rules.engines.key(engine);
-            if self.boxes[box_at].paces.may_ask(now, key) {
-                self.asks(now, box_at, engine);
-            }
-        }
-    }
-
-    fn asks(&mut self, now: Time, box_at: usize, engine: usize) {
-        self.reports += 1;
-        let answered = now + self.way(self.boxes[box_at].hall, engine) * 2;
-        self.agenda.put(answered, Event::Reports(box_at, engine));
-    }
-
-    fn reports(&mut self, now: Time, box_at: usize, engine: usize) {
-        let key = self.rules.engines.key(engine);
-        let pace = self.engines[engine].slowness;
-        if self.boxes[box_at].paces.reported(now, key, pace) {
-            self.tells(now, box_at);
-            let again = now + ASK_PAUSE + ASK_PAUSE.mul_f64(self.rng.random::<f64>() / 4.0);
-            self.agenda.put(again, Event::AsksAgain(box_at, engine));
-        }
-    }
-
     fn begin_pass(&mut self, now: Time, engine: usize) {
         if let Some(end) = self.engines[engine].begin(now) {
             self.agenda.put(end, Event::PassEnds(engine));
