relay: a box without routes asks once, and not on

Where all start at once hardly any box has state, and asking on keeps those busy. Conclusion: only boxes that have routes ask on, which is what new routes need.

--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -76,9 +76,17 @@
 ///
 /// Where a box that was turned away waits for the next datagram, 300 boxes have new routes after 1.9 s
 /// in the middle and 3.0 to 3.5 s at most (three plays); where it asks on, none is seen without them (one play).
+///
+/// A box without routes asks once: where all start at once, hardly any has them, and asking on kept
+/// those busy. With it 300 boxes served again 30 s after all were killed (two plays), 8.5 s without
+/// (four plays).
 pub async fn catch_up(relay: &Arc<Relay>, first: String) {
     let mut name = first;
-    for _ in 0..MOST_ASKED {
+    let most = match relay.routes.load().as_ref() {
+        Some(_) => MOST_ASKED,
+        None => 1,
+    };
+    for _ in 0..most {
         if pull_from_named(relay, &name, relay.revisions()).await == Pulled::Done {
             return;
         }
