--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -106,7 +106,7 @@
     /// Lets the other boxes know.
     fn changed(&self) {
         if self.long {
-            self.relay.long_changed.notify_one();
+            self.relay.urgent_changed.notify_one();
         } else {
             self.relay.load_changed.notify_one();
         }
@@ -373,7 +373,7 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         lock(&self.relay.long_queue).remove(self.ticket);
-        self.relay.long_changed.notify_one();
+        self.relay.urgent_changed.notify_one();
     }
 }
 
@@ -395,7 +395,7 @@
         relay,
         ticket: lock(&relay.long_queue).push(relay.clock.now(), waiting),
     };
-    relay.long_changed.notify_one();
+    relay.urgent_changed.notify_one();
     loop {
         let now = relay.clock.now();
         let planned = || plan(call, tried, model, prompt);
--- a/daemon/src/relay/late_calls.rs
+++ b/daemon/src/relay/late_calls.rs
@@ -88,7 +88,7 @@
             return;
         }
         // The others are told at once.
-        relay.long_changed.notify_one();
+        relay.urgent_changed.notify_one();
         let jitter = rand::rng().random_range(0.0..ASK_JITTER);
         tokio::time::sleep(ASK_PAUSE + ASK_PAUSE.mul_f64(jitter)).await;
         if !lock(&relay.paces).may_ask_again(relay.clock.now(), key) {
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -201,8 +201,8 @@
     }
 }
 
-/// Waits until there is something to tell; true if that is what long prompts do. Another change
-/// within the pause is told after it.
+/// Waits until there is something to tell; true if that can't wait. Another change within the pause
+/// is told after it.
 async fn wait_to_tell(relay: &Relay, pause: Duration, heartbeat: Duration) -> bool {
     let changed = async {
         tokio::time::sleep(pause).await;
@@ -210,7 +210,7 @@
     };
     tokio::select! {
         () = changed => false,
-        () = relay.long_changed.notified() => true,
+        () = relay.urgent_changed.notified() => true,
     }
 }
 
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -123,9 +123,9 @@
     encoded_table: Mutex<Option<EncodedTable>>,
     /// Wakes the sender of load datagrams.
     pub load_changed: Notify,
-    /// Wakes it at once: a long prompt waits, starts or has been read, there are new routes, or servers
-    /// leave.
-    pub long_changed: Notify,
+    /// Wakes it at once: a long prompt waits, starts or has been read, an engine is slow, there are
+    /// new routes, or servers leave.
+    pub urgent_changed: Notify,
     /// Wakes whoever tells other halls: a long prompt of this hall waits, starts or has been read.
     pub hall_changed: Notify,
     /// Whether a planned stop has begun.
@@ -159,7 +159,7 @@
             followed: Mutex::new(followed),
             encoded_table: Mutex::default(),
             load_changed: Notify::new(),
-            long_changed: Notify::new(),
+            urgent_changed: Notify::new(),
             hall_changed: Notify::new(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -327,7 +327,7 @@
         self.routes_known.notify_waiters();
         // Neighbours are told at once, not after the pause that a hundred boxes in a hall bring: each
         // round in which the routes spread would take that pause longer.
-        self.long_changed.notify_one();
+        self.urgent_changed.notify_one();
     }
 
     /// Changes what is believed of the servers and shows it to traffic.
@@ -343,7 +343,7 @@
         let departs = lock(&self.book).note_departures(self.clock.now(), &servers);
         self.show_servers();
         if departs {
-            self.long_changed.notify_one();
+            self.urgent_changed.notify_one();
         }
     }
 
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -275,7 +275,7 @@
     if let Some(address) = &head.at_fault {
         let now = call.relay.clock.now();
         lock(&call.relay.book).at_fault(now, address);
-        call.relay.long_changed.notify_one();
+        call.relay.urgent_changed.notify_one();
     }
     if read_whole(body).await.is_some() {
         put_back(call, &flight.chosen.server, connection, after);
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -40,7 +40,7 @@
     pub sequence: u64,
     /// Whose work it tells.
     pub teller: Teller,
-    /// Whether what long prompts do has changed; other halls are told of that at once, too.
+    /// Whether what can't wait has changed, as what long prompts do; other halls are told at once, too.
     pub is_urgent: bool,
     /// The state that it has.
     pub have: Revisions,
