--- a/cli/src/commands/engines.rs
+++ b/cli/src/commands/engines.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use badgerferry_lib::relay::engine_time::EngineEstimate;
 use badgerferry_lib::relay::engine_time::EngineLine;
 use badgerferry_lib::relay::engine_time::EngineLog;
 use badgerferry_lib::relay::engine_time::EngineReport;
@@ -42,7 +43,7 @@
 struct Summary<'a> {
     engines: usize,
     while_waiting: Option<EngineTime>,
-    estimates: &'a [badgerferry_lib::relay::engine_time::EngineEstimate],
+    estimates: &'a [EngineEstimate],
     lines_skipped: u64,
 }
 
--- a/daemon/src/relay/late_calls.rs
+++ b/daemon/src/relay/late_calls.rs
@@ -20,6 +20,7 @@
 
 /// Longest wait for a report; engines answer it at once, whatever they do.
 const REPORT_LIMIT: Duration = Duration::from_millis(500);
+
 /// An engine that reads for a call.
 #[derive(Debug, Clone)]
 pub struct ReadingEngine {
--- a/daemon/tests/test_relay_paces.rs
+++ b/daemon/tests/test_relay_paces.rs
@@ -11,16 +11,7 @@
 const LATE: Duration = Duration::from_millis(700);
 
 async fn engines(count: usize) -> anyhow::Result<(World, Vec<Server>)> {
-    let world = World::start(1).await?;
-    let mut engines = Vec::new();
-    for at in 0..count {
-        let name = format!("e-{at}");
-        let engine = Server::start(&name, "engines", LATE).await?;
-        world.store.put(&engine.key(), &engine.entry("ready"));
-        world.relay.wait_line(&["server entry", &name]).await?;
-        engines.push(engine);
-    }
-    Ok((world, engines))
+    World::with_engines(count, LATE).await
 }
 
 async fn ask(world: &World, id: &str) -> anyhow::Result<u16> {
--- a/daemon/tests/test_relay_reservations.rs
+++ b/daemon/tests/test_relay_reservations.rs
@@ -11,16 +11,7 @@
 
 /// A box and engines of 100,000 tokens each; one is kept for short calls.
 async fn engines(count: usize) -> anyhow::Result<(World, Vec<Server>)> {
-    let world = World::start(1).await?;
-    let mut engines = Vec::new();
-    for at in 0..count {
-        let name = format!("e-{at}");
-        let engine = Server::start(&name, "engines", Duration::from_millis(5)).await?;
-        world.store.put(&engine.key(), &engine.entry("ready"));
-        world.relay.wait_line(&["server entry", &name]).await?;
-        engines.push(engine);
-    }
-    Ok((world, engines))
+    World::with_engines(count, Duration::from_millis(5)).await
 }
 
 /// Asks for a prompt that three engines hold together.
