--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,5 +1,6 @@
 //! The daemon's tests, in one runner; they start the real programs.
 
+mod engines;
 mod test_bad_input;
 mod test_boxes;
 mod test_command_line;
--- a/daemon/tests/test_relay_paces.rs
+++ b/daemon/tests/test_relay_paces.rs
@@ -11,7 +11,7 @@
 const LATE: Duration = Duration::from_millis(700);
 
 async fn engines(count: usize) -> anyhow::Result<(World, Vec<Server>)> {
-    World::with_engines(count, LATE).await
+    crate::engines::world(count, LATE).await
 }
 
 async fn ask(world: &World, id: &str) -> anyhow::Result<u16> {
--- a/daemon/tests/test_relay_reservations.rs
+++ b/daemon/tests/test_relay_reservations.rs
@@ -11,7 +11,7 @@
 
 /// A box and engines of 100,000 tokens each; one is kept for short calls.
 async fn engines(count: usize) -> anyhow::Result<(World, Vec<Server>)> {
-    World::with_engines(count, Duration::from_millis(5)).await
+    crate::engines::world(count, Duration::from_millis(5)).await
 }
 
 /// Asks for a prompt that three engines hold together.
