lost, log: who is served by size, and what kept a prompt that waited

- a line 'gave up waiting for engines' counts its looks: behind others, or first while too few engines could read it;
- 'badgerferry lost' tells by route which share was served, and of these the largest tenth and the fifth beneath by themselves.

No decision changes.

--- a/cli/src/commands/lost.rs
+++ b/cli/src/commands/lost.rs
@@ -8,6 +8,7 @@
 use badgerferry_lib::relay::lost_calls::LostCalls;
 use badgerferry_lib::relay::lost_calls::LostRow;
 use badgerferry_lib::relay::lost_calls::MESSAGE;
+use badgerferry_lib::relay::served_shares::ServedShares;
 use serde::Serialize;
 
 use crate::exit::CommandError;
@@ -38,6 +39,7 @@
 #[derive(Serialize)]
 struct Report<'a> {
     sizes: Vec<SizeRow>,
+    served: Vec<ServedRow<'a>>,
     lost: Vec<CauseRow<'a>>,
     worst_seconds: Vec<(&'a str, u64)>,
 }
@@ -49,6 +51,13 @@
     read_over_expected: Option<Estimate>,
 }
 
+#[derive(Serialize)]
+struct ServedRow<'a> {
+    route: &'a str,
+    #[serde(flatten)]
+    shares: ServedShares,
+}
+
 #[derive(Serialize)]
 struct CauseRow<'a> {
     size: String,
@@ -107,8 +116,12 @@
         .collect();
     worst_seconds.sort_by_key(|&(_, calls)| std::cmp::Reverse(calls));
     worst_seconds.truncate(WORST_SECONDS);
+    let served = all.served().into_iter();
     Report {
         sizes: sizes.collect(),
+        served: served
+            .map(|(route, shares)| ServedRow { route, shares })
+            .collect(),
         lost,
         worst_seconds,
     }
@@ -129,6 +142,23 @@
             ratio(read.map(|read| read.worst)),
         ]);
     }
+    let heading = [
+        "ROUTE",
+        "PROMPTS",
+        "SERVED",
+        "LARGEST TENTH",
+        "FIFTH BENEATH",
+    ];
+    let mut served = Table::new(&heading);
+    for ServedRow { route, shares } in &report.served {
+        served.row([
+            (*route).to_owned(),
+            shares.prompts.to_string(),
+            format!("{:.2}", shares.all),
+            format!("{:.2}", shares.largest_tenth),
+            format!("{:.2}", shares.fifth_beneath),
+        ]);
+    }
     let mut lost = Table::new(&["SIZE", "LOST", "TOKENS", "CAUSE", "LOOK AT"]);
     for CauseRow { size, cause, row } in &report.lost {
         lost.row([
@@ -143,6 +173,6 @@
     for (second, calls) in &report.worst_seconds {
         seconds.row([(*second).to_owned(), calls.to_string()]);
     }
-    let tables = [sizes.render(), lost.render(), seconds.render()];
-    tables.join("\n")
+    let tables = [sizes, served, lost, seconds];
+    tables.map(|table| table.render()).join("\n")
 }
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -29,6 +29,7 @@
 use crate::relay::call::NO_SERVER_RETRY;
 use crate::relay::late_calls::LateWatch;
 use crate::relay::late_calls::ReadingEngine;
+use crate::relay::log_lines;
 use crate::relay::reservations::NotReserved;
 use crate::relay::reservations::Reservations;
 use crate::relay::state::Relay;
@@ -408,6 +409,8 @@
             return Err((RefusalReason::Leaving, NO_SERVER_RETRY));
         }
         if now >= given_up_at {
+            let looks = lock(&relay.long_queue).looks(place.ticket);
+            log_lines::gave_up_waiting(call, looks);
             return Err((RefusalReason::WouldMissDeadline, NO_SERVER_RETRY));
         }
         tokio::time::sleep(LOOK_AGAIN).await;
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::long_queue::Looks;
 use badgerferry_lib::relay::route_table::Denied;
 use badgerferry_platform::headers::AnswerHead;
 use http::StatusCode;
@@ -100,6 +101,19 @@
     );
 }
 
+/// A long prompt waited until no engines could answer it in its caller's time.
+pub fn gave_up_waiting(call: &Call, looks: Looks) {
+    let waited = call.relay.clock.now().since(call.arrived);
+    tracing::info!(
+        call = call.id(),
+        tokens = call.head.prompt.map(|prompt| prompt.tokens),
+        waited_ms = waited.as_millis() as u64,
+        looks_behind = looks.behind,
+        looks_no_engines = looks.no_engines,
+        "gave up waiting for engines"
+    );
+}
+
 /// A try got no head of an answer.
 pub fn try_failed(call: &Call, chosen: &Chosen, cause: &SendError) {
     counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -94,6 +94,16 @@
     pub read_ms: u32,
 }
 
+/// What a waiting prompt met when it looked for its turn; tells whether the order or the engines
+/// kept it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Looks {
+    /// Another prompt went first, here or at another box.
+    pub behind: u32,
+    /// It was first, and too few engines could read it.
+    pub no_engines: u32,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Row {
     ticket: Ticket,
@@ -101,6 +111,7 @@
     since: Time,
     /// Since when engines could read it while it gives way to another box's.
     gives_way_since: Option<Time>,
+    looks: Looks,
 }
 
 /// Whether a prompt may be sent now, if engines can read it.
@@ -157,6 +168,7 @@
             waiting,
             since: now,
             gives_way_since: None,
+            looks: Looks::default(),
         });
         ticket
     }
@@ -219,7 +231,8 @@
         own: &str,
         plan: impl FnOnce() -> Option<P>,
     ) -> Option<P> {
-        match self.turn(now, ticket, own) {
+        let turn = self.turn(now, ticket, own);
+        let planned = match turn {
             Turn::Waits => None,
             Turn::First => plan(),
             Turn::GivesWay => {
@@ -227,7 +240,18 @@
                 let long_enough = self.gave_way(now, ticket, planned.is_some());
                 planned.filter(|_| long_enough)
             }
+        };
+        if let Some(row) = self.rows.iter_mut().find(|row| row.ticket == ticket) {
+            row.looks.behind += u32::from(turn != Turn::First);
+            row.looks.no_engines += u32::from(turn == Turn::First && planned.is_none());
         }
+        planned
+    }
+
+    /// What a waiting prompt met so far.
+    pub fn looks(&self, ticket: Ticket) -> Looks {
+        let row = self.rows.iter().find(|row| row.ticket == ticket);
+        row.map(|row| row.looks).unwrap_or_default()
     }
 
     /// Records whether engines could read a prompt that gives way; true once that has lasted so
--- a/lib/src/relay/lost_calls.rs
+++ b/lib/src/relay/lost_calls.rs
@@ -10,8 +10,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::relay::served_shares::ServedShares;
+
 /// Message of the lines that are read.
 pub const MESSAGE: &str = "call ended";
+/// Outcome of a call that was served.
+const ANSWERED: &str = "answered";
 /// Part of the objective that waiting must take to be named as the cause; what is left is not
 /// enough to read most prompts then.
 const WAITED_PART: f64 = 0.4;
@@ -28,6 +32,8 @@
 pub struct CallLine {
     /// The call's id.
     pub call: String,
+    /// Its route, in lines that name it.
+    pub route: Option<String>,
     /// How it ended.
     pub outcome: String,
     /// Servers that it was sent to.
@@ -102,7 +108,7 @@
 
     /// Why it is lost; none if it was served on time.
     pub fn cause(&self) -> Option<Cause> {
-        if self.outcome != "answered" {
+        if self.outcome != ANSWERED {
             let outcome = self.outcome.clone();
             return Some(Cause::NotServed { outcome });
         }
@@ -195,6 +201,8 @@
     /// Lost ones by second, as the lines' times tell it.
     pub seconds: BTreeMap<String, u64>,
     ratios: BTreeMap<Size, Vec<f64>>,
+    /// Tokens of each prompt and whether it was served, by route.
+    prompts: BTreeMap<String, Vec<(u64, bool)>>,
 }
 
 impl LostCalls {
@@ -202,6 +210,10 @@
     pub fn take(&mut self, second: &str, line: &CallLine) {
         let size = Size::of(line.tokens);
         *self.calls.entry(size).or_default() += 1;
+        if let (Some(route), Some(tokens)) = (&line.route, line.tokens) {
+            let prompts = self.prompts.entry(route.clone()).or_default();
+            prompts.push((tokens, line.outcome == ANSWERED));
+        }
         if let (Some(read), Some(expected)) = (line.read_ms(), line.expected_ms) {
             let ratio = read as f64 / expected.max(1) as f64;
             self.ratios.entry(size).or_default().push(ratio);
@@ -216,6 +228,13 @@
         *self.seconds.entry(second.to_owned()).or_default() += 1;
     }
 
+    /// What share of the prompts of each route was served, by how large they are.
+    pub fn served(&self) -> BTreeMap<&str, ServedShares> {
+        let rows = self.prompts.iter();
+        rows.map(|(route, prompts)| (route.as_str(), ServedShares::of(prompts)))
+            .collect()
+    }
+
     /// Reading against its estimate, by size.
     pub fn estimates(&self) -> BTreeMap<Size, Estimate> {
         let estimate = |ratios: &Vec<f64>| {
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -21,6 +21,7 @@
 pub mod lost_calls;
 pub mod retry_window;
 pub mod route_table;
+pub mod served_shares;
 pub mod server_book;
 pub mod server_list;
 pub mod state_pull;
--- a/lib/tests/test_relay_long_queue.rs
+++ b/lib/tests/test_relay_long_queue.rs
@@ -122,3 +122,19 @@
         "it is refused at once"
     );
 }
+
+#[test]
+fn a_prompt_knows_whether_the_order_or_the_engines_kept_it() {
+    let mut queue = LongQueue::default();
+    let first = queue.push(Time::ZERO, waiting(400, 3_000));
+    let second = queue.push(Time::ZERO, waiting(3_000, 3_000));
+    let no_engines = || None::<()>;
+
+    queue.take_turn(ANNOUNCED, second, "a", no_engines);
+    queue.take_turn(ANNOUNCED, first, "a", no_engines);
+    queue.remove(first);
+    queue.take_turn(ANNOUNCED, second, "a", no_engines);
+
+    let looks = queue.looks(second);
+    assert_eq!((looks.behind, looks.no_engines), (1, 1));
+}
--- a/lib/tests/test_relay_lost_calls.rs
+++ b/lib/tests/test_relay_lost_calls.rs
@@ -9,6 +9,7 @@
 fn good() -> CallLine {
     CallLine {
         call: "c1".to_owned(),
+        route: Some("r1".to_owned()),
         outcome: "answered".to_owned(),
         sent: 1,
         took_ms: 2_000,
@@ -120,3 +121,27 @@
     assert_eq!(estimate.prompts, 6);
     assert!((estimate.median - 800.0 / 700.0).abs() < 1e-9);
 }
+
+/// Ten prompts of a route, 10,000 to 100,000 tokens; the largest and one of the two beneath it are
+/// not served.
+#[test]
+fn served_shares_tell_the_largest_of_a_route_by_themselves() {
+    let mut all = LostCalls::default();
+    for tens in 1..=10 {
+        let is_served = tens != 10 && tens != 8;
+        let outcome = if is_served { "answered" } else { "no_server" };
+        let line = CallLine {
+            tokens: Some(tens * 10_000),
+            outcome: outcome.to_owned(),
+            ..good()
+        };
+        all.take("2026-03-07T04:57:50", &line);
+    }
+
+    let shares = all.served()["r1"];
+
+    assert_eq!(shares.prompts, 10);
+    assert!((shares.all - 0.8).abs() < 1e-9, "{shares:?}");
+    assert!(shares.largest_tenth.abs() < 1e-9, "{shares:?}");
+    assert!((shares.fifth_beneath - 0.5).abs() < 1e-9, "{shares:?}");
+}
