model: context of streams and prompts read beside them; the starved largest reproduced, failing

Two parts of the engines' cost model were missing in it: - each step costs the context of all that is written there (0.00285 ms a thousand tokens): a stream of 300,000 tokens doubles every pass of its engine; - a prompt that has been read beside streams is written with them to the end of the same pass, not one pass later: short calls' first events came after 250 to 325 ms in calm seconds, where plays show 150 to 180.

Ruled out as the difference: second tries of refused callers (refused within 41 ms, they hold no engine); boxes that know late (in the model as told).

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_relay_event_join;
 mod test_relay_hall_reach;
 mod test_relay_heard_boxes;
+mod test_relay_largest;
 mod test_relay_long_queue;
 mod test_relay_lost_calls;
 mod test_relay_model;
--- a/lib/tests/test_relay_model.rs
+++ b/lib/tests/test_relay_model.rs
@@ -5,6 +5,7 @@
 use badgerferry_testutils::relay_model::BadScenario;
 use badgerferry_testutils::relay_model::CallOutcome;
 use badgerferry_testutils::relay_model::Scenario;
+use badgerferry_testutils::seeds::run_seeds;
 
 fn scenario(name: &str) -> Scenario {
     let path = format!(
@@ -94,15 +95,17 @@
     assert!(matches!(malformed, Err(BadScenario::Malformed(cause)) if cause.contains("colour")));
 }
 
-/// 295 boxes before 150 engines, nearly three long prompts where one came before. Worth, mean of
-/// three seeds: 0.935 where all boxes tell all, 0.961 where halls tell each other sums.
+/// 295 boxes before 150 engines, a load that turns every ten seconds. Worth, mean of eight seeds:
+/// 0.882 where all boxes tell all, 0.918 where halls tell each other sums.
 #[test]
 fn callers_of_many_boxes_fare_better_where_halls_are_cells() {
-    let mut busy = scenario("turns-150.json");
-    busy.seconds = 10.0;
+    let busy = scenario("turns-150.json");
     let mean = |scope| {
-        let results = (1..4).map(|seed| relay_model::run(&busy, Some(scope), seed).0);
-        results.map(|result| result.worth).sum::<f64>() / 3.0
+        let (days, broken) = run_seeds(0..8, |seed| {
+            relay_model::run(&busy, Some(scope), seed).0.worth
+        });
+        assert!(broken.is_empty(), "{broken:?}");
+        days.iter().sum::<f64>() / days.len() as f64
     };
 
     let (all_to_all, by_halls) = (mean(Scope::Fleet), mean(Scope::Hall));
--- a/testutils/src/bin/emulate/relay.rs
+++ b/testutils/src/bin/emulate/relay.rs
@@ -122,7 +122,9 @@
         };
         add("on time", &|row| row.on_time[at]);
         add("largest tenth on time", &|row| row.largest_on_time[at]);
-        add("largest tenth served", &|row| row.largest_served[at]);
+        add("served", &|row| row.served[at].all);
+        add("largest tenth served", &|row| row.served[at].largest_tenth);
+        add("fifth beneath served", &|row| row.served[at].fifth_beneath);
         add("refused", &|row| row.refused[at] as f64);
     }
     figures
@@ -148,6 +150,8 @@
     let kinds = paired[0].0.by_kind.len();
     for kind in 0..kinds {
         tell_difference(&format!("kind {kind}"), &paired, |row| row.by_kind[kind]);
+        let largest = |row: &DayResult| row.served[kind].largest_tenth;
+        tell_difference(&format!("kind {kind}, largest"), &paired, largest);
     }
     Ok(())
 }
--- a/testutils/src/relay_model/engine.rs
+++ b/testutils/src/relay_model/engine.rs
@@ -1,8 +1,9 @@
 //! An engine that works in passes.
 //!
 //! Streams are written in passes of a fixed number of steps; whatever waits to be read when such a
-//! pass begins is read in it, and makes it longer. An engine that writes nothing reads what came
-//! last first, in slices.
+//! pass begins is read in it, and makes it longer, and a prompt that has been read whole is written
+//! with the others to the end of the same pass. Each step looks back on the context of all that is
+//! written. An engine that writes nothing reads what came last first, in slices.
 
 use std::time::Duration;
 
@@ -25,7 +26,19 @@
 struct Stream {
     call: CallId,
     events_left: u32,
+    /// Tokens that each of its steps looks back on here.
     context: u64,
+    /// Memory that its end gives back, in tokens.
+    frees: u64,
+}
+
+/// What a stream takes at the engine that writes it, in tokens.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamSize {
+    /// Context that each of its steps looks back on here.
+    pub(super) context: u64,
+    /// Memory that its end gives back.
+    pub(super) frees: u64,
 }
 
 /// What a pass does; it is over at a time that the run keeps.
@@ -44,12 +57,16 @@
     pub(super) read: Vec<CallId>,
     /// Streams that sent an event, and whether it was the last.
     pub(super) events: Vec<(CallId, bool)>,
+    /// Whether streams were written.
+    pub(super) wrote: bool,
 }
 
 /// One engine.
 #[derive(Debug)]
 pub(super) struct Engine {
     model: EngineModel,
+    /// What a thousand tokens of context add to a step, in milliseconds.
+    context_ms_per_k: f64,
     reads: Vec<Read>,
     streams: Vec<Stream>,
     /// Streams that wait for a place in the batch.
@@ -63,9 +80,10 @@
 }
 
 impl Engine {
-    pub(super) const fn new(model: EngineModel) -> Self {
+    pub(super) const fn new(model: EngineModel, context_ms_per_k: f64) -> Self {
         Self {
             model,
+            context_ms_per_k,
             reads: Vec::new(),
             streams: Vec::new(),
             waiting: Vec::new(),
@@ -82,11 +100,12 @@
     }
 
     /// A stream to write: all of its prompt has been read.
-    pub(super) fn write(&mut self, call: CallId, events: u32, context: u64) {
+    pub(super) fn write(&mut self, call: CallId, events: u32, size: StreamSize) {
         self.waiting.push(Stream {
             call,
             events_left: events.max(1),
-            context,
+            context: size.context,
+            frees: size.frees,
         });
     }
 
@@ -128,7 +147,7 @@
                 streams: self.streams.len(),
                 reads: self.reads.len(),
             };
-            (pass, self.model.pass(self.streams.len() as u32) + reading)
+            (pass, self.writing() + reading)
         };
         let takes = takes.mul_f64(self.slowness);
         self.pass = Some(pass);
@@ -136,6 +155,36 @@
         Some(now + takes)
     }
 
+    /// Time of the steps of a pass.
+    fn writing(&self) -> Duration {
+        let context: u64 = self.streams.iter().map(|stream| stream.context).sum();
+        let steps = f64::from(self.model.steps_per_pass);
+        let context_ms = context as f64 / 1e3 * self.context_ms_per_k * steps;
+        self.model.pass(self.streams.len() as u32) + Duration::from_secs_f64(context_ms / 1e3)
+    }
+
+    /// Lets streams that are ready in, and writes the first event of each.
+    pub(super) fn write_first(&mut self) -> Vec<(CallId, bool)> {
+        let places = (self.model.slots as usize).saturating_sub(self.streams.len());
+        let admitted = places.min(self.waiting.len());
+        let before = self.streams.len();
+        self.streams.extend(self.waiting.drain(..admitted));
+        let first = |stream: &mut Stream| {
+            stream.events_left -= 1;
+            (stream.call, stream.events_left == 0)
+        };
+        let events = self.streams[before..].iter_mut().map(first).collect();
+        self.end_streams();
+        events
+    }
+
+    fn end_streams(&mut self) {
+        let over = self.streams.iter().filter(|stream| stream.events_left == 0);
+        let freed: u64 = over.map(|stream| stream.frees).sum();
+        self.memory = self.memory.saturating_sub(freed);
+        self.streams.retain(|stream| stream.events_left > 0);
+    }
+
     /// Ends the pass that plays.
     pub(super) fn end(&mut self) -> PassEnd {
         let mut end = PassEnd::default();
@@ -151,15 +200,13 @@
                 }
             }
             Some(Pass::Writes { streams, reads }) => {
+                end.wrote = true;
                 end.read = self.reads.drain(..reads).map(|read| read.call).collect();
                 for stream in &mut self.streams[..streams] {
                     stream.events_left -= 1;
                     end.events.push((stream.call, stream.events_left == 0));
                 }
-                let over = self.streams.iter().filter(|stream| stream.events_left == 0);
-                let freed: u64 = over.map(|stream| stream.context).sum();
-                self.memory = self.memory.saturating_sub(freed);
-                self.streams.retain(|stream| stream.events_left > 0);
+                self.end_streams();
             }
         }
         end
--- a/testutils/src/relay_model/outcome.rs
+++ b/testutils/src/relay_model/outcome.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use badgerferry_lib::relay::served_shares::ServedShares;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -45,8 +46,8 @@
     pub largest_on_time: Vec<f64>,
     /// Worth that the largest tenth of each kind earned, of that which it could have.
     pub largest: Vec<f64>,
-    /// Share of the largest tenth of each kind that was served, on time or late.
-    pub largest_served: Vec<f64>,
+    /// Shares that were served, on time or late, by kind.
+    pub served: Vec<ServedShares>,
     /// Refused calls by kind.
     pub refused: Vec<usize>,
     /// Part of the engines' time in which they worked.
@@ -132,9 +133,8 @@
         let engines = scenario.fleet.halls.len() * scenario.fleet.engines_per_hall;
         let largest = |of: &Vec<&CallOutcome>| on_time(&of[of.len() * 9 / 10..]);
         let served = |of: &Vec<&CallOutcome>| {
-            let largest = &of[of.len() * 9 / 10..];
-            let served = largest.iter().filter(|outcome| outcome.worth[0] > 0.0);
-            served.count() as f64 / largest.len().max(1) as f64
+            let one = |outcome: &&CallOutcome| (outcome.tokens, outcome.worth[0] > 0.0);
+            ServedShares::of(&of.iter().map(one).collect::<Vec<_>>())
         };
         let refused = |of: &Vec<&CallOutcome>| {
             let refused = of.iter().filter(|outcome| outcome.first_event_ms.is_none());
@@ -150,7 +150,7 @@
             largest: (kinds.iter())
                 .map(|of| share(&of[of.len() * 9 / 10..]))
                 .collect(),
-            largest_served: kinds.iter().map(served).collect(),
+            served: kinds.iter().map(served).collect(),
             refused: kinds.iter().map(refused).collect(),
             engines_busy: worked.as_secs_f64() / (engines as f64 * scenario.seconds),
             reports: 0,
--- a/testutils/src/relay_model/run.rs
+++ b/testutils/src/relay_model/run.rs
@@ -31,6 +31,7 @@
 use crate::relay_model::boxes::Told;
 use crate::relay_model::engine::CallId;
 use crate::relay_model::engine::Engine;
+use crate::relay_model::engine::StreamSize;
 use crate::relay_model::outcome::CallOutcome;
 use crate::relay_model::outcome::DayResult;
 use crate::relay_model::scenario::Kind;
@@ -127,7 +128,8 @@
             Scope::Fleet => boxes.len(),
             Scope::Hall => fleet.boxes_per_hall,
         };
-        let engines = (0..halls * fleet.engines_per_hall).map(|_| Engine::new(fleet.engine));
+        let engines = (0..halls * fleet.engines_per_hall)
+            .map(|_| Engine::new(fleet.engine, fleet.context_ms_per_k));
         let mut world = Self {
             scenario,
             rules: Rules {
@@ -393,13 +395,16 @@
     }
 
     fn pass_ends(&mut self, now: Time, engine: usize) {
-        let end = self.engines[engine].end();
+        let mut end = self.engines[engine].end();
         for id in end.read {
             self.calls[id].parts_left -= 1;
             if self.calls[id].parts_left == 0 {
-                self.writes(now, id);
+                self.writes(now, id, engine);
             }
         }
+        if end.wrote {
+            end.events.extend(self.engines[engine].write_first());
+        }
         for (id, is_last) in end.events {
             let at = now + self.delay(id, engine);
             self.note_event(at, id);
@@ -410,20 +415,30 @@
         self.begin_pass(now, engine);
     }
 
-    /// All parts are read: the engine that leads writes.
-    fn writes(&mut self, now: Time, id: CallId) {
+    /// All parts are read, the last one at `last`: the engine that leads writes.
+    fn writes(&mut self, now: Time, id: CallId, last: usize) {
         let call = &self.calls[id];
         let Some(placed) = &call.placed else {
             return;
         };
         let lead = placed.engines[0];
-        let context = if placed.plan.reserve {
-            0
+        let memory = call.prompt.memory();
+        let size = if placed.plan.reserve {
+            // What was set aside is given back by orders of its own.
+            StreamSize {
+                context: memory / placed.engines.len() as u64,
+                frees: 0,
+            }
         } else {
-            call.prompt.memory()
+            StreamSize {
+                context: memory,
+                frees: memory,
+            }
         };
-        self.engines[lead].write(id, call.events, context);
-        self.begin_pass(now, lead);
+        self.engines[lead].write(id, call.events, size);
+        if lead != last {
+            self.begin_pass(now, lead);
+        }
     }
 
     fn note_event(&mut self, at: Time, id: CallId) {
--- a/testutils/src/relay_model/scenario.rs
+++ b/testutils/src/relay_model/scenario.rs
@@ -49,6 +49,10 @@
     pub engines_per_hall: usize,
     /// What an engine is.
     pub engine: EngineModel,
+    /// What a thousand tokens of context of a stream add to each step of the engine that writes it,
+    /// in milliseconds.
+    #[serde(default)]
+    pub context_ms_per_k: f64,
     /// One way within a hall, in milliseconds.
     pub near_ms: f64,
     /// One way between halls, in milliseconds.
