relay: what turns free gathers for the prompt that is first, for half a second

Cause (one part of the incident): a prompt that is first in the order and needs more engines than are free kept the others from going for 100 ms only; then whoever needed fewer engines took what had gathered, one by one. It starves by the size of its group.

--- a/lib/tests/test_relay_long_queue.rs
+++ b/lib/tests/test_relay_long_queue.rs
@@ -83,6 +83,17 @@
     assert_eq!(queue.turn(Time::from_millis(500), ticket, "a"), Turn::First);
 }
 
+/// Engines that turn free one by one would else be taken by those that need few.
+#[test]
+fn what_turns_free_gathers_for_the_first_while_others_give_way() {
+    let mut queue = LongQueue::default();
+    let ticket = queue.push(Time::ZERO, waiting(3_000, 3_000));
+
+    assert!(!queue.gave_way(Time::from_millis(100), ticket, true));
+    assert!(!queue.gave_way(Time::from_millis(500), ticket, true));
+    assert!(queue.gave_way(Time::from_millis(700), ticket, true));
+}
+
 #[test]
 fn a_prompt_that_engines_could_read_stops_giving_way() {
     let mut queue = LongQueue::default();
