--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -39,9 +39,10 @@
 /// Whoever is first may need more engines than are free, and what turns free gathers for it only while
 /// others give way. With 100 ms the next ones took it, one by one: worth is 0.025 higher with 500 in a model
 /// of 150 engines with more to read than they can (standard error 0.005, 16 paired runs), 0.014 with 60
-/// engines (0.004), 0.024 where some of them are slow (0.004), 0.005 with 18 (0.005). Bounded, since its box may
-/// be unable to start it for reasons that others don't see; a dead box's prompt lapses before.
-const GIVES_WAY: Duration = Duration::from_millis(500);
+/// engines (0.004), 0.024 where some of them are slow (0.004), 0.005 with 18 (0.005); 0.004, 0.003, 0.001 and 0.006
+/// more with a second (0.002, 0.002, 0.005, 0.007). Bounded, since its box may be unable to start it for
+/// reasons that others don't see; a dead box's prompt lapses before.
+const GIVES_WAY: Duration = Duration::from_secs(1);
 /// Least time between a prompt's arrival and its start, so that other boxes hear of it first: a
 /// datagram takes about a millisecond between halls, and up to ten where processors are slow.
 const ANNOUNCED: Duration = Duration::from_millis(8);
