relay: a server may start again under its name; entries of other writers name none

The users' news: a server that starts again keeps its id and says in 'born' when it started; an entry may come from another writer (fields missing or of another type, bytes that can't be read) and names no server to use, while the others hold.

--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -122,7 +122,10 @@
         self.store_answers();
         let mut servers_changed = false;
         for change in seen.changes {
-            servers_changed |= matches!(change, Change::Server { .. } | Change::ServerGone { .. });
+            servers_changed |= matches!(
+                change,
+                Change::Server { .. } | Change::ServerUnreadable { .. } | Change::ServerGone { .. }
+            );
             self.take(change);
         }
         if servers_changed {
@@ -264,6 +267,15 @@
                 );
                 lock(&relay.followed).servers.put(revision, server);
             }
+            Change::ServerUnreadable {
+                revision,
+                name,
+                cause,
+            } => {
+                tracing::error!(server = %name, cause, revision, "server entry can't be read; it is not used");
+                let mut followed = lock(&relay.followed);
+                followed.servers.put_unreadable(revision, &name);
+            }
             Change::ServerGone { revision, name } => {
                 tracing::info!(server = %name, revision, "server entry gone");
                 let now = relay.clock.now();
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -16,6 +16,7 @@
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Mode;
 use badgerferry_standin::store::Store;
+use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -485,3 +486,23 @@
     );
     Ok(())
 }
+
+#[tokio::test]
+async fn an_entry_that_another_writer_broke_names_no_server_and_the_others_hold()
+-> anyhow::Result<()> {
+    let world = World::start(2).await?;
+    let broken = &world.servers[0];
+
+    world.store.put(&broken.key(), &json!({"service": ["s"]}));
+    let line = ["server entry can't be read", "i-0"];
+    world.relay.wait_line(&line).await?;
+
+    wait_unused(&world.relay, broken).await?;
+    assert_eq!(status(&world.relay, "key-1").await?, 200);
+    world.store.put(&broken.key(), &broken.entry("ready"));
+    world
+        .relay
+        .wait_line(&["server entry", "i-0", "false"])
+        .await?;
+    Ok(())
+}
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -203,8 +203,9 @@
             let names = self.by_service.entry(info.service.clone()).or_default();
             names.push(info.name.clone());
             let record = match before.remove(&info.name) {
-                Some(record) => ServerRecord { info, ..record },
-                None => ServerRecord::new(info),
+                // A server that has started again holds and knows nothing of before.
+                Some(record) if record.info.born == info.born => ServerRecord { info, ..record },
+                _ => ServerRecord::new(info),
             };
             self.records.insert(record.info.name.clone(), record);
         }
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -24,7 +24,7 @@
 /// A server's own entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedServer {
-    /// Its name; another one after each restart.
+    /// Its name; it may start again under the same.
     pub name: ServerName,
     /// What it serves.
     pub service: ServiceName,
@@ -36,6 +36,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Unix millisecond of its start, if it says so; tells its lives apart.
+    pub born: Option<u64>,
 }
 
 /// Entries of all servers at one revision of the store.
@@ -137,6 +139,22 @@
         self.entries.servers.insert(server.name.clone(), server);
     }
 
+    /// Takes an entry that can't be read: it names no server to use. A server that lives writes its own
+    /// again soon.
+    pub fn put_unreadable(&mut self, revision: u64, name: &ServerName) {
+        match self.entries.servers.get(name) {
+            Some(server) => {
+                let leaving = ListedServer {
+                    leaving: true,
+                    ..server.clone()
+                };
+                self.put(revision, leaving);
+            }
+            None => self.changed(revision, name),
+        }
+        self.held.remove(name);
+    }
+
     /// Takes the end of an entry.
     pub fn remove(&mut self, now: Time, revision: u64, name: &ServerName) {
         self.changed(revision, name);
--- a/lib/tests/listed_server.rs
+++ b/lib/tests/listed_server.rs
@@ -14,5 +14,6 @@
         hall: HallName::new("hall-a"),
         slots: 6,
         leaving: false,
+        born: None,
     }
 }
--- a/lib/tests/test_relay_server_book.rs
+++ b/lib/tests/test_relay_server_book.rs
@@ -237,3 +237,26 @@
     assert!(!departs);
     assert_eq!(follower.departures(Time::ZERO), []);
 }
+
+/// A server may start again under the name that it had; what was seen of it before says nothing.
+#[test]
+fn a_server_that_started_again_is_taken_as_new() {
+    let born = |at| ListedServer {
+        born: Some(at),
+        ..server("a")
+    };
+    let mut book = ServerBook::default();
+    book.set_servers(vec![born(1), server("b")]);
+    let told = book.get(&ServerName::new("a")).expect("it is listed").key;
+    book.told_departures(Time::ZERO, &[told]);
+    let before = picks(&book, Time::ZERO, &[]);
+
+    book.set_servers(vec![born(1), server("b")]);
+    let same_life = picks(&book, Time::ZERO, &[]);
+    book.set_servers(vec![born(2), server("b")]);
+    let next_life = picks(&book, Time::ZERO, &[]);
+
+    assert_eq!(before.keys().collect::<Vec<_>>(), ["b"]);
+    assert_eq!(same_life.keys().collect::<Vec<_>>(), ["b"]);
+    assert_eq!(next_life.len(), 2);
+}
--- a/lib/tests/test_relay_server_list.rs
+++ b/lib/tests/test_relay_server_list.rs
@@ -183,3 +183,18 @@
     assert_eq!(held, ["a", "b"]);
     assert_eq!(names(&told), ["b"]);
 }
+
+#[test]
+fn an_entry_that_cannot_be_read_names_no_server_to_use_and_the_others_hold() {
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries(1, &["a", "b"]));
+
+    list.put_unreadable(2, &ServerName::new("a"));
+    list.put_unreadable(3, &ServerName::new("unknown"));
+
+    let leaving: Vec<bool> = list.servers().iter().map(|server| server.leaving).collect();
+    assert_eq!(names(&list), ["a", "b"]);
+    assert_eq!(leaving, [true, false]);
+    list.put(4, server("a"));
+    assert!(list.servers().iter().all(|server| !server.leaving));
+}
