--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -124,7 +124,12 @@
         for change in seen.changes {
             servers_changed |= matches!(
                 change,
-                Change::Server { .. } | Change::ServerUnreadable { .. } | Change::ServerGone { .. }
+                Change::Server { .. }
+                    | Change::ServerGone { .. }
+                    | Change::Unreadable {
+                        server: Some(_),
+                        ..
+                    }
             );
             self.take(change);
         }
@@ -267,15 +272,6 @@
                 );
                 lock(&relay.followed).servers.put(revision, server);
             }
-            Change::ServerUnreadable {
-                revision,
-                name,
-                cause,
-            } => {
-                tracing::error!(server = %name, cause, revision, "server entry can't be read; it is not used");
-                let mut followed = lock(&relay.followed);
-                followed.servers.put_unreadable(revision, &name);
-            }
             Change::ServerGone { revision, name } => {
                 tracing::info!(server = %name, revision, "server entry gone");
                 let now = relay.clock.now();
@@ -296,7 +292,17 @@
                 self.entries.remove(&name);
                 lock(&relay.followed).boxes.remove(&name);
             }
-            Change::Unreadable { key, cause } => {
+            Change::Unreadable {
+                revision,
+                server: Some(name),
+                cause,
+                ..
+            } => {
+                tracing::error!(server = %name, cause, revision, "server entry can't be read; it is not used");
+                let mut followed = lock(&relay.followed);
+                followed.servers.put_unreadable(revision, &name);
+            }
+            Change::Unreadable { key, cause, .. } => {
                 tracing::error!(
                     key,
                     cause,
