relay: a piece of work that ends servers is held over all boxes

Boxes keep a set of (work, life of a server) that only grows and joins in any order. A life counts as ended under a run when the run broke off and nobody listens at the server's address a moment later; those that leave by plan don't count. From the first on, one run at a time over boxes that hear each other, placed apart; from the third on it is refused at once, for ten minutes, then one run decides. A good run anywhere clears it. The news goes by datagrams at once and in turn, and under a lease into the store where more than one server ended or this box hears no other one.

The end of an answer without a length is no good run: it looks like the server's own end.

--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -177,6 +177,8 @@
         | RefusalReason::NoServer
         | RefusalReason::Leaving
         | RefusalReason::NoClaim
+        | RefusalReason::EndsServers
+        | RefusalReason::SuspectRuns
         | RefusalReason::NoSettings => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -195,6 +197,8 @@
             "this submission was not run; an earlier one with the same key may have been"
         }
         RefusalReason::NoClaim => "its key can't be checked while the platform is out of reach",
+        RefusalReason::EndsServers => "servers ended under each of the last runs of it",
+        RefusalReason::SuspectRuns => "servers ended under it, and another run of it goes on",
     }
 }
 
--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use badgerferry_lib::ids::WorkspaceName;
@@ -74,6 +75,8 @@
     pub head: CallHead,
     /// What it asks for, once that was worked out.
     work: OnceLock<WorkKey>,
+    /// Whether a server ended under its last run.
+    pub saw_end: AtomicBool,
     /// Host.
     pub host: String,
     /// Method.
@@ -216,6 +219,7 @@
         route: route.clone(),
         head,
         work: OnceLock::new(),
+        saw_end: AtomicBool::new(false),
         host,
         method: parts.method,
         uri: parts
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -22,7 +22,9 @@
 use badgerferry_lib::relay::long_queue::RESERVE_AGAIN;
 use badgerferry_lib::relay::long_queue::Ticket;
 use badgerferry_lib::relay::long_queue::Waiting;
+use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::server_book::ServerRecord;
+use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_platform::headers::Reader;
 
 use crate::relay::call::Call;
@@ -45,6 +47,8 @@
 pub struct Chosen {
     /// The server that runs it.
     pub server: ServerName,
+    /// The life of the server that is meant.
+    pub life: ServerLife,
     /// Where it listens.
     pub address: String,
     /// Engines that read parts of the prompt.
@@ -129,11 +133,21 @@
 #[derive(Debug, Clone)]
 struct Engine {
     server: ServerName,
+    life: ServerLife,
     address: String,
     key: EngineKey,
 }
 
 impl Engine {
+    fn of(record: &ServerRecord) -> Self {
+        Self {
+            server: record.info.name.clone(),
+            life: record.info.life(),
+            address: record.info.address.clone(),
+            key: record.key,
+        }
+    }
+
     fn reading(&self) -> ReadingEngine {
         ReadingEngine {
             address: self.address.clone(),
@@ -142,7 +156,8 @@
     }
 }
 
-/// Chooses; `tried` servers are used again only where there is no other.
+/// Chooses; `tried` servers are used again only where there is no other. A suspect call that needs no
+/// group of engines is placed apart from others.
 ///
 /// # Errors
 ///
@@ -150,11 +165,14 @@
 pub async fn choose(
     call: &Arc<Call>,
     tried: &[ServerName],
+    is_suspect: bool,
 ) -> Result<Chosen, (RefusalReason, Duration)> {
     let service = call.routes.service(&call.service);
     let model = service.and_then(|service| service.engine);
     match (model, call.head.prompt) {
-        (Some(model), Some(prompt)) => choose_engines(call, tried, &model, &prompt).await,
+        (Some(model), Some(prompt)) => {
+            choose_engines(call, tried, &model, &prompt, is_suspect).await
+        }
         _ => choose_plain(call, tried),
     }
 }
@@ -171,6 +189,7 @@
     let record = record.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
     Ok(Chosen {
         server: record.info.name.clone(),
+        life: record.info.life(),
         address: record.info.address.clone(),
         readers: Vec::new(),
         part: None,
@@ -192,9 +211,13 @@
     tried: &[ServerName],
     model: &EngineModel,
     prompt: &Prompt,
+    is_suspect: bool,
 ) -> Result<Chosen, (RefusalReason, Duration)> {
     if !engine_plan::is_long(model, prompt, call.route.pause) {
-        let planned = plan(call, tried, model, prompt);
+        let apart = is_suspect.then(|| plan(call, tried, model, prompt, Among::Apart));
+        let planned = apart
+            .flatten()
+            .or_else(|| plan(call, tried, model, prompt, Among::All));
         let planned = planned.ok_or((RefusalReason::NoServer, NO_SERVER_RETRY))?;
         let started = enter(&call.relay, planned);
         started.works.changed();
@@ -233,6 +256,7 @@
     let reading = addresses.iter().map(Engine::reading).collect();
     Chosen {
         server: lead.server.clone(),
+        life: lead.life,
         address: lead.address.clone(),
         readers,
         part: plan.parts.first().map(|part| part.read),
@@ -288,12 +312,21 @@
         .collect()
 }
 
+/// Among which engines a call is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Among {
+    All,
+    /// A quiet one, apart from other calls.
+    Apart,
+}
+
 /// Plans the call, if it may be sent now.
 fn plan(
     call: &Call,
     tried: &[ServerName],
     model: &EngineModel,
     prompt: &Prompt,
+    among: Among,
 ) -> Option<Planned> {
     let relay = &call.relay;
     let now = relay.clock.now();
@@ -303,6 +336,14 @@
     let table = lock(&relay.loads).table(now);
     let usable = book.usable(now, &call.service, tried);
     let usable = lock(&relay.paces).without_slow(now, usable, |record| record.key);
+    let busy = |record: &&ServerRecord| {
+        let load = table.get(&record.key);
+        load.map_or(0, |load| u32::from(load.short) + u32::from(load.long))
+    };
+    let usable = match among {
+        Among::All => usable,
+        Among::Apart => quarantine::apart(usable, busy, &mut rand::rng()),
+    };
     let state = |record: &&ServerRecord| EngineState {
         load: table.get(&record.key).copied().unwrap_or_default(),
         near: record.info.hall == relay.settings.hall,
@@ -325,14 +366,7 @@
         scope,
     };
     let plan = cells.plan(prompt, aims, rng)?;
-    let address = |part: &Part| {
-        let record = usable[part.engine];
-        Engine {
-            server: record.info.name.clone(),
-            address: record.info.address.clone(),
-            key: record.key,
-        }
-    };
+    let address = |part: &Part| Engine::of(usable[part.engine]);
     Some(Planned {
         addresses: plan.parts.iter().map(address).collect(),
         works: plan.works(&states),
@@ -402,7 +436,7 @@
     relay.urgent_changed.notify_one();
     loop {
         let now = relay.clock.now();
-        let planned = || plan(call, tried, model, prompt);
+        let planned = || plan(call, tried, model, prompt, Among::All);
         let own = &relay.settings.name;
         let turn = lock(&relay.long_queue).take_turn(now, place.ticket, own, planned);
         if let Some(planned) = turn {
--- a/daemon/src/relay/live_stream.rs
+++ b/daemon/src/relay/live_stream.rs
@@ -10,7 +10,6 @@
 use badgerferry_lib::relay::event_join::EventJoin;
 use badgerferry_lib::relay::server_book::Evidence;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use tokio::sync::mpsc;
@@ -25,6 +24,7 @@
 use crate::relay::log_lines;
 use crate::relay::log_lines::StreamTimes;
 use crate::relay::tries;
+use crate::relay::tries::Broken;
 use crate::relay::tries::Live;
 use crate::relay::tries::TryResult;
 
@@ -98,6 +98,10 @@
     }
 }
 
+/// A server that has sent events for so long does not end by them: those that did ended within
+/// 0.5 s of beginning (39 runs). Calls that wait for what this run tells need not wait for its end.
+const LIVED_ON: Duration = Duration::from_secs(2);
+
 /// How a complete stream is called in logs.
 const COMPLETE: &str = "answered";
 
@@ -160,6 +164,7 @@
         return RunEnd::CallerGone;
     }
     let mut patience = tries::silence(call, &flight.chosen, false);
+    let mut lived_on = Some(Instant::now() + LIVED_ON);
     while !complete {
         let frame = tokio::select! {
             frame = timeout(patience, body.frame()) => frame,
@@ -171,20 +176,24 @@
                 let bytes = frame.into_data().unwrap_or_default();
                 match join.push(&bytes) {
                     Ok(events) => {
+                        if lived_on.is_some_and(|at| Instant::now() >= at) {
+                            lived_on = None;
+                            flight.runs_well();
+                        }
                         if !forward(events, tx, pauses).await {
                             return RunEnd::CallerGone;
                         }
                         continue;
                     }
-                    Err(cause) => cause.to_string(),
+                    Err(cause) => Broken::Spoiled(cause.to_string()),
                 }
             }
             Ok(None) if !join.is_inside_event() => {
                 complete = true;
                 continue;
             }
-            Ok(None) => "it ended inside an event".to_owned(),
-            Ok(Some(Err(cause))) => cause.to_string(),
+            Ok(None) => Broken::Off("it ended inside an event".to_owned()),
+            Ok(Some(Err(cause))) => Broken::Off(cause.to_string()),
             Err(_elapsed) => {
                 // Silence alone ends no answer: without another server to go on, it is waited for.
                 repeat_paid = attempts.may_repeat() && call.may_repeat();
@@ -192,11 +201,10 @@
                     patience = Duration::MAX;
                     continue;
                 }
-                "it was silent too long".to_owned()
+                Broken::Silent("it was silent too long")
             }
         };
-        log_lines::unusable(call, &flight.chosen, StatusCode::OK, &broken);
-        flight.end(Evidence::Bad);
+        broken.end(call, flight).await;
         return RunEnd::Broken { join, repeat_paid };
     }
     tries::put_back(call, &flight.chosen.server, connection, after);
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod state;
 mod stop;
 mod store_follow;
+mod suspects;
 mod tries;
 mod upstream;
 
@@ -83,7 +84,11 @@
                     }
                 };
                 let _ = bound_tx.send(Ok(()));
-                tokio::join!(store_follow::run(&relay), neighbours::run(&relay, links),);
+                tokio::join!(
+                    store_follow::run(&relay),
+                    suspects::keep_in_store(&relay),
+                    neighbours::run(&relay, links),
+                );
             });
         })
         .context("failed to start the control thread")?;
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -34,6 +34,7 @@
 use crate::relay::listener;
 use crate::relay::pulls;
 use crate::relay::state::Relay;
+use crate::relay::suspects;
 use crate::traffic::lock;
 
 /// Least time until a box passes the work of the same hall on again.
@@ -172,6 +173,7 @@
         Teller::Box => lock(&relay.paces).own(now),
         Teller::Hall { .. } => lock(&relay.paces).of_hall(now),
     };
+    let suspects = lock(&relay.quarantine).rows(now);
     LoadDatagram {
         version: FRAME_VERSION,
         from: relay.settings.name.clone(),
@@ -185,6 +187,7 @@
         faults,
         departures,
         slow,
+        suspects,
         rows: rows.into_iter().collect(),
     }
 }
@@ -286,6 +289,7 @@
         let now = relay.clock.now();
         take_rows(relay, now, &mut datagram);
         note_neighbour(relay, now, &datagram);
+        suspects::heard(relay, now, teller_name(&datagram), &datagram.suspects);
         if passed_on.is_due(relay, now, &datagram) {
             pass_on(relay, socket, &datagram).await;
         }
@@ -341,6 +345,14 @@
     }
 }
 
+/// Whose word a datagram is.
+fn teller_name(datagram: &LoadDatagram) -> &str {
+    match &datagram.teller {
+        Teller::Box => &datagram.from,
+        Teller::Hall { hall, .. } => hall.as_str(),
+    }
+}
+
 const fn is_passed_on(datagram: &LoadDatagram) -> bool {
     matches!(
         datagram.teller,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -19,6 +19,7 @@
 use badgerferry_lib::relay::engine_pace::EnginePaces;
 use badgerferry_lib::relay::heard_boxes::HeardBoxes;
 use badgerferry_lib::relay::long_queue::LongQueue;
+use badgerferry_lib::relay::quarantine::Quarantine;
 use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::ServiceName;
@@ -115,6 +116,12 @@
     pub long_queue: Mutex<LongQueue>,
     /// Retry budgets by service.
     pub retries: Mutex<HashMap<ServiceName, RetryWindow>>,
+    /// Pieces of work under which servers ended.
+    pub quarantine: Mutex<Quarantine>,
+    /// Wakes calls that wait for what a run of their work tells.
+    pub verdicts: Notify,
+    /// Wakes whoever writes to the store under which work servers ended.
+    pub ends_seen: Notify,
     /// Connections to servers.
     pub upstream: Upstream,
     /// What control knows of the platform's state.
@@ -155,6 +162,9 @@
             paces: Mutex::default(),
             long_queue: Mutex::default(),
             retries: Mutex::default(),
+            quarantine: Mutex::default(),
+            verdicts: Notify::new(),
+            ends_seen: Notify::new(),
             upstream: Upstream::default(),
             followed: Mutex::new(followed),
             encoded_table: Mutex::default(),
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -20,6 +20,7 @@
 
 use crate::relay::state;
 use crate::relay::state::Relay;
+use crate::relay::suspects;
 use crate::traffic::lock;
 
 /// Longest wait for an answer of the store beyond what a watch waits; it answers in milliseconds.
@@ -293,6 +294,8 @@
                 self.entries.remove(&name);
                 lock(&relay.followed).boxes.remove(&name);
             }
+            Change::ServerEnded { work, life } => suspects::stored_end(relay, work, life),
+            Change::WorkReleased { work } => suspects::released(relay, work),
             Change::Unreadable {
                 revision,
                 server: Some(name),
--- /dev/null
+++ b/daemon/src/relay/suspects.rs
@@ -0,0 +1,233 @@
+//! Calls whose work may end servers: whether one runs now, and what the end of its run tells.
+//!
+//! What is known and decided is [`badgerferry_lib::relay::quarantine`]; here it meets calls,
+//! connections and the store.
+
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::quarantine::Admission;
+use badgerferry_lib::relay::quarantine::Change;
+use badgerferry_lib::relay::quarantine::Verdict;
+use badgerferry_lib::relay::quarantine::WorkRow;
+use badgerferry_lib::relay::work_key::ServerLife;
+use badgerferry_lib::relay::work_key::WorkKey;
+use badgerferry_lib::time::Time;
+use badgerferry_platform::store::Store;
+use metrics::counter;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::relay::call::Call;
+use crate::relay::engines::Chosen;
+use crate::relay::state::Relay;
+use crate::traffic::lock;
+
+/// Longest wait for what another run of the same work tells; half of the call's time where that is
+/// less. A run that ends its server does so within some tenths of a second.
+const VERDICT_PATIENCE: Duration = Duration::from_secs(1);
+/// How often a waiting call looks again: a box's turn comes without news.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// When to come back where another run of the work goes on for long.
+const RUNS_RETRY: Duration = Duration::from_millis(500);
+/// Bodies up to this size are read for their key with each call, some 0.1 ms; larger ones only while
+/// any work is suspect.
+const SMALL_BODY: usize = 16 << 10;
+/// Longest wait for a server's machine to refuse a connection, or to take it.
+const PROBE_LIMIT: Duration = Duration::from_millis(200);
+/// Longest silence of the store in a call that writes.
+const STORE_LIMIT: Duration = Duration::from_secs(1);
+/// Until a write that failed is tried again.
+const STORE_PAUSE: Duration = Duration::from_millis(300);
+
+/// A run that was let begin; it counts as under way until dropped.
+#[derive(Debug)]
+pub struct Run {
+    relay: Arc<Relay>,
+    work: Option<WorkKey>,
+    /// Whether to place it apart from other calls.
+    pub is_suspect: bool,
+}
+
+impl Run {
+    /// Records that it ended well.
+    pub fn ran_well(&self) {
+        let Some(work) = self.work else { return };
+        let now = self.relay.clock.now();
+        let change = lock(&self.relay.quarantine).ran_well(now, work);
+        tell(&self.relay, change, "a run here");
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let Some(work) = self.work else { return };
+        if lock(&self.relay.quarantine).end_run(work) {
+            self.relay.verdicts.notify_waiters();
+            self.relay.urgent_changed.notify_one();
+        }
+    }
+}
+
+/// Lets a run of the call begin, at once unless its work ended servers.
+///
+/// # Errors
+///
+/// Why it may not run, and when to come back.
+pub async fn admit(call: &Arc<Call>) -> Result<Run, (RefusalReason, Duration)> {
+    let relay = &call.relay;
+    let run = |work, is_suspect| Run {
+        relay: Arc::clone(relay),
+        work,
+        is_suspect,
+    };
+    let is_told_apart = call.body.len() <= SMALL_BODY || !lock(&relay.quarantine).is_empty();
+    if !is_told_apart {
+        return Ok(run(None, false));
+    }
+    let work = call.work();
+    let patience = VERDICT_PATIENCE.min(call.time_left() / 2);
+    let until = relay.clock.now() + patience;
+    loop {
+        // Listens before it looks: a verdict that comes between the two is not missed.
+        let news = relay.verdicts.notified();
+        let now = relay.clock.now();
+        let saw_end = call.saw_end.load(Ordering::Relaxed);
+        let own = &relay.settings.name;
+        let admission = lock(&relay.quarantine).admit(now, work, own, saw_end);
+        match admission {
+            Admission::Run { is_suspect } => {
+                if is_suspect {
+                    tracing::info!(call = call.id(), %work, "suspect call runs, apart from others");
+                    relay.urgent_changed.notify_one();
+                }
+                return Ok(run(Some(work), is_suspect));
+            }
+            Admission::Held { left, lives } => {
+                counter!("badgerferry_calls_held_total").increment(1);
+                let left_s = left.as_secs();
+                tracing::info!(call = call.id(), %work, lives, left_s, "call held: it ends servers");
+                return Err((RefusalReason::EndsServers, left));
+            }
+            Admission::Wait if now >= until => {
+                return Err((RefusalReason::SuspectRuns, RUNS_RETRY));
+            }
+            Admission::Wait => {
+                // Looked at again in either case.
+                let _ = timeout(LOOK_AGAIN, news).await;
+            }
+        }
+    }
+}
+
+/// Finds out whether the server's life ended with a run that broke off, and records it.
+///
+/// A broken connection alone proves nothing: connections are reset, answers are cut short. Where
+/// nobody listens any more, the server is gone; one that leaves by plan ends by itself.
+pub async fn broke_off(call: &Call, chosen: &Chosen) {
+    let relay = &call.relay;
+    let is_listed = {
+        let book = lock(&relay.book);
+        let record = book.get(&chosen.server);
+        record.is_some_and(|record| !record.info.leaving && record.info.life() == chosen.life)
+    };
+    if !is_listed || !nobody_listens(&chosen.address).await {
+        return;
+    }
+    let (now, work) = (relay.clock.now(), call.work());
+    counter!("badgerferry_servers_ended_total").increment(1);
+    tracing::warn!(
+        call = call.id(),
+        %work,
+        server = %chosen.server,
+        life = format!("{:016x}", chosen.life.0),
+        "server ended under a call"
+    );
+    call.saw_end.store(true, Ordering::Relaxed);
+    let change = lock(&relay.quarantine).server_ended(now, work, chosen.life);
+    relay.ends_seen.notify_one();
+    tell(relay, change, "a run here");
+}
+
+async fn nobody_listens(address: &str) -> bool {
+    let connected = timeout(PROBE_LIMIT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
+}
+
+/// Takes what another box, or a hall, tells of suspect works.
+pub fn heard(relay: &Relay, now: Time, from: &str, rows: &[WorkRow]) {
+    let changes = lock(&relay.quarantine).take_rows(now, from, rows);
+    relay.verdicts.notify_waiters();
+    for change in changes {
+        tell(relay, Some(change), from);
+    }
+}
+
+/// Takes what the store holds: a server ended under a work.
+pub fn stored_end(relay: &Relay, work: WorkKey, life: ServerLife) {
+    let now = relay.clock.now();
+    let change = lock(&relay.quarantine).stored_end(now, work, life);
+    tell(relay, change, "the store");
+}
+
+/// Takes what the store holds: an operator released a work.
+pub fn released(relay: &Relay, work: WorkKey) {
+    let now = relay.clock.now();
+    let change = lock(&relay.quarantine).released(now, work);
+    tell(relay, change, "an operator");
+}
+
+/// Logs a change and lets everybody know: calls that wait here, and the other boxes.
+fn tell(relay: &Relay, change: Option<Change>, source: &str) {
+    let Some(change) = change else { return };
+    let Change {
+        work,
+        verdict,
+        lives,
+    } = change;
+    match verdict {
+        Verdict::Suspect => tracing::info!(%work, lives, source, "work is suspect"),
+        Verdict::Held => tracing::warn!(%work, lives, source, "work is held: it ends servers"),
+        Verdict::Cleared => tracing::info!(%work, source, "work is cleared"),
+    }
+    relay.verdicts.notify_waiters();
+    relay.urgent_changed.notify_one();
+    relay.hall_changed.notify_one();
+}
+
+/// Writes for ever to the store under which work servers ended, for boxes that are cut off from this
+/// one and for those that start later.
+pub async fn keep_in_store(relay: &Arc<Relay>) {
+    loop {
+        relay.ends_seen.notified().await;
+        // A new connection each time: this is rare, and the watch holds the other one.
+        let mut store = Store::new(relay.settings.store, STORE_LIMIT);
+        loop {
+            let now = relay.clock.now();
+            let is_alone = !lock(&relay.followed).heard.hears_any(now);
+            let ends = lock(&relay.quarantine).to_store(now, is_alone);
+            if ends.is_empty() {
+                break;
+            }
+            match store.put_ends(&ends).await {
+                Ok(()) => {
+                    tracing::info!(
+                        ends = ends.len(),
+                        is_alone,
+                        "ends of servers kept in the store"
+                    );
+                    for (work, life) in ends {
+                        stored_end(relay, work, life);
+                    }
+                }
+                Err(cause) => {
+                    tracing::warn!(%cause, ends = ends.len(), "ends of servers not kept in the store");
+                    tokio::time::sleep(STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -28,6 +28,8 @@
 use crate::relay::engines;
 use crate::relay::engines::Chosen;
 use crate::relay::log_lines;
+use crate::relay::suspects;
+use crate::relay::suspects::Run;
 use crate::relay::upstream::Connection;
 use crate::relay::upstream::Reuse;
 use crate::relay::upstream::SendError;
@@ -110,24 +112,43 @@
 #[derive(Debug)]
 pub struct Flight {
     call: Arc<Call>,
+    run: Run,
+    /// Whether the end of its answer shows that the server has lived on.
+    is_framed: bool,
     /// Where it went.
     pub chosen: Chosen,
     open: bool,
 }
 
 impl Flight {
-    fn new(call: &Arc<Call>, chosen: Chosen) -> Self {
+    fn new(call: &Arc<Call>, run: Run, chosen: Chosen) -> Self {
         let now = call.relay.clock.now();
         lock(&call.relay.book).sent(now, &chosen.server);
         Self {
             call: Arc::clone(call),
+            run,
+            is_framed: false,
             chosen,
             open: true,
         }
     }
 
+    /// Closes the books on a run that broke off, perhaps with its server.
+    pub async fn broke_off(self) {
+        suspects::broke_off(&self.call, &self.chosen).await;
+        self.end(Evidence::Bad);
+    }
+
+    /// Notes that its server serves it well, so that it does not end servers.
+    pub fn runs_well(&self) {
+        self.run.ran_well();
+    }
+
     /// Closes the books with what the try says of the server.
     pub fn end(mut self, evidence: Evidence) {
+        if evidence == Evidence::Good && self.is_framed {
+            self.runs_well();
+        }
         self.close(evidence);
     }
 
@@ -145,6 +166,33 @@
     }
 }
 
+/// Why a run of a stream is over before its end.
+#[derive(Debug)]
+pub enum Broken {
+    /// Its connection ended; perhaps its server did.
+    Off(String),
+    /// Its bytes can't be used.
+    Spoiled(String),
+    /// Nothing came in time.
+    Silent(&'static str),
+}
+
+impl Broken {
+    /// Ends the run's books.
+    pub async fn end(self, call: &Call, flight: Flight) -> TryResult {
+        let why = match &self {
+            Self::Off(why) | Self::Spoiled(why) => why,
+            Self::Silent(why) => *why,
+        };
+        log_lines::unusable(call, &flight.chosen, StatusCode::OK, why);
+        match self {
+            Self::Off(_) => flight.broke_off().await,
+            Self::Spoiled(_) | Self::Silent(_) => flight.end(Evidence::Bad),
+        }
+        TryResult::Ended(TryEnd::Lost)
+    }
+}
+
 /// Tries the call once; `join` is given where an earlier run's events are passed on already.
 pub async fn try_once(
     call: &Arc<Call>,
@@ -152,7 +200,11 @@
     tried: &mut Vec<ServerName>,
     join: Option<&EventJoin>,
 ) -> TryResult {
-    let chosen = match engines::choose(call, tried).await {
+    let run = match suspects::admit(call).await {
+        Ok(run) => run,
+        Err((reason, retry_after)) => return TryResult::NoServer(reason, retry_after),
+    };
+    let chosen = match engines::choose(call, tried, run.is_suspect).await {
         Ok(chosen) => chosen,
         Err((reason, retry_after)) => return TryResult::NoServer(reason, retry_after),
     };
@@ -160,7 +212,7 @@
     log_lines::routed(call, attempts, &chosen);
     let resume_after = join.and_then(EventJoin::last);
     let request = request(call, &chosen, resume_after);
-    let flight = Flight::new(call, chosen);
+    let mut flight = Flight::new(call, run, chosen);
     attempts.send();
     let reuse = if call.route.kind.is_repeatable() {
         Reuse::Allowed
@@ -172,10 +224,11 @@
     let sent = upstream.send(server, address, reuse, request).await;
     let (answer, connection) = match sent {
         Ok(sent) => sent,
-        Err(cause) => return not_answered(call, flight, &cause),
+        Err(cause) => return not_answered(call, flight, &cause).await,
     };
     let (parts, body) = answer.into_parts();
     let head = headers::read_answer(parts.status, &parts.headers, call.head.id.as_deref());
+    flight.is_framed = head.is_framed;
     let now = call.relay.clock.now();
     lock(&call.relay.book).answers(now, &flight.chosen.server);
     if let Some(load) = head.load {
@@ -212,7 +265,7 @@
     request
 }
 
-fn not_answered(call: &Call, flight: Flight, cause: &SendError) -> TryResult {
+async fn not_answered(call: &Call, flight: Flight, cause: &SendError) -> TryResult {
     log_lines::try_failed(call, &flight.chosen, cause);
     match cause {
         SendError::NotSent(_) => {
@@ -224,7 +277,7 @@
             TryResult::Ended(TryEnd::NoConnection)
         }
         SendError::Lost(_) => {
-            flight.end(Evidence::Bad);
+            flight.broke_off().await;
             TryResult::Ended(TryEnd::Lost)
         }
     }
@@ -297,7 +350,9 @@
         ..
     } = received;
     let Some(bytes) = read_whole(body).await else {
-        return unusable(call, flight, parts.status, "it ended early");
+        log_lines::unusable(call, &flight.chosen, parts.status, "it ended early");
+        flight.broke_off().await;
+        return TryResult::Ended(TryEnd::Lost);
     };
     put_back(call, &flight.chosen.server, connection, after);
     let answer = pass_on(&parts, AnswerBody::whole(bytes));
@@ -368,20 +423,20 @@
             Ok(Some(Ok(frame))) => match join.push(&frame.into_data().unwrap_or_default()) {
                 Ok(events) if events.is_empty() => continue,
                 Ok(events) => break (events, false),
-                Err(cause) => cause.to_string(),
+                Err(cause) => Broken::Spoiled(cause.to_string()),
             },
             Ok(None) if !join.is_inside_event() => break (Bytes::new(), true),
-            Ok(None) => "it ended inside an event".to_owned(),
-            Ok(Some(Err(cause))) => cause.to_string(),
+            Ok(None) => Broken::Off("it ended inside an event".to_owned()),
+            Ok(Some(Err(cause))) => Broken::Off(cause.to_string()),
             Err(_elapsed) if attempts.may_repeat() && call.has_retry_budget() => {
-                "no first event in time".to_owned()
+                Broken::Silent("no first event in time")
             }
             Err(_elapsed) => {
                 patience = Duration::MAX;
                 continue;
             }
         };
-        return unusable(call, flight, StatusCode::OK, &broken);
+        return broken.end(call, flight).await;
     };
     flight.chosen.read_done(call);
     TryResult::Live(Box::new(Live {
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -73,6 +73,10 @@
     DuplicateKey,
     /// The request key could not be claimed, because the platform gave no answer.
     NoClaim,
+    /// Servers ended under each of the last runs of what it asks for.
+    EndsServers,
+    /// Servers ended under what it asks for, and another run of it is under way for long.
+    SuspectRuns,
 }
 
 impl RefusalReason {
@@ -89,6 +93,8 @@
             Self::NoSettings => "no_settings",
             Self::DuplicateKey => "duplicate_key",
             Self::NoClaim => "key_not_checked",
+            Self::EndsServers => "ends_servers",
+            Self::SuspectRuns => "suspect_runs",
         }
     }
 }
--- a/lib/src/relay/heard_boxes.rs
+++ b/lib/src/relay/heard_boxes.rs
@@ -43,6 +43,12 @@
         heard.is_some_and(|row| now.since(row.at) < LIVES)
     }
 
+    /// Whether any box was heard lately.
+    pub fn hears_any(&self, now: Time) -> bool {
+        let mut heard = self.rows.values();
+        heard.any(|row| now.since(row.at) < LIVES)
+    }
+
     /// Living boxes that said they have newer state than this.
     pub fn ahead_of(&self, now: Time, have: Revisions) -> Vec<&str> {
         let rows = self.rows.iter();
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -7,6 +7,7 @@
 use crate::relay::engine_load::EngineKey;
 use crate::relay::engine_load::EngineUse;
 use crate::relay::long_queue::QueueHead;
+use crate::relay::quarantine::WorkRow;
 use crate::relay::state_pull::FRAME_VERSION;
 use crate::relay::state_pull::Revisions;
 
@@ -54,6 +55,8 @@
     pub departures: Vec<EngineKey>,
     /// Engines that told it, or a box of the hall that it tells of, of being slow lately.
     pub slow: Vec<EngineKey>,
+    /// Pieces of work under which servers ended.
+    pub suspects: Vec<WorkRow>,
     /// The work.
     pub rows: Vec<(EngineKey, EngineUse)>,
 }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -19,6 +19,7 @@
 pub mod load_datagram;
 pub mod long_queue;
 pub mod lost_calls;
+pub mod quarantine;
 pub mod retry_window;
 pub mod route_table;
 pub mod served_shares;
--- /dev/null
+++ b/lib/src/relay/quarantine.rs
@@ -0,0 +1,441 @@
+//! Pieces of work that end the servers which run them, and what is done with calls that ask for them.
+//!
+//! A request may bring down each server that begins to run it. Bounds by try, by box or by service
+//! don't hold it: its caller comes again at any box. So boxes keep a set of pairs, a piece of work and
+//! a life of a server that ended under it, which only grows and joins in any order, whoever tells it.
+//!
+//! From the first life on the work is suspect: one run of it at a time over all boxes that hear each
+//! other, apart from other calls. After three lives it is held: refused at once, for ten minutes from
+//! the last of them, and for as long again it is suspect. A run that ends well speaks for the work:
+//! whatever ended under it until a little later had other causes. So many equal calls of one caller
+//! are not blamed while servers end by themselves. Ways weighed: `docs/design/quarantine.md`.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::relay::work_key::ServerLife;
+use crate::relay::work_key::WorkKey;
+use crate::time::Time;
+
+/// Lives of servers that one piece of work may end: with two, a call that did nothing and lost its
+/// run twice where many servers end would be held; with four, each such work costs a server more.
+pub const MOST_LIVES: usize = 3;
+/// How long a work is held after the last life that ended under it: the longest lease of the store,
+/// where it is kept for boxes that start later.
+pub const HELD_FOR: Duration = Duration::from_mins(10);
+/// How long it is remembered: after it was held, it is suspect for as long again, so that a single
+/// run decides.
+const REMEMBERED: Duration = Duration::from_mins(20);
+/// How long after a good run an end says nothing: servers that end together are heard of for some
+/// seconds, while equal calls end well elsewhere.
+const GOOD_FOR: Duration = Duration::from_secs(10);
+/// How long another box's run counts after it was last told: two heartbeats and a lost datagram.
+const RUN_BELIEVED: Duration = Duration::from_millis(1_200);
+/// Between the turns of boxes that wait for the same verdict; news takes a few milliseconds between
+/// halls, so the first one's run is known before the next begins.
+const TURN: Duration = Duration::from_millis(20);
+/// Turns; more boxes share one.
+const TURNS: u64 = 16;
+/// Works that are remembered, at some 200 bytes each.
+const MOST_WORKS: usize = 512;
+/// Works of one workspace that are, so that it can't push out others'.
+const MOST_OF_OWNER: usize = 64;
+/// Lives remembered for one work.
+const MOST_REMEMBERED: usize = 8;
+/// Works told with one datagram: some 60 bytes each, of 1,400.
+const MOST_ROWS: usize = 6;
+/// Lives told of each: enough to hold it.
+const MOST_LIVES_TOLD: usize = MOST_LIVES;
+
+/// What is to be done with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It runs; the run counts as begun.
+    Run {
+        /// Whether to place it apart from other calls.
+        is_suspect: bool,
+    },
+    /// Another run of the work is under way: it will tell.
+    Wait,
+    /// It is held.
+    Held {
+        /// For how long.
+        left: Duration,
+        /// Lives of servers that ended under it.
+        lives: usize,
+    },
+}
+
+/// What became known of a work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Servers ended under it, fewer than [`MOST_LIVES`].
+    Suspect,
+    /// [`MOST_LIVES`] or more did.
+    Held,
+    /// It ran well, or an operator released it.
+    Cleared,
+}
+
+/// A change of what is known of a work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// The work.
+    pub work: WorkKey,
+    /// What is known now.
+    pub verdict: Verdict,
+    /// Lives that ended under it.
+    pub lives: usize,
+}
+
+/// What one box tells another of a work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkRow {
+    /// The work.
+    pub work: WorkKey,
+    /// Lives that ended under it, and how many milliseconds ago.
+    pub lives: Vec<(ServerLife, u32)>,
+    /// How many milliseconds ago it last ran well, if it did.
+    pub good: Option<u32>,
+    /// Whether a run of it is under way there.
+    pub runs: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct End {
+    life: ServerLife,
+    at: Time,
+    /// Whether this box saw it and the store does not hold it yet.
+    to_store: bool,
+}
+
+#[derive(Debug, Default)]
+struct Work {
+    ends: Vec<End>,
+    good: Option<Time>,
+    /// When boxes, or halls, last said that they run it.
+    others: BTreeMap<String, Time>,
+    /// When something was last learned of it.
+    changed: Time,
+}
+
+impl Work {
+    /// Lives that count: no good run speaks against them, and they are not too long ago.
+    fn counting(&self, now: Time) -> impl Iterator<Item = &End> {
+        let good_until = self.good.map(|at| at + GOOD_FOR);
+        self.ends
+            .iter()
+            .filter(move |end| good_until.is_none_or(|until| end.at > until))
+            .filter(move |end| now.since(end.at) < REMEMBERED)
+    }
+
+    fn lives(&self, now: Time) -> usize {
+        self.counting(now).count()
+    }
+
+    fn verdict(&self, now: Time) -> Verdict {
+        match self.lives(now) {
+            0 => Verdict::Cleared,
+            lives if lives >= MOST_LIVES && !self.held_left(now).is_zero() => Verdict::Held,
+            _ => Verdict::Suspect,
+        }
+    }
+
+    fn last_end(&self, now: Time) -> Time {
+        let last = self.counting(now).map(|end| end.at).max();
+        last.unwrap_or_default()
+    }
+
+    fn held_left(&self, now: Time) -> Duration {
+        now.until(self.last_end(now) + HELD_FOR)
+    }
+
+    fn runs_elsewhere(&self, now: Time) -> bool {
+        let mut told = self.others.values();
+        told.any(|at| now.since(*at) < RUN_BELIEVED)
+    }
+
+    /// Adds a life; the earliest word of it counts.
+    fn add(&mut self, end: End) {
+        if let Some(known) = self.ends.iter_mut().find(|known| known.life == end.life) {
+            known.at = known.at.min(end.at);
+            return;
+        }
+        self.ends.push(end);
+        if self.ends.len() > MOST_REMEMBERED {
+            self.ends.remove(0);
+        }
+    }
+
+    fn is_forgotten(&self, now: Time) -> bool {
+        let good_counts = self.good.is_some_and(|at| now.since(at) < GOOD_FOR);
+        self.lives(now) == 0 && !good_counts
+    }
+}
+
+/// What a box knows of such works.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    works: BTreeMap<WorkKey, Work>,
+    /// Own runs under way, of all works that are told apart.
+    runs: HashMap<WorkKey, u32>,
+    /// Where the next datagram goes on, of the works that are not new.
+    told_to: Option<WorkKey>,
+    /// Works that went for want of room.
+    pushed_out: u64,
+}
+
+impl Quarantine {
+    /// Whether nothing is known of any work: then no body need be read for its key.
+    pub fn is_empty(&self) -> bool {
+        self.works.is_empty()
+    }
+
+    /// Decides on a call that is about to be sent; `saw_end` if its own last run ended a server: it
+    /// goes before the boxes that wait for a verdict. `own` is this box's name.
+    pub fn admit(&mut self, now: Time, work: WorkKey, own: &str, saw_end: bool) -> Admission {
+        let runs_here = self.runs.get(&work).is_some_and(|runs| *runs > 0);
+        let Some(known) = self.works.get(&work) else {
+            return self.begin(work, false);
+        };
+        let verdict = known.verdict(now);
+        let runs = runs_here || known.runs_elsewhere(now);
+        let lives = known.lives(now);
+        match verdict {
+            Verdict::Cleared => self.begin(work, false),
+            Verdict::Held if !runs => Admission::Held {
+                left: known.held_left(now),
+                lives,
+            },
+            Verdict::Suspect
+                if !runs && (saw_end || now >= known.last_end(now) + turn(work, own)) =>
+            {
+                self.begin(work, true)
+            }
+            Verdict::Held | Verdict::Suspect => Admission::Wait,
+        }
+    }
+
+    fn begin(&mut self, work: WorkKey, is_suspect: bool) -> Admission {
+        *self.runs.entry(work).or_default() += 1;
+        Admission::Run { is_suspect }
+    }
+
+    /// Ends a run that [`Self::admit`] let begin; true if others wait for that news.
+    pub fn end_run(&mut self, work: WorkKey) -> bool {
+        if let Some(runs) = self.runs.get_mut(&work) {
+            *runs -= 1;
+            if *runs == 0 {
+                self.runs.remove(&work);
+            }
+        }
+        self.works.contains_key(&work)
+    }
+
+    /// Records that a server's life ended under a run of this box.
+    pub fn server_ended(&mut self, now: Time, work: WorkKey, life: ServerLife) -> Option<Change> {
+        let end = End {
+            life,
+            at: now,
+            to_store: true,
+        };
+        self.change(now, work, |known| known.add(end))
+    }
+
+    /// Records that a run ended well.
+    pub fn ran_well(&mut self, now: Time, work: WorkKey) -> Option<Change> {
+        if !self.works.contains_key(&work) {
+            return None;
+        }
+        self.change(now, work, |known| known.good = Some(now))
+    }
+
+    /// Records what the store holds: a life that ended under a work.
+    pub fn stored_end(&mut self, now: Time, work: WorkKey, life: ServerLife) -> Option<Change> {
+        let end = End {
+            life,
+            at: now,
+            to_store: false,
+        };
+        let change = self.change(now, work, |known| known.add(end));
+        let known = self.works.get_mut(&work).into_iter();
+        let known = known.flat_map(|known| &mut known.ends);
+        for end in known.filter(|end| end.life == life) {
+            end.to_store = false;
+        }
+        change
+    }
+
+    /// Records that an operator released a work.
+    pub fn released(&mut self, now: Time, work: WorkKey) -> Option<Change> {
+        self.ran_well(now, work)
+    }
+
+    /// Takes what another box, or a hall, tells.
+    pub fn take_rows(&mut self, now: Time, from: &str, rows: &[WorkRow]) -> Vec<Change> {
+        let ago = |millis: u32| {
+            let micros = u64::from(millis) * 1_000;
+            Time::from_micros(now.as_micros().saturating_sub(micros))
+        };
+        for (work, known) in &mut self.works {
+            if !rows.iter().any(|row| row.work == *work && row.runs) {
+                known.others.remove(from);
+            }
+        }
+        let take = |row: &WorkRow| {
+            self.change(now, row.work, |known| {
+                for (life, millis) in &row.lives {
+                    known.add(End {
+                        life: *life,
+                        at: ago(*millis),
+                        to_store: false,
+                    });
+                }
+                known.good = known.good.max(row.good.map(ago));
+                if row.runs {
+                    known.others.insert(from.to_owned(), now);
+                }
+            })
+        };
+        rows.iter().filter_map(take).collect()
+    }
+
+    fn change(&mut self, now: Time, work: WorkKey, f: impl FnOnce(&mut Work)) -> Option<Change> {
+        if !self.works.contains_key(&work) {
+            self.make_room(now, work.owner);
+        }
+        let known = self.works.entry(work).or_default();
+        let before = (known.verdict(now), known.lives(now));
+        f(known);
+        let after = (known.verdict(now), known.lives(now));
+        if before == after {
+            return None;
+        }
+        known.changed = now;
+        let (verdict, lives) = after;
+        Some(Change {
+            work,
+            verdict,
+            lives,
+        })
+    }
+
+    /// Lets go of works that are forgotten, and of one more where there is no room: the one with the
+    /// fewest lives, the oldest of those, of the workspace that has most.
+    fn make_room(&mut self, now: Time, owner: u32) {
+        self.works.retain(|_, known| !known.is_forgotten(now));
+        let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
+        for work in self.works.keys() {
+            *counts.entry(work.owner).or_default() += 1;
+        }
+        let of_owner = counts.get(&owner).copied().unwrap_or_default();
+        let pays = match () {
+            () if of_owner >= MOST_OF_OWNER => Some(owner),
+            () if self.works.len() >= MOST_WORKS => {
+                let most = counts.iter().max_by_key(|(_, count)| **count);
+                most.map(|(owner, _)| *owner)
+            }
+            () => None,
+        };
+        let Some(pays) = pays else { return };
+        let of = self.works.iter().filter(|(work, _)| work.owner == pays);
+        let first = of.min_by_key(|(_, known)| (known.lives(now), known.last_end(now)));
+        if let Some((&work, _)) = first {
+            self.works.remove(&work);
+            self.pushed_out += 1;
+        }
+    }
+
+    /// What to tell other boxes now: works that run here and that changed last first, then the others
+    /// in turn.
+    pub fn rows(&mut self, now: Time) -> Vec<WorkRow> {
+        if self.works.is_empty() {
+            return Vec::new();
+        }
+        self.works.retain(|_, known| !known.is_forgotten(now));
+        let is_fresh = |work: &WorkKey, known: &Work| {
+            self.runs.contains_key(work) || now.since(known.changed) < RUN_BELIEVED
+        };
+        let (mut fresh, rest): (Vec<_>, Vec<_>) =
+            (self.works.iter()).partition::<Vec<_>, _>(|(work, known)| is_fresh(work, known));
+        fresh
+            .sort_by_key(|(work, known)| (!self.runs.contains_key(work), now.since(known.changed)));
+        let after = rest.partition_point(|(work, _)| Some(**work) <= self.told_to);
+        let in_turn = rest[after..].iter().chain(&rest[..after]);
+        let told: Vec<_> = fresh
+            .iter()
+            .chain(in_turn)
+            .take(MOST_ROWS)
+            .copied()
+            .collect();
+        let rows = told
+            .iter()
+            .map(|(work, known)| self.row(now, **work, known));
+        let rows = rows.collect();
+        let last_in_turn = told.iter().skip(fresh.len()).last();
+        self.told_to = last_in_turn.map(|(work, _)| **work).or(self.told_to);
+        rows
+    }
+
+    fn row(&self, now: Time, work: WorkKey, known: &Work) -> WorkRow {
+        let ago = |at: Time| now.since(at).as_millis() as u32;
+        let newest = known.ends.iter().rev().take(MOST_LIVES_TOLD);
+        WorkRow {
+            work,
+            lives: newest.map(|end| (end.life, ago(end.at))).collect(),
+            good: known.good.map(ago),
+            runs: self.runs.contains_key(&work),
+        }
+    }
+
+    /// Pairs that this box saw and that the store is to hold: those of works under which more servers
+    /// than one ended, and all where this box hears no other one (`is_alone`). The others are told by
+    /// datagrams, and most are cleared within a second.
+    pub fn to_store(&self, now: Time, is_alone: bool) -> Vec<(WorkKey, ServerLife)> {
+        let due = self.works.iter().filter(|(_, known)| {
+            let lives = known.lives(now);
+            lives > 1 || (is_alone && lives > 0)
+        });
+        let pairs = due.flat_map(|(work, known)| {
+            let own = known.ends.iter().filter(|end| end.to_store);
+            own.map(|end| (*work, end.life))
+        });
+        pairs.collect()
+    }
+
+    /// Works that are held now.
+    pub fn held(&self, now: Time) -> usize {
+        let mut verdicts = self.works.values().map(|known| known.verdict(now));
+        verdicts.by_ref().filter(|it| *it == Verdict::Held).count()
+    }
+
+    /// Works that went for want of room so far.
+    pub const fn pushed_out(&self) -> u64 {
+        self.pushed_out
+    }
+}
+
+/// Where a suspect call goes: to one of the quieter half of the servers, drawn. The calls that were
+/// lost with a server are all suspect for a moment; together on the quietest server they would meet
+/// the one among them that ends it.
+pub fn apart<T>(mut servers: Vec<T>, calls: impl Fn(&T) -> u32, rng: &mut impl Rng) -> Vec<T> {
+    servers.sort_by_key(calls);
+    servers.truncate(servers.len().div_ceil(2));
+    let drawn = rng.random_range(0..servers.len().max(1));
+    servers.into_iter().skip(drawn).take(1).collect()
+}
+
+/// How long a box waits after a verdict, so that all don't begin at once.
+fn turn(work: WorkKey, own: &str) -> Duration {
+    let mut hasher = DefaultHasher::new();
+    (work, own).hash(&mut hasher);
+    TURN * (1 + hasher.finish() % TURNS) as u32
+}
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -16,6 +16,7 @@
 use crate::ids::HallName;
 use crate::ids::ServerName;
 use crate::relay::route_table::ServiceName;
+use crate::relay::work_key::ServerLife;
 use crate::time::Time;
 
 /// How long after the store's return missing entries are held; the users state two seconds.
@@ -40,6 +41,13 @@
     pub born: Option<u64>,
 }
 
+impl ListedServer {
+    /// The life that its entry tells of.
+    pub fn life(&self) -> ServerLife {
+        ServerLife::of(&self.name, self.born)
+    }
+}
+
 /// Entries of all servers at one revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntries {
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -12,7 +12,7 @@
 use crate::relay::server_list::ServerNews;
 
 /// Version of the frames between boxes; a frame of another version is dropped.
-pub const FRAME_VERSION: u8 = 5;
+pub const FRAME_VERSION: u8 = 6;
 /// Largest frame, in bytes; tables are at most a megabyte in the store.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -189,6 +189,7 @@
         faults: Vec::new(),
         departures: Vec::new(),
         slow: Vec::new(),
+        suspects: Vec::new(),
         rows,
     }
 }
