relay: what is known of a work is joined before a box's own start, and told in turn

Cause: times of what other boxes tell were cut off at a box's own start, so a good run and the ends after it fell together for a box that had just started, and a work that is held looked cleared there (found by reading, then by a test). A box that missed a good run told its old lives on, and the others, which had forgotten both, blamed the work anew.

Times are now signed; what a good run speaks for is remembered as long as the lives, and whoever hears of lives that it knows to be cleared says so. A datagram tells of works that run or changed lately, at most six, and one of the others in turn.

--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -10,6 +10,7 @@
 //! whatever ended under it until a little later had other causes. So many equal calls of one caller
 //! are not blamed while servers end by themselves. Ways weighed: `docs/design/quarantine.md`.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::hash::DefaultHasher;
@@ -50,8 +51,10 @@
 const MOST_OF_OWNER: usize = 64;
 /// Lives remembered for one work.
 const MOST_REMEMBERED: usize = 8;
-/// Works told with one datagram: some 60 bytes each, of 1,400.
+/// Works told with one datagram that are new or run here: some 60 bytes each, of 1,400.
 const MOST_ROWS: usize = 6;
+/// Works told with one that are neither, for boxes that missed the news: each in turn.
+const ROWS_IN_TURN: usize = 1;
 /// Lives told of each: enough to hold it.
 const MOST_LIVES_TOLD: usize = MOST_LIVES;
 
@@ -109,10 +112,38 @@
     pub runs: bool,
 }
 
+/// A moment on this box's time line, which may lie before its own start: other boxes tell of those.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Moment(i64);
+
+impl Moment {
+    const fn of(time: Time) -> Self {
+        Self(time.as_micros().cast_signed())
+    }
+
+    const fn ago(now: Time, millis: u32) -> Self {
+        Self(now.as_micros().cast_signed() - millis as i64 * 1_000)
+    }
+
+    /// How long ago it was; zero if it lies ahead.
+    const fn since(self, now: Time) -> Duration {
+        let micros = now.as_micros().cast_signed() - self.0;
+        Duration::from_micros(if micros > 0 { micros as u64 } else { 0 })
+    }
+
+    const fn millis_ago(self, now: Time) -> u32 {
+        self.since(now).as_millis() as u32
+    }
+
+    const fn plus(self, span: Duration) -> Self {
+        Self(self.0 + span.as_micros() as i64)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct End {
     life: ServerLife,
-    at: Time,
+    at: Moment,
     /// Whether this box saw it and the store does not hold it yet.
     to_store: bool,
 }
@@ -120,7 +151,7 @@
 #[derive(Debug, Default)]
 struct Work {
     ends: Vec<End>,
-    good: Option<Time>,
+    good: Option<Moment>,
     /// When boxes, or halls, last said that they run it.
     others: BTreeMap<String, Time>,
     /// When something was last learned of it.
@@ -130,11 +161,11 @@
 impl Work {
     /// Lives that count: no good run speaks against them, and they are not too long ago.
     fn counting(&self, now: Time) -> impl Iterator<Item = &End> {
-        let good_until = self.good.map(|at| at + GOOD_FOR);
+        let good_until = self.good.map(|at| at.plus(GOOD_FOR));
         self.ends
             .iter()
             .filter(move |end| good_until.is_none_or(|until| end.at > until))
-            .filter(move |end| now.since(end.at) < REMEMBERED)
+            .filter(move |end| end.at.since(now) < REMEMBERED)
     }
 
     fn lives(&self, now: Time) -> usize {
@@ -144,18 +175,15 @@
     fn verdict(&self, now: Time) -> Verdict {
         match self.lives(now) {
             0 => Verdict::Cleared,
-            lives if lives >= MOST_LIVES && !self.held_left(now).is_zero() => Verdict::Held,
+            lives if lives >= MOST_LIVES && self.last_end(now) < HELD_FOR => Verdict::Held,
             _ => Verdict::Suspect,
         }
     }
 
-    fn last_end(&self, now: Time) -> Time {
-        let last = self.counting(now).map(|end| end.at).max();
-        last.unwrap_or_default()
-    }
-
-    fn held_left(&self, now: Time) -> Duration {
-        now.until(self.last_end(now) + HELD_FOR)
+    /// How long ago the last life that counts ended.
+    fn last_end(&self, now: Time) -> Duration {
+        let ago = self.counting(now).map(|end| end.at.since(now));
+        ago.min().unwrap_or(Duration::MAX)
     }
 
     fn runs_elsewhere(&self, now: Time) -> bool {
@@ -163,21 +191,24 @@
         told.any(|at| now.since(*at) < RUN_BELIEVED)
     }
 
-    /// Adds a life; the earliest word of it counts.
+    /// Adds a life; the earliest word of it counts, and the newest lives stay.
     fn add(&mut self, end: End) {
-        if let Some(known) = self.ends.iter_mut().find(|known| known.life == end.life) {
-            known.at = known.at.min(end.at);
-            return;
+        match self.ends.iter_mut().find(|known| known.life == end.life) {
+            Some(known) => known.at = known.at.min(end.at),
+            None => self.ends.push(end),
         }
-        self.ends.push(end);
+        self.ends.sort_by_key(|end| (end.at, end.life));
         if self.ends.len() > MOST_REMEMBERED {
             self.ends.remove(0);
         }
     }
 
+    /// What a good run speaks for is remembered as long as the lives: another box, which missed it,
+    /// may still tell of those.
     fn is_forgotten(&self, now: Time) -> bool {
-        let good_counts = self.good.is_some_and(|at| now.since(at) < GOOD_FOR);
-        self.lives(now) == 0 && !good_counts
+        let ends_count = self.ends.iter().any(|end| end.at.since(now) < REMEMBERED);
+        let good_counts = self.good.is_some_and(|at| at.since(now) < GOOD_FOR);
+        !ends_count && !good_counts
     }
 }
 
@@ -212,12 +243,10 @@
         match verdict {
             Verdict::Cleared => self.begin(work, false),
             Verdict::Held if !runs => Admission::Held {
-                left: known.held_left(now),
+                left: HELD_FOR.saturating_sub(known.last_end(now)),
                 lives,
             },
-            Verdict::Suspect
-                if !runs && (saw_end || now >= known.last_end(now) + turn(work, own)) =>
-            {
+            Verdict::Suspect if !runs && (saw_end || known.last_end(now) >= turn(work, own)) => {
                 self.begin(work, true)
             }
             Verdict::Held | Verdict::Suspect => Admission::Wait,
@@ -244,7 +273,7 @@
     pub fn server_ended(&mut self, now: Time, work: WorkKey, life: ServerLife) -> Option<Change> {
         let end = End {
             life,
-            at: now,
+            at: Moment::of(now),
             to_store: true,
         };
         self.change(now, work, |known| known.add(end))
@@ -255,14 +284,14 @@
         if !self.works.contains_key(&work) {
             return None;
         }
-        self.change(now, work, |known| known.good = Some(now))
+        self.change(now, work, |known| known.good = Some(Moment::of(now)))
     }
 
     /// Records what the store holds: a life that ended under a work.
     pub fn stored_end(&mut self, now: Time, work: WorkKey, life: ServerLife) -> Option<Change> {
         let end = End {
             life,
-            at: now,
+            at: Moment::of(now),
             to_store: false,
         };
         let change = self.change(now, work, |known| known.add(end));
@@ -281,10 +310,7 @@
 
     /// Takes what another box, or a hall, tells.
     pub fn take_rows(&mut self, now: Time, from: &str, rows: &[WorkRow]) -> Vec<Change> {
-        let ago = |millis: u32| {
-            let micros = u64::from(millis) * 1_000;
-            Time::from_micros(now.as_micros().saturating_sub(micros))
-        };
+        let ago = |millis: u32| Moment::ago(now, millis);
         for (work, known) in &mut self.works {
             if !rows.iter().any(|row| row.work == *work && row.runs) {
                 known.others.remove(from);
@@ -292,6 +318,11 @@
         }
         let take = |row: &WorkRow| {
             self.change(now, row.work, |known| {
+                // The other box missed the good run that this one knows of.
+                let is_behind = !row.lives.is_empty() && known.good > row.good.map(ago);
+                if is_behind && known.lives(now) == 0 {
+                    known.changed = now;
+                }
                 for (life, millis) in &row.lives {
                     known.add(End {
                         life: *life,
@@ -347,15 +378,15 @@
         };
         let Some(pays) = pays else { return };
         let of = self.works.iter().filter(|(work, _)| work.owner == pays);
-        let first = of.min_by_key(|(_, known)| (known.lives(now), known.last_end(now)));
+        let first = of.min_by_key(|(_, known)| (known.lives(now), Reverse(known.last_end(now))));
         if let Some((&work, _)) = first {
             self.works.remove(&work);
             self.pushed_out += 1;
         }
     }
 
-    /// What to tell other boxes now: works that run here and that changed last first, then the others
-    /// in turn.
+    /// What to tell other boxes now: works that run here or changed lately, those that changed last
+    /// first, and of the others that are not cleared one in turn.
     pub fn rows(&mut self, now: Time) -> Vec<WorkRow> {
         if self.works.is_empty() {
             return Vec::new();
@@ -364,34 +395,31 @@
         let is_fresh = |work: &WorkKey, known: &Work| {
             self.runs.contains_key(work) || now.since(known.changed) < RUN_BELIEVED
         };
-        let (mut fresh, rest): (Vec<_>, Vec<_>) =
+        let (mut fresh, mut rest): (Vec<_>, Vec<_>) =
             (self.works.iter()).partition::<Vec<_>, _>(|(work, known)| is_fresh(work, known));
+        rest.retain(|(_, known)| known.lives(now) > 0);
         fresh
             .sort_by_key(|(work, known)| (!self.runs.contains_key(work), now.since(known.changed)));
+        fresh.truncate(MOST_ROWS);
         let after = rest.partition_point(|(work, _)| Some(**work) <= self.told_to);
         let in_turn = rest[after..].iter().chain(&rest[..after]);
-        let told: Vec<_> = fresh
-            .iter()
-            .chain(in_turn)
-            .take(MOST_ROWS)
-            .copied()
-            .collect();
-        let rows = told
-            .iter()
-            .map(|(work, known)| self.row(now, **work, known));
+        let in_turn: Vec<_> = in_turn.take(ROWS_IN_TURN).copied().collect();
+        let told = fresh.iter().chain(&in_turn);
+        let rows = told.map(|(work, known)| self.row(now, **work, known));
         let rows = rows.collect();
-        let last_in_turn = told.iter().skip(fresh.len()).last();
-        self.told_to = last_in_turn.map(|(work, _)| **work).or(self.told_to);
+        self.told_to = in_turn.last().map(|(work, _)| **work);
         rows
     }
 
     fn row(&self, now: Time, work: WorkKey, known: &Work) -> WorkRow {
-        let ago = |at: Time| now.since(at).as_millis() as u32;
-        let newest = known.ends.iter().rev().take(MOST_LIVES_TOLD);
+        let counting = known.counting(now).collect::<Vec<_>>();
+        let newest = counting.iter().rev().take(MOST_LIVES_TOLD);
         WorkRow {
             work,
-            lives: newest.map(|end| (end.life, ago(end.at))).collect(),
-            good: known.good.map(ago),
+            lives: newest
+                .map(|end| (end.life, end.at.millis_ago(now)))
+                .collect(),
+            good: known.good.map(|at| at.millis_ago(now)),
             runs: self.runs.contains_key(&work),
         }
     }
--- /dev/null
+++ b/lib/tests/test_relay_quarantine.rs
@@ -0,0 +1,312 @@
+//! Which works end servers, what is done with calls that ask for them, and what boxes tell of them.
+
+use std::time::Duration;
+
+use badgerferry_lib::relay::quarantine;
+use badgerferry_lib::relay::quarantine::Admission;
+use badgerferry_lib::relay::quarantine::HELD_FOR;
+use badgerferry_lib::relay::quarantine::Quarantine;
+use badgerferry_lib::relay::quarantine::Verdict;
+use badgerferry_lib::relay::quarantine::WorkRow;
+use badgerferry_lib::relay::work_key::ServerLife;
+use badgerferry_lib::relay::work_key::WorkKey;
+use badgerferry_lib::time::Time;
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+const WORK: WorkKey = key(7, 1);
+const RUNS: Admission = Admission::Run { is_suspect: false };
+const RUNS_APART: Admission = Admission::Run { is_suspect: true };
+
+const fn key(owner: u32, digest: u64) -> WorkKey {
+    WorkKey { owner, digest }
+}
+
+const fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+/// A box that saw so many lives end under the work, a millisecond apart, by the second.
+fn after(lives: u64) -> Quarantine {
+    let mut it = Quarantine::default();
+    for life in 0..lives {
+        it.server_ended(at(1_000 - lives + life), WORK, ServerLife(life));
+    }
+    it
+}
+
+fn admit(it: &mut Quarantine, now: Time) -> Admission {
+    it.admit(now, WORK, "box-1", false)
+}
+
+#[test]
+fn work_that_ended_nothing_runs_as_often_as_it_comes() {
+    let mut it = Quarantine::default();
+
+    assert_eq!([admit(&mut it, at(1)), admit(&mut it, at(1))], [RUNS, RUNS]);
+}
+
+#[test]
+fn two_lives_make_it_suspect_and_three_hold_it() {
+    let verdicts = [1, 2, 3].map(|lives| admit(&mut after(lives), at(2_000)));
+
+    let left = HELD_FOR.saturating_sub(Duration::from_millis(1_001));
+    let held = Admission::Held { left, lives: 3 };
+    assert_eq!(verdicts, [RUNS_APART, RUNS_APART, held]);
+}
+
+#[test]
+fn the_same_life_told_again_counts_once() {
+    let mut it = after(2);
+    let rows = after(2).rows(at(1_000));
+
+    for from in ["box-2", "box-3"] {
+        assert_eq!(it.take_rows(at(1_500), from, &rows), []);
+    }
+    assert_eq!(it.stored_end(at(1_600), WORK, ServerLife(0)), None);
+
+    assert_eq!(admit(&mut it, at(2_000)), RUNS_APART);
+}
+
+#[test]
+fn a_good_run_clears_it_and_what_ends_a_little_later_says_nothing() {
+    let mut it = after(3);
+
+    let change = it.ran_well(at(3_000), WORK).expect("it was held");
+    let later = it.server_ended(at(12_000), WORK, ServerLife(9));
+
+    assert_eq!((change.verdict, later), (Verdict::Cleared, None));
+    assert_eq!(admit(&mut it, at(12_500)), RUNS);
+    it.server_ended(at(14_000), WORK, ServerLife(10));
+    it.end_run(WORK);
+    assert_eq!(admit(&mut it, at(15_000)), RUNS_APART);
+}
+
+#[test]
+fn after_it_was_held_one_run_decides() {
+    let mut it = after(3);
+    let over = at(1_000) + HELD_FOR;
+
+    assert_eq!(admit(&mut it, over), RUNS_APART);
+    assert_eq!(admit(&mut it, over), Admission::Wait);
+    it.server_ended(over, WORK, ServerLife(9));
+    it.end_run(WORK);
+
+    assert!(matches!(
+        admit(&mut it, over),
+        Admission::Held { lives: 4, .. }
+    ));
+}
+
+#[test]
+fn one_run_of_suspect_work_goes_at_a_time_here_and_elsewhere() {
+    let (mut here, mut there) = (after(1), Quarantine::default());
+    assert_eq!(admit(&mut here, at(2_000)), RUNS_APART);
+    there.take_rows(at(2_002), "box-1", &here.rows(at(2_001)));
+
+    let beside = [admit(&mut here, at(2_003)), admit(&mut there, at(2_500))];
+    here.end_run(WORK);
+    there.take_rows(at(2_600), "box-1", &here.rows(at(2_600)));
+
+    assert_eq!(beside, [Admission::Wait; 2]);
+    assert_eq!(there.admit(at(2_601), WORK, "box-2", false), RUNS_APART);
+}
+
+/// Runs that were under way before the first server ended are told as well: others wait for them.
+#[test]
+fn a_run_that_began_before_it_was_suspect_counts() {
+    let mut here = Quarantine::default();
+    admit(&mut here, at(900));
+
+    here.take_rows(at(1_000), "box-2", &after(1).rows(at(1_000)));
+
+    assert_eq!(admit(&mut here, at(2_000)), Admission::Wait);
+    assert!(here.rows(at(2_000))[0].runs);
+}
+
+#[test]
+fn the_run_of_a_box_that_died_holds_nobody_up_for_long() {
+    let mut here = after(1);
+    here.admit(at(1_000), WORK, "box-1", true);
+    let mut there = Quarantine::default();
+    there.take_rows(at(1_001), "box-1", &here.rows(at(1_001)));
+
+    assert_eq!(admit(&mut there, at(2_100)), Admission::Wait);
+    assert_eq!(admit(&mut there, at(2_300)), RUNS_APART);
+}
+
+#[test]
+fn the_call_that_lost_its_run_goes_before_boxes_that_waited() {
+    let mut it = after(1);
+
+    assert_eq!(admit(&mut it, at(1_000)), Admission::Wait);
+    assert_eq!(it.admit(at(1_000), WORK, "box-1", true), RUNS_APART);
+}
+
+#[test]
+fn boxes_that_wait_take_turns() {
+    let first_turn = |name: &str| {
+        let mut it = after(1);
+        let runs = |millis: &u64| it.admit(at(*millis), WORK, name, false) == RUNS_APART;
+        (1_000..2_000).find(runs).expect("its turn comes")
+    };
+    let names: Vec<String> = (0..6).map(|at| format!("box-{at}")).collect();
+
+    let mut turns: Vec<u64> = names.iter().map(|name| first_turn(name)).collect();
+
+    turns.sort_unstable();
+    turns.dedup();
+    assert!(turns.len() >= 4 && turns[0] >= 1_015, "{turns:?}");
+    assert!(turns.iter().all(|turn| *turn <= 1_330), "{turns:?}");
+}
+
+/// A box that was away while the work was cleared must not blame it anew elsewhere.
+#[test]
+fn what_was_cleared_is_not_blamed_by_a_box_that_missed_it() {
+    let mut cleared = after(3);
+    cleared.ran_well(at(1_200), WORK);
+    let mut behind = after(3);
+    let later = at(60_000);
+    cleared.rows(later);
+
+    cleared.take_rows(later, "behind", &behind.rows(later));
+    behind.take_rows(later, "cleared", &cleared.rows(later));
+
+    assert_eq!(
+        [admit(&mut cleared, later), admit(&mut behind, later)],
+        [RUNS; 2]
+    );
+}
+
+/// Its time line begins at its start: what ended before lies ahead of it.
+#[test]
+fn a_box_that_has_just_started_takes_what_happened_before() {
+    let mut old = after(1);
+    old.ran_well(at(2_000), WORK);
+    for life in 5..8 {
+        old.server_ended(at(20_000), WORK, ServerLife(life));
+    }
+    let mut new = Quarantine::default();
+
+    new.take_rows(at(10), "box-1", &old.rows(at(50_000)));
+
+    let held = admit(&mut new, at(20));
+    let Admission::Held { left, .. } = held else {
+        panic!("it is held elsewhere: {held:?}");
+    };
+    assert_eq!(left, HELD_FOR.saturating_sub(Duration::from_millis(30_010)));
+}
+
+#[test]
+fn only_ends_that_others_may_miss_go_to_the_store() {
+    let own = |lives: u64| (0..lives).map(|life| (WORK, ServerLife(life)));
+    let now = at(1_500);
+
+    assert_eq!(after(1).to_store(now, false), []);
+    assert!(after(1).to_store(now, true).into_iter().eq(own(1)));
+    assert!(after(2).to_store(now, false).into_iter().eq(own(2)));
+    let mut kept = after(2);
+    own(2).for_each(|(work, life)| {
+        kept.stored_end(now, work, life);
+    });
+    assert_eq!(kept.to_store(now, false), []);
+    let mut told = Quarantine::default();
+    told.take_rows(now, "box-2", &after(2).rows(now));
+    assert_eq!(told.to_store(now, true), []);
+}
+
+#[test]
+fn a_workspace_with_thousands_of_such_works_pushes_out_no_other_ones() {
+    let mut it = after(3);
+    for digest in 0..5_000 {
+        for life in 0..3 {
+            let life = ServerLife(digest * 10 + life);
+            it.server_ended(at(2_000 + digest), key(8, digest), life);
+        }
+    }
+
+    let now = at(8_000);
+    assert!(matches!(admit(&mut it, now), Admission::Held { .. }));
+    assert_eq!(it.held(now), 65);
+    assert_eq!(it.pushed_out(), 5_000 - 64);
+    assert_eq!(it.admit(now, key(8, 9_999), "box-1", false), RUNS);
+}
+
+#[test]
+fn a_datagram_tells_what_runs_first_and_the_others_in_turn() {
+    let mut it = Quarantine::default();
+    for digest in 0..20 {
+        it.server_ended(at(digest), key(1, digest), ServerLife(digest));
+    }
+    let later = at(10_000);
+    it.admit(later, key(1, 13), "box-1", true);
+
+    let told: Vec<Vec<WorkRow>> = (0..20).map(|_| it.rows(later)).collect();
+
+    assert!(
+        told.iter()
+            .all(|rows| rows[0].work == key(1, 13) && rows[0].runs)
+    );
+    assert!(told.iter().all(|rows| rows.len() == 2));
+    let mut in_turn: Vec<u64> = told.iter().map(|rows| rows[1].work.digest).collect();
+    in_turn.sort_unstable();
+    in_turn.dedup();
+    assert_eq!(in_turn.len(), 19);
+}
+
+#[test]
+fn a_suspect_call_goes_to_one_of_the_quieter_half() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let calls = [9, 0, 7, 3, 8, 1_u32];
+
+    let mut drawn: Vec<u32> = (0..200)
+        .flat_map(|_| quarantine::apart(calls.to_vec(), |calls| *calls, &mut rng))
+        .collect();
+
+    drawn.sort_unstable();
+    drawn.dedup();
+    assert_eq!(drawn, [0, 1, 3]);
+    assert!(quarantine::apart(Vec::new(), |calls: &u32| *calls, &mut rng).is_empty());
+}
+
+quickcheck! {
+    /// Whoever tells what, in which order and how often: all boxes come to know the same.
+    fn what_is_told_joins_in_any_order(ends: Vec<(u8, u16)>, goods: Vec<u16>, seed: u64) -> bool {
+        let now = at(100_000);
+        let mut rows: Vec<WorkRow> = Vec::new();
+        for (life, ago) in ends.iter().take(8) {
+            rows.push(WorkRow {
+                work: WORK,
+                lives: vec![(ServerLife(u64::from(*life)), u32::from(*ago))],
+                good: None,
+                runs: false,
+            });
+        }
+        let good = |ago: &u16| WorkRow {
+            work: WORK,
+            lives: Vec::new(),
+            good: Some(u32::from(*ago)),
+            runs: false,
+        };
+        rows.extend(goods.iter().take(3).map(good));
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut known = |rows: &mut Vec<WorkRow>| {
+            rows.shuffle(&mut rng);
+            let mut it = Quarantine::default();
+            for row in rows.iter() {
+                it.take_rows(now, "box-2", std::slice::from_ref(row));
+            }
+            let mut told = it.rows(now);
+            for row in &mut told {
+                row.lives.sort_unstable();
+            }
+            (admit(&mut it, now), told)
+        };
+        let first = known(&mut rows);
+        let twice = rows.clone();
+        rows.extend(twice);
+        first == known(&mut rows)
+    }
+}
