cli: badgerferry suspects lists works that end servers, and releases one

An operator sees in the platform's store which works are held, under how many ended servers, and lets one run decide where a work was blamed wrongly or its servers were mended. Boxes tell each other of a release as of the rest.

Exit codes as of the other commands; another writer's key hides no work.

--- a/cli/src/command_line.rs
+++ b/cli/src/command_line.rs
@@ -17,6 +17,8 @@
 use crate::commands::settings::cmd_settings;
 use crate::commands::status::StatusArgs;
 use crate::commands::status::cmd_status;
+use crate::commands::suspects::SuspectsArgs;
+use crate::commands::suspects::cmd_suspects;
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
 use crate::exit::Failure;
@@ -43,6 +45,7 @@
 enum Command {
     Settings(SettingsArgs),
     Status(StatusArgs),
+    Suspects(SuspectsArgs),
     Explain(ExplainArgs),
     KeyDigest(KeyDigestArgs),
     Lost(LostArgs),
@@ -82,17 +85,22 @@
         .platform
         .or_else(|| std::env::var(PLATFORM_VARIABLE).ok());
     let patience = Duration::from_secs(line.patience);
-    let session = || match &platform {
-        Some(address) => Ok(Session::new(address, patience)),
-        None => Err(
+    let address = || {
+        platform.as_deref().ok_or_else(|| {
             CommandError::new(Failure::Usage, "the platform's address is not given")
-                .hint(format!("use --platform ADDRESS or set {PLATFORM_VARIABLE}")),
-        ),
+                .hint(format!("use --platform ADDRESS or set {PLATFORM_VARIABLE}"))
+        })
     };
+    let session = || Ok(Session::new(address()?, patience));
     runtime.block_on(async {
         match line.command {
             Command::Settings(args) => cmd_settings(session, patience, args).await,
             Command::Status(args) => cmd_status(&session()?, args).await,
+            Command::Suspects(args) => {
+                let store = address()?.parse();
+                let store = store.map_err(|cause| CommandError::new(Failure::Usage, cause))?;
+                cmd_suspects(store, patience, args).await
+            }
             Command::Explain(args) => cmd_explain(&session()?, args).await,
             Command::KeyDigest(args) => {
                 cmd_key_digest(&args);
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -21,3 +21,4 @@
 pub mod settings_unset;
 pub mod settings_wait;
 pub mod status;
+pub mod suspects;
--- /dev/null
+++ b/cli/src/commands/suspects.rs
@@ -0,0 +1,106 @@
+//! `badgerferry suspects`
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use argh::FromArgs;
+use badgerferry_lib::relay::quarantine::Fact;
+use badgerferry_lib::relay::work_key::WorkKey;
+use badgerferry_platform::store::Store;
+use badgerferry_platform::store::StoreError;
+use badgerferry_platform::store_change::Change;
+use serde::Serialize;
+
+use crate::exit::CommandError;
+use crate::exit::CommandResult;
+use crate::exit::Failure;
+use crate::output::Format;
+use crate::output::Table;
+
+/// Show pieces of work that end the servers which run them, as the platform's store holds them, or
+/// release one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "suspects")]
+pub struct SuspectsArgs {
+    /// let one run of this work decide: its key, as boxes log it
+    #[argh(option)]
+    release: Option<WorkKey>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// What the store holds of a work.
+#[derive(Debug, Default, Serialize)]
+struct SuspectRow {
+    work: String,
+    lives_ended: usize,
+    held: bool,
+    released: bool,
+}
+
+/// Lists or releases; `store` is the address of the platform's store.
+///
+/// # Errors
+///
+/// The store gave no answer, or refused.
+pub async fn cmd_suspects(
+    store: SocketAddr,
+    patience: Duration,
+    args: SuspectsArgs,
+) -> CommandResult {
+    let mut store = Store::new(store, patience);
+    if let Some(work) = args.release {
+        let released = store.put_suspects(&[(work, Fact::Released)]).await;
+        released.map_err(|cause| failed("release the work", &cause))?;
+        println!("{work} released: one run of it decides");
+        return Ok(());
+    }
+    let all = store.read_all().await;
+    let all = all.map_err(|cause| failed("read the store", &cause))?;
+    let rows = rows(&all.items);
+    Format::from_switch(args.json).print(&rows, || text_of(&rows));
+    Ok(())
+}
+
+fn failed(what: &str, cause: &StoreError) -> CommandError {
+    let kind = match cause {
+        StoreError::NotDone(_) | StoreError::HistoryGone => Failure::Refused,
+        StoreError::NoAnswer(_) => Failure::NoAnswer,
+    };
+    CommandError::new(kind, format!("failed to {what}: {cause}"))
+        .hint("--platform is the address of the platform's store here")
+}
+
+fn rows(items: &[Change]) -> Vec<SuspectRow> {
+    let mut rows: BTreeMap<WorkKey, SuspectRow> = BTreeMap::new();
+    for item in items {
+        let Change::Suspect { work, fact } = item else {
+            continue;
+        };
+        let row = rows.entry(*work).or_default();
+        row.work = work.to_string();
+        match fact {
+            Fact::Ended(_) => row.lives_ended += 1,
+            Fact::Held => row.held = true,
+            Fact::Released => row.released = true,
+        }
+    }
+    rows.into_values().collect()
+}
+
+fn text_of(rows: &[SuspectRow]) -> String {
+    let mut table = Table::new(&["WORK", "SERVERS ENDED", "HELD", "RELEASED"]);
+    let word = |holds: bool| if holds { "yes" } else { "-" }.to_owned();
+    for row in rows {
+        let (held, released) = (word(row.held), word(row.released));
+        table.row([
+            row.work.clone(),
+            row.lives_ended.to_string(),
+            held,
+            released,
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/cli/tests/test_suspects.rs
@@ -0,0 +1,74 @@
+//! What operators see and do of works that end servers, against a stand-in of the platform's store.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+
+use badgerferry_lib::relay::quarantine::Fact;
+use badgerferry_lib::relay::work_key::ServerLife;
+use badgerferry_lib::relay::work_key::WorkKey;
+use badgerferry_platform::store::Store as Client;
+use badgerferry_standin::store::Store;
+use serde_json::json;
+
+const HELD: WorkKey = WorkKey {
+    owner: 1,
+    digest: 2,
+};
+const SUSPECT: WorkKey = WorkKey {
+    owner: 0xFFFF_FFFF,
+    digest: u64::MAX,
+};
+
+async fn badgerferry(store: SocketAddr, args: &[&str]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_badgerferry"));
+    command.args(["--platform", &store.to_string(), "--patience", "2"]);
+    command.args(args);
+    let output = tokio::task::spawn_blocking(move || command.output()).await;
+    let output = output.expect("no panic").expect("the command line starts");
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn works_are_listed_and_one_is_released() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    let ends = (0..3).map(|life| (HELD, Fact::Ended(ServerLife(life))));
+    let mut facts: Vec<(WorkKey, Fact)> = ends.collect();
+    facts.push((HELD, Fact::Held));
+    facts.push((SUSPECT, Fact::Ended(ServerLife(9))));
+    let mut client = Client::new(store.address, Duration::from_secs(2));
+    client.put_suspects(&facts).await?;
+    // Another writer's key hides none of the others.
+    store.put("badgerferry/suspects/no-work/none", &json!({}));
+
+    let before = badgerferry(store.address, &["suspects"]).await;
+    let released = badgerferry(store.address, &["suspects", "--release", &HELD.to_string()]).await;
+    let after = badgerferry(store.address, &["suspects", "--json"]).await;
+
+    let table = "WORK                      SERVERS ENDED  HELD  RELEASED\n\
+                 000000010000000000000002  3              yes   -\n\
+                 ffffffffffffffffffffffff  1              -     -\n";
+    assert_eq!(before, (Some(0), table.to_owned()));
+    assert_eq!(released.0, Some(0), "{}", released.1);
+    let rows: serde_json::Value = serde_json::from_str(&after.1)?;
+    assert_eq!(rows[0]["released"], json!(true));
+    assert_eq!(rows[1]["released"], json!(false));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_wrong_is_told_by_the_exit_code() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+
+    let no_work = badgerferry(store.address, &["suspects", "--release", "zz"]).await;
+    let nobody = badgerferry("127.0.0.1:1".parse()?, &["suspects"]).await;
+
+    assert_eq!(no_work.0, Some(2), "{}", no_work.1);
+    assert_eq!(nobody.0, Some(1), "{}", nobody.1);
+    assert!(nobody.1.contains("hint: "), "{}", nobody.1);
+    Ok(())
+}
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -90,7 +90,7 @@
     Suspect,
     /// [`MOST_LIVES`] or more did.
     Held,
-    /// It ran well, or an operator released it.
+    /// It ran well.
     Cleared,
 }
 
@@ -113,7 +113,7 @@
     /// [`MOST_LIVES`] or more had, on the time line of the box that says so. Told by itself: whoever
     /// reads it later knows no more whether they ended in one moment.
     Held,
-    /// An operator released it.
+    /// An operator released it: one run decides.
     Released,
 }
 
@@ -137,6 +137,8 @@
     pub lives: Vec<ToldEnd>,
     /// How many milliseconds ago the first and the last of the lives ended that hold it, if it is.
     pub held: Option<(u32, u32)>,
+    /// How many milliseconds ago an operator released it, if one did.
+    pub released: Option<u32>,
     /// How many milliseconds ago it last ran well, if it did.
     pub good: Option<u32>,
     /// Whether a run of it is under way there.
@@ -205,7 +207,9 @@
 struct Work {
     ends: Vec<End>,
     held: Option<Hold>,
-    /// Whether the store says so.
+    /// When an operator released it.
+    released: Option<Moment>,
+    /// Whether the store says that it is held.
     is_held_in_store: bool,
     /// Whether a server ended under a run of this box.
     is_own: bool,
@@ -251,7 +255,7 @@
 
     fn verdict(&self, now: Time) -> Verdict {
         match self.held_at(now) {
-            Some(at) if at.since(now) < HELD_FOR => Verdict::Held,
+            Some(at) if at.since(now) < HELD_FOR && self.released < Some(at) => Verdict::Held,
             Some(_) => Verdict::Suspect,
             None if self.lives(now) > 0 => Verdict::Suspect,
             None => Verdict::Cleared,
@@ -422,7 +426,10 @@
                     });
                 }
             }),
-            Fact::Released => self.ran_well(now, work),
+            Fact::Released => self.change(now, work, |known| {
+                known.released = known.released.max(Some(at));
+                known.is_held_in_store = false;
+            }),
         }
     }
 
@@ -455,6 +462,7 @@
                     last: ago(last),
                 });
                 known.held = known.held.max(held);
+                known.released = known.released.max(row.released.map(ago));
                 known.good = known.good.max(row.good.map(ago));
                 if row.runs {
                     known.others.insert(from.to_owned(), now);
@@ -549,6 +557,7 @@
             lives: newest.map(|end| end.told(now)).collect(),
             held: (known.held.filter(|_| known.held_at(now).is_some()))
                 .map(|held| (held.first.millis_ago(now), held.last.millis_ago(now))),
+            released: known.released.map(|at| at.millis_ago(now)),
             good: known.good.map(|at| at.millis_ago(now)),
             runs: self.runs.contains_key(&work),
         }
