soak: calls that end servers, beside kills, freezes and a store that is away

A tenth of the callers' calls ask for work that ends the server, a tenth for another one there: no server ends more often than boxes that hear nobody may let it (three for each life of a box), no other call is blamed, and once the faults are over no box sends the work on. Servers that end have a route of their own, without a proxy, so that nobody listens there while they are away.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -22,6 +22,8 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Beyond that it hangs; the ledger tells.
 const LAST: Duration = Duration::from_secs(10);
+/// Body of the calls that end the servers which run them.
+pub const DEADLY: &str = "a prompt that ends whoever reads it";
 /// Between two calls of one caller.
 const REST: std::ops::Range<u64> = 5..60;
 
@@ -41,10 +43,12 @@
     while !stop.load(Ordering::SeqCst) {
         number += 1;
         let id = format!("c{name}-{number}");
-        let kind = match rng.random_range(0..3) {
-            0 => Kind::Once,
-            1 => Kind::Again,
-            _ => Kind::Stream,
+        let kind = match rng.random_range(0..10) {
+            0..=2 => Kind::Once,
+            3..=5 => Kind::Again,
+            6..=7 => Kind::Stream,
+            8 => Kind::Fragile,
+            _ => Kind::Deadly,
         };
         let front = fronts[rng.random_range(0..fronts.len())];
         let begun = Instant::now();
@@ -68,6 +72,9 @@
         Kind::Once => call("POST", "/once/a", id, "", "body"),
         Kind::Again => call("GET", "/again/a", id, "", ""),
         Kind::Stream => call("POST", "/stream/a", id, "", "prompt"),
+        // All of these are equal, as those that end servers are.
+        Kind::Fragile => call("POST", "/stream/fragile/a", id, "", "prompt"),
+        Kind::Deadly => call("POST", "/stream/fragile/a", id, "", DEADLY),
     }
 }
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -40,6 +40,13 @@
     NewRoutes,
 }
 
+impl Fault {
+    /// Whether a box forgets what it knew.
+    pub const fn starts_a_box(self) -> bool {
+        matches!(self, Self::Kill(_) | Self::Terminate(_))
+    }
+}
+
 /// A fault, when it comes and how long it lasts.
 #[derive(Debug, Clone, Copy)]
 pub struct Planned {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -16,6 +16,10 @@
     Again,
     /// A stream that may be continued.
     Stream,
+    /// The same, of servers that other calls end.
+    Fragile,
+    /// A stream whose request ends the servers that run it.
+    Deadly,
 }
 
 /// One call and its end.
@@ -58,6 +62,30 @@
     Ok(())
 }
 
+/// Servers that one life of a box may let a piece of work end, where it hears no other box and the
+/// store is away: then each box can only count by itself.
+const MOST_LIVES: usize = 3;
+
+/// Holds the servers that ended under one piece of work against what so many lives of boxes may let end.
+///
+/// # Errors
+///
+/// More of them ended.
+pub fn check_lives(servers: &[Server], box_lives: usize) -> anyhow::Result<()> {
+    let lives: usize = servers.iter().map(Server::lives_ended).sum();
+    let most = MOST_LIVES * box_lives;
+    anyhow::ensure!(
+        lives <= most,
+        "{lives} lives of servers ended, {most} at most may"
+    );
+    Ok(())
+}
+
+/// Whether a piece of work has ended as many servers as hold it.
+pub fn is_held(servers: &[Server]) -> bool {
+    servers.iter().map(Server::lives_ended).sum::<usize>() >= MOST_LIVES
+}
+
 fn check_row(row: &Row, ran: usize, events: u64) -> anyhow::Result<()> {
     let id = &row.id;
     anyhow::ensure!(
@@ -77,7 +105,12 @@
             ran == 0,
             "call {id} was told that it has not run, and it ran {ran} times"
         ),
-        (200, Kind::Stream) => check_stream(id, answer, events)?,
+        (200, Kind::Stream | Kind::Fragile) => check_stream(id, answer, events)?,
+        (200, Kind::Deadly) => anyhow::ensure!(!answer.whole, "call {id} can't be served"),
+        (503, Kind::Fragile) => anyhow::ensure!(
+            !answer.body.contains("ends_servers"),
+            "call {id} is blamed for what another one did"
+        ),
         (200, _) if answer.whole => anyhow::ensure!(
             answer.body.ends_with(&format!(" served {id}")),
             "call {id} got another answer: {}",
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -12,6 +12,7 @@
 use anyhow::Context;
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::call;
+use badgerferry_standin::crashes::Crashes;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::relay_box::draw_ip;
@@ -33,8 +34,13 @@
 
 /// Callers for each box.
 const CALLERS: usize = 4;
+/// Servers that end under a certain call, and are away so long.
+const FRAGILE: usize = 16;
+const AWAY: Duration = Duration::from_secs(2);
 /// Time that a stopping box has before it is killed, as its settings say, and a bit more.
 const STOP_TIME: Duration = Duration::from_secs(9);
+/// After the faults, until all boxes must know of calls that end servers.
+const NEWS_IN_FORCE: Duration = Duration::from_secs(2);
 /// Tries to be served after the faults, a tenth of a second apart, before a run counts as lost.
 const RECOVERY_TRIES: usize = 200;
 
@@ -76,6 +82,8 @@
     store_way: Proxy,
     servers: Vec<Server>,
     ways: Vec<Proxy>,
+    /// Reached without a proxy: nobody listens there while they are away.
+    fragile: Vec<Server>,
     boxes: Vec<Mutex<RelayBox>>,
     version: AtomicU64,
 }
@@ -118,8 +126,17 @@
     for caller in callers {
         caller.await?;
     }
+    let recovered = match recovered {
+        Ok(()) => stage.holds_what_ends_servers(&fronts).await,
+        Err(cause) => Err(cause),
+    };
+    let restarts = plan.iter().filter(|planned| planned.fault.starts_a_box());
+    let box_lives = size.boxes + restarts.count();
     let rows = rows.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let checked = recovered.and_then(|()| ledger::check(&rows, &stage.servers));
+    let servers = [stage.servers.as_slice(), &stage.fragile].concat();
+    let checked = recovered
+        .and_then(|()| ledger::check(&rows, &servers))
+        .and_then(|()| ledger::check_lives(&stage.fragile, box_lives));
     if let Err(cause) = checked {
         let logs = stage.keep_logs(seed).await?;
         return Err(cause.context(format!("plan {plan:#?}; logs in {logs}")));
@@ -149,6 +166,14 @@
             servers.push(server);
             ways.push(way);
         }
+        let mut fragile = Vec::new();
+        for at in 0..FRAGILE {
+            let pace = Duration::from_millis(15);
+            let server = Server::start(&format!("f-{at}"), "fragile", pace).await?;
+            server.crash_by(Crashes::by(callers::DEADLY, AWAY, &store));
+            store.put(&server.key(), &server.entry("ready"));
+            fragile.push(server);
+        }
         let ips: Vec<_> = (0..size.boxes).map(|_| draw_ip()).collect();
         let mut boxes = Vec::new();
         for (at, ip) in ips.iter().enumerate() {
@@ -165,6 +190,7 @@
             store_way,
             servers,
             ways,
+            fragile,
             boxes,
             version: AtomicU64::new(1),
         })
@@ -282,6 +308,34 @@
         Ok(())
     }
 
+    /// Once all reach each other and the store, no box sends on a call that has ended servers.
+    async fn holds_what_ends_servers(&self, fronts: &[SocketAddr]) -> anyhow::Result<()> {
+        if !ledger::is_held(&self.fragile) {
+            return Ok(());
+        }
+        tokio::time::sleep(NEWS_IN_FORCE).await;
+        let lives = || self.fragile.iter().map(Server::lives_ended).sum::<usize>();
+        let before = lives();
+        for (at, front) in fronts.iter().enumerate() {
+            let path = "/stream/fragile/a";
+            let text = call(
+                "POST",
+                path,
+                &format!("recovery-held-{at}"),
+                "",
+                callers::DEADLY,
+            );
+            let answer = Caller::once(*front, &text).await?;
+            let status = answer.status;
+            anyhow::ensure!(
+                status == 503,
+                "box {at} answers {status} to a call that ends servers"
+            );
+        }
+        anyhow::ensure!(lives() == before, "a call that ends servers was sent on");
+        Ok(())
+    }
+
     /// The platform starts a process again that a signal ended before it could take signals.
     async fn start_again_if_ended(&self, at: usize) -> anyhow::Result<()> {
         let mut a_box = self.boxes[at].lock().await;
