headers: the limit that a server names is read; log: a line where it changes

No line of any box told that two engines had named a limit, nor what it was: the header stood in no type of the adapter, and was passed to the caller and forgotten. It is decoded with the rest of an answer's head. What is no limit (not a number, negative, infinite, empty, twice in one head) is counted and changes nothing. Nothing goes by it yet.

--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod neighbours;
 mod pulls;
 mod reservations;
+mod server_gate;
 mod state;
 mod stop;
 mod store_follow;
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -24,6 +24,7 @@
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_book::ServerBook;
+use badgerferry_lib::relay::server_limits::ServerLimits;
 use badgerferry_lib::relay::server_list::ServerList;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
 use badgerferry_lib::relay::state_pull::PullAnswer;
@@ -122,6 +123,8 @@
     pub verdicts: Notify,
     /// Wakes whoever writes to the store what is known of them.
     pub suspects_changed: Notify,
+    /// Servers that say how many calls they take.
+    pub limits: Mutex<ServerLimits>,
     /// Connections to servers.
     pub upstream: Upstream,
     /// What control knows of the platform's state.
@@ -165,6 +168,7 @@
             quarantine: Mutex::default(),
             verdicts: Notify::new(),
             suspects_changed: Notify::new(),
+            limits: Mutex::default(),
             upstream: Upstream::default(),
             followed: Mutex::new(followed),
             encoded_table: Mutex::default(),
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -29,6 +29,7 @@
 use crate::relay::engines;
 use crate::relay::engines::Chosen;
 use crate::relay::log_lines;
+use crate::relay::server_gate;
 use crate::relay::suspects;
 use crate::relay::suspects::Run;
 use crate::relay::upstream::Connection;
@@ -250,6 +251,10 @@
         };
         lock(&call.relay.book).told(&flight.chosen.server, told);
     }
+    // Neither a late answer to another call nor one of another server speaks for this one.
+    if head.is_ours && head.word != RunWord::OtherServer {
+        server_gate::answered(call, &flight.chosen, head.limit);
+    }
     let received = Received {
         flight,
         connection,
--- /dev/null
+++ b/lib/src/relay/call_rate.rs
@@ -0,0 +1,76 @@
+//! How many calls a second a server says that it takes from all boxes together.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Calls a second, in thousandths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CallRate(u32);
+
+/// Thousandths in one.
+const THOUSAND: f64 = 1e3;
+/// A server that takes none is still tried once in ten seconds: only its answer ends the limit.
+const LEAST: CallRate = CallRate(100);
+/// More calls a second than any server gets, and no limit any more.
+const MOST: CallRate = CallRate(1_000_000_000);
+
+/// A text is no number of calls a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("expected a finite number that is not negative")]
+pub struct BadCallRate;
+
+impl CallRate {
+    /// A rate from calls a second, kept within what can be counted.
+    ///
+    /// # Errors
+    ///
+    /// It is negative, infinite or no number.
+    pub fn per_second(calls: f64) -> Result<Self, BadCallRate> {
+        if !calls.is_finite() || calls < 0.0 {
+            return Err(BadCallRate);
+        }
+        // Converting saturates.
+        let rate = Self((calls * THOUSAND) as u32);
+        Ok(rate.clamp(LEAST, MOST))
+    }
+
+    /// Calls a second.
+    pub fn calls_per_second(self) -> f64 {
+        f64::from(self.0) / THOUSAND
+    }
+
+    /// Time from one call to the next.
+    pub fn interval(self) -> Duration {
+        // A rate that another box told may lie outside.
+        let rate = self.clamp(LEAST, MOST);
+        Duration::from_secs(1).div_f64(rate.calls_per_second())
+    }
+
+    /// What one of so many takers has of it.
+    #[must_use]
+    pub fn shared_by(self, takers: usize) -> Self {
+        let takers = u32::try_from(takers.max(1)).unwrap_or(u32::MAX);
+        Self(self.0 / takers).max(Self(1))
+    }
+}
+
+impl fmt::Display for CallRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.calls_per_second())
+    }
+}
+
+/// What an answer of a server says of its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitWord {
+    /// It names none: an earlier one is over.
+    NoLimit,
+    /// It takes so many calls from all boxes together.
+    Limit(CallRate),
+    /// It names something that is no limit: what was known holds on.
+    Unreadable,
+}
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempts;
 pub mod call;
+pub mod call_rate;
 pub mod cells;
 pub mod engine_cell;
 pub(crate) mod engine_group;
@@ -19,11 +20,13 @@
 pub mod load_datagram;
 pub mod long_queue;
 pub mod lost_calls;
+pub(crate) mod moment;
 pub mod quarantine;
 pub mod retry_window;
 pub mod route_table;
 pub mod served_shares;
 pub mod server_book;
+pub mod server_limits;
 pub mod server_list;
 pub mod state_pull;
 pub mod stop_plan;
--- /dev/null
+++ b/lib/src/relay/moment.rs
@@ -0,0 +1,33 @@
+//! Moments that other boxes tell of, by their age.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// A moment on this box's time line, which may lie before its own start: other boxes tell of those.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Moment(i64);
+
+impl Moment {
+    pub(crate) const fn of(time: Time) -> Self {
+        Self(time.as_micros().cast_signed())
+    }
+
+    pub(crate) const fn ago(now: Time, millis: u32) -> Self {
+        Self(now.as_micros().cast_signed() - millis as i64 * 1_000)
+    }
+
+    /// How long ago it was; zero if it lies ahead.
+    pub(crate) const fn since(self, now: Time) -> Duration {
+        let micros = now.as_micros().cast_signed() - self.0;
+        Duration::from_micros(if micros > 0 { micros as u64 } else { 0 })
+    }
+
+    pub(crate) const fn millis_ago(self, now: Time) -> u32 {
+        self.since(now).as_millis() as u32
+    }
+
+    pub(crate) const fn plus(self, span: Duration) -> Self {
+        Self(self.0 + span.as_micros() as i64)
+    }
+}
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -22,10 +22,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::relay::moment::Moment;
 use crate::relay::suspect_work::End;
 use crate::relay::suspect_work::HELD_FOR;
 use crate::relay::suspect_work::Hold;
-use crate::relay::suspect_work::Moment;
 use crate::relay::suspect_work::RUN_BELIEVED;
 use crate::relay::suspect_work::ToldEnd;
 use crate::relay::suspect_work::Verdict;
--- a/lib/src/relay/suspect_work.rs
+++ b/lib/src/relay/suspect_work.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::relay::moment::Moment;
 use crate::relay::work_key::ServerLife;
 use crate::time::Time;
 
@@ -54,34 +55,6 @@
     pub ran: u32,
 }
 
-/// A moment on this box's time line, which may lie before its own start: other boxes tell of those.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Moment(i64);
-
-impl Moment {
-    pub(super) const fn of(time: Time) -> Self {
-        Self(time.as_micros().cast_signed())
-    }
-
-    pub(super) const fn ago(now: Time, millis: u32) -> Self {
-        Self(now.as_micros().cast_signed() - millis as i64 * 1_000)
-    }
-
-    /// How long ago it was; zero if it lies ahead.
-    pub(super) const fn since(self, now: Time) -> Duration {
-        let micros = now.as_micros().cast_signed() - self.0;
-        Duration::from_micros(if micros > 0 { micros as u64 } else { 0 })
-    }
-
-    pub(super) const fn millis_ago(self, now: Time) -> u32 {
-        self.since(now).as_millis() as u32
-    }
-
-    pub(super) const fn plus(self, span: Duration) -> Self {
-        Self(self.0 + span.as_micros() as i64)
-    }
-}
-
 /// A life that ended.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct End {
