--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_relay_boxes;
 mod test_relay_calls;
 mod test_relay_crashes;
+mod test_relay_limits;
 mod test_relay_paces;
 mod test_relay_reservations;
 mod test_whole_path;
--- /dev/null
+++ b/daemon/tests/test_relay_limits.rs
@@ -0,0 +1,228 @@
+//! Servers that name the calls a second which they take from all boxes together.
+//!
+//! What users saw: two engines in need named 1.5 and 1.1 calls a second, and went on getting five and four,
+//! from all boxes, for the rest of the day, while sixteen others had room. What happened: no box read
+//! what the engines said, and short calls are packed on few engines, these two among them.
+//!
+//! Evidence: the engines' own counts of arrivals are those of the calls that boxes led there, second by second, as
+//! many before the limit was named as after it; no line and no figure of any box tells of it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use badgerferry_standin::caller::Answer;
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::call;
+use badgerferry_standin::relay_box::RelayBox;
+use badgerferry_standin::relay_box::desired_state;
+use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Server;
+use badgerferry_standin::store::Store;
+
+/// By then boxes that have just started know each other.
+const FOUND: Duration = Duration::from_millis(1_500);
+/// A limit must be in force so long after it was first named.
+const IN_FORCE: Duration = Duration::from_secs(1);
+/// What a limit counts over.
+const WINDOW: Duration = Duration::from_secs(4);
+/// How many more than the limit allows a server may get in a window.
+const SLACK: f64 = 2.0;
+/// From one call of a caller to its next.
+const PAUSE: Duration = Duration::from_millis(30);
+/// What callers of engines say of their prompts.
+const SHORT_PROMPT: &str = "Badgerferry-Token-Counts: 1000,50\r\n";
+
+/// Boxes before servers of one service.
+struct Fleet {
+    servers: Vec<Server>,
+    boxes: Vec<RelayBox>,
+}
+
+impl Fleet {
+    async fn start(boxes: usize, servers: usize, service: &str) -> anyhow::Result<Self> {
+        let store = Store::start().await?;
+        store.put_routes(&desired_state(3, &["key-1"]));
+        let mut rows = Vec::new();
+        for at in 0..servers {
+            let name = format!("i-{at}");
+            let server = Server::start(&name, service, Duration::from_millis(5)).await?;
+            store.put(&server.key(), &server.entry("ready"));
+            rows.push(server);
+        }
+        let mut fleet = Self {
+            servers: rows,
+            boxes: Vec::new(),
+        };
+        for at in 0..boxes {
+            let one = RelayBox::start(&format!("box-{at}"), store.address, &[])?;
+            one.wait_ready().await?;
+            fleet.boxes.push(one);
+        }
+        tokio::time::sleep(FOUND).await;
+        Ok(fleet)
+    }
+
+    /// Calls at all boxes for so long, one after the other at each; gives back what each was told and
+    /// how long it took.
+    async fn press(&self, path: &str, extra: &str, lasts: Duration) -> Vec<(Answer, Duration)> {
+        let until = Instant::now() + lasts;
+        let callers = self.boxes.iter().enumerate().map(async |(at, one)| {
+            let mut told = Vec::new();
+            for turn in 0.. {
+                let began = Instant::now();
+                if began >= until {
+                    break;
+                }
+                let text = call(
+                    "POST",
+                    path,
+                    &format!("call-{at}-{turn}"),
+                    extra,
+                    "a prompt",
+                );
+                // A connection that the box ends without an answer is one of status 0.
+                let answer = Caller::once(one.front(), &text).await.unwrap_or_default();
+                told.push((answer, began.elapsed()));
+                tokio::time::sleep(PAUSE).await;
+            }
+            told
+        });
+        futures::future::join_all(callers).await.concat()
+    }
+
+    fn logs(&self) -> String {
+        self.boxes.iter().map(RelayBox::log).collect()
+    }
+}
+
+/// Most requests that came within a window that begins then or later.
+fn most_in_window(server: &Server, from: Instant) -> usize {
+    let arrivals = server.arrivals();
+    let from = arrivals.partition_point(|at| *at < from);
+    let later = &arrivals[from..];
+    let within = |at: usize| later[at..].partition_point(|other| *other < later[at] + WINDOW);
+    (0..later.len()).map(within).max().unwrap_or_default()
+}
+
+fn allowed(limit: f64) -> usize {
+    (limit * WINDOW.as_secs_f64() + SLACK) as usize
+}
+
+fn served(told: &[(Answer, Duration)]) -> usize {
+    told.iter()
+        .filter(|(answer, _)| answer.status == 200)
+        .count()
+}
+
+async fn one_of_six_is_limited(boxes: usize, service: &str, path: &str, extra: &str) {
+    let fleet = Fleet::start(boxes, 6, service).await.expect("a fleet");
+    fleet.press(path, extra, IN_FORCE).await;
+    // Short calls are packed on few engines: one that gets none would show nothing.
+    let busiest = fleet
+        .servers
+        .iter()
+        .max_by_key(|server| server.arrivals().len());
+    let busiest = busiest.expect("a server");
+    busiest.name_limit(Some("1"));
+    fleet.press(path, extra, IN_FORCE).await;
+    let from = Instant::now();
+
+    let told = fleet.press(path, extra, Duration::from_secs(6)).await;
+
+    let most = most_in_window(busiest, from);
+    assert!(
+        most <= allowed(1.0),
+        "{most} requests in 4 s; logs:\n{}",
+        fleet.logs()
+    );
+    assert_eq!(served(&told), told.len(), "no call needs that server");
+}
+
+#[tokio::test]
+async fn a_server_gets_no_more_calls_than_it_says_from_one_box() {
+    one_of_six_is_limited(1, "boards", "/again/a", "").await;
+}
+
+#[tokio::test]
+async fn a_server_gets_no_more_calls_than_it_says_from_four_boxes_together() {
+    one_of_six_is_limited(4, "boards", "/again/a", "").await;
+}
+
+#[tokio::test]
+async fn an_engine_gets_no_more_calls_than_it_says_from_four_boxes_together() {
+    one_of_six_is_limited(4, "engines", "/long/stream", SHORT_PROMPT).await;
+}
+
+#[tokio::test]
+async fn where_all_servers_are_limited_they_get_what_they_take_and_callers_hear_so_at_once() {
+    let limit = 4.0;
+    let fleet = Fleet::start(4, 3, "boards").await.expect("a fleet");
+    for server in &fleet.servers {
+        server.name_limit(Some("4"));
+    }
+    fleet.press("/again/a", "", IN_FORCE * 2).await;
+    let from = Instant::now();
+    let lasts = Duration::from_secs(8);
+
+    let told = fleet.press("/again/a", "", lasts).await;
+
+    for server in &fleet.servers {
+        let most = most_in_window(server, from);
+        assert!(most <= allowed(limit), "{most} in 4 s; {}", fleet.logs());
+    }
+    let usable = limit * fleet.servers.len() as f64 * lasts.as_secs_f64();
+    let served = served(&told);
+    assert!(served as f64 >= 0.9 * usable, "{served} of {usable} served");
+    let refused = told.iter().filter(|(answer, _)| answer.status != 200);
+    for (answer, took) in refused {
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.body.contains("servers_limited"), "{answer:?}");
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        assert!(*took < Duration::from_secs(1), "held for {took:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_limit_ends_with_the_servers_word_at_all_boxes() {
+    let fleet = Fleet::start(3, 1, "boards").await.expect("a fleet");
+    let server = &fleet.servers[0];
+    server.name_limit(Some("2"));
+    fleet.press("/again/a", "", IN_FORCE).await;
+    server.name_limit(None);
+
+    for one in &fleet.boxes {
+        let free = async || {
+            fleet
+                .press("/again/a", "", Duration::from_millis(100))
+                .await;
+            one.log().contains("server names no limit any more")
+        };
+        let mut is_free = false;
+        for _ in 0..50 {
+            is_free = is_free || free().await;
+        }
+        assert!(is_free, "{}", one.log());
+    }
+    let told = fleet.press("/again/a", "", Duration::from_secs(1)).await;
+
+    assert_eq!(served(&told), told.len(), "{}", fleet.logs());
+}
+
+#[tokio::test]
+async fn a_limit_that_can_not_be_read_limits_nothing_and_loses_nothing() {
+    let fleet = Fleet::start(1, 1, "boards").await.expect("a fleet");
+    let server = &fleet.servers[0];
+    for bad in ["", "-1", "NaN", "much"] {
+        server.name_limit(Some(bad));
+
+        let told = fleet
+            .press("/again/a", "", Duration::from_millis(300))
+            .await;
+
+        assert_eq!(served(&told), told.len(), "{bad:?}: {}", fleet.logs());
+    }
+    let line = "a limit can't be read";
+    wait_until(|| fleet.boxes[0].log().contains(line))
+        .await
+        .expect("a line");
+}
