cli, docs: who is limited, how much of it is used, and why a call was turned away

An operator could not see which servers name a limit nor what became of the calls to them. `badgerferry limits FILE...` adds up the boxes' lines; lines of calls that asked are bounded by the budgets of good and late lines; figures for limited servers, questions without an answer and limits that can't be read; a page from a failed call's id to its cause.

--- a/cli/src/command_line.rs
+++ b/cli/src/command_line.rs
@@ -11,6 +11,8 @@
 use crate::commands::explain::cmd_explain;
 use crate::commands::key_digest::KeyDigestArgs;
 use crate::commands::key_digest::cmd_key_digest;
+use crate::commands::limits::LimitsArgs;
+use crate::commands::limits::cmd_limits;
 use crate::commands::lost::LostArgs;
 use crate::commands::lost::cmd_lost;
 use crate::commands::settings::SettingsArgs;
@@ -49,6 +51,7 @@
     Explain(ExplainArgs),
     KeyDigest(KeyDigestArgs),
     Lost(LostArgs),
+    Limits(LimitsArgs),
     Engines(EnginesArgs),
 }
 
@@ -107,6 +110,7 @@
                 Ok(())
             }
             Command::Lost(args) => cmd_lost(&args),
+            Command::Limits(args) => cmd_limits(&args),
             Command::Engines(args) => cmd_engines(&args),
         }
     })
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod engines;
 pub mod explain;
 pub mod key_digest;
+pub mod limits;
 pub mod lost;
 pub mod settings;
 pub mod settings_add;
--- a/cli/tests/test_output.rs
+++ b/cli/tests/test_output.rs
@@ -120,3 +120,25 @@
 
     assert_eq!(output.status.code(), Some(2), "{}", text(&output));
 }
+
+#[test]
+fn limited_servers_are_told_from_the_lines_of_several_boxes() {
+    let path = std::env::temp_dir().join(format!("badgerferry-limits-{}.log", std::process::id()));
+    let lines = [
+        r#"{"timestamp":"2026-03-01T00:00:08.02Z","message":"server names a limit","server":"i-1","limit":1.5,"source":"box-2"}"#,
+        r#"box-2 {"timestamp":"2026-03-01T00:00:08.01Z","message":"server names a limit","server":"i-1","limit":1.5,"source":"an answer"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:09Z","message":"limited server asked for","call":"c1","server":"i-1","limit":1.5,"outcome":"granted","wait_ms":40}"#,
+        r#"{"timestamp":"2026-03-01T00:00:09Z","message":"limited server asked for","call":"c2","server":"i-1","limit":1.5,"outcome":"full","room_in_ms":600}"#,
+        r#"{"timestamp":"2026-03-01T00:00:09Z","message":"call ended","call":"c2","outcome":"servers_limited"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:10Z","message":"server names a limit","server":"i-2","limit":4.0}"#,
+        r#"{"timestamp":"2026-03-01T00:00:12Z","message":"server names no limit any more","server":"i-2"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:12Z","message":"a question for a limited server got no answer"}"#,
+        "no line of a box",
+    ];
+    std::fs::write(&path, lines.join("\n")).expect("the file can be written");
+
+    let output = run(&["limits", &path.display().to_string()]);
+
+    std::fs::remove_file(&path).expect("the file is there");
+    insta::assert_snapshot!(text(&output));
+}
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::call_rate::CallRate;
 use badgerferry_lib::relay::long_queue::Looks;
 use badgerferry_lib::relay::route_table::Denied;
 use badgerferry_platform::headers::AnswerHead;
@@ -114,6 +115,32 @@
     );
 }
 
+/// A limited server was asked for: how long the call waits for its place, or when there is room.
+pub fn asked_limited(
+    call: &Call,
+    chosen: &Chosen,
+    limit: CallRate,
+    verdict: Result<Duration, Duration>,
+) {
+    let (outcome, lines) = match verdict {
+        Ok(_) => ("granted", &GOOD_LINES),
+        Err(_) => ("full", &LATE_LINES),
+    };
+    counter!("badgerferry_limited_calls_total", "outcome" => outcome).increment(1);
+    if !lines.take() {
+        return;
+    }
+    tracing::info!(
+        call = call.id(),
+        server = %chosen.server,
+        limit = limit.calls_per_second(),
+        outcome,
+        wait_ms = verdict.ok().map(|wait| wait.as_millis() as u64),
+        room_in_ms = verdict.err().map(|room_in| room_in.as_millis() as u64),
+        "limited server asked for"
+    );
+}
+
 /// A try got no head of an answer.
 pub fn try_failed(call: &Call, chosen: &Chosen, cause: &SendError) {
     counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -93,6 +93,11 @@
         gauge!("badgerferry_works_held").set(held as f64);
         gauge!("badgerferry_works_pushed_out").set(quarantine.pushed_out() as f64);
     }
+    {
+        let limits = lock(&relay.limits);
+        gauge!("badgerferry_servers_limited").set(limits.limited().count() as f64);
+        gauge!("badgerferry_limits_pushed_out").set(limits.pushed_out() as f64);
+    }
     gauge!("badgerferry_boxes_known").set(relay.boxes() as f64);
     gauge!("badgerferry_ready").set(f64::from(u8::from(relay.is_ready())));
     let in_flight = relay.in_flight.load(std::sync::atomic::Ordering::SeqCst);
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -23,6 +23,7 @@
 
 use crate::relay::call::Call;
 use crate::relay::engines::Chosen;
+use crate::relay::log_lines;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -87,23 +88,10 @@
         Duration::ZERO
     };
     let verdict = ask(relay, &chosen.gate, patience).await;
-    let outcome = match verdict {
-        Ok(wait) => {
-            tokio::time::sleep(wait).await;
-            "granted"
-        }
-        Err(_room_in) => "full",
-    };
-    counter!("badgerferry_limited_calls_total", "outcome" => outcome).increment(1);
-    tracing::info!(
-        call = call.id(),
-        server = %chosen.server,
-        limit = limit.calls_per_second(),
-        outcome,
-        wait_ms = verdict.ok().map(|wait| wait.as_millis() as u64),
-        room_in_ms = verdict.err().map(|room_in| room_in.as_millis() as u64),
-        "limited server asked for"
-    );
+    log_lines::asked_limited(call, chosen, limit, verdict);
+    if let Ok(wait) = verdict {
+        tokio::time::sleep(wait).await;
+    }
     verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
 }
 
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -18,6 +18,7 @@
 pub mod event_join;
 pub mod hall_reach;
 pub mod heard_boxes;
+pub mod limit_uses;
 pub mod load_datagram;
 pub mod long_queue;
 pub mod lost_calls;
