--- a/lib/tests/test_relay_crash_model.rs
+++ b/lib/tests/test_relay_crash_model.rs
@@ -18,6 +18,7 @@
         restarts: 0.0,
         servers,
         deadly: 1,
+        deadly_within_ms: 1_000,
         others: 2.0 * servers as f64,
         equal: 0.0,
         waves: 0.0,
--- a/testutils/src/bin/emulate/crashes.rs
+++ b/testutils/src/bin/emulate/crashes.rs
@@ -28,6 +28,9 @@
     /// callers whose call ends servers (2)
     #[argh(option, default = "2")]
     deadly: usize,
+    /// milliseconds within which they first come (1000)
+    #[argh(option, default = "1000")]
+    within: u64,
     /// other calls in each second (40)
     #[argh(option, default = "40.0")]
     others: f64,
@@ -67,6 +70,7 @@
         restarts: args.restarts,
         servers: args.servers,
         deadly: args.deadly,
+        deadly_within_ms: args.within,
         others: args.others,
         equal: args.equal,
         waves: args.waves,
--- a/testutils/src/crash_model.rs
+++ b/testutils/src/crash_model.rs
@@ -79,6 +79,8 @@
     pub servers: usize,
     /// Callers whose call ends servers; each comes again as soon as it has failed.
     pub deadly: usize,
+    /// Within how many milliseconds they first come.
+    pub deadly_within_ms: u64,
     /// Other calls in each second.
     pub others: f64,
     /// Equal calls of one caller in each second.
@@ -209,7 +211,7 @@
             world.agenda.put(first, Event::Heartbeat(at));
         }
         for _ in 0..plan.deadly {
-            let at = world.between(1_000, 2_000);
+            let at = world.between(1_000, 1_001 + plan.deadly_within_ms);
             world.agenda.put(at, Event::Arrives(Kind::Deadly));
         }
         world.put_next(Time::ZERO, plan.others, || Event::Arrives(Kind::Other));
