relay: a suspect work that a datagram leaves out still runs

Callers saw four servers end under one work, the fourth a millisecond after the third. When a server ends, each call that was on it is suspect; a datagram tells six works, and a box took every work that was not among them as no longer running at the teller: it began a run beside the one under way.

The test failed before.

--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -70,7 +70,8 @@
 impl Drop for Run {
     fn drop(&mut self) {
         let Some(work) = self.work else { return };
-        if lock(&self.relay.quarantine).end_run(work) {
+        let now = self.relay.clock.now();
+        if lock(&self.relay.quarantine).end_run(now, work) {
             self.relay.verdicts.notify_waiters();
             self.relay.urgent_changed.notify_one();
         }
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -156,14 +156,16 @@
     }
 
     /// Ends a run that [`Self::admit`] let begin; true if others wait for that news.
-    pub fn end_run(&mut self, work: WorkKey) -> bool {
+    pub fn end_run(&mut self, now: Time, work: WorkKey) -> bool {
         if let Some(runs) = self.runs.get_mut(&work) {
             *runs -= 1;
             if *runs == 0 {
                 self.runs.remove(&work);
             }
         }
-        self.works.contains_key(&work)
+        let known = self.works.get_mut(&work);
+        // That it is over is told as long as that it ran would be believed.
+        known.map(|known| known.changed = now).is_some()
     }
 
     /// Records that a server's life ended under a run of this box that began then.
@@ -238,11 +240,6 @@
     /// Takes what another box, or a hall, tells.
     pub fn take_rows(&mut self, now: Time, from: &str, rows: &[WorkRow]) -> Vec<Change> {
         let ago = |millis: u32| Moment::ago(now, millis);
-        for (work, known) in &mut self.works {
-            if !rows.iter().any(|row| row.work == *work && row.runs) {
-                known.others.remove(from);
-            }
-        }
         let take = |row: &WorkRow| {
             self.change(now, row.work, |known| {
                 // The other box missed the good run that this one knows of.
@@ -266,8 +263,11 @@
                 known.held = known.held.max(held);
                 known.released = known.released.max(row.released.map(ago));
                 known.good = known.good.max(row.good.map(ago));
+                // A row that is left out says nothing: a datagram holds few of many.
                 if row.runs {
                     known.others.insert(from.to_owned(), now);
+                } else {
+                    known.others.remove(from);
                 }
             })
         };
--- a/lib/tests/test_relay_quarantine.rs
+++ b/lib/tests/test_relay_quarantine.rs
@@ -87,10 +87,10 @@
 
     assert_eq!(admit(&mut it, at(2_000)), RUNS_ALONE);
     end(&mut it, at(2_300), WORK, 9);
-    it.end_run(WORK);
+    it.end_run(at(2_300), WORK);
     assert_eq!(admit(&mut it, at(3_000)), RUNS_ALONE);
     end(&mut it, at(3_200), WORK, 10);
-    it.end_run(WORK);
+    it.end_run(at(3_200), WORK);
     assert!(matches!(admit(&mut it, at(4_000)), Admission::Held { .. }));
 }
 
@@ -129,7 +129,7 @@
     assert_eq!((change.verdict, later), (Verdict::Cleared, None));
     assert_eq!(admit(&mut it, at(12_500)), RUNS);
     end(&mut it, at(13_500), WORK, 10);
-    it.end_run(WORK);
+    it.end_run(at(13_500), WORK);
     assert_eq!(admit(&mut it, at(15_000)), RUNS_ALONE);
 }
 
@@ -141,7 +141,7 @@
     assert_eq!(admit(&mut it, over), RUNS_ALONE);
     assert_eq!(admit(&mut it, over), Admission::Wait);
     end(&mut it, over, WORK, 9);
-    it.end_run(WORK);
+    it.end_run(over, WORK);
 
     assert!(matches!(
         admit(&mut it, over),
@@ -156,13 +156,30 @@
     there.take_rows(at(2_002), "box-1", &here.rows(at(2_001)));
 
     let beside = [admit(&mut here, at(2_003)), admit(&mut there, at(2_500))];
-    here.end_run(WORK);
+    here.end_run(at(2_550), WORK);
     there.take_rows(at(2_600), "box-1", &here.rows(at(2_600)));
 
     assert_eq!(beside, [Admission::Wait; 2]);
     assert_eq!(admit_as(&mut there, at(2_601), "box-2", false), RUNS_ALONE);
 }
 
+/// What callers saw: four servers ended under one work, the fourth a millisecond after the third. Some ten
+/// works were lost with a server at once, a datagram tells six of them, and a box that heard one without
+/// this work took it for not running any more: it began a run beside the other.
+#[test]
+fn a_run_that_a_full_datagram_leaves_out_goes_on() {
+    let mut here = after(1);
+    admit_as(&mut here, at(1_000), "box-1", true);
+    let mut there = Quarantine::default();
+    there.take_rows(at(1_001), "box-1", &here.rows(at(1_001)));
+    let mut full = Quarantine::default();
+    end(&mut full, at(1_100), key(7, 2), 9);
+
+    there.take_rows(at(1_500), "box-1", &full.rows(at(1_500)));
+
+    assert_eq!(admit(&mut there, at(1_501)), Admission::Wait);
+}
+
 /// Runs that were under way before the first server ended are told as well: others wait for them.
 #[test]
 fn a_run_that_began_before_it_was_suspect_counts() {
@@ -299,7 +316,7 @@
     assert_eq!(admit(&mut it, at(2_002)), RUNS_ALONE);
     assert_eq!(admit(&mut it, at(2_003)), Admission::Wait);
     end(&mut it, at(2_100), WORK, 9);
-    it.end_run(WORK);
+    it.end_run(at(2_100), WORK);
     assert!(matches!(admit(&mut it, at(2_200)), Admission::Held { .. }));
     assert!(it.to_store(at(2_200), false).contains(&(WORK, Fact::Held)));
 }
--- a/testutils/src/crash_model.rs
+++ b/testutils/src/crash_model.rs
@@ -355,7 +355,7 @@
                 let is_owner = work.digest as usize % count == at;
                 match of.known.admit(now, work, &of.name, saw_end) {
                     Admission::Run { lives: 1.. } if !is_owner => {
-                        of.known.end_run(work);
+                        of.known.end_run(now, work);
                         Admission::Held {
                             left: Duration::ZERO,
                             lives: 0,
@@ -414,7 +414,7 @@
         self.servers[server].runs.retain(|run| *run != id);
         let known = &mut self.boxes[box_at].known;
         let change = known.ran_well(now, work);
-        let is_told = known.end_run(work);
+        let is_told = known.end_run(now, work);
         if change.is_some() || is_told {
             self.agenda.put(now, Event::Tells(box_at));
         }
@@ -470,7 +470,7 @@
         let (at, work, began) = (call.box_at, call.work, call.began);
         let of = &mut self.boxes[at];
         of.known.server_ended(now, work, life, began);
-        of.known.end_run(work);
+        of.known.end_run(now, work);
         if matches!(self.bound, Bound::Shared | Bound::NewsAlone | Bound::Owner) {
             self.agenda.put(now, Event::Tells(at));
             self.keep_in_store(now, at);
