relay: a hall tells of the runs of all its boxes

Callers saw twelve servers end under one work at 295 boxes. Where halls are cells, one box of each tells the other halls, and it told only of runs of its own: a run at any other box of the hall was not known in other halls, whose boxes began one beside it. It tells now of all runs that it hears of in its hall; what it heard of other halls stays out, so that no word goes round.

The test fails with that line taken out.

--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -22,6 +22,7 @@
 use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
 use badgerferry_lib::relay::load_datagram::Teller;
 use badgerferry_lib::relay::permit_wire::PermitFrame;
+use badgerferry_lib::relay::quarantine::RunsOf;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
@@ -186,11 +187,11 @@
         let mut book = lock(&relay.book);
         (book.faults(now), book.departures(now))
     };
-    let slow = match teller {
-        Teller::Box => lock(&relay.paces).own(now),
-        Teller::Hall { .. } => lock(&relay.paces).of_hall(now),
+    let (slow, runs_of) = match teller {
+        Teller::Box => (lock(&relay.paces).own(now), RunsOf::Box),
+        Teller::Hall { .. } => (lock(&relay.paces).of_hall(now), RunsOf::Hall),
     };
-    let suspects = lock(&relay.quarantine).rows(now);
+    let suspects = lock(&relay.quarantine).rows(now, runs_of);
     let limits = lock(&relay.limits).rows(now);
     LoadDatagram {
         version: FRAME_VERSION,
@@ -314,7 +315,7 @@
         let now = relay.clock.now();
         take_rows(relay, now, &mut datagram);
         note_neighbour(relay, now, &datagram);
-        suspects::heard(relay, now, teller_name(&datagram), &datagram.suspects);
+        suspects::heard(relay, now, &datagram);
         server_gate::take_rows(relay, &datagram.limits, teller_name(&datagram));
         if passed_on.is_due(relay, now, &datagram) {
             pass_on(relay, socket, &datagram).await;
@@ -372,7 +373,7 @@
 }
 
 /// Whose word a datagram is.
-fn teller_name(datagram: &LoadDatagram) -> &str {
+pub fn teller_name(datagram: &LoadDatagram) -> &str {
     match &datagram.teller {
         Teller::Box => &datagram.from,
         Teller::Hall { hall, .. } => hall.as_str(),
--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::load_datagram::LoadDatagram;
+use badgerferry_lib::relay::load_datagram::Teller;
 use badgerferry_lib::relay::quarantine::APART_FROM;
 use badgerferry_lib::relay::quarantine::Admission;
 use badgerferry_lib::relay::quarantine::Change;
 use badgerferry_lib::relay::quarantine::Fact;
-use badgerferry_lib::relay::quarantine::WorkRow;
+use badgerferry_lib::relay::quarantine::RunsOf;
 use badgerferry_lib::relay::suspect_work::Verdict;
 use badgerferry_lib::relay::work_key::WorkKey;
 use badgerferry_lib::time::Time;
@@ -25,6 +27,7 @@
 
 use crate::relay::call::Call;
 use crate::relay::engines::Chosen;
+use crate::relay::neighbours::teller_name;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -188,8 +191,13 @@
 
 /// Takes what another box, or a hall, tells of suspect works. All boxes that are to be told by this
 /// one hear it from there as well, but for those of other halls, if this one speaks for its own.
-pub fn heard(relay: &Relay, now: Time, from: &str, rows: &[WorkRow]) {
-    let changes = lock(&relay.quarantine).take_rows(now, from, rows);
+pub fn heard(relay: &Relay, now: Time, datagram: &LoadDatagram) {
+    let (from, rows) = (teller_name(datagram), &datagram.suspects);
+    let of = match datagram.teller {
+        Teller::Box => RunsOf::Box,
+        Teller::Hall { .. } => RunsOf::Hall,
+    };
+    let changes = lock(&relay.quarantine).take_rows(now, of, from, rows);
     relay.verdicts.notify_waiters();
     if !changes.is_empty() {
         relay.hall_changed.notify_one();
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -109,6 +109,15 @@
     pub runs: bool,
 }
 
+/// Whose runs are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunsOf {
+    /// Those of one box.
+    Box,
+    /// Those of all boxes of a hall, to another one.
+    Hall,
+}
+
 /// What a box knows of such works.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -238,7 +247,13 @@
     }
 
     /// Takes what another box, or a hall, tells.
-    pub fn take_rows(&mut self, now: Time, from: &str, rows: &[WorkRow]) -> Vec<Change> {
+    pub fn take_rows(
+        &mut self,
+        now: Time,
+        of: RunsOf,
+        from: &str,
+        rows: &[WorkRow],
+    ) -> Vec<Change> {
         let ago = |millis: u32| Moment::ago(now, millis);
         let take = |row: &WorkRow| {
             self.change(now, row.work, |known| {
@@ -264,10 +279,14 @@
                 known.released = known.released.max(row.released.map(ago));
                 known.good = known.good.max(row.good.map(ago));
                 // A row that is left out says nothing: a datagram holds few of many.
+                let running = match of {
+                    RunsOf::Box => &mut known.boxes,
+                    RunsOf::Hall => &mut known.halls,
+                };
                 if row.runs {
-                    known.others.insert(from.to_owned(), now);
+                    running.insert(from.to_owned(), now);
                 } else {
-                    known.others.remove(from);
+                    running.remove(from);
                 }
             })
         };
@@ -327,31 +346,36 @@
 
     /// What to tell other boxes now: works that run here or changed lately, those that changed last
     /// first, and of the others that are not cleared one in turn.
-    pub fn rows(&mut self, now: Time) -> Vec<WorkRow> {
+    pub fn rows(&mut self, now: Time, of: RunsOf) -> Vec<WorkRow> {
         if self.works.is_empty() {
             return Vec::new();
         }
         self.works.retain(|_, known| !known.is_forgotten(now));
+        let runs = |work: &WorkKey, known: &Work| self.runs_of(now, of, *work, known);
         let is_fresh = |work: &WorkKey, known: &Work| {
-            self.runs.contains_key(work) || now.since(known.changed) < RUN_BELIEVED
+            runs(work, known) || now.since(known.changed) < RUN_BELIEVED
         };
         let (mut fresh, mut rest): (Vec<_>, Vec<_>) =
             (self.works.iter()).partition::<Vec<_>, _>(|(work, known)| is_fresh(work, known));
         rest.retain(|(_, known)| known.verdict(now) != Verdict::Cleared);
-        fresh
-            .sort_by_key(|(work, known)| (!self.runs.contains_key(work), now.since(known.changed)));
+        fresh.sort_by_key(|(work, known)| (!runs(work, known), now.since(known.changed)));
         fresh.truncate(MOST_ROWS);
         let after = rest.partition_point(|(work, _)| Some(**work) <= self.told_to);
         let in_turn = rest[after..].iter().chain(&rest[..after]);
         let in_turn: Vec<_> = in_turn.take(ROWS_IN_TURN).copied().collect();
         let told = fresh.iter().chain(&in_turn);
-        let rows = told.map(|(work, known)| self.row(now, **work, known));
+        let rows = told.map(|(work, known)| self.row(now, of, **work, known));
         let rows = rows.collect();
         self.told_to = in_turn.last().map(|(work, _)| **work);
         rows
     }
 
-    fn row(&self, now: Time, work: WorkKey, known: &Work) -> WorkRow {
+    fn runs_of(&self, now: Time, of: RunsOf, work: WorkKey, known: &Work) -> bool {
+        let runs_near = of == RunsOf::Hall && known.runs_at_boxes(now);
+        runs_near || self.runs.contains_key(&work)
+    }
+
+    fn row(&self, now: Time, of: RunsOf, work: WorkKey, known: &Work) -> WorkRow {
         let counting = known.counting(now).collect::<Vec<_>>();
         let newest = counting.iter().rev().take(MOST_LIVES_TOLD);
         WorkRow {
@@ -361,7 +385,7 @@
                 .map(|held| (held.first.millis_ago(now), held.last.millis_ago(now))),
             released: known.released.map(|at| at.millis_ago(now)),
             good: known.good.map(|at| at.millis_ago(now)),
-            runs: self.runs.contains_key(&work),
+            runs: self.runs_of(now, of, work, known),
         }
     }
 
--- a/lib/src/relay/suspect_work.rs
+++ b/lib/src/relay/suspect_work.rs
@@ -96,8 +96,10 @@
     /// Whether a server ended under a run of this box.
     pub(super) is_own: bool,
     pub(super) good: Option<Moment>,
-    /// When boxes, or halls, last said that they run it.
-    pub(super) others: BTreeMap<String, Time>,
+    /// When boxes of this hall, or of all where there are few, last said that they run it.
+    pub(super) boxes: BTreeMap<String, Time>,
+    /// When other halls did.
+    pub(super) halls: BTreeMap<String, Time>,
     /// When something was last learned of it.
     pub(super) changed: Time,
 }
@@ -162,8 +164,12 @@
     }
 
     pub(super) fn runs_elsewhere(&self, now: Time) -> bool {
-        let mut told = self.others.values();
-        told.any(|at| now.since(*at) < RUN_BELIEVED)
+        self.runs_at_boxes(now) || is_believed(now, &self.halls)
+    }
+
+    /// Whether another box runs it, of those that this one hears by themselves.
+    pub(super) fn runs_at_boxes(&self, now: Time) -> bool {
+        is_believed(now, &self.boxes)
     }
 
     /// Adds a life; the earliest word of it counts, and the newest lives stay.
@@ -188,3 +194,8 @@
         !ends_count && !good_counts
     }
 }
+
+fn is_believed(now: Time, told: &BTreeMap<String, Time>) -> bool {
+    let mut told = told.values();
+    told.any(|at| now.since(*at) < RUN_BELIEVED)
+}
--- a/lib/tests/test_relay_quarantine.rs
+++ b/lib/tests/test_relay_quarantine.rs
@@ -8,6 +8,7 @@
 use badgerferry_lib::relay::quarantine::Change;
 use badgerferry_lib::relay::quarantine::Fact;
 use badgerferry_lib::relay::quarantine::Quarantine;
+use badgerferry_lib::relay::quarantine::RunsOf;
 use badgerferry_lib::relay::quarantine::WorkRow;
 use badgerferry_lib::relay::suspect_work::HELD_FOR;
 use badgerferry_lib::relay::suspect_work::ToldEnd;
@@ -109,10 +110,10 @@
 #[test]
 fn the_same_life_told_again_counts_once() {
     let mut it = after(2);
-    let rows = after(2).rows(at(1_000));
+    let rows = after(2).rows(at(1_000), RunsOf::Box);
 
     for from in ["box-2", "box-3"] {
-        assert_eq!(it.take_rows(at(1_500), from, &rows), []);
+        assert_eq!(it.take_rows(at(1_500), RunsOf::Box, from, &rows), []);
     }
     assert_eq!(it.stored(at(1_600), WORK, Fact::Ended(ServerLife(0))), None);
 
@@ -153,11 +154,21 @@
 fn one_run_of_suspect_work_goes_at_a_time_here_and_elsewhere() {
     let (mut here, mut there) = (after(1), Quarantine::default());
     assert_eq!(admit(&mut here, at(2_000)), RUNS_ALONE);
-    there.take_rows(at(2_002), "box-1", &here.rows(at(2_001)));
+    there.take_rows(
+        at(2_002),
+        RunsOf::Box,
+        "box-1",
+        &here.rows(at(2_001), RunsOf::Box),
+    );
 
     let beside = [admit(&mut here, at(2_003)), admit(&mut there, at(2_500))];
     here.end_run(at(2_550), WORK);
-    there.take_rows(at(2_600), "box-1", &here.rows(at(2_600)));
+    there.take_rows(
+        at(2_600),
+        RunsOf::Box,
+        "box-1",
+        &here.rows(at(2_600), RunsOf::Box),
+    );
 
     assert_eq!(beside, [Admission::Wait; 2]);
     assert_eq!(admit_as(&mut there, at(2_601), "box-2", false), RUNS_ALONE);
@@ -171,25 +182,70 @@
     let mut here = after(1);
     admit_as(&mut here, at(1_000), "box-1", true);
     let mut there = Quarantine::default();
-    there.take_rows(at(1_001), "box-1", &here.rows(at(1_001)));
+    there.take_rows(
+        at(1_001),
+        RunsOf::Box,
+        "box-1",
+        &here.rows(at(1_001), RunsOf::Box),
+    );
     let mut full = Quarantine::default();
     end(&mut full, at(1_100), key(7, 2), 9);
 
-    there.take_rows(at(1_500), "box-1", &full.rows(at(1_500)));
+    there.take_rows(
+        at(1_500),
+        RunsOf::Box,
+        "box-1",
+        &full.rows(at(1_500), RunsOf::Box),
+    );
 
     assert_eq!(admit(&mut there, at(1_501)), Admission::Wait);
 }
 
+/// What callers saw: twelve servers ended under one work at 295 boxes. Halls tell each other by one of their
+/// boxes, which told only of runs of its own: a run of any other box was not known in other halls.
+#[test]
+fn a_hall_tells_of_the_runs_of_all_its_boxes() {
+    let mut runner = after(1);
+    admit_as(&mut runner, at(1_000), "box-2", true);
+    let mut speaker = Quarantine::default();
+    speaker.take_rows(
+        at(1_001),
+        RunsOf::Box,
+        "box-2",
+        &runner.rows(at(1_001), RunsOf::Box),
+    );
+    let mut far = Quarantine::default();
+
+    far.take_rows(
+        at(1_020),
+        RunsOf::Hall,
+        "hall-a",
+        &speaker.rows(at(1_002), RunsOf::Hall),
+    );
+
+    assert_eq!(admit(&mut far, at(1_900)), Admission::Wait);
+    let told_near = speaker.rows(at(1_021), RunsOf::Box);
+    assert!(
+        !told_near[0].runs,
+        "boxes of its hall hear that of the other one"
+    );
+}
+
 /// Runs that were under way before the first server ended are told as well: others wait for them.
 #[test]
 fn a_run_that_began_before_it_was_suspect_counts() {
     let mut here = Quarantine::default();
     admit(&mut here, at(900));
 
-    here.take_rows(at(1_000), "box-2", &after(1).rows(at(1_000)));
+    here.take_rows(
+        at(1_000),
+        RunsOf::Box,
+        "box-2",
+        &after(1).rows(at(1_000), RunsOf::Box),
+    );
 
     assert_eq!(admit(&mut here, at(2_000)), Admission::Wait);
-    assert!(here.rows(at(2_000))[0].runs);
+    assert!(here.rows(at(2_000), RunsOf::Box)[0].runs);
 }
 
 #[test]
@@ -197,7 +253,12 @@
     let mut here = after(1);
     admit_as(&mut here, at(1_000), "box-1", true);
     let mut there = Quarantine::default();
-    there.take_rows(at(1_001), "box-1", &here.rows(at(1_001)));
+    there.take_rows(
+        at(1_001),
+        RunsOf::Box,
+        "box-1",
+        &here.rows(at(1_001), RunsOf::Box),
+    );
 
     assert_eq!(admit(&mut there, at(2_100)), Admission::Wait);
     assert_eq!(admit(&mut there, at(2_300)), RUNS_ALONE);
@@ -235,10 +296,20 @@
     cleared.ran_well(at(1_200), WORK);
     let mut behind = after(3);
     let later = at(60_000);
-    cleared.rows(later);
+    cleared.rows(later, RunsOf::Box);
 
-    cleared.take_rows(later, "behind", &behind.rows(later));
-    behind.take_rows(later, "cleared", &cleared.rows(later));
+    cleared.take_rows(
+        later,
+        RunsOf::Box,
+        "behind",
+        &behind.rows(later, RunsOf::Box),
+    );
+    behind.take_rows(
+        later,
+        RunsOf::Box,
+        "cleared",
+        &cleared.rows(later, RunsOf::Box),
+    );
 
     assert_eq!(
         [admit(&mut cleared, later), admit(&mut behind, later)],
@@ -256,7 +327,12 @@
     }
     let mut new = Quarantine::default();
 
-    new.take_rows(at(10), "box-1", &old.rows(at(50_000)));
+    new.take_rows(
+        at(10),
+        RunsOf::Box,
+        "box-1",
+        &old.rows(at(50_000), RunsOf::Box),
+    );
 
     let held = admit(&mut new, at(20));
     let Admission::Held { left, .. } = held else {
@@ -281,7 +357,7 @@
     }
     assert_eq!(kept.to_store(now, false), []);
     let mut told = Quarantine::default();
-    told.take_rows(now, "box-2", &after(2).rows(now));
+    told.take_rows(now, RunsOf::Box, "box-2", &after(2).rows(now, RunsOf::Box));
     assert_eq!(told.to_store(now, true), []);
 }
 
@@ -293,7 +369,12 @@
         new.stored(at(50), work, fact);
     }
     let mut other = Quarantine::default();
-    other.take_rows(at(900_000), "new", &new.rows(at(60)));
+    other.take_rows(
+        at(900_000),
+        RunsOf::Box,
+        "new",
+        &new.rows(at(60), RunsOf::Box),
+    );
 
     let held = [admit(&mut new, at(70)), admit(&mut other, at(900_000))];
 
@@ -309,7 +390,12 @@
     let mut other = after(3);
 
     let change = it.stored(at(2_000), WORK, Fact::Released);
-    other.take_rows(at(2_001), "box-1", &it.rows(at(2_001)));
+    other.take_rows(
+        at(2_001),
+        RunsOf::Box,
+        "box-1",
+        &it.rows(at(2_001), RunsOf::Box),
+    );
 
     assert_eq!(change.map(|change| change.verdict), Some(Verdict::Suspect));
     assert_eq!(admit(&mut other, at(2_002)), RUNS_ALONE);
@@ -347,7 +433,7 @@
     let later = at(10_000);
     it.admit(later, key(1, 13), "box-1", true);
 
-    let told: Vec<Vec<WorkRow>> = (0..20).map(|_| it.rows(later)).collect();
+    let told: Vec<Vec<WorkRow>> = (0..20).map(|_| it.rows(later, RunsOf::Box)).collect();
 
     assert!(
         told.iter()
@@ -410,9 +496,9 @@
             rows.shuffle(&mut rng);
             let mut it = Quarantine::default();
             for row in rows.iter() {
-                it.take_rows(now, "box-2", std::slice::from_ref(row));
+                it.take_rows(now, RunsOf::Box, "box-2", std::slice::from_ref(row));
             }
-            let mut told: Vec<(Vec<ToldEnd>, Option<u32>)> = (it.rows(now).into_iter())
+            let mut told: Vec<(Vec<ToldEnd>, Option<u32>)> = (it.rows(now, RunsOf::Box).into_iter())
                 .map(|row| (row.lives, row.good))
                 .collect();
             for (lives, _) in &mut told {
--- a/testutils/src/crash_model.rs
+++ b/testutils/src/crash_model.rs
@@ -15,6 +15,7 @@
 use badgerferry_lib::relay::quarantine::APART_FROM;
 use badgerferry_lib::relay::quarantine::Admission;
 use badgerferry_lib::relay::quarantine::Fact;
+use badgerferry_lib::relay::quarantine::RunsOf;
 use badgerferry_lib::relay::quarantine::WorkRow;
 use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_lib::relay::work_key::WorkKey;
@@ -161,7 +162,7 @@
     Tells(usize),
     TellsFar(usize),
     Heartbeat(usize),
-    Hears(usize, String, Rc<Vec<WorkRow>>),
+    Hears(usize, RunsOf, String, Rc<Vec<WorkRow>>),
     Stored(WorkKey, Fact),
     Restarts,
 }
@@ -264,8 +265,8 @@
                     self.tells(now, at);
                 }
             }
-            Event::Hears(at, from, rows) => {
-                let changes = self.boxes[at].known.take_rows(now, &from, &rows);
+            Event::Hears(at, of, from, rows) => {
+                let changes = self.boxes[at].known.take_rows(now, of, &from, &rows);
                 if !changes.is_empty() {
                     self.keep_in_store(now, at);
                 }
@@ -524,35 +525,44 @@
         if self.boxes[at].is_cut_off || matches!(self.bound, Bound::None | Bound::EachBox) {
             return;
         }
-        let Some(rows) = self.boxes[at].rows(now) else {
+        let Some(rows) = self.boxes[at].rows(now, RunsOf::Box) else {
             return;
         };
         let (name, hall) = (self.boxes[at].name.clone(), self.boxes[at].hall);
-        let speaks = self.speaks(at) && now.since(self.boxes[at].last_far) >= LEAST_FAR_PAUSE;
-        if speaks {
-            self.boxes[at].last_far = now;
-        }
         for to in 0..self.boxes.len() {
-            let is_near = self.boxes[to].hall == hall;
-            if to == at || self.boxes[to].is_cut_off || !(is_near || speaks) {
-                continue;
+            if self.boxes[to].hall == hall {
+                let way = self.millis(1, 3);
+                self.tell(now + way, at, to, (RunsOf::Box, name.clone()), &rows);
             }
-            // One datagram in a hundred gets lost.
-            if self.rng.random::<f64>() < 0.01 {
-                continue;
+        }
+        let speaks = self.speaks(at) && now.since(self.boxes[at].last_far) >= LEAST_FAR_PAUSE;
+        let of_hall = speaks.then(|| self.boxes[at].rows(now, RunsOf::Hall));
+        let Some(rows) = of_hall.flatten() else {
+            return;
+        };
+        self.boxes[at].last_far = now;
+        for to in 0..self.boxes.len() {
+            if self.boxes[to].hall != hall {
+                let way = self.millis(2, 25);
+                let teller = (RunsOf::Hall, format!("hall-{hall}"));
+                self.tell(now + way, at, to, teller, &rows);
             }
-            let way = if is_near {
-                self.millis(1, 3)
-            } else {
-                self.millis(2, 25)
-            };
-            let from = if is_near {
-                name.clone()
-            } else {
-                format!("hall-{hall}")
-            };
-            self.agenda
-                .put(now + way, Event::Hears(to, from, Rc::clone(&rows)));
+        }
+    }
+
+    /// One datagram in a hundred gets lost.
+    fn tell(
+        &mut self,
+        when: Time,
+        from: usize,
+        to: usize,
+        (of, teller): (RunsOf, String),
+        rows: &Rc<Vec<WorkRow>>,
+    ) {
+        let is_lost = self.rng.random::<f64>() < 0.01;
+        if to != from && !self.boxes[to].is_cut_off && !is_lost {
+            let event = Event::Hears(to, of, teller, Rc::clone(rows));
+            self.agenda.put(when, event);
         }
     }
 
--- a/testutils/src/crash_model/fleet.rs
+++ b/testutils/src/crash_model/fleet.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use badgerferry_lib::relay::quarantine::Quarantine;
+use badgerferry_lib::relay::quarantine::RunsOf;
 use badgerferry_lib::relay::quarantine::WorkRow;
 use badgerferry_lib::time::Time;
 
@@ -41,8 +42,8 @@
     }
 
     /// What it tells now; none where there is no news, not even that a run is over.
-    pub(super) fn rows(&mut self, now: Time) -> Option<Rc<Vec<WorkRow>>> {
-        let rows = self.known.rows(now);
+    pub(super) fn rows(&mut self, now: Time, of: RunsOf) -> Option<Rc<Vec<WorkRow>>> {
+        let rows = self.known.rows(now, of);
         let had_told = std::mem::replace(&mut self.told, !rows.is_empty());
         (had_told || self.told).then(|| Rc::new(rows))
     }
