relay: calls that lost their runs together take turns, and no two boxes the same one

Callers saw twelve servers end under one work at 295 boxes. Seven runs were under way before the first end could be known; of the boxes that lost theirs, five began the next one at once, side by side, since a call that lost its run goes before those that wait. It goes first now only where no other run was lost, after 20 ms in which that is heard. Four boxes' turns were drawn from 16, so that two began in the same millisecond about one time in five: they follow the boxes' order by work now, and up to 16 boxes each has a turn of its own.

--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -20,6 +20,7 @@
 use badgerferry_lib::relay::engine_pace::EnginePaces;
 use badgerferry_lib::relay::heard_boxes::HeardBoxes;
 use badgerferry_lib::relay::long_queue::LongQueue;
+use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::Quarantine;
 use badgerferry_lib::relay::quota_keeper::Keeper;
 use badgerferry_lib::relay::quota_keeper::QuotaKeeper;
@@ -34,6 +35,7 @@
 use badgerferry_lib::relay::state_pull::PullRequest;
 use badgerferry_lib::relay::state_pull::Revisions;
 use badgerferry_lib::relay::state_pull::StampedTable;
+use badgerferry_lib::relay::work_key::WorkKey;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use hyper::body::Bytes;
@@ -270,6 +272,13 @@
         beside.max(1)
     }
 
+    /// This box's rank among those that take turns with a suspect work.
+    pub fn rank_for(&self, work: WorkKey) -> usize {
+        let followed = lock(&self.followed);
+        let names = followed.boxes.keys().map(String::as_str);
+        quarantine::rank(work, &self.settings.name, names)
+    }
+
     /// Who gives out the calls of limited servers of a hall.
     pub fn keeper(&self, hall: &HallName) -> Keeper {
         let now = self.clock.now();
--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -105,8 +105,8 @@
         let news = relay.verdicts.notified();
         let now = relay.clock.now();
         let saw_end = call.saw_end.load(Ordering::Relaxed);
-        let own = &relay.settings.name;
-        let admission = lock(&relay.quarantine).admit(now, work, own, saw_end);
+        let rank = || relay.rank_for(work);
+        let admission = lock(&relay.quarantine).admit(now, work, saw_end, rank);
         match admission {
             Admission::Run { lives } => {
                 if lives > 0 {
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -37,8 +37,10 @@
 /// Between the turns of boxes that wait for the same verdict; news takes a few milliseconds between
 /// halls, so the first one's run is known before the next begins.
 const TURN: Duration = Duration::from_millis(20);
+/// How long a call that lost its run waits for news of others that did: those are about to go again, too.
+const OTHERS_HEARD: Duration = TURN;
 /// Turns; more boxes share one.
-const TURNS: u64 = 16;
+const TURNS: usize = 16;
 /// Works that are remembered, at some 200 bytes each.
 const MOST_WORKS: usize = 512;
 /// Works of one workspace that are, so that it can't push out others'.
@@ -119,7 +121,7 @@
 }
 
 /// What a box knows of such works.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     works: BTreeMap<WorkKey, Work>,
     /// Own runs under way, of all works that are told apart.
@@ -137,8 +139,15 @@
     }
 
     /// Decides on a call that is about to be sent; `saw_end` if its own last run ended a server: it
-    /// goes before the boxes that wait for a verdict. `own` is this box's name.
-    pub fn admit(&mut self, now: Time, work: WorkKey, own: &str, saw_end: bool) -> Admission {
+    /// goes before the boxes that wait for a verdict, unless another run was lost as well. `rank` is
+    /// this box's in the order of [`rank`].
+    pub fn admit(
+        &mut self,
+        now: Time,
+        work: WorkKey,
+        saw_end: bool,
+        rank: impl FnOnce() -> usize,
+    ) -> Admission {
         let runs_here = self.runs.get(&work).is_some_and(|runs| *runs > 0);
         let Some(known) = self.works.get(&work) else {
             return self.begin(work, 0);
@@ -146,13 +155,15 @@
         let verdict = known.verdict(now);
         let runs = runs_here || known.runs_elsewhere(now);
         let lives = known.lives(now);
+        let is_only_end = known.counting(now).count() == 1;
+        let goes_first = saw_end && is_only_end && known.last_end(now) >= OTHERS_HEARD;
         match verdict {
             Verdict::Cleared => self.begin(work, 0),
             Verdict::Held if !runs => Admission::Held {
                 left: HELD_FOR.saturating_sub(known.last_end(now)),
                 lives,
             },
-            Verdict::Suspect if !runs && (saw_end || known.last_end(now) >= turn(work, own)) => {
+            Verdict::Suspect if !runs && (goes_first || known.last_end(now) >= turn(rank())) => {
                 self.begin(work, lives)
             }
             Verdict::Held | Verdict::Suspect => Admission::Wait,
@@ -435,8 +446,18 @@
 }
 
 /// How long a box waits after a verdict, so that all don't begin at once.
-fn turn(work: WorkKey, own: &str) -> Duration {
-    let mut hasher = DefaultHasher::new();
-    (work, own).hash(&mut hasher);
-    TURN * (1 + hasher.finish() % TURNS) as u32
+fn turn(rank: usize) -> Duration {
+    TURN * (1 + rank % TURNS) as u32
+}
+
+/// A box's rank among all that are known, in an order that each work has for itself: up to as many
+/// boxes as there are turns, no two take the same one.
+pub fn rank<'a>(work: WorkKey, own: &str, boxes: impl Iterator<Item = &'a str>) -> usize {
+    let order = |name: &str| {
+        let mut hasher = DefaultHasher::new();
+        (work, name).hash(&mut hasher);
+        hasher.finish()
+    };
+    let own = order(own);
+    boxes.filter(|name| order(name) < own).count()
 }
--- a/lib/src/relay/suspect_work.rs
+++ b/lib/src/relay/suspect_work.rs
@@ -85,7 +85,7 @@
     pub(super) last: Moment,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Work {
     pub(super) ends: Vec<End>,
     pub(super) held: Option<Hold>,
--- a/testutils/src/crash_model/fleet.rs
+++ b/testutils/src/crash_model/fleet.rs
@@ -1,15 +1,44 @@
 //! The boxes and servers of the model.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
+use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::Quarantine;
 use badgerferry_lib::relay::quarantine::RunsOf;
 use badgerferry_lib::relay::quarantine::WorkRow;
+use badgerferry_lib::relay::work_key::WorkKey;
 use badgerferry_lib::time::Time;
 
 /// Halls, in which boxes lie in turn.
 const HALLS: usize = 3;
 
+fn name(at: usize) -> String {
+    format!("box-{at:04}")
+}
+
+/// In which order boxes take turns; worked out once for each work, which many boxes ask about.
+#[derive(Debug)]
+pub(super) struct Ranks {
+    names: Vec<String>,
+    by_work: HashMap<(WorkKey, usize), usize>,
+}
+
+impl Ranks {
+    pub(super) fn new(boxes: usize) -> Self {
+        Self {
+            names: (0..boxes).map(name).collect(),
+            by_work: HashMap::new(),
+        }
+    }
+
+    pub(super) fn rank(&mut self, work: WorkKey, at: usize) -> usize {
+        let names = &self.names;
+        let rank = || quarantine::rank(work, &names[at], names.iter().map(String::as_str));
+        *self.by_work.entry((work, at)).or_insert_with(rank)
+    }
+}
+
 /// A box: what it knows, and whom it hears.
 #[derive(Debug)]
 pub(super) struct CrashBox {
@@ -26,7 +55,7 @@
 impl CrashBox {
     pub(super) fn new(at: usize, is_cut_off: bool) -> Self {
         Self {
-            name: format!("box-{at:04}"),
+            name: name(at),
             hall: at % HALLS,
             is_cut_off,
             known: Quarantine::default(),
