relay: what is known of a work is asked again at the send

Callers saw a fourth server end under one work. A box let the call in as suspect at 15.55 s; it waited for engines; at 19.69 s its work was held, which the box logged itself; at 20.31 s it was sent. A verdict may change while a call waits for engines, for memory or for a limited server, so it is asked last, before the send: held work is refused, work that runs elsewhere meanwhile waits for its turn again.

The new test (a real box, a prompt that waits for memory) fails with the question taken out.

--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -61,6 +61,13 @@
 }
 
 impl Run {
+    /// Whether it may still be sent, after what it has waited for.
+    pub fn may_send(&self) -> bool {
+        let Some(work) = self.work else { return true };
+        let now = self.relay.clock.now();
+        lock(&self.relay.quarantine).may_send(now, work)
+    }
+
     /// Records that it ended well.
     pub fn ran_well(&self) {
         let Some(work) = self.work else { return };
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -217,12 +217,8 @@
     tried: &mut Vec<ServerName>,
     join: Option<&EventJoin>,
 ) -> TryResult {
-    let run = match suspects::admit(call).await {
-        Ok(run) => run,
-        Err((reason, retry_after)) => return TryResult::NoServer(reason, retry_after),
-    };
-    let (chosen, pass) = match place(call, tried, run.is_apart).await {
-        Ok(placed) => placed,
+    let (run, chosen, pass) = match admit(call, tried).await {
+        Ok(admitted) => admitted,
         Err((reason, retry_after)) => return TryResult::NoServer(reason, retry_after),
     };
     tried.push(chosen.server.clone());
@@ -271,6 +267,21 @@
     classify(call, attempts, received, join).await
 }
 
+/// Lets a run begin and finds its place. Between the two it may have waited for engines, for memory or
+/// for a limited server: what is known of its work is asked again, last before the send.
+async fn admit(
+    call: &Arc<Call>,
+    tried: &[ServerName],
+) -> Result<(Run, Chosen, Pass), (RefusalReason, Duration)> {
+    loop {
+        let run = suspects::admit(call).await?;
+        let (chosen, pass) = place(call, tried, run.is_apart).await?;
+        if run.may_send() {
+            return Ok((run, chosen, pass));
+        }
+    }
+}
+
 /// Chooses until a server has room for the call. One that has none is closed to this box for a
 /// while, so that it isn't chosen again.
 async fn place(
--- a/daemon/tests/test_relay_reservations.rs
+++ b/daemon/tests/test_relay_reservations.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use badgerferry_lib::ids::WorkspaceName;
+use badgerferry_lib::relay::quarantine::Fact;
+use badgerferry_lib::relay::work_key::WorkKey;
+use badgerferry_lib::relay::work_key::WorkParts;
+use badgerferry_platform::store::Store;
 use badgerferry_standin::caller::Answer;
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::call;
@@ -66,3 +71,41 @@
     assert_eq!(ran, 1);
     wait_until(|| reserved_is_released(&engines)).await
 }
+
+/// What callers saw: a fourth server ended under one work. A call was let in while three had not ended yet,
+/// waited five seconds for engines, and was sent 0.6 s after its box had logged that the work is held: it
+/// was asked before the wait, not at the send.
+#[tokio::test]
+async fn a_prompt_whose_work_is_held_while_it_waits_is_not_sent() -> anyhow::Result<()> {
+    let (world, engines) = engines(4).await?;
+    for engine in &engines {
+        engine.refuse_reservations(usize::MAX);
+    }
+    let workspace = WorkspaceName::new("workspace-1");
+    let work = WorkKey::of(&WorkParts {
+        method: "POST",
+        host: "host.example",
+        target: "/long/stream",
+        workspace: Some(&workspace),
+        body: b"",
+    });
+    let held = async {
+        world.relay.wait_line(&["memory asked for"]).await?;
+        let mut store = Store::new(world.store.address, Duration::from_secs(1));
+        store.put_suspects(&[(work, Fact::Held)]).await?;
+        world.relay.wait_line(&["work is held"]).await?;
+        for engine in &engines {
+            engine.refuse_reservations(0);
+        }
+        anyhow::Ok(())
+    };
+
+    let (answer, held) = tokio::join!(ask(&world), held);
+
+    held?;
+    let answer = answer?;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.body.contains("ends_servers"), "{answer:?}");
+    assert!(engines.iter().all(|engine| engine.seen().is_empty()));
+    wait_until(|| reserved_is_released(&engines)).await
+}
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -175,6 +175,20 @@
         Admission::Run { lives }
     }
 
+    /// Whether a run that [`Self::admit`] let begin may still be sent, after what it has waited for: its
+    /// work may be held by now, or run elsewhere.
+    pub fn may_send(&self, now: Time, work: WorkKey) -> bool {
+        let Some(known) = self.works.get(&work) else {
+            return true;
+        };
+        let is_only_run = self.runs.get(&work) == Some(&1) && !known.runs_elsewhere(now);
+        match known.verdict(now) {
+            Verdict::Cleared => true,
+            Verdict::Suspect => is_only_run,
+            Verdict::Held => false,
+        }
+    }
+
     /// Ends a run that [`Self::admit`] let begin; true if others wait for that news.
     pub fn end_run(&mut self, now: Time, work: WorkKey) -> bool {
         if let Some(runs) = self.runs.get_mut(&work) {
