relay: limits are pulled by boxes that have just started only

All pulls carried what all limited servers say, up to 39 KB with two thousand of them, at each change of routes at each box. Boxes that are up hear of limits with the datagrams.

--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -297,6 +297,13 @@
     /// What another box lacks; see [`Self::table_for`].
     pub fn newer_than(&self, request: &PullRequest) -> PullAnswer {
         let have = request.have;
+        // Boxes that are up hear of limits with the datagrams.
+        let has_just_started = have.table == 0;
+        let limits = if has_just_started {
+            lock(&self.limits).all_rows(self.clock.now())
+        } else {
+            Vec::new()
+        };
         let followed = lock(&self.followed);
         let boxes = if request.wants_boxes {
             followed.boxes.values().cloned().collect()
@@ -307,7 +314,7 @@
             table_follows: followed.table_revision > have.table && self.routes.load().is_some(),
             servers: followed.servers.news_since(have.servers),
             hold_left: followed.servers.hold_left(self.clock.now()),
-            limits: lock(&self.limits).all_rows(self.clock.now()),
+            limits,
             boxes,
         }
     }
