soak: a server that names a limit all the time

One server of each run says that it takes three calls a second, while boxes are killed, stopped, frozen and the ways to servers and the store change. Not run against the code before the mend.

--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -66,6 +66,36 @@
 /// store is away: then each box can only count by itself.
 const MOST_LIVES: usize = 3;
 
+/// A limit counts from so long after the server's first call, which is told that there is one.
+const LIMIT_IN_FORCE: Duration = Duration::from_secs(3);
+/// What a limit counts over.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Holds what a server got against the calls a second that it says it takes: in each window half as much
+/// again and five calls may come, for boxes that end, start and freeze.
+///
+/// # Errors
+///
+/// More came.
+pub fn check_limit(server: &Server, limit: f64) -> anyhow::Result<()> {
+    let mut arrivals = server.arrivals();
+    arrivals.sort_unstable();
+    let Some(&first) = arrivals.first() else {
+        return Ok(());
+    };
+    let from = arrivals.partition_point(|at| *at < first + LIMIT_IN_FORCE);
+    let judged = &arrivals[from..];
+    let most = (limit * LIMIT_WINDOW.as_secs_f64()).mul_add(1.5, 5.0) as usize;
+    for (at, begin) in judged.iter().enumerate() {
+        let got = judged[at..].partition_point(|other| *other < *begin + LIMIT_WINDOW);
+        anyhow::ensure!(
+            got <= most,
+            "a server that takes {limit} a second got {got} in {LIMIT_WINDOW:?}, {most} at most may come"
+        );
+    }
+    Ok(())
+}
+
 /// Holds the servers that ended under one piece of work against what so many lives of boxes may let end.
 ///
 /// # Errors
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -39,6 +39,8 @@
 const AWAY: Duration = Duration::from_secs(2);
 /// Time that a stopping box has before it is killed, as its settings say, and a bit more.
 const STOP_TIME: Duration = Duration::from_secs(9);
+/// Calls a second that the first server says it takes, all the time.
+const LIMIT: f64 = 3.0;
 /// After the faults, until all boxes must know of calls that end servers.
 const NEWS_IN_FORCE: Duration = Duration::from_secs(2);
 /// Tries to be served after the faults, a tenth of a second apart, before a run counts as lost.
@@ -136,7 +138,8 @@
     let servers = [stage.servers.as_slice(), &stage.fragile].concat();
     let checked = recovered
         .and_then(|()| ledger::check(&rows, &servers))
-        .and_then(|()| ledger::check_lives(&stage.fragile, box_lives));
+        .and_then(|()| ledger::check_lives(&stage.fragile, box_lives))
+        .and_then(|()| ledger::check_limit(&stage.servers[0], LIMIT));
     if let Err(cause) = checked {
         let logs = stage.keep_logs(seed).await?;
         return Err(cause.context(format!("plan {plan:#?}; logs in {logs}")));
@@ -166,6 +169,7 @@
             servers.push(server);
             ways.push(way);
         }
+        servers[0].name_limit(Some(&LIMIT.to_string()));
         let mut fragile = Vec::new();
         for at in 0..FRAGILE {
             let pace = Duration::from_millis(15);
