--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -48,8 +48,7 @@
 use crate::traffic::lock;
 
 /// How long a call waits at most for the first routes of a box that has just started; half of its
-/// time where that is less. Where 295 boxes were killed at once, 819 of 15,097 short calls of that
-/// day were refused without it and 10 with it (one play each).
+/// time where that is less.
 const ROUTES_SOON: Duration = Duration::from_secs(2);
 /// When to come back where this box has no routes yet, or is leaving.
 const SOON: Duration = Duration::from_millis(300);
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -75,12 +75,9 @@
 
 /// Pulls from a box that is ahead, and while that answers others, from another one that is.
 ///
-/// Where a box that was turned away waits for the next datagram, 300 boxes have new routes after 1.9 s
-/// in the middle and 2.6 to 3.5 s at most (five plays); where it asks on, after 21 ms (one play).
-///
-/// A box without routes asks once: where all start at once, hardly any has them, and asking on keeps
-/// those busy. So 300 boxes served again 30 s after all were killed (two plays); asking once, after
-/// 8.5 s (five plays).
+/// One that was turned away and waited for the next datagram would have new routes seconds later. A
+/// box without routes asks once: where all start at once, hardly any has them, and asking on keeps
+/// those busy.
 pub async fn catch_up(relay: &Arc<Relay>, first: String) {
     let mut name = first;
     let most = match relay.routes.load().as_ref() {
--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -38,13 +38,12 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// When to come back where another run of the work goes on for long.
 const RUNS_RETRY: Duration = Duration::from_millis(500);
-/// Bodies up to this size are read for their key with each call, 12 us (`cargo bench`); larger ones only
-/// while any work is suspect.
+/// Bodies up to this size are read for their key with each call; larger ones only while
+/// any work is suspect.
 const SMALL_BODY: usize = 16 << 10;
 /// Longest wait for a server's machine to refuse a connection, or to take it.
 const PROBE_LIMIT: Duration = Duration::from_millis(200);
-/// How long a process takes to end once its first connection has: one in 60 runs of such servers was
-/// missed without it (tests beside other processes).
+/// How long a process takes to end once its first connection has.
 const ENDS_WITHIN: Duration = Duration::from_millis(10);
 /// Longest silence of the store in a call that writes.
 const STORE_LIMIT: Duration = Duration::from_secs(1);
--- a/lib/src/relay/cells.rs
+++ b/lib/src/relay/cells.rs
@@ -25,12 +25,10 @@
 /// Longest time between two datagrams that tell other halls the work of this one.
 pub const FAR_PAUSE: Duration = Duration::from_millis(200);
 /// Shortest time between two of them. Two halls that don't see each other's long prompts send them
-/// to the same engines: in a model of 295 boxes and 150 engines, worth is 0.921 with 20 ms, 0.897
-/// with 50 and 0.877 with 100 (means of eight seeds).
+/// to the same engines.
 pub const LEAST_FAR_PAUSE: Duration = Duration::from_millis(20);
 /// Age up to which what all boxes tell each other is fresh: it grows by the pause with each box that
-/// is told. Beyond it, the sums that halls tell each other are newer. With 77 boxes cells gain 0.020
-/// of worth against telling all (standard error 0.009, 8 paired plays of days with trouble).
+/// is told. Beyond it, the sums that halls tell each other are newer.
 const MOST_AGE_IN_MESH: Duration = LEAST_FAR_PAUSE;
 /// Boxes of another hall that are told in turn: each passes on what it hears to its whole hall, so
 /// they share that work, and all but one may be dead before the hall hears nothing.
--- a/lib/src/relay/engine_group.rs
+++ b/lib/src/relay/engine_group.rs
@@ -18,8 +18,7 @@
 /// engines need to be free at once for a large prompt so.
 pub(crate) const LONGEST_PART_ALONE: Duration = Duration::from_millis(2_500);
 /// Part of what short streams bear that one part of reading may take; the rest is for other
-/// calls' prompts that are read in the same pass. Nearly all of it (200 ms in place of 150) loses
-/// 0.006 of worth, half of it 0.000 (standard error 0.004, 36 paired plays of 18 engines).
+/// calls' prompts that are read in the same pass.
 const READ_PART_OF_PAUSE: f64 = 0.75;
 /// Long streams that an engine writes at most while it still leads another.
 const MOST_LONG_STREAMS: u16 = 4;
@@ -47,9 +46,8 @@
 
 /// Chooses engines that read a long prompt together.
 ///
-/// Each engine bears parts up to a length that depends on what it writes. Against a fixed share
-/// of the engines without short streams this gains 0.004 of worth (standard error 0.004, 36
-/// paired plays of 18 engines), most where short calls fill the fleet.
+/// Each engine bears parts up to a length that depends on what it writes, which helps
+/// most where short calls fill the fleet.
 pub(crate) struct EngineGroup<'a> {
     pub(crate) model: &'a EngineModel,
     /// All engines that may take work, in the order that all boxes share.
@@ -69,9 +67,7 @@
     /// Longest part that an engine may read.
     ///
     /// Beside a single short stream it is as short as beside many: one that pauses loses more than a
-    /// longer part gains. In a model of 60 engines that is worth 0.005, and 0.009 where the load is a
-    /// tenth over what they bear (standard error 0.003, 48 paired runs); two short streams beside a
-    /// long part lose 0.006.
+    /// longer part gains.
     fn bears(&self, at: usize) -> Duration {
         let load = &self.engines[at].load;
         match (load.short, load.long) {
--- a/lib/src/relay/engine_pace.rs
+++ b/lib/src/relay/engine_pace.rs
@@ -5,11 +5,7 @@
 //! all that read for it. So a box then asks each of them for its pace, which they report, and
 //! leaves the slow ones out while others are not. It tells the other boxes, and one of them asks
 //! again now and then until the engine has its usual pace; without that the word lapses.
-//!
-//! In a model of 60 engines of which 14 in 100 are five times slower for 12 of 34 s, worth is 0.854
-//! with it and 0.800 without (48 paired runs, standard error 0.004). Leaving them out from the first
-//! moment would gain 0.095, and what the streams show that an engine writes gains 0.016, since those
-//! that only read parts write none.
+//! What streams show would not do: engines that only read parts write none.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -27,24 +27,20 @@
 pub const MAX_HELPERS: usize = 16;
 /// Reading alone from which a prompt is long: a short stream's pause suffers from more.
 const LONG_READ: Duration = Duration::from_millis(200);
-/// Reading of one part that a long prompt is cut into, where enough engines are free. With 150 ms
-/// worth fell by 0.005 (standard error 0.004, 36 paired plays of 18 engines): more engines end
-/// the same pass later.
+/// Reading of one part that a long prompt is cut into, where enough engines are free. In smaller
+/// parts more engines would end the same pass later.
 const PART_READ: Duration = Duration::from_millis(300);
 /// Part of the free engines that one prompt takes at most where boxes are many, if its parts stay
-/// short enough. Up to [`FRESH_BOXES`] it takes all: against 0.6 that gains 0.011 of worth with 9
-/// boxes and 18 engines (standard error 0.005, 36 paired plays); with 59 and 76 boxes and 60
-/// engines it loses 0.016 (two times six plays), since several boxes take the same engines.
+/// short enough. Up to [`FRESH_BOXES`] it takes all; beyond, several
+/// boxes would take the same engines.
 const LEAST_SHARE_OF_FREE: f64 = 0.6;
 /// Longest part that a prompt is sent with; it waits until enough engines are free.
 const LONGEST_PART: Duration = Duration::from_millis(600);
 /// Part of the time until its first event is due that a prompt's reading may take; the rest
-/// covers passes and other reading. Against 0.6 it gains 0.009 of worth (standard error 0.004, 36
-/// paired plays of 18 engines): a large prompt starts on seven engines where it waited for nine.
+/// covers passes and other reading. The larger it is, the fewer engines must be free at once.
 const READ_PART_OF_TIME: f64 = 0.8;
 /// One in so many engines reads a prompt that all together can't read in parts of
-/// [`LONGEST_PART_ALONE`]. It is late in any case, and calls that come meanwhile find the others:
-/// 0.002 of worth above reading it on all (standard error 0.004, 36 paired plays of 18 engines).
+/// [`LONGEST_PART_ALONE`]. It is late in any case, and calls that come meanwhile find the others.
 const HUGE_SHARE: usize = 2;
 /// Reading of one part that a short call is cut into: passes of short streams stay short.
 const SHORT_PART_READ: Duration = Duration::from_millis(50);
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -31,17 +31,10 @@
 /// Engines that read one prompt at most.
 const MOST_READERS: u32 = MAX_HELPERS as u32 + 1;
 /// Part of its objective that reading takes all engines that may read a prompt, from which on it is large:
-/// large ones count alike, and the lot decides.
-///
-/// In a model of 150 engines with more to read than they can, 0.52 of the largest tenth are served so and 0.44 by
-/// their reading alone (standard error of the difference 0.012, 16 paired runs), for 0.011 of worth (0.003), and for
-/// nothing that can be told with 60 engines. From 0.075 on 0.55 are served, for 0.012
-/// more; from 0.13 on 0.48. First come, first served among them makes all of them late in turn: 0.38.
+/// large ones count alike, and the lot decides. First come, first served would make all of them late in turn.
 const LARGE_PART: f64 = 0.1;
 /// Engines from which large prompts go by lot. Where there are fewer, one takes more than half of them and holds up
-/// all others: with 18 engines the lot loses 0.009 of worth in the model (standard error 0.004, 16 paired runs),
-/// and serves none more of the largest. In 24 paired plays each, giving way for longer lost 0.008 with the lot
-/// (0.005) and gained 0.011 without it (0.003).
+/// all others.
 const LEAST_ENGINES_FOR_LOT: usize = 2 * MOST_READERS as usize;
 /// Time that passes and writing need at least, beside the reading.
 const LEAST_RUN: Duration = Duration::from_secs(2);
@@ -52,10 +45,7 @@
 /// How long a prompt gives way to other boxes' while engines could read it.
 ///
 /// Whoever is first may need more engines than are free, and what turns free gathers for it only while
-/// others give way. With 100 ms the next ones took it, one by one: worth is 0.025 higher with 500 in a model
-/// of 150 engines with more to read than they can (standard error 0.005, 16 paired runs), 0.014 with 60
-/// engines (0.004), 0.024 where some of them are slow (0.004), 0.005 with 18 (0.005); 0.004, 0.003, 0.001 and 0.006
-/// more with a second (0.002, 0.002, 0.005, 0.007). Bounded, since its box may be unable to start it for
+/// others give way: else the next ones take it, one by one. Bounded, since its box may be unable to start it for
 /// reasons that others don't see; a dead box's prompt lapses before.
 const GIVES_WAY: Duration = Duration::from_secs(1);
 /// Least time between a prompt's arrival and its start, so that other boxes hear of it first: a
@@ -87,9 +77,7 @@
 
 impl Waiting {
     /// When it is given up: from then on no engines could answer it in its caller's time.
-    ///
-    /// Refused at 0.45 of that time, its caller came back to the same queue: 0.002 of worth less
-    /// (standard error 0.004, 36 paired plays of 18 engines), and one refusal more.
+    /// Refused before, its caller would come back to the same queue.
     pub fn given_up_at(&self) -> Time {
         let needs = LEAST_RUN + self.read / MOST_READERS;
         self.arrived + self.deadline.since(self.arrived).saturating_sub(needs)
@@ -97,9 +85,7 @@
 
     /// Whether its first event is late even if all engines that may read it begin now.
     ///
-    /// Against its due time itself this gains 0.005 of worth in a model of 60 engines whose load is
-    /// a tenth over what they bear (standard error 0.002, 48 paired runs), and 0.009 with 150 (0.006,
-    /// 8): time is no longer spent on a prompt that is late all the same, while others still are not.
+    /// Then no time is spent on a prompt that is late all the same, while others still are not.
     fn will_be_late(&self, now: Time) -> bool {
         now + self.read / MOST_READERS > self.due
     }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -35,4 +35,5 @@
 pub mod state_pull;
 pub mod stop_plan;
 pub mod suspect_work;
+pub(crate) mod turns;
 pub mod work_key;
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -30,6 +30,7 @@
 use crate::relay::suspect_work::ToldEnd;
 use crate::relay::suspect_work::Verdict;
 use crate::relay::suspect_work::Work;
+use crate::relay::turns;
 use crate::relay::work_key::ServerLife;
 use crate::relay::work_key::WorkKey;
 use crate::time::Time;
@@ -385,9 +386,7 @@
         rest.retain(|(_, known)| known.verdict(now) != Verdict::Cleared);
         fresh.sort_by_key(|(work, known)| (!runs(work, known), now.since(known.changed)));
         fresh.truncate(MOST_ROWS);
-        let after = rest.partition_point(|(work, _)| Some(**work) <= self.told_to);
-        let in_turn = rest[after..].iter().chain(&rest[..after]);
-        let in_turn: Vec<_> = in_turn.take(ROWS_IN_TURN).copied().collect();
+        let in_turn = turns::in_turn(&rest, self.told_to.as_ref(), ROWS_IN_TURN);
         let told = fresh.iter().chain(&in_turn);
         let rows = told.map(|(work, known)| self.row(now, of, **work, known));
         let rows = rows.collect();
@@ -444,9 +443,7 @@
 }
 
 /// From how many lives on a call goes apart from others. Each server that ends makes all its calls
-/// suspect for a moment, and those are best placed as any: on a day of equal calls and eight waves of
-/// servers that end by themselves, 18 engines, worth differs by +0.003 (standard error 0.009) from that of
-/// the code without such works with two, and by -0.010 (0.007) with one (16 paired plays).
+/// suspect for a moment, and those are best placed as any.
 pub const APART_FROM: usize = 2;
 
 /// Where such a call goes: to one of the quieter half of the servers, drawn. The calls that were
--- a/lib/src/relay/server_limits.rs
+++ b/lib/src/relay/server_limits.rs
@@ -15,6 +15,7 @@
 use crate::relay::call_rate::CallRate;
 use crate::relay::call_rate::LimitWord;
 use crate::relay::moment::Moment;
+use crate::relay::turns;
 use crate::relay::work_key::ServerLife;
 use crate::time::Time;
 
@@ -197,16 +198,15 @@
             .collect();
         fresh.sort_by_key(|(life, word)| (Reverse(word.changed), **life));
         fresh.truncate(MOST_FRESH_ROWS);
-        let mut rest: Vec<_> = (self.words.iter())
-            .filter(|(_, word)| !is_fresh(word))
-            .collect();
+        let rest = self.words.iter().filter(|(_, word)| !is_fresh(word));
+        let mut rest: Vec<_> = rest.collect();
         rest.sort_by_key(|(life, _)| **life);
-        let after = rest.partition_point(|(life, _)| Some(**life) <= self.told_to);
-        let in_turn = rest[after..].iter().chain(&rest[..after]);
-        let in_turn: Vec<_> = in_turn.take(ROWS_IN_TURN).copied().collect();
-        self.told_to = in_turn.last().map(|(life, _)| **life);
+        let in_turn = turns::in_turn(&rest, self.told_to.as_ref(), ROWS_IN_TURN);
+        let told_to = in_turn.last().map(|(life, _)| **life);
         let told = fresh.iter().chain(&in_turn);
-        told.map(|(life, word)| row(now, **life, word)).collect()
+        let rows = told.map(|(life, word)| row(now, **life, word)).collect();
+        self.told_to = told_to;
+        rows
     }
 
     /// Everything, for a box that has just started.
--- a/lib/src/relay/suspect_work.rs
+++ b/lib/src/relay/suspect_work.rs
@@ -15,9 +15,7 @@
 pub const MOST_LIVES: usize = 3;
 /// Lives that end within so long of each other count as one, unless the later run began when the
 /// earlier life had ended: what ends many servers in one moment is something else, and equal calls of
-/// one caller run on many of them. In a model in which half of 18 servers end within 60 ms every four
-/// seconds, 2.5% of one caller's equal calls (20 a second; 5.6% of two a second) were refused without
-/// it and none with it, 40 seeds.
+/// one caller run on many of them.
 const SAME_MOMENT: Duration = Duration::from_millis(70);
 /// How long a work is held after the last life that ended under it: the longest lease of the store,
 /// where it is kept for boxes that start later.
--- a/lib/src/relay/work_key.rs
+++ b/lib/src/relay/work_key.rs
@@ -42,8 +42,7 @@
 }
 
 impl WorkKey {
-    /// The key of a piece of work; takes 0.25 us and 0.7 ns a byte of the body on a core with instructions
-    /// for SHA-256 (`cargo bench`, 4 MB).
+    /// The key of a piece of work; takes time by the length of the body.
     pub fn of(parts: &WorkParts<'_>) -> Self {
         let workspace = parts.workspace.map_or("", WorkspaceName::as_str);
         let host = parts.host.to_ascii_lowercase();
