relay: a stream that has begun waits for its place at a limited server

Where all servers are limited, a stream whose server broke off was cut at once: a repeat does not wait for its place, and to go on counted as one. It waits up to a second now; its caller has the beginning, and can only lose it.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -76,6 +76,8 @@
     work: OnceLock<WorkKey>,
     /// Whether a server ended under its last run.
     pub saw_end: AtomicBool,
+    /// Whether its caller has the head of an answer: from then on it can only go on or be cut.
+    pub has_begun: AtomicBool,
     /// Host.
     pub host: String,
     /// Method.
@@ -219,6 +221,7 @@
         head,
         work: OnceLock::new(),
         saw_end: AtomicBool::new(false),
+        has_begun: AtomicBool::new(false),
         host,
         method: parts.method,
         uri: parts
--- a/daemon/src/relay/live_stream.rs
+++ b/daemon/src/relay/live_stream.rs
@@ -1,6 +1,7 @@
 //! A stream on its way to the caller, continued elsewhere when its server breaks off.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_lib::ids::ServerName;
@@ -48,6 +49,7 @@
     let (tx, rx) = mpsc::channel(PIECES);
     let answer = tries::pass_on(&live.head, AnswerBody::pieces(rx));
     log_lines::streaming(&call, &live);
+    call.has_begun.store(true, Ordering::Relaxed);
     tokio::spawn(run(call, attempts, tried, live, tx));
     answer
 }
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -5,6 +5,7 @@
 //! datagrams, and answers.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_lib::ids::HallName;
@@ -55,14 +56,16 @@
     pub hall: HallName,
 }
 
-/// How long a call may wait for its place, where no server takes it at once; a repeat does not wait.
+/// How long a call may wait for its place, where no server takes it at once: so that it can still be on
+/// time, and a repeat not at all. A stream that has begun would be cut instead.
 pub fn patience(call: &Call, is_first: bool) -> Duration {
     let left = call.relay.clock.now().until(call.due());
-    if is_first {
-        (left / 2).min(MOST_PATIENCE)
-    } else {
-        Duration::ZERO
-    }
+    let most = match call.has_begun.load(Ordering::Relaxed) {
+        true => call.time_left(),
+        false if is_first => left / 2,
+        false => Duration::ZERO,
+    };
+    most.min(MOST_PATIENCE)
 }
 
 /// Lets a call to its server, at once where that names no limit.
--- a/daemon/tests/test_relay_limits.rs
+++ b/daemon/tests/test_relay_limits.rs
@@ -19,6 +19,7 @@
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Store;
 
@@ -32,6 +33,8 @@
 const SLACK: f64 = 2.0;
 /// From one call of a caller to its next.
 const PAUSE: Duration = Duration::from_millis(30);
+/// Later than this a call counts as hanging: callers give five seconds.
+const HELD: Duration = Duration::from_secs(8);
 /// What callers of engines say of their prompts.
 const SHORT_PROMPT: &str = "Badgerferry-Token-Counts: 1000,50\r\n";
 
@@ -85,7 +88,9 @@
                 );
                 // A connection that the box ends without an answer is one of status 0.
                 let answer = Caller::once(one.front(), &text).await.unwrap_or_default();
-                told.push((answer, began.elapsed()));
+                let took = began.elapsed();
+                assert!(took < HELD, "{took:?}: {answer:?}; {}", self.logs());
+                told.push((answer, took));
                 tokio::time::sleep(PAUSE).await;
             }
             told
@@ -229,3 +234,42 @@
         .await
         .expect("a line");
 }
+
+/// A stream whose server breaks off goes on where a place comes within a second, though first tries take
+/// all there are.
+#[tokio::test]
+async fn a_stream_that_has_begun_waits_for_its_place_at_a_limited_server() {
+    let fleet = Fleet::start(2, 1, "boards").await.expect("a fleet");
+    let server = &fleet.servers[0];
+    server.name_limit(Some("3"));
+    fleet.press("/again/a", "", IN_FORCE).await;
+    let front = fleet.boxes[0].front();
+    let lasts = Duration::from_secs(8);
+    let until = Instant::now() + lasts;
+    let streams = async {
+        let mut begun = Vec::new();
+        server.usually(Behaviour::BreakAfter(3));
+        for at in 0.. {
+            let text = call("POST", "/stream/a", &format!("stream-{at}"), "", "a prompt");
+            let sent = Instant::now();
+            let answer = Caller::once(front, &text).await.unwrap_or_default();
+            let took = sent.elapsed();
+            assert!(took < HELD, "{took:?}: {answer:?}; {}", fleet.logs());
+            if answer.status == 200 {
+                begun.push(answer);
+            }
+            if begun.len() == 4 || Instant::now() >= until {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        begun
+    };
+
+    let (begun, _others) = tokio::join!(streams, fleet.press("/again/a", "", lasts));
+
+    assert!(!begun.is_empty(), "no stream began; {}", fleet.logs());
+    for answer in begun {
+        assert!(answer.whole, "{answer:?}; {}", fleet.logs());
+    }
+}
