relay: calls with large bodies are asked for their work at the send, too

A body over 16 KB is read for its key only while any work is suspect. A call that came while none was and then waited had no key to ask by, so that its work could be held meanwhile and was sent all the same: the largest prompts wait longest. Where any work is suspect at the send it is admitted anew, with its key. The new test fails without it.

--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -60,11 +60,15 @@
 }
 
 impl Run {
-    /// Whether it may still be sent, after what it has waited for.
+    /// Whether it may still be sent, after what it has waited for. One whose body was not read for its
+    /// key, since no work was suspect, is to be admitted anew once any is.
     pub fn may_send(&self) -> bool {
-        let Some(work) = self.work else { return true };
         let now = self.relay.clock.now();
-        lock(&self.relay.quarantine).may_send(now, work)
+        let quarantine = lock(&self.relay.quarantine);
+        match self.work {
+            Some(work) => quarantine.may_send(now, work),
+            None => quarantine.is_empty(),
+        }
     }
 
     /// Records that it ended well.
--- a/daemon/tests/test_relay_reservations.rs
+++ b/daemon/tests/test_relay_reservations.rs
@@ -21,8 +21,13 @@
 
 /// Asks for a prompt that three engines hold together.
 async fn ask(world: &World) -> anyhow::Result<Answer> {
+    ask_with(world, "").await
+}
+
+async fn ask_with(world: &World, body: &str) -> anyhow::Result<Answer> {
     let tokens = "Badgerferry-Token-Counts: 250000,100\r\n";
-    let text = call("POST", "/long/stream", "id-1", tokens, "").replace("Ms: 5000", "Ms: 20000");
+    let text = call("POST", "/long/stream", "id-1", tokens, body);
+    let text = text.replace("Ms: 5000", "Ms: 20000");
     let mut caller = Caller::connect(world.relay.front()).await?;
     caller.send(&text).await?;
     caller.answer().await
@@ -75,8 +80,7 @@
 /// What callers saw: a fourth server ended under one work. A call was let in while three had not ended yet,
 /// waited five seconds for engines, and was sent 0.6 s after its box had logged that the work is held: it
 /// was asked before the wait, not at the send.
-#[tokio::test]
-async fn a_prompt_whose_work_is_held_while_it_waits_is_not_sent() -> anyhow::Result<()> {
+async fn is_held_while_it_waits(body: &str) -> anyhow::Result<()> {
     let (world, engines) = engines(4).await?;
     for engine in &engines {
         engine.refuse_reservations(usize::MAX);
@@ -87,7 +91,7 @@
         host: "host.example",
         target: "/long/stream",
         workspace: Some(&workspace),
-        body: b"",
+        body: body.as_bytes(),
     });
     let held = async {
         world.relay.wait_line(&["memory asked for"]).await?;
@@ -100,7 +104,7 @@
         anyhow::Ok(())
     };
 
-    let (answer, held) = tokio::join!(ask(&world), held);
+    let (answer, held) = tokio::join!(ask_with(&world, body), held);
 
     held?;
     let answer = answer?;
@@ -109,3 +113,14 @@
     assert!(engines.iter().all(|engine| engine.seen().is_empty()));
     wait_until(|| reserved_is_released(&engines)).await
 }
+
+#[tokio::test]
+async fn a_prompt_whose_work_is_held_while_it_waits_is_not_sent() -> anyhow::Result<()> {
+    is_held_while_it_waits("").await
+}
+
+/// Its body was not read for its key when it came, since no work was suspect then.
+#[tokio::test]
+async fn a_large_prompt_whose_work_is_held_while_it_waits_is_not_sent() -> anyhow::Result<()> {
+    is_held_while_it_waits(&"word ".repeat(8_000)).await
+}
