relay: suspect calls that go apart are not kept waiting at a closed server

A call that goes apart draws one server first, and how that one stands was asked of it alone: a closed one counted as the only one there is, and was waited for though others were open. The draw is among those that are not closed now. Found by reading.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -396,17 +396,17 @@
     let table = lock(&relay.loads).table(now);
     let usable = book.usable(now, &call.service, tried);
     let usable = lock(&relay.paces).without_slow(now, usable, |record| record.key);
-    let busy = |record: &&ServerRecord| {
-        let load = table.get(&record.key);
-        load.map_or(0, |load| u32::from(load.short) + u32::from(load.long))
-    };
-    let usable = match among {
-        Among::All => usable,
-        Among::Apart => quarantine::apart(usable, busy, &mut rand::rng()),
-    };
     let patience = server_gate::patience(call, tried.is_empty());
     let standings = standings(relay, now, &usable, patience)?;
     let mut candidates: Vec<_> = usable.into_iter().zip(standings).collect();
+    if among == Among::Apart {
+        let busy = |(record, _): &(&ServerRecord, Standing)| {
+            let load = table.get(&record.key);
+            load.map_or(0, |load| u32::from(load.short) + u32::from(load.long))
+        };
+        candidates.retain(|(_, standing)| *standing != Standing::Closed);
+        candidates = quarantine::apart(candidates, busy, &mut rand::rng());
+    }
     // Engines kept for short calls are the first ones, which must take them.
     candidates.sort_by_key(|(_, standing)| *standing != Standing::Open);
     let state = |(record, standing): &(&ServerRecord, Standing)| EngineState {
