--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -10,7 +10,6 @@
 
 use badgerferry_lib::ids::HallName;
 use badgerferry_lib::relay::call_rate::CallRate;
-use badgerferry_lib::relay::call_rate::LimitWord;
 use badgerferry_lib::relay::permit_wire::PermitAnswer;
 use badgerferry_lib::relay::permit_wire::PermitAsk;
 use badgerferry_lib::relay::permit_wire::PermitFrame;
@@ -18,6 +17,7 @@
 use badgerferry_lib::relay::quota_keeper::Keeper;
 use badgerferry_lib::relay::server_limits::LimitChange;
 use badgerferry_lib::relay::server_limits::LimitRow;
+use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::relay::work_key::ServerLife;
 use metrics::counter;
 use tokio::time::timeout;
@@ -241,9 +241,9 @@
 }
 
 /// Takes what a server's answer says of its limit.
-pub fn answered(call: &Call, chosen: &Chosen, word: LimitWord) {
+pub fn answered(call: &Call, chosen: &Chosen, word: Stated<CallRate>) {
     let relay = &call.relay;
-    if word == LimitWord::Unreadable {
+    if word == Stated::Unreadable {
         counter!("badgerferry_limits_unreadable_total").increment(1);
         tracing::info!(call = call.id(), server = %chosen.server, "a limit can't be read");
     }
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -7,10 +7,10 @@
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::attempts::TryEnd;
-use badgerferry_lib::relay::call_rate::LimitWord;
 use badgerferry_lib::relay::event_join::EventJoin;
 use badgerferry_lib::relay::server_book::Evidence;
 use badgerferry_lib::relay::server_book::ToldLoad;
+use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::headers;
 use badgerferry_platform::headers::AnswerHead;
@@ -254,9 +254,10 @@
     // Neither a late answer to another call nor one of another server speaks for this one.
     let speaks = head.is_ours && head.word != RunWord::OtherServer;
     // That it names none counts only where the whole head is the server's own.
-    if speaks && (head.has_proof || head.limit != LimitWord::NoLimit) {
+    if speaks && (head.has_proof || head.limit != Stated::Absent) {
         server_gate::answered(call, &flight.chosen, head.limit);
     }
+    log_lines::server_notices(call, &flight.chosen, &head);
     let received = Received {
         flight,
         connection,
--- a/lib/src/relay/call_rate.rs
+++ b/lib/src/relay/call_rate.rs
@@ -63,14 +63,3 @@
         write!(f, "{}", self.calls_per_second())
     }
 }
-
-/// What an answer of a server says of its limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LimitWord {
-    /// It names none: an earlier one is over.
-    NoLimit,
-    /// It takes so many calls from all boxes together.
-    Limit(CallRate),
-    /// It names something that is no limit: what was known holds on.
-    Unreadable,
-}
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -33,6 +33,7 @@
 pub mod server_limits;
 pub mod server_list;
 pub mod state_pull;
+pub mod stated;
 pub mod stop_plan;
 pub mod suspect_work;
 pub(crate) mod turns;
--- a/lib/src/relay/server_limits.rs
+++ b/lib/src/relay/server_limits.rs
@@ -13,8 +13,8 @@
 use serde::Serialize;
 
 use crate::relay::call_rate::CallRate;
-use crate::relay::call_rate::LimitWord;
 use crate::relay::moment::Moment;
+use crate::relay::stated::Stated;
 use crate::relay::turns;
 use crate::relay::work_key::ServerLife;
 use crate::time::Time;
@@ -97,12 +97,12 @@
         &mut self,
         now: Time,
         life: ServerLife,
-        word: LimitWord,
+        word: Stated<CallRate>,
     ) -> Option<LimitChange> {
         let rate = match word {
-            LimitWord::Limit(rate) => Some(rate),
-            LimitWord::NoLimit if self.words.contains_key(&life) => None,
-            LimitWord::NoLimit | LimitWord::Unreadable => return None,
+            Stated::Value(rate) => Some(rate),
+            Stated::Absent if self.words.contains_key(&life) => None,
+            Stated::Absent | Stated::Unreadable => return None,
         };
         self.take(now, life, rate, Moment::of(now))
     }
--- a/lib/tests/test_relay_server_limits.rs
+++ b/lib/tests/test_relay_server_limits.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use badgerferry_lib::relay::call_rate::CallRate;
-use badgerferry_lib::relay::call_rate::LimitWord;
 use badgerferry_lib::relay::server_limits::LimitRow;
 use badgerferry_lib::relay::server_limits::ServerLimits;
 use badgerferry_lib::relay::server_limits::Standing;
+use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_lib::time::Time;
 
@@ -18,7 +18,7 @@
 
 fn limits(now: Time, calls: f64) -> ServerLimits {
     let mut limits = ServerLimits::default();
-    limits.answered(now, SERVER, LimitWord::Limit(rate(calls)));
+    limits.answered(now, SERVER, Stated::Value(rate(calls)));
     limits
 }
 
@@ -65,7 +65,7 @@
     limits.close(now, SERVER, Duration::from_secs(9));
     assert_eq!(limits.standing(now, SERVER), Standing::Closed);
 
-    let change = limits.answered(now, SERVER, LimitWord::NoLimit);
+    let change = limits.answered(now, SERVER, Stated::Absent);
 
     assert_eq!(change.map(|change| change.now), Some(None));
     assert_eq!(limits.standing(now, SERVER), Standing::Open);
@@ -82,7 +82,7 @@
 fn what_can_not_be_read_changes_nothing() {
     let mut limits = limits(Time::ZERO, 1.0);
 
-    let change = limits.answered(Time::from_millis(5), SERVER, LimitWord::Unreadable);
+    let change = limits.answered(Time::from_millis(5), SERVER, Stated::Unreadable);
 
     assert_eq!(change, None);
     assert_eq!(limits.limit(SERVER), Some(rate(1.0)));
@@ -93,7 +93,7 @@
     let mut limits = limits(Time::ZERO, 1.0);
     let mut news = 0;
     for at in 1..=1_000_u64 {
-        let word = LimitWord::Limit(rate(1.0 + (at % 2) as f64));
+        let word = Stated::Value(rate(1.0 + (at % 2) as f64));
         let change = limits.answered(Time::from_millis(at), SERVER, word);
         news += u32::from(change.is_some_and(|change| change.is_news));
     }
@@ -108,7 +108,7 @@
         limits.answered(
             Time::from_millis(life),
             ServerLife(life),
-            LimitWord::Limit(rate(1.0)),
+            Stated::Value(rate(1.0)),
         );
     }
     let mut told = std::collections::BTreeSet::new();
--- a/testutils/src/limit_model.rs
+++ b/testutils/src/limit_model.rs
@@ -12,10 +12,10 @@
 
 use badgerferry_lib::relay::call_quota::CallQuota;
 use badgerferry_lib::relay::call_rate::CallRate;
-use badgerferry_lib::relay::call_rate::LimitWord;
 use badgerferry_lib::relay::permit_wire::Verdict;
 use badgerferry_lib::relay::quota_keeper::Keeper;
 use badgerferry_lib::relay::server_limits::LimitRow;
+use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_lib::time::Time;
 use rand::Rng;
@@ -179,8 +179,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         for one in &mut world.fleet.boxes {
-            one.limits
-                .answered(Time::ZERO, SERVER, LimitWord::Limit(rate));
+            one.limits.answered(Time::ZERO, SERVER, Stated::Value(rate));
         }
         world.agenda.put(Time::ZERO, Event::Arrives);
         if plan.trouble != Trouble::Calm {
