relay: the gate to servers knows no call

The gate took a whole call for its logs and its patience, and the state of the box held what the gate decides by: call, tries, engines, gate, state and twelve more files imported each other in one loop. It is a part of the box now, asks of a call an id and a patience, and imports none of them; what a box follows, and how many lines are written, stand in files of their own. Nothing that is decided changes.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_lib::ids::WorkspaceName;
@@ -42,6 +43,7 @@
 use crate::relay::caller_answer;
 use crate::relay::live_stream;
 use crate::relay::log_lines;
+use crate::relay::server_gate::MOST_PATIENCE;
 use crate::relay::state::Relay;
 use crate::relay::tries;
 use crate::relay::tries::TryResult;
@@ -137,6 +139,18 @@
         )
     }
 
+    /// How long it may wait for its place, where no server takes it at once: so that it can still be on
+    /// time, and a repeat not at all. A stream that has begun would be cut instead.
+    pub fn patience(&self, is_first: bool) -> Duration {
+        let left = self.relay.clock.now().until(self.due());
+        let most = match self.has_begun.load(Ordering::Relaxed) {
+            true => self.time_left(),
+            false if is_first => left / 2,
+            false => Duration::ZERO,
+        };
+        most.min(MOST_PATIENCE)
+    }
+
     /// Whether the box's share of the retry budget has a repeat left.
     pub fn has_retry_budget(&self) -> bool {
         let (now, boxes) = (self.relay.clock.now(), self.relay.boxes());
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -35,8 +35,7 @@
 use crate::relay::log_lines;
 use crate::relay::reservations::NotReserved;
 use crate::relay::reservations::Reservations;
-use crate::relay::server_gate;
-use crate::relay::server_gate::Gate;
+use crate::relay::server_gate::Target;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -51,7 +50,7 @@
     /// The server that runs it.
     pub server: ServerName,
     /// The life of the server that is meant, and its hall.
-    pub gate: Gate,
+    pub target: Target,
     /// Where it listens.
     pub address: String,
     /// Engines that read parts of the prompt.
@@ -138,7 +137,7 @@
     /// Its name.
     pub server: ServerName,
     /// The life of it that is meant, and its hall.
-    pub gate: Gate,
+    pub target: Target,
     /// Where it listens.
     pub address: String,
     /// Its key.
@@ -149,15 +148,16 @@
     fn of(record: &ServerRecord) -> Self {
         Self {
             server: record.info.name.clone(),
-            gate: gate_of(record),
+            target: target(record),
             address: record.info.address.clone(),
             key: record.key,
         }
     }
 }
 
-fn gate_of(record: &ServerRecord) -> Gate {
-    Gate {
+fn target(record: &ServerRecord) -> Target {
+    Target {
+        name: record.info.name.clone(),
         life: record.life,
         hall: record.info.hall.clone(),
     }
@@ -188,7 +188,7 @@
     servers: &[&ServerRecord],
     patience: Duration,
 ) -> Result<Vec<Standing>, NotNow> {
-    let limits = lock(&relay.limits);
+    let limits = lock(&relay.gate.limits);
     let mut standings: Vec<Standing> = (servers.iter())
         .map(|record| limits.standing(now, record.life))
         .collect();
@@ -240,14 +240,14 @@
     let book = lock(&relay.book);
     let hall = &relay.settings.hall;
     let usable = book.usable(now, &call.service, tried);
-    let patience = server_gate::patience(call, tried.is_empty());
+    let patience = call.patience(tried.is_empty());
     let standings = standings(relay, now, &usable, patience).map_err(NotNow::refusal)?;
     let candidates = usable.into_iter().zip(standings).collect();
     let record = ServerBook::pick(now, candidates, hall, &mut rand::rng());
     let record = record.ok_or(NotNow::NoEngines.refusal())?;
     Ok(Chosen {
         server: record.info.name.clone(),
-        gate: gate_of(record),
+        target: target(record),
         address: record.info.address.clone(),
         readers: Vec::new(),
         part: None,
@@ -316,7 +316,7 @@
     let reading = addresses.clone();
     Chosen {
         server: lead.server.clone(),
-        gate: lead.gate.clone(),
+        target: lead.target.clone(),
         address: lead.address.clone(),
         readers,
         part: plan.parts.first().map(|part| part.read),
@@ -396,7 +396,7 @@
     let table = lock(&relay.loads).table(now);
     let usable = book.usable(now, &call.service, tried);
     let usable = lock(&relay.paces).without_slow(now, usable, |record| record.key);
-    let patience = server_gate::patience(call, tried.is_empty());
+    let patience = call.patience(tried.is_empty());
     let standings = standings(relay, now, &usable, patience)?;
     let mut candidates: Vec<_> = usable.into_iter().zip(standings).collect();
     if among == Among::Apart {
--- a/daemon/src/relay/late_calls.rs
+++ b/daemon/src/relay/late_calls.rs
@@ -15,7 +15,6 @@
 use crate::relay::call::Call;
 use crate::relay::engine_call;
 use crate::relay::engines::Engine;
-use crate::relay::server_gate;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -97,7 +96,7 @@
 
 /// Its pace, as a multiple of the usual time; none where it has no room for the question either.
 async fn pace_of(relay: &Relay, engine: &Engine) -> Option<f64> {
-    let pass = server_gate::enter_idle(relay, &engine.gate).await.ok()?;
+    let pass = relay.gate.enter_idle(&engine.target).await.ok()?;
     let address = &engine.address;
     let report = async {
         let (_, body) = engine_call::exchange(address, reports::ask(), pass).await?;
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -3,12 +3,9 @@
 //! Lines of calls that were served are sampled beyond a rate, and late ones beyond a higher one;
 //! those of failures never are.
 
-use std::sync::Mutex;
 use std::time::Duration;
-use std::time::Instant;
 
 use badgerferry_lib::relay::attempts::Attempts;
-use badgerferry_lib::relay::call_rate::CallRate;
 use badgerferry_lib::relay::long_queue::Looks;
 use badgerferry_lib::relay::route_table::Denied;
 use badgerferry_lib::relay::stated::Stated;
@@ -19,48 +16,10 @@
 
 use crate::relay::call::Call;
 use crate::relay::engines::Chosen;
+use crate::relay::line_budget::GOOD_LINES;
+use crate::relay::line_budget::LATE_LINES;
 use crate::relay::tries::Live;
 use crate::relay::upstream::SendError;
-use crate::traffic::lock;
-
-/// Lines of good calls written in each second; the rest are counted.
-const GOOD_LINES_PER_SECOND: u32 = 100;
-/// Lines of late calls written in each second: all of them, unless a box is overloaded.
-const LATE_LINES_PER_SECOND: u32 = 200;
-
-/// Lines of one sort written in the current second.
-struct LineBudget {
-    most: u32,
-    written: Mutex<Option<(Instant, u32)>>,
-}
-
-static GOOD_LINES: LineBudget = LineBudget::new(GOOD_LINES_PER_SECOND);
-static LATE_LINES: LineBudget = LineBudget::new(LATE_LINES_PER_SECOND);
-
-impl LineBudget {
-    const fn new(most: u32) -> Self {
-        Self {
-            most,
-            written: Mutex::new(None),
-        }
-    }
-
-    /// Whether one more may be written; those that may not are counted.
-    fn take(&self) -> bool {
-        let mut lines = lock(&self.written);
-        let now = Instant::now();
-        let (since, written) = match *lines {
-            Some((since, written)) if now - since < Duration::from_secs(1) => (since, written),
-            _ => (now, 0),
-        };
-        let may = written < self.most;
-        *lines = Some((since, written + u32::from(may)));
-        if !may {
-            counter!("badgerferry_log_lines_sampled_total").increment(1);
-        }
-        may
-    }
-}
 
 /// A call was turned down before it had a route.
 pub fn turned_away(id: &str, why: &str) {
@@ -116,32 +75,6 @@
     );
 }
 
-/// A limited server was asked for: how long the call waits for its place, or when there is room.
-pub fn asked_limited(
-    call: &Call,
-    chosen: &Chosen,
-    limit: CallRate,
-    verdict: Result<Duration, Duration>,
-) {
-    let (outcome, lines) = match verdict {
-        Ok(_) => ("granted", &GOOD_LINES),
-        Err(_) => ("full", &LATE_LINES),
-    };
-    counter!("badgerferry_limited_calls_total", "outcome" => outcome).increment(1);
-    if !lines.take() {
-        return;
-    }
-    tracing::info!(
-        call = call.id(),
-        server = %chosen.server,
-        limit = limit.calls_per_second(),
-        outcome,
-        wait_ms = verdict.ok().map(|wait| wait.as_millis() as u64),
-        room_in_ms = verdict.err().map(|room_in| room_in.as_millis() as u64),
-        "limited server asked for"
-    );
-}
-
 /// A try got no head of an answer.
 pub fn try_failed(call: &Call, chosen: &Chosen, cause: &SendError) {
     counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -94,7 +94,7 @@
         gauge!("badgerferry_works_pushed_out").set(quarantine.pushed_out() as f64);
     }
     {
-        let limits = lock(&relay.limits);
+        let limits = lock(&relay.gate.limits);
         gauge!("badgerferry_servers_limited").set(limits.limited().count() as f64);
         gauge!("badgerferry_limits_pushed_out").set(limits.pushed_out() as f64);
     }
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -36,7 +36,6 @@
 use crate::relay::listener;
 use crate::relay::permit_post::Outgoing;
 use crate::relay::pulls;
-use crate::relay::server_gate;
 use crate::relay::state::Relay;
 use crate::relay::suspects;
 use crate::traffic::lock;
@@ -112,7 +111,7 @@
 
 /// Sends questions for calls to limited servers, and answers to such.
 async fn send_permits(relay: &Relay, socket: &UdpSocket) {
-    let Some(mut outgoing) = relay.permits.outgoing() else {
+    let Some(mut outgoing) = relay.gate.permits.outgoing() else {
         return;
     };
     while let Some(Outgoing { to, bytes }) = outgoing.recv().await {
@@ -192,7 +191,7 @@
         Teller::Hall { .. } => (lock(&relay.paces).of_hall(now), RunsOf::Hall),
     };
     let suspects = lock(&relay.quarantine).rows(now, runs_of);
-    let limits = lock(&relay.limits).rows(now);
+    let limits = lock(&relay.gate.limits).rows(now);
     LoadDatagram {
         version: FRAME_VERSION,
         from: relay.settings.name.clone(),
@@ -292,8 +291,8 @@
     loop {
         let datagram = match socket.recv_from(&mut buf).await {
             Ok((len, from)) if PermitFrame::is_one(&buf[..len]) => {
-                if let Some(answer) = server_gate::heard(relay, &buf[..len]) {
-                    relay.permits.send(from, &answer);
+                if let Some(answer) = relay.gate.heard(&buf[..len]) {
+                    relay.gate.permits.send(from, &answer);
                 }
                 continue;
             }
@@ -316,7 +315,8 @@
         take_rows(relay, now, &mut datagram);
         note_neighbour(relay, now, &datagram);
         suspects::heard(relay, now, &datagram);
-        server_gate::take_rows(relay, &datagram.limits, teller_name(&datagram));
+        let teller = teller_name(&datagram);
+        relay.gate.take_rows(&datagram.limits, teller);
         if passed_on.is_due(relay, now, &datagram) {
             pass_on(relay, socket, &datagram).await;
         }
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -26,7 +26,6 @@
 use tokio::time::timeout;
 
 use crate::relay::listener;
-use crate::relay::server_gate;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -182,7 +181,7 @@
             servers.take_news(now, news);
         });
     }
-    server_gate::take_rows(relay, &answer.limits, "a pull");
+    relay.gate.take_rows(&answer.limits, "a pull");
     let mut followed = lock(&relay.followed);
     for of in answer.boxes {
         followed.boxes.entry(of.name.clone()).or_insert(of);
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -18,7 +18,6 @@
 use crate::relay::call::Call;
 use crate::relay::engine_call;
 use crate::relay::engines::Engine;
-use crate::relay::server_gate;
 use crate::relay::state::Relay;
 
 /// How long memory is set aside without renewal; what lapses later counts as leaked.
@@ -164,7 +163,7 @@
 /// Gives an order on a connection of its own; no answer gives nothing. A limited engine counts it: one
 /// that is held back would leave its memory set aside, or lose it under a prompt.
 async fn order(relay: &Relay, engine: &Engine, call: EngineCall) -> Option<StatusCode> {
-    let pass = server_gate::charge(relay, &engine.gate);
+    let pass = relay.gate.charge(&engine.target);
     let address = &engine.address;
     match timeout(ORDER_LIMIT, engine_call::exchange(address, call, pass)).await {
         Ok(Ok((status, _))) => Some(status),
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -5,27 +5,35 @@
 //! datagrams, and answers.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use badgerferry_lib::ids::HallName;
+use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::call_rate::CallRate;
 use badgerferry_lib::relay::permit_wire::PermitAnswer;
 use badgerferry_lib::relay::permit_wire::PermitAsk;
 use badgerferry_lib::relay::permit_wire::PermitFrame;
 use badgerferry_lib::relay::permit_wire::Verdict;
 use badgerferry_lib::relay::quota_keeper::Keeper;
+use badgerferry_lib::relay::quota_keeper::QuotaKeeper;
+use badgerferry_lib::relay::server_book::ServerBook;
 use badgerferry_lib::relay::server_limits::LimitChange;
 use badgerferry_lib::relay::server_limits::LimitRow;
+use badgerferry_lib::relay::server_limits::ServerLimits;
 use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::relay::work_key::ServerLife;
+use badgerferry_lib::time::Time;
 use metrics::counter;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::relay::call::Call;
-use crate::relay::engines::Chosen;
-use crate::relay::log_lines;
-use crate::relay::state::Relay;
+use crate::clock::Clock;
+use crate::relay::followed::Followed;
+use crate::relay::line_budget::GOOD_LINES;
+use crate::relay::line_budget::LATE_LINES;
+use crate::relay::permit_post::PermitPost;
 use crate::traffic::lock;
 
 /// Longest waits for an answer to a question, which is then asked again: halls are milliseconds apart,
@@ -37,7 +45,7 @@
 /// answer, the call hears so.
 pub const MOST_ASKED: usize = 8;
 /// Longest wait of a call for its place at a limited server, where all are.
-const MOST_PATIENCE: Duration = Duration::from_secs(1);
+pub const MOST_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Allows one request to one server; only this module makes it.
 #[derive(Debug)]
@@ -47,248 +55,322 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Closed;
 
-/// A server as far as its limit goes.
+/// The server that a request is meant for.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Gate {
+pub struct Target {
+    /// Its name.
+    pub name: ServerName,
     /// The life of it that is meant.
     pub life: ServerLife,
     /// Its data hall.
     pub hall: HallName,
 }
 
-/// How long a call may wait for its place, where no server takes it at once: so that it can still be on
-/// time, and a repeat not at all. A stream that has begun would be cut instead.
-pub fn patience(call: &Call, is_first: bool) -> Duration {
-    let left = call.relay.clock.now().until(call.due());
-    let most = match call.has_begun.load(Ordering::Relaxed) {
-        true => call.time_left(),
-        false if is_first => left / 2,
-        false => Duration::ZERO,
-    };
-    most.min(MOST_PATIENCE)
+/// A call that is to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Entrant<'a> {
+    /// Its id, for logs.
+    pub id: &'a str,
+    /// Where it is to go.
+    pub target: &'a Target,
+    /// How long it may wait for its place.
+    pub patience: Duration,
 }
 
-/// Lets a call to its server, at once where that names no limit.
-///
-/// # Errors
-///
-/// The server has no room, and is closed to this box until it may have some.
-pub async fn enter(call: &Call, chosen: &Chosen, is_first: bool) -> Result<Pass, Closed> {
-    let relay = &call.relay;
-    let now = relay.clock.now();
-    let (limit, was_closed) = {
-        let limits = lock(&relay.limits);
-        let life = chosen.gate.life;
-        (limits.limit(life), !limits.closed_for(now, life).is_zero())
-    };
-    let Some(limit) = limit else {
-        return Ok(Pass(()));
-    };
-    // It was chosen though it is closed: there is no other one.
-    let patience = if was_closed {
-        patience(call, is_first)
-    } else {
-        Duration::ZERO
-    };
-    let verdict = ask(relay, &chosen.gate, patience).await;
-    log_lines::asked_limited(call, chosen, limit, verdict);
-    if let Ok(wait) = verdict {
-        tokio::time::sleep(wait).await;
-    }
-    verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
+/// What the gate shares with the rest of the box.
+#[derive(Debug)]
+pub struct GateParts {
+    /// This box.
+    pub own: String,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Which boxes live.
+    pub followed: Arc<Mutex<Followed>>,
+    /// Names of servers.
+    pub book: Arc<Mutex<ServerBook>>,
+    /// Wakes whoever tells the boxes of this hall.
+    pub urgent_changed: Arc<Notify>,
+    /// Wakes whoever tells other halls.
+    pub hall_changed: Arc<Notify>,
 }
 
-/// Lets a request to a server that nobody waits for.
-///
-/// # Errors
-///
-/// It has no room.
-pub async fn enter_idle(relay: &Relay, gate: &Gate) -> Result<Pass, Closed> {
-    if lock(&relay.limits).limit(gate.life).is_none() {
-        return Ok(Pass(()));
-    }
-    let verdict = ask(relay, gate, Duration::ZERO).await;
-    verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
+/// The way to servers.
+#[derive(Debug)]
+pub struct ServerGate {
+    parts: GateParts,
+    /// Servers that say how many calls they take.
+    pub limits: Mutex<ServerLimits>,
+    /// Counts of those whose calls this box gives out.
+    quotas: Mutex<QuotaKeeper>,
+    /// Questions for calls to them.
+    pub permits: PermitPost,
 }
 
-/// Lets a request go that can't be held back, as what gives memory back can't; it counts.
-pub fn charge(relay: &Relay, gate: &Gate) -> Pass {
-    let now = relay.clock.now();
-    let word = lock(&relay.limits).row_of(now, gate.life);
-    let Some((word, limit)) = word.and_then(|word| Some((word, word.rate?))) else {
-        return Pass(());
-    };
-    match relay.keeper(&gate.hall) {
-        Keeper::Here { takers } => {
-            lock(&relay.quotas).charge(now, gate.life, limit.shared_by(takers));
+impl ServerGate {
+    /// A gate to which no server has said anything yet.
+    pub fn new(parts: GateParts) -> Self {
+        Self {
+            parts,
+            limits: Mutex::default(),
+            quotas: Mutex::default(),
+            permits: PermitPost::default(),
         }
-        Keeper::At(address) => {
-            let ask = question(gate, word, Duration::ZERO);
-            relay.permits.send(address, &PermitFrame::Charge(ask));
-        }
-        Keeper::Unknown => {}
     }
-    Pass(())
-}
 
-/// Asks for a call; gives back how long it must wait, or when there is room. Then the server is
-/// closed to this box until that time.
-async fn ask(relay: &Relay, gate: &Gate, patience: Duration) -> Result<Duration, Duration> {
-    let asked = relay.clock.now();
-    let Some(word) = lock(&relay.limits).row_of(asked, gate.life) else {
-        return Ok(Duration::ZERO);
-    };
-    let verdict = match relay.keeper(&gate.hall) {
-        Keeper::Here { takers } => decide(relay, gate.life, takers, patience),
-        Keeper::At(address) => ask_keeper(relay, address, question(gate, word, patience)).await,
-        Keeper::Unknown => Verdict::NotKept,
-    };
-    let room_in = match verdict {
-        Verdict::Granted { after } => return Ok(Duration::from_micros(after.into())),
-        Verdict::Full { room_in } => Duration::from_micros(room_in.into()),
-        Verdict::NotKept => NO_KEEPER,
-    };
-    lock(&relay.limits).close(relay.clock.now(), gate.life, room_in);
-    Err(room_in)
-}
+    /// Lets a call to its server, at once where that names no limit.
+    ///
+    /// # Errors
+    ///
+    /// The server has no room, and is closed to this box until it may have some.
+    pub async fn enter(&self, entrant: &Entrant<'_>) -> Result<Pass, Closed> {
+        let now = self.now();
+        let target = entrant.target;
+        let (limit, was_closed) = {
+            let limits = lock(&self.limits);
+            let life = target.life;
+            (limits.limit(life), !limits.closed_for(now, life).is_zero())
+        };
+        let Some(limit) = limit else {
+            return Ok(Pass(()));
+        };
+        // It was chosen though it is closed: there is no other one.
+        let patience = if was_closed {
+            entrant.patience
+        } else {
+            Duration::ZERO
+        };
+        let verdict = self.ask(target, patience).await;
+        log_asked(entrant, limit, verdict);
+        if let Ok(wait) = verdict {
+            tokio::time::sleep(wait).await;
+        }
+        verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
+    }
 
-fn question(gate: &Gate, word: LimitRow, patience: Duration) -> PermitAsk {
-    PermitAsk {
-        id: rand::random(),
-        hall: gate.hall.clone(),
-        word,
-        patience_ms: patience.as_millis() as u32,
+    /// Lets a request to a server that nobody waits for.
+    ///
+    /// # Errors
+    ///
+    /// It has no room.
+    pub async fn enter_idle(&self, target: &Target) -> Result<Pass, Closed> {
+        if lock(&self.limits).limit(target.life).is_none() {
+            return Ok(Pass(()));
+        }
+        let verdict = self.ask(target, Duration::ZERO).await;
+        verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
     }
-}
 
-async fn ask_keeper(relay: &Relay, address: SocketAddr, ask: PermitAsk) -> Verdict {
-    let id = ask.id;
-    let frame = PermitFrame::Ask(ask);
-    for limit in ANSWER_LIMITS {
-        let answer = relay.permits.expect(id);
-        relay.permits.send(address, &frame);
-        if let Ok(Ok(verdict)) = timeout(limit, answer).await {
-            return verdict;
+    /// Lets a request go that can't be held back, as what gives memory back can't; it counts.
+    pub fn charge(&self, target: &Target) -> Pass {
+        let now = self.now();
+        let word = lock(&self.limits).row_of(now, target.life);
+        let Some((word, limit)) = word.and_then(|word| Some((word, word.rate?))) else {
+            return Pass(());
+        };
+        match self.keeper(&target.hall) {
+            Keeper::Here { takers } => {
+                lock(&self.quotas).charge(now, target.life, limit.shared_by(takers));
+            }
+            Keeper::At(address) => {
+                let ask = question(target, word, Duration::ZERO);
+                self.permits.send(address, &PermitFrame::Charge(ask));
+            }
+            Keeper::Unknown => {}
         }
+        Pass(())
     }
-    relay.permits.forget(id);
-    counter!("badgerferry_limit_questions_lost_total").increment(1);
-    tracing::info!(keeper = %address, "a question for a limited server got no answer");
-    Verdict::NotKept
-}
 
-/// Decides on a call to a server whose calls this box gives out.
-fn decide(relay: &Relay, life: ServerLife, takers: usize, patience: Duration) -> Verdict {
-    let now = relay.clock.now();
-    // Its limit may be over by a newer word than the asking box has.
-    let Some(limit) = lock(&relay.limits).limit(life) else {
-        return Verdict::Granted { after: 0 };
-    };
-    let taken = lock(&relay.quotas).take(now, life, limit.shared_by(takers), patience);
-    let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
-    match taken {
-        Ok(wait) => Verdict::Granted {
-            after: micros(wait),
-        },
-        Err(full) => Verdict::Full {
-            room_in: micros(full.room_in),
-        },
+    fn now(&self) -> Time {
+        self.parts.clock.now()
+    }
+
+    /// Who gives out the calls of limited servers of a hall.
+    fn keeper(&self, hall: &HallName) -> Keeper {
+        lock(&self.parts.followed).keeper(self.now(), &self.parts.own, hall)
+    }
+
+    /// Asks for a call; gives back how long it must wait, or when there is room. Then the server is
+    /// closed to this box until that time.
+    async fn ask(&self, target: &Target, patience: Duration) -> Result<Duration, Duration> {
+        let asked = self.now();
+        let Some(word) = lock(&self.limits).row_of(asked, target.life) else {
+            return Ok(Duration::ZERO);
+        };
+        let verdict = match self.keeper(&target.hall) {
+            Keeper::Here { takers } => self.decide(target.life, takers, patience),
+            Keeper::At(address) => {
+                self.ask_keeper(address, question(target, word, patience))
+                    .await
+            }
+            Keeper::Unknown => Verdict::NotKept,
+        };
+        let room_in = match verdict {
+            Verdict::Granted { after } => return Ok(Duration::from_micros(after.into())),
+            Verdict::Full { room_in } => Duration::from_micros(room_in.into()),
+            Verdict::NotKept => NO_KEEPER,
+        };
+        lock(&self.limits).close(self.now(), target.life, room_in);
+        Err(room_in)
     }
-}
 
-/// Takes a datagram of another box; gives back the answer to it, if it asks for one.
-pub fn heard(relay: &Relay, bytes: &[u8]) -> Option<PermitFrame> {
-    match PermitFrame::decode(bytes) {
-        Ok(PermitFrame::Ask(ask)) => Some(PermitFrame::Answer(answer(relay, &ask))),
-        Ok(PermitFrame::Charge(ask)) => {
-            charged(relay, &ask);
-            None
+    async fn ask_keeper(&self, address: SocketAddr, ask: PermitAsk) -> Verdict {
+        let id = ask.id;
+        let frame = PermitFrame::Ask(ask);
+        for limit in ANSWER_LIMITS {
+            let answer = self.permits.expect(id);
+            self.permits.send(address, &frame);
+            if let Ok(Ok(verdict)) = timeout(limit, answer).await {
+                return verdict;
+            }
         }
-        Ok(PermitFrame::Answer(answer)) => {
-            relay.permits.take(answer);
-            None
+        self.permits.forget(id);
+        counter!("badgerferry_limit_questions_lost_total").increment(1);
+        tracing::info!(keeper = %address, "a question for a limited server got no answer");
+        Verdict::NotKept
+    }
+
+    /// Decides on a call to a server whose calls this box gives out.
+    fn decide(&self, life: ServerLife, takers: usize, patience: Duration) -> Verdict {
+        let now = self.now();
+        // Its limit may be over by a newer word than the asking box has.
+        let Some(limit) = lock(&self.limits).limit(life) else {
+            return Verdict::Granted { after: 0 };
+        };
+        let taken = lock(&self.quotas).take(now, life, limit.shared_by(takers), patience);
+        let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
+        match taken {
+            Ok(wait) => Verdict::Granted {
+                after: micros(wait),
+            },
+            Err(full) => Verdict::Full {
+                room_in: micros(full.room_in),
+            },
         }
-        Err(cause) => {
-            counter!("badgerferry_datagrams_dropped_total", "why" => "malformed").increment(1);
-            tracing::debug!(%cause, "a datagram was dropped");
-            None
+    }
+
+    /// Takes a datagram of another box; gives back the answer to it, if it asks for one.
+    pub fn heard(&self, bytes: &[u8]) -> Option<PermitFrame> {
+        match PermitFrame::decode(bytes) {
+            Ok(PermitFrame::Ask(ask)) => Some(PermitFrame::Answer(self.answer(&ask))),
+            Ok(PermitFrame::Charge(ask)) => {
+                self.charged(&ask);
+                None
+            }
+            Ok(PermitFrame::Answer(answer)) => {
+                self.permits.take(answer);
+                None
+            }
+            Err(cause) => {
+                counter!("badgerferry_datagrams_dropped_total", "why" => "malformed").increment(1);
+                tracing::debug!(%cause, "a datagram was dropped");
+                None
+            }
         }
     }
-}
 
-fn answer(relay: &Relay, ask: &PermitAsk) -> PermitAnswer {
-    let id = ask.id;
-    if let Some(verdict) = lock(&relay.quotas).answered_before(id) {
-        return PermitAnswer { id, verdict };
+    fn answer(&self, ask: &PermitAsk) -> PermitAnswer {
+        let id = ask.id;
+        if let Some(verdict) = lock(&self.quotas).answered_before(id) {
+            return PermitAnswer { id, verdict };
+        }
+        self.take_rows(&[ask.word], "a question");
+        let patience = Duration::from_millis(ask.patience_ms.into());
+        let verdict = match self.keeper(&ask.hall) {
+            Keeper::Here { takers } => self.decide(ask.word.life, takers, patience),
+            Keeper::At(_) | Keeper::Unknown => Verdict::NotKept,
+        };
+        lock(&self.quotas).note_answer(id, verdict);
+        PermitAnswer { id, verdict }
     }
-    take_rows(relay, &[ask.word], "a question");
-    let patience = Duration::from_millis(ask.patience_ms.into());
-    let verdict = match relay.keeper(&ask.hall) {
-        Keeper::Here { takers } => decide(relay, ask.word.life, takers, patience),
-        Keeper::At(_) | Keeper::Unknown => Verdict::NotKept,
-    };
-    lock(&relay.quotas).note_answer(id, verdict);
-    PermitAnswer { id, verdict }
-}
 
-fn charged(relay: &Relay, ask: &PermitAsk) {
-    take_rows(relay, &[ask.word], "a question");
-    let now = relay.clock.now();
-    let limit = lock(&relay.limits).limit(ask.word.life);
-    if let (Some(limit), Keeper::Here { takers }) = (limit, relay.keeper(&ask.hall)) {
-        lock(&relay.quotas).charge(now, ask.word.life, limit.shared_by(takers));
+    fn charged(&self, ask: &PermitAsk) {
+        self.take_rows(&[ask.word], "a question");
+        let now = self.now();
+        let limit = lock(&self.limits).limit(ask.word.life);
+        if let (Some(limit), Keeper::Here { takers }) = (limit, self.keeper(&ask.hall)) {
+            lock(&self.quotas).charge(now, ask.word.life, limit.shared_by(takers));
+        }
     }
-}
 
-/// Takes what a server's answer says of its limit.
-pub fn answered(call: &Call, chosen: &Chosen, word: Stated<CallRate>) {
-    let relay = &call.relay;
-    if word == Stated::Unreadable {
-        counter!("badgerferry_limits_unreadable_total").increment(1);
-        tracing::info!(call = call.id(), server = %chosen.server, "a limit can't be read");
+    /// Takes what a server's answer to the call of this id says of its limit.
+    pub fn answered(&self, id: &str, target: &Target, limit: Stated<CallRate>) {
+        if limit == Stated::Unreadable {
+            counter!("badgerferry_limits_unreadable_total").increment(1);
+            tracing::info!(call = id, server = %target.name, "a limit can't be read");
+        }
+        let now = self.now();
+        let change = lock(&self.limits).answered(now, target.life, limit);
+        if let Some(change) = change {
+            self.tell(&change, "an answer");
+        }
     }
-    let now = relay.clock.now();
-    let change = lock(&relay.limits).answered(now, chosen.gate.life, word);
-    if let Some(change) = change {
-        tell(relay, &change, "an answer");
+
+    /// Takes what another box tells of servers' limits.
+    pub fn take_rows(&self, rows: &[LimitRow], source: &str) {
+        let now = self.now();
+        let changes = lock(&self.limits).take_rows(now, rows);
+        for change in changes.iter().filter(|change| change.is_news) {
+            self.log(change, source);
+            // Other halls are told by whoever speaks for this one.
+            self.parts.hall_changed.notify_one();
+        }
     }
-}
 
-/// Takes what another box tells of servers' limits.
-pub fn take_rows(relay: &Relay, rows: &[LimitRow], source: &str) {
-    let now = relay.clock.now();
-    let changes = lock(&relay.limits).take_rows(now, rows);
-    for change in changes.iter().filter(|change| change.is_news) {
-        log(relay, change, source);
-        // Other halls are told by whoever speaks for this one.
-        relay.hall_changed.notify_one();
+    /// Logs a change that became known here first, and tells the other boxes.
+    fn tell(&self, change: &LimitChange, source: &str) {
+        if change.is_news {
+            self.log(change, source);
+            self.parts.urgent_changed.notify_one();
+            self.parts.hall_changed.notify_one();
+        }
+    }
+
+    fn log(&self, change: &LimitChange, source: &str) {
+        let server = lock(&self.parts.book).name_of(change.life);
+        let server = server.map(tracing::field::display);
+        let life = format!("{:016x}", change.life.0);
+        let before = change.before.map(CallRate::calls_per_second);
+        if let Some(rate) = change.now {
+            let limit = rate.calls_per_second();
+            tracing::info!(server, life, limit, before, source, "server names a limit");
+        } else {
+            tracing::info!(
+                server,
+                life,
+                before,
+                source,
+                "server names no limit any more"
+            );
+        }
     }
 }
 
-/// Logs a change that became known here first, and tells the other boxes.
-fn tell(relay: &Relay, change: &LimitChange, source: &str) {
-    if change.is_news {
-        log(relay, change, source);
-        relay.urgent_changed.notify_one();
-        relay.hall_changed.notify_one();
+fn question(target: &Target, word: LimitRow, patience: Duration) -> PermitAsk {
+    PermitAsk {
+        id: rand::random(),
+        hall: target.hall.clone(),
+        word,
+        patience_ms: patience.as_millis() as u32,
     }
 }
 
-fn log(relay: &Relay, change: &LimitChange, source: &str) {
-    let server = lock(&relay.book).name_of(change.life);
-    let server = server.map(tracing::field::display);
-    let life = format!("{:016x}", change.life.0);
-    let before = change.before.map(CallRate::calls_per_second);
-    if let Some(rate) = change.now {
-        let limit = rate.calls_per_second();
-        tracing::info!(server, life, limit, before, source, "server names a limit");
-    } else {
-        tracing::info!(
-            server,
-            life,
-            before,
-            source,
-            "server names no limit any more"
-        );
+/// A limited server was asked for: how long the call waits for its place, or when there is room.
+fn log_asked(entrant: &Entrant<'_>, limit: CallRate, verdict: Result<Duration, Duration>) {
+    let (outcome, lines) = match verdict {
+        Ok(_) => ("granted", &GOOD_LINES),
+        Err(_) => ("full", &LATE_LINES),
+    };
+    counter!("badgerferry_limited_calls_total", "outcome" => outcome).increment(1);
+    if !lines.take() {
+        return;
     }
+    tracing::info!(
+        call = entrant.id,
+        server = %entrant.target.name,
+        limit = limit.calls_per_second(),
+        outcome,
+        wait_ms = verdict.ok().map(|wait| wait.as_millis() as u64),
+        room_in_ms = verdict.err().map(|room_in| room_in.as_millis() as u64),
+        "limited server asked for"
+    );
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use badgerferry_lib::ids::HallName;
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::cells;
 use badgerferry_lib::relay::cells::Boxes;
@@ -18,17 +17,13 @@
 use badgerferry_lib::relay::engine_load::EngineKey;
 use badgerferry_lib::relay::engine_load::EngineLoads;
 use badgerferry_lib::relay::engine_pace::EnginePaces;
-use badgerferry_lib::relay::heard_boxes::HeardBoxes;
 use badgerferry_lib::relay::long_queue::LongQueue;
 use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::Quarantine;
-use badgerferry_lib::relay::quota_keeper::Keeper;
-use badgerferry_lib::relay::quota_keeper::QuotaKeeper;
 use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_book::ServerBook;
-use badgerferry_lib::relay::server_limits::ServerLimits;
 use badgerferry_lib::relay::server_list::ServerList;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
 use badgerferry_lib::relay::state_pull::PullAnswer;
@@ -43,31 +38,12 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
-use crate::relay::permit_post::PermitPost;
+use crate::relay::followed::Followed;
+use crate::relay::server_gate::GateParts;
+use crate::relay::server_gate::ServerGate;
 use crate::relay::upstream::Upstream;
 use crate::traffic::lock;
 
-/// What control knows of the platform's state.
-#[derive(Debug, Default)]
-pub struct Followed {
-    /// Revision of the route table in force; 0 for none.
-    pub table_revision: u64,
-    /// The servers.
-    pub servers: ServerList,
-    /// All boxes that are known, this one included.
-    pub boxes: Boxes,
-    /// Which other boxes are heard.
-    pub heard: HeardBoxes,
-    /// When the store last answered this box.
-    pub store_at: Option<Time>,
-    /// When a neighbour last said that the store answers it.
-    pub neighbour_at: Option<Time>,
-    /// Whether a box was heard that is not known.
-    pub heard_unknown: bool,
-    /// When boxes were last asked for.
-    pub boxes_asked: Option<Time>,
-}
-
 /// A store that answered within this time is followed; a watch takes little less.
 const FOLLOWS: Duration = Duration::from_secs(4);
 /// Without a word of a neighbour that follows the store for this long, a box follows it itself.
@@ -86,13 +62,6 @@
     }
 }
 
-impl Followed {
-    /// Whom this box tells of its work, and whose engines it uses first.
-    pub fn scope(&self) -> Scope {
-        Scope::of(&self.boxes)
-    }
-}
-
 /// A route table, encoded once for all boxes that ask for it.
 #[derive(Debug, Clone)]
 struct EncodedTable {
@@ -114,7 +83,7 @@
     /// Wakes calls that wait for the first route table.
     routes_known: Notify,
     /// Servers and how they do.
-    pub book: Mutex<ServerBook>,
+    pub book: Arc<Mutex<ServerBook>>,
     /// Work at engines, of all boxes.
     pub loads: Mutex<EngineLoads>,
     /// Engines that are slow.
@@ -129,25 +98,21 @@
     pub verdicts: Notify,
     /// Wakes whoever writes to the store what is known of them.
     pub suspects_changed: Notify,
-    /// Servers that say how many calls they take.
-    pub limits: Mutex<ServerLimits>,
-    /// Counts of those whose calls this box gives out.
-    pub quotas: Mutex<QuotaKeeper>,
-    /// Questions for calls to them.
-    pub permits: PermitPost,
+    /// The way to servers.
+    pub gate: ServerGate,
     /// Connections to servers.
     pub upstream: Upstream,
     /// What control knows of the platform's state.
-    pub followed: Mutex<Followed>,
+    pub followed: Arc<Mutex<Followed>>,
     /// The route table in force as other boxes are told it.
     encoded_table: Mutex<Option<EncodedTable>>,
     /// Wakes the sender of load datagrams.
     pub load_changed: Notify,
     /// Wakes it at once: a long prompt waits, starts or has been read, an engine is slow, there are
     /// new routes, or servers leave.
-    pub urgent_changed: Notify,
+    pub urgent_changed: Arc<Notify>,
     /// Wakes whoever tells other halls: a long prompt of this hall waits, starts or has been read.
-    pub hall_changed: Notify,
+    pub hall_changed: Arc<Notify>,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Whether new calls are refused, late in a planned stop.
@@ -164,13 +129,26 @@
             boxes: Boxes::from([(own.name.clone(), own)]),
             ..Followed::default()
         };
+        let followed = Arc::new(Mutex::new(followed));
+        let book: Arc<Mutex<ServerBook>> = Arc::default();
+        let urgent_changed: Arc<Notify> = Arc::default();
+        let hall_changed: Arc<Notify> = Arc::default();
+        let clock = Clock::start();
+        let gate = ServerGate::new(GateParts {
+            own: settings.name.clone(),
+            clock,
+            followed: Arc::clone(&followed),
+            book: Arc::clone(&book),
+            urgent_changed: Arc::clone(&urgent_changed),
+            hall_changed: Arc::clone(&hall_changed),
+        });
         Self {
             settings,
             lifetime: rand::random(),
-            clock: Clock::start(),
+            clock,
             routes: ArcSwapOption::empty(),
             routes_known: Notify::new(),
-            book: Mutex::default(),
+            book,
             loads: Mutex::default(),
             paces: Mutex::default(),
             long_queue: Mutex::default(),
@@ -178,15 +156,13 @@
             quarantine: Mutex::default(),
             verdicts: Notify::new(),
             suspects_changed: Notify::new(),
-            limits: Mutex::default(),
-            quotas: Mutex::default(),
-            permits: PermitPost::default(),
+            gate,
             upstream: Upstream::default(),
-            followed: Mutex::new(followed),
+            followed,
             encoded_table: Mutex::default(),
             load_changed: Notify::new(),
-            urgent_changed: Notify::new(),
-            hall_changed: Notify::new(),
+            urgent_changed,
+            hall_changed,
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -279,15 +255,6 @@
         quarantine::rank(work, &self.settings.name, names)
     }
 
-    /// Who gives out the calls of limited servers of a hall.
-    pub fn keeper(&self, hall: &HallName) -> Keeper {
-        let now = self.clock.now();
-        let followed = lock(&self.followed);
-        let lives = |name: &str| followed.heard.lives(now, name);
-        let up_for = now.since(Time::ZERO);
-        Keeper::of(&followed.boxes, &self.settings.name, hall, up_for, lives)
-    }
-
     /// Whether a box is known to stand in this box's hall.
     pub fn is_near(&self, boxes: &Boxes, name: &str) -> bool {
         let of = boxes.get(name);
@@ -300,7 +267,7 @@
         // Boxes that are up hear of limits with the datagrams.
         let has_just_started = have.table == 0;
         let limits = if has_just_started {
-            lock(&self.limits).all_rows(self.clock.now())
+            lock(&self.gate.limits).all_rows(self.clock.now())
         } else {
             Vec::new()
         };
--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -152,7 +152,7 @@
     let is_listed = {
         let book = lock(&relay.book);
         let record = book.get(&chosen.server);
-        record.is_some_and(|record| !record.info.leaving && record.life == chosen.gate.life)
+        record.is_some_and(|record| !record.info.leaving && record.life == chosen.target.life)
     };
     if !is_listed || !nobody_listens(&chosen.address).await {
         return;
@@ -163,11 +163,11 @@
         call = call.id(),
         %work,
         server = %chosen.server,
-        life = format!("{:016x}", chosen.gate.life.0),
+        life = format!("{:016x}", chosen.target.life.0),
         "server ended under a call"
     );
     call.saw_end.store(true, Ordering::Relaxed);
-    let change = lock(&relay.quarantine).server_ended(now, work, chosen.gate.life, began);
+    let change = lock(&relay.quarantine).server_ended(now, work, chosen.target.life, began);
     tell(relay, change, "a run here");
 }
 
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -30,7 +30,7 @@
 use crate::relay::engines;
 use crate::relay::engines::Chosen;
 use crate::relay::log_lines;
-use crate::relay::server_gate;
+use crate::relay::server_gate::Entrant;
 use crate::relay::server_gate::MOST_ASKED;
 use crate::relay::server_gate::NO_KEEPER;
 use crate::relay::server_gate::Pass;
@@ -255,7 +255,9 @@
     let speaks = head.is_ours && head.word != RunWord::OtherServer;
     // That it names none counts only where the whole head is the server's own.
     if speaks && (head.has_proof || head.limit != Stated::Absent) {
-        server_gate::answered(call, &flight.chosen, head.limit);
+        call.relay
+            .gate
+            .answered(call.id(), &flight.chosen.target, head.limit);
     }
     log_lines::server_notices(call, &flight.chosen, &head);
     let received = Received {
@@ -292,7 +294,12 @@
 ) -> Result<(Chosen, Pass), (RefusalReason, Duration)> {
     for _ in 0..MOST_ASKED {
         let chosen = engines::choose(call, tried, is_apart).await?;
-        if let Ok(pass) = server_gate::enter(call, &chosen, tried.is_empty()).await {
+        let entrant = Entrant {
+            id: call.id(),
+            target: &chosen.target,
+            patience: call.patience(tried.is_empty()),
+        };
+        if let Ok(pass) = call.relay.gate.enter(&entrant).await {
             return Ok((chosen, pass));
         }
     }
