relay: nothing new goes to a server that says in an answer that it leaves

Cause: the header stood in no type; the list of the store was the only thing that told of it, and the store was away.

The fact belongs to one life of a server, is never taken back and is told to all boxes: with the next datagram, at once, to other halls as well, in turn to those that were cut off, whole to a box that starts. It is asked at the gate, last before the send, so that no kind of request goes round it: calls, repeats and resumed streams, the first order for memory, reports. Only renewals and releases of memory that is already held go on. How a server stands by its own statements is one type with one order of precedence, and it comes before what a box concludes by itself: every fall-back (suspected, tried before) is among servers that take calls. Where all leave, callers hear so at once.

Ruled out: believing it for a while (2 s, as for what the list told), since an outage of the store is longer; one fact for it and for entries that say so, since an entry may be spoiled or written by another and its server lives.

--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -25,7 +25,7 @@
 use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::server_book::ServerBook;
 use badgerferry_lib::relay::server_book::ServerRecord;
-use badgerferry_lib::relay::server_limits::Standing;
+use badgerferry_lib::relay::standing::Standing;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::headers::Reader;
 
@@ -170,6 +170,8 @@
     NoEngines,
     /// All that there are take no call of this box before so long.
     AllClosed(Duration),
+    /// All that there are leave.
+    AllLeaving,
 }
 
 impl NotNow {
@@ -177,37 +179,48 @@
         match self {
             Self::NoEngines => (RefusalReason::NoServer, NO_SERVER_RETRY),
             Self::AllClosed(room_in) => (RefusalReason::ServersLimited, room_in),
+            Self::AllLeaving => (RefusalReason::ServersLeaving, NO_SERVER_RETRY),
+        }
+    }
+
+    /// Whether nothing changes in a call's favour before this time.
+    fn lasts_until(self, now: Time, at: Time) -> bool {
+        match self {
+            Self::NoEngines => false,
+            Self::AllClosed(room_in) => now + room_in >= at,
+            Self::AllLeaving => true,
         }
     }
 }
 
-/// How each server stands; where all are closed, the one that opens first may be waited for.
-fn standings(
-    relay: &Relay,
+/// Servers that may have a part in a call, and how each stands. Where none takes calls, the one that
+/// opens first may be waited for.
+fn candidates<'a>(
+    call: &Call,
     now: Time,
-    servers: &[&ServerRecord],
-    patience: Duration,
-) -> Result<Vec<Standing>, NotNow> {
-    let limits = lock(&relay.gate.limits);
-    let mut standings: Vec<Standing> = (servers.iter())
-        .map(|record| limits.standing(now, record.life))
-        .collect();
-    if standings
-        .iter()
-        .any(|standing| *standing != Standing::Closed)
-    {
-        return Ok(standings);
+    book: &'a ServerBook,
+    tried: &[ServerName],
+) -> Result<Vec<(&'a ServerRecord, Standing)>, NotNow> {
+    let notices = lock(&call.relay.gate.notices);
+    let standing = |life| notices.standing(now, life);
+    let mut usable = book.usable(now, &call.service, tried, standing);
+    if usable.iter().any(|(_, standing)| standing.takes_calls()) {
+        return Ok(usable);
     }
-    let closed = servers
-        .iter()
-        .map(|record| limits.closed_for(now, record.life));
-    let first = closed.enumerate().min_by_key(|(_, closed)| *closed);
+    let listed = book.of_service(&call.service);
+    let mut listed = listed.filter(|record| !record.info.leaving).peekable();
+    if listed.peek().is_none() {
+        return Err(NotNow::NoEngines);
+    }
+    let opens_in = |record: &'a ServerRecord| Some((notices.opens_in(now, record.life)?, record));
+    let first = listed.filter_map(opens_in).min_by_key(|(wait, _)| *wait);
     match first {
-        None => Err(NotNow::NoEngines),
-        Some((_, room_in)) if room_in > patience => Err(NotNow::AllClosed(room_in)),
-        Some((at, _)) => {
-            standings[at] = Standing::Limited;
-            Ok(standings)
+        None => Err(NotNow::AllLeaving),
+        Some((wait, _)) if wait > call.patience(tried.is_empty()) => Err(NotNow::AllClosed(wait)),
+        Some((_, record)) => {
+            usable.retain(|(other, _)| other.key != record.key);
+            usable.push((record, Standing::Limited));
+            Ok(usable)
         }
     }
 }
@@ -239,10 +252,7 @@
     let now = relay.clock.now();
     let book = lock(&relay.book);
     let hall = &relay.settings.hall;
-    let usable = book.usable(now, &call.service, tried);
-    let patience = call.patience(tried.is_empty());
-    let standings = standings(relay, now, &usable, patience).map_err(NotNow::refusal)?;
-    let candidates = usable.into_iter().zip(standings).collect();
+    let candidates = candidates(call, now, &book, tried).map_err(NotNow::refusal)?;
     let record = ServerBook::pick(now, candidates, hall, &mut rand::rng());
     let record = record.ok_or(NotNow::NoEngines.refusal())?;
     Ok(Chosen {
@@ -394,17 +404,14 @@
     let boxes = relay.boxes_beside(scope);
     let book = lock(&relay.book);
     let table = lock(&relay.loads).table(now);
-    let usable = book.usable(now, &call.service, tried);
-    let usable = lock(&relay.paces).without_slow(now, usable, |record| record.key);
-    let patience = call.patience(tried.is_empty());
-    let standings = standings(relay, now, &usable, patience)?;
-    let mut candidates: Vec<_> = usable.into_iter().zip(standings).collect();
+    let candidates = candidates(call, now, &book, tried)?;
+    let mut candidates = without_slow(relay, now, candidates);
     if among == Among::Apart {
         let busy = |(record, _): &(&ServerRecord, Standing)| {
             let load = table.get(&record.key);
             load.map_or(0, |load| u32::from(load.short) + u32::from(load.long))
         };
-        candidates.retain(|(_, standing)| *standing != Standing::Closed);
+        candidates.retain(|(_, standing)| standing.takes_calls());
         candidates = quarantine::apart(candidates, busy, &mut rand::rng());
     }
     // Engines kept for short calls are the first ones, which must take them.
@@ -441,6 +448,18 @@
     })
 }
 
+/// Leaves engines out that are slow, unless nothing that takes calls is left then.
+fn without_slow<'a>(
+    relay: &Relay,
+    now: Time,
+    candidates: Vec<(&'a ServerRecord, Standing)>,
+) -> Vec<(&'a ServerRecord, Standing)> {
+    let paces = lock(&relay.paces);
+    let fast = paces.without_slow(now, candidates.clone(), |(record, _)| record.key);
+    let takes_calls = fast.iter().any(|(_, standing)| standing.takes_calls());
+    if takes_calls { fast } else { candidates }
+}
+
 /// Enters the work of a plan.
 fn enter(relay: &Arc<Relay>, planned: Planned) -> Started {
     let Planned {
@@ -513,8 +532,8 @@
         if let Some(planned) = turn {
             return Ok(enter(relay, planned));
         }
-        // Room that comes too late is not waited for.
-        if matches!(not_now, NotNow::AllClosed(room_in) if now + room_in >= given_up_at) {
+        // What comes too late is not waited for.
+        if not_now.lasts_until(now, given_up_at) {
             return Err(not_now.refusal());
         }
         if relay.refuses() {
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -8,7 +8,6 @@
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::long_queue::Looks;
 use badgerferry_lib::relay::route_table::Denied;
-use badgerferry_lib::relay::stated::Stated;
 use badgerferry_platform::headers::AnswerHead;
 use http::StatusCode;
 use metrics::counter;
@@ -97,28 +96,12 @@
         server = %chosen.server,
         status = status.as_u16(),
         at_fault = head.at_fault,
-        retry_after_ms = head.retry_after.value().map(|span| span.as_millis() as u64),
+        retry_after_ms = head.notice.retry_after.value().map(|span| span.as_millis() as u64),
         load = ?head.load.map(|load| (load.running, load.waiting, load.slots)),
         "server declined"
     );
 }
 
-/// An answer says that its server leaves, or says something of its server that can't be read.
-pub fn server_notices(call: &Call, chosen: &Chosen, head: &AnswerHead) {
-    let server = &chosen.server;
-    if head.leaving == Stated::Value(true) {
-        tracing::info!(call = call.id(), %server, "an answer says that its server leaves");
-    }
-    let unreadable = [
-        ("server-leaving", head.leaving == Stated::Unreadable),
-        ("retry-after", head.retry_after == Stated::Unreadable),
-    ];
-    for (header, _) in unreadable.iter().filter(|(_, is_so)| *is_so) {
-        counter!("badgerferry_headers_unreadable_total", "header" => *header).increment(1);
-        tracing::info!(call = call.id(), %server, header, "a server's header can't be read");
-    }
-}
-
 /// An answer can't be used.
 pub fn unusable(call: &Call, chosen: &Chosen, status: StatusCode, why: &str) {
     counter!("badgerferry_tries_failed_total", "why" => "unusable").increment(1);
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -191,7 +191,7 @@
         Teller::Hall { .. } => (lock(&relay.paces).of_hall(now), RunsOf::Hall),
     };
     let suspects = lock(&relay.quarantine).rows(now, runs_of);
-    let limits = lock(&relay.gate.limits).rows(now);
+    let notices = lock(&relay.gate.notices).rows(now);
     LoadDatagram {
         version: FRAME_VERSION,
         from: relay.settings.name.clone(),
@@ -206,7 +206,7 @@
         departures,
         slow,
         suspects,
-        limits,
+        notices,
         rows: rows.into_iter().collect(),
     }
 }
@@ -316,7 +316,7 @@
         note_neighbour(relay, now, &datagram);
         suspects::heard(relay, now, &datagram);
         let teller = teller_name(&datagram);
-        relay.gate.take_rows(&datagram.limits, teller);
+        relay.gate.take_rows(&datagram.notices, teller);
         if passed_on.is_due(relay, now, &datagram) {
             pass_on(relay, socket, &datagram).await;
         }
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -181,7 +181,7 @@
             servers.take_news(now, news);
         });
     }
-    relay.gate.take_rows(&answer.limits, "a pull");
+    relay.gate.take_rows(&answer.notices, "a pull");
     let mut followed = lock(&relay.followed);
     for of in answer.boxes {
         followed.boxes.entry(of.name.clone()).or_insert(of);
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -18,6 +18,7 @@
 use crate::relay::call::Call;
 use crate::relay::engine_call;
 use crate::relay::engines::Engine;
+use crate::relay::server_gate::Pass;
 use crate::relay::state::Relay;
 
 /// How long memory is set aside without renewal; what lapses later counts as leaked.
@@ -65,8 +66,9 @@
             id,
             engines,
         };
-        let orders = reserved.engines.iter().map(|(engine, tokens)| {
-            order(relay, engine, orders::reserve(&reserved.id, *tokens, hold))
+        let orders = reserved.engines.iter().map(async |(engine, tokens)| {
+            let pass = relay.gate.enter_order(&engine.target).ok()?;
+            give(engine, orders::reserve(&reserved.id, *tokens, hold), pass).await
         });
         let answers = join_all(orders).await;
         let refused = answers.into_iter().zip(reserved.engines.iter());
@@ -160,10 +162,14 @@
     );
 }
 
-/// Gives an order on a connection of its own; no answer gives nothing. A limited engine counts it: one
-/// that is held back would leave its memory set aside, or lose it under a prompt.
+/// Renews or gives back. A limited engine counts it: held back, it would leave memory set aside, or
+/// lose it under a prompt.
 async fn order(relay: &Relay, engine: &Engine, call: EngineCall) -> Option<StatusCode> {
-    let pass = relay.gate.charge(&engine.target);
+    give(engine, call, relay.gate.charge(&engine.target)).await
+}
+
+/// Gives an order on a connection of its own; no answer gives nothing.
+async fn give(engine: &Engine, call: EngineCall, pass: Pass) -> Option<StatusCode> {
     let address = &engine.address;
     match timeout(ORDER_LIMIT, engine_call::exchange(address, call, pass)).await {
         Ok(Ok((status, _))) => Some(status),
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -21,7 +21,11 @@
 use badgerferry_lib::relay::server_book::ServerBook;
 use badgerferry_lib::relay::server_limits::LimitChange;
 use badgerferry_lib::relay::server_limits::LimitRow;
-use badgerferry_lib::relay::server_limits::ServerLimits;
+use badgerferry_lib::relay::server_notices::Notice;
+use badgerferry_lib::relay::server_notices::NoticeChanges;
+use badgerferry_lib::relay::server_notices::NoticeRows;
+use badgerferry_lib::relay::server_notices::ServerNotices;
+use badgerferry_lib::relay::standing::Standing;
 use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_lib::time::Time;
@@ -98,8 +102,8 @@
 #[derive(Debug)]
 pub struct ServerGate {
     parts: GateParts,
-    /// Servers that say how many calls they take.
-    pub limits: Mutex<ServerLimits>,
+    /// What servers say of the calls they take.
+    pub notices: Mutex<ServerNotices>,
     /// Counts of those whose calls this box gives out.
     quotas: Mutex<QuotaKeeper>,
     /// Questions for calls to them.
@@ -111,27 +115,40 @@
     pub fn new(parts: GateParts) -> Self {
         Self {
             parts,
-            limits: Mutex::default(),
+            notices: Mutex::default(),
             quotas: Mutex::default(),
             permits: PermitPost::default(),
         }
     }
 
-    /// Lets a call to its server, at once where that names no limit.
+    /// Lets a call to its server, at once where that says nothing against it.
     ///
     /// # Errors
     ///
-    /// The server has no room, and is closed to this box until it may have some.
+    /// The server takes no call of this box now.
     pub async fn enter(&self, entrant: &Entrant<'_>) -> Result<Pass, Closed> {
+        let target = entrant.target;
+        self.take_limited(entrant).await?;
+        // It may have begun to leave while the call waited.
+        let standing = self.standing(target);
+        if standing == Standing::Leaving {
+            held_back(entrant, standing);
+            return Err(Closed);
+        }
+        Ok(Pass(()))
+    }
+
+    /// Takes a place at a server that names a limit.
+    async fn take_limited(&self, entrant: &Entrant<'_>) -> Result<(), Closed> {
         let now = self.now();
         let target = entrant.target;
         let (limit, was_closed) = {
-            let limits = lock(&self.limits);
+            let limits = &lock(&self.notices).limits;
             let life = target.life;
             (limits.limit(life), !limits.closed_for(now, life).is_zero())
         };
         let Some(limit) = limit else {
-            return Ok(Pass(()));
+            return Ok(());
         };
         // It was chosen though it is closed: there is no other one.
         let patience = if was_closed {
@@ -144,26 +161,41 @@
         if let Ok(wait) = verdict {
             tokio::time::sleep(wait).await;
         }
-        verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
+        verdict.map(|_wait| ()).map_err(|_room_in| Closed)
     }
 
     /// Lets a request to a server that nobody waits for.
     ///
     /// # Errors
     ///
-    /// It has no room.
+    /// It takes none now.
     pub async fn enter_idle(&self, target: &Target) -> Result<Pass, Closed> {
-        if lock(&self.limits).limit(target.life).is_none() {
-            return Ok(Pass(()));
+        match self.standing(target) {
+            Standing::Open => return Ok(Pass(())),
+            Standing::Closed | Standing::Leaving => return Err(Closed),
+            Standing::Limited => {}
         }
         let verdict = self.ask(target, Duration::ZERO).await;
         verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
     }
 
+    /// Lets an order go that begins something new.
+    ///
+    /// # Errors
+    ///
+    /// The server leaves.
+    pub fn enter_order(&self, target: &Target) -> Result<Pass, Closed> {
+        if self.standing(target).reads_parts() {
+            Ok(self.charge(target))
+        } else {
+            Err(Closed)
+        }
+    }
+
     /// Lets a request go that can't be held back, as what gives memory back can't; it counts.
     pub fn charge(&self, target: &Target) -> Pass {
         let now = self.now();
-        let word = lock(&self.limits).row_of(now, target.life);
+        let word = lock(&self.notices).limits.row_of(now, target.life);
         let Some((word, limit)) = word.and_then(|word| Some((word, word.rate?))) else {
             return Pass(());
         };
@@ -180,6 +212,10 @@
         Pass(())
     }
 
+    fn standing(&self, target: &Target) -> Standing {
+        lock(&self.notices).standing(self.now(), target.life)
+    }
+
     fn now(&self) -> Time {
         self.parts.clock.now()
     }
@@ -193,7 +229,7 @@
     /// closed to this box until that time.
     async fn ask(&self, target: &Target, patience: Duration) -> Result<Duration, Duration> {
         let asked = self.now();
-        let Some(word) = lock(&self.limits).row_of(asked, target.life) else {
+        let Some(word) = lock(&self.notices).limits.row_of(asked, target.life) else {
             return Ok(Duration::ZERO);
         };
         let verdict = match self.keeper(&target.hall) {
@@ -209,7 +245,9 @@
             Verdict::Full { room_in } => Duration::from_micros(room_in.into()),
             Verdict::NotKept => NO_KEEPER,
         };
-        lock(&self.limits).close(self.now(), target.life, room_in);
+        lock(&self.notices)
+            .limits
+            .close(self.now(), target.life, room_in);
         Err(room_in)
     }
 
@@ -233,7 +271,7 @@
     fn decide(&self, life: ServerLife, takers: usize, patience: Duration) -> Verdict {
         let now = self.now();
         // Its limit may be over by a newer word than the asking box has.
-        let Some(limit) = lock(&self.limits).limit(life) else {
+        let Some(limit) = lock(&self.notices).limits.limit(life) else {
             return Verdict::Granted { after: 0 };
         };
         let taken = lock(&self.quotas).take(now, life, limit.shared_by(takers), patience);
@@ -273,7 +311,7 @@
         if let Some(verdict) = lock(&self.quotas).answered_before(id) {
             return PermitAnswer { id, verdict };
         }
-        self.take_rows(&[ask.word], "a question");
+        self.take_limit(ask.word);
         let patience = Duration::from_millis(ask.patience_ms.into());
         let verdict = match self.keeper(&ask.hall) {
             Keeper::Here { takers } => self.decide(ask.word.life, takers, patience),
@@ -284,45 +322,54 @@
     }
 
     fn charged(&self, ask: &PermitAsk) {
-        self.take_rows(&[ask.word], "a question");
+        self.take_limit(ask.word);
         let now = self.now();
-        let limit = lock(&self.limits).limit(ask.word.life);
+        let limit = lock(&self.notices).limits.limit(ask.word.life);
         if let (Some(limit), Keeper::Here { takers }) = (limit, self.keeper(&ask.hall)) {
             lock(&self.quotas).charge(now, ask.word.life, limit.shared_by(takers));
         }
     }
 
-    /// Takes what a server's answer to the call of this id says of its limit.
-    pub fn answered(&self, id: &str, target: &Target, limit: Stated<CallRate>) {
-        if limit == Stated::Unreadable {
-            counter!("badgerferry_limits_unreadable_total").increment(1);
-            tracing::info!(call = id, server = %target.name, "a limit can't be read");
-        }
+    /// Takes what a server's answer to the call of this id says of it.
+    pub fn answered(&self, id: &str, target: &Target, notice: &Notice, has_proof: bool) {
+        log_unreadable(id, target, notice);
         let now = self.now();
-        let change = lock(&self.limits).answered(now, target.life, limit);
-        if let Some(change) = change {
-            self.tell(&change, "an answer");
+        let changes = lock(&self.notices).answered(now, target.life, notice, has_proof);
+        if self.log_changes(&changes, "an answer") {
+            self.parts.urgent_changed.notify_one();
+            self.parts.hall_changed.notify_one();
         }
     }
 
-    /// Takes what another box tells of servers' limits.
-    pub fn take_rows(&self, rows: &[LimitRow], source: &str) {
-        let now = self.now();
-        let changes = lock(&self.limits).take_rows(now, rows);
-        for change in changes.iter().filter(|change| change.is_news) {
-            self.log(change, source);
+    /// Takes what another box tells of servers.
+    pub fn take_rows(&self, rows: &NoticeRows, source: &str) {
+        let changes = lock(&self.notices).take_rows(self.now(), rows);
+        if self.log_changes(&changes, source) {
             // Other halls are told by whoever speaks for this one.
             self.parts.hall_changed.notify_one();
         }
     }
 
-    /// Logs a change that became known here first, and tells the other boxes.
-    fn tell(&self, change: &LimitChange, source: &str) {
-        if change.is_news {
-            self.log(change, source);
-            self.parts.urgent_changed.notify_one();
-            self.parts.hall_changed.notify_one();
+    /// Takes the limit that a question tells of.
+    fn take_limit(&self, row: LimitRow) {
+        let rows = NoticeRows {
+            limits: vec![row],
+            ..NoticeRows::default()
+        };
+        self.take_rows(&rows, "a question");
+    }
+
+    /// Logs what is new; true if any is worth telling other boxes at once.
+    fn log_changes(&self, changes: &NoticeChanges, source: &str) -> bool {
+        let limits = changes.limits.iter().filter(|change| change.is_news);
+        limits.clone().for_each(|change| self.log(change, source));
+        for life in &changes.leaving {
+            let server = lock(&self.parts.book).name_of(*life);
+            let server = server.map(tracing::field::display);
+            let life = format!("{:016x}", life.0);
+            tracing::info!(server, life, source, "server leaves");
         }
+        limits.count() > 0 || !changes.leaving.is_empty()
     }
 
     fn log(&self, change: &LimitChange, source: &str) {
@@ -354,6 +401,34 @@
     }
 }
 
+/// A call was chosen for a server that takes none, and is chosen for another one.
+fn held_back(entrant: &Entrant<'_>, standing: Standing) {
+    let why = match standing {
+        Standing::Leaving => "leaving",
+        Standing::Open | Standing::Limited | Standing::Closed => "closed",
+    };
+    counter!("badgerferry_calls_held_back_total", "why" => why).increment(1);
+    tracing::info!(
+        call = entrant.id,
+        server = %entrant.target.name,
+        why,
+        "call held back from a server"
+    );
+}
+
+/// Headers of a server that are there and can't be read.
+fn log_unreadable(id: &str, target: &Target, notice: &Notice) {
+    let unreadable = [
+        ("server-limit", notice.limit == Stated::Unreadable),
+        ("server-leaving", notice.leaving == Stated::Unreadable),
+        ("retry-after", notice.retry_after == Stated::Unreadable),
+    ];
+    for (header, _) in unreadable.iter().filter(|(_, is_so)| *is_so) {
+        counter!("badgerferry_headers_unreadable_total", "header" => *header).increment(1);
+        tracing::info!(call = id, server = %target.name, header, "a server's header can't be read");
+    }
+}
+
 /// A limited server was asked for: how long the call waits for its place, or when there is room.
 fn log_asked(entrant: &Entrant<'_>, limit: CallRate, verdict: Result<Duration, Duration>) {
     let (outcome, lines) = match verdict {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -25,6 +25,7 @@
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_book::ServerBook;
 use badgerferry_lib::relay::server_list::ServerList;
+use badgerferry_lib::relay::server_notices::NoticeRows;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
 use badgerferry_lib::relay::state_pull::PullAnswer;
 use badgerferry_lib::relay::state_pull::PullRequest;
@@ -264,12 +265,12 @@
     /// What another box lacks; see [`Self::table_for`].
     pub fn newer_than(&self, request: &PullRequest) -> PullAnswer {
         let have = request.have;
-        // Boxes that are up hear of limits with the datagrams.
+        // Boxes that are up hear of them with the datagrams.
         let has_just_started = have.table == 0;
-        let limits = if has_just_started {
-            lock(&self.gate.limits).all_rows(self.clock.now())
+        let notices = if has_just_started {
+            lock(&self.gate.notices).all_rows(self.clock.now())
         } else {
-            Vec::new()
+            NoticeRows::default()
         };
         let followed = lock(&self.followed);
         let boxes = if request.wants_boxes {
@@ -281,7 +282,7 @@
             table_follows: followed.table_revision > have.table && self.routes.load().is_some(),
             servers: followed.servers.news_since(have.servers),
             hold_left: followed.servers.hold_left(self.clock.now()),
-            limits,
+            notices,
             boxes,
         }
     }
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -10,7 +10,6 @@
 use badgerferry_lib::relay::event_join::EventJoin;
 use badgerferry_lib::relay::server_book::Evidence;
 use badgerferry_lib::relay::server_book::ToldLoad;
-use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::headers;
 use badgerferry_platform::headers::AnswerHead;
@@ -253,13 +252,12 @@
     }
     // Neither a late answer to another call nor one of another server speaks for this one.
     let speaks = head.is_ours && head.word != RunWord::OtherServer;
-    // That it names none counts only where the whole head is the server's own.
-    if speaks && (head.has_proof || head.limit != Stated::Absent) {
+    if speaks {
+        let target = &flight.chosen.target;
         call.relay
             .gate
-            .answered(call.id(), &flight.chosen.target, head.limit);
+            .answered(call.id(), target, &head.notice, head.has_proof);
     }
-    log_lines::server_notices(call, &flight.chosen, &head);
     let received = Received {
         flight,
         connection,
--- a/lib/src/relay/engine_group.rs
+++ b/lib/src/relay/engine_group.rs
@@ -9,7 +9,7 @@
 use crate::relay::call::Prompt;
 use crate::relay::engine_plan::EngineModel;
 use crate::relay::engine_plan::EngineState;
-use crate::relay::server_limits::Standing;
+use crate::relay::standing::Standing;
 
 /// Pause from which a stream may be written where long parts are read: the longest part, the
 /// steps of a pass, and a second part that came with it.
@@ -101,7 +101,7 @@
     fn has_room(&self, at: usize, count: usize) -> bool {
         let share = self.prompt.memory() / count as u64 + 1;
         let engine = &self.engines[at];
-        engine.standing != Standing::Closed && engine.free_memory(self.model) >= share
+        engine.standing.takes_calls() && engine.free_memory(self.model) >= share
     }
 
     /// The first that may lead; one that names a limit only where no other one may.
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -21,7 +21,7 @@
 use crate::relay::engine_group::LONGEST_PART_ALONE;
 use crate::relay::engine_load::EngineUse;
 use crate::relay::engine_load::Work;
-use crate::relay::server_limits::Standing;
+use crate::relay::standing::Standing;
 
 /// Engines that may read for one call beside the one that leads it; the engines' limit.
 pub const MAX_HELPERS: usize = 16;
@@ -292,7 +292,7 @@
     cost + match engine.standing {
         Standing::Open => Duration::ZERO,
         Standing::Limited => LIMITED,
-        Standing::Closed => CLOSED,
+        Standing::Closed | Standing::Leaving => CLOSED,
     }
 }
 
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -8,7 +8,7 @@
 use crate::relay::engine_load::EngineUse;
 use crate::relay::long_queue::QueueHead;
 use crate::relay::quarantine::WorkRow;
-use crate::relay::server_limits::LimitRow;
+use crate::relay::server_notices::NoticeRows;
 use crate::relay::state_pull::FRAME_VERSION;
 use crate::relay::state_pull::Revisions;
 
@@ -58,8 +58,8 @@
     pub slow: Vec<EngineKey>,
     /// Pieces of work under which servers ended.
     pub suspects: Vec<WorkRow>,
-    /// What servers say that they take.
-    pub limits: Vec<LimitRow>,
+    /// What servers say of the calls they take.
+    pub notices: NoticeRows,
     /// The work.
     pub rows: Vec<(EngineKey, EngineUse)>,
 }
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -17,8 +17,8 @@
 use crate::relay::hall_reach::HallReach;
 use crate::relay::hall_reach::ReachChange;
 use crate::relay::route_table::ServiceName;
-use crate::relay::server_limits::Standing;
 use crate::relay::server_list::ListedServer;
+use crate::relay::standing::Standing;
 use crate::relay::work_key::ServerLife;
 use crate::time::Time;
 
@@ -151,7 +151,7 @@
         };
         let limited = match standing {
             Standing::Open => 0.0,
-            Standing::Limited | Standing::Closed => LIMITED_COST,
+            Standing::Limited | Standing::Closed | Standing::Leaving => LIMITED_COST,
         };
         f64::from(calls) / f64::from(self.info.slots) + self.failing * FAILURE_COST + trip + limited
     }
@@ -244,29 +244,45 @@
         names.map(|name| &self.records[name])
     }
 
-    /// Servers that may take a call now, in the shared order; `tried` ones only if need be.
+    /// Servers that may have a part in a call now, in the shared order.
+    ///
+    /// What a server itself says comes first: no fall-back goes to one that leaves, and among the
+    /// others one that this box only suspects is used where none else takes calls. `tried` ones come
+    /// last.
     pub fn usable(
         &self,
         now: Time,
         service: &ServiceName,
         tried: &[ServerName],
-    ) -> Vec<&ServerRecord> {
-        let listed: Vec<&ServerRecord> = self
+        standing: impl Fn(ServerLife) -> Standing,
+    ) -> Vec<(&ServerRecord, Standing)> {
+        let listed = self
             .of_service(service)
-            .filter(|record| !record.info.leaving)
+            .filter(|record| !record.info.leaving);
+        let listed = listed.map(|record| (record, standing(record.life)));
+        let listed: Vec<_> = listed
+            .filter(|(_, standing)| standing.reads_parts())
             .collect();
-        let fresh = |record: &&&ServerRecord| !tried.contains(&record.info.name);
-        let works = |record: &&&ServerRecord| {
+        let is_fresh = |record: &ServerRecord| !tried.contains(&record.info.name);
+        let works = |record: &ServerRecord| {
             !record.rests(now)
                 && !record.is_told_leaving(now)
                 && self.hall_works(now, &record.info.hall)
         };
-        let best: Vec<_> = listed.iter().filter(fresh).filter(works).copied().collect();
-        if !best.is_empty() {
+        let of = |is_good: &dyn Fn(&ServerRecord) -> bool| -> Vec<(&ServerRecord, Standing)> {
+            let good = listed.iter().filter(|(record, _)| is_good(record));
+            good.copied().collect()
+        };
+        let best = of(&|record| is_fresh(record) && works(record));
+        if takes_calls(&best) {
             return best;
         }
-        let untried: Vec<_> = listed.iter().filter(fresh).copied().collect();
-        if untried.is_empty() { listed } else { untried }
+        let untried = of(&is_fresh);
+        if takes_calls(&untried) {
+            untried
+        } else {
+            listed
+        }
     }
 
     /// The server of a plain service that a call goes to, of those that may be used; none that is
@@ -277,7 +293,7 @@
         hall: &HallName,
         rng: &mut impl Rng,
     ) -> Option<&'a ServerRecord> {
-        usable.retain(|(_, standing)| *standing != Standing::Closed);
+        usable.retain(|(_, standing)| standing.takes_calls());
         let start = rng.random_range(0..usable.len().max(1));
         let turned = usable.iter().cycle().skip(start).take(usable.len());
         let cost = |record: &ServerRecord, standing| ordered(record.cost(now, hall, standing));
@@ -420,6 +436,10 @@
     }
 }
 
+fn takes_calls(servers: &[(&ServerRecord, Standing)]) -> bool {
+    servers.iter().any(|(_, standing)| standing.takes_calls())
+}
+
 /// A cost as an integer that sorts alike; costs are a few hundred at most.
 fn ordered(cost: f64) -> u64 {
     (cost * 1e6) as u64
--- a/lib/src/relay/server_limits.rs
+++ b/lib/src/relay/server_limits.rs
@@ -14,6 +14,7 @@
 
 use crate::relay::call_rate::CallRate;
 use crate::relay::moment::Moment;
+use crate::relay::standing::Standing;
 use crate::relay::stated::Stated;
 use crate::relay::turns;
 use crate::relay::work_key::ServerLife;
@@ -34,18 +35,6 @@
 /// Changes of one server within this time are told with the next heartbeat, not at once.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Whether a server takes a call of this box now.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Standing {
-    /// It names no limit.
-    #[default]
-    Open,
-    /// It takes so many from all boxes; each asks first.
-    Limited,
-    /// There is no room for a call of this box for a while.
-    Closed,
-}
-
 /// A server whose limit began, changed or ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitChange {
--- /dev/null
+++ b/lib/src/relay/standing.rs
@@ -0,0 +1,37 @@
+//! Whether a server takes a call, by what the server itself said.
+
+/// How a server stands; where several hold, the last one does.
+///
+/// These are the server's own statements. What a box concludes by itself, from failures or from
+/// silence, is a preference of [`crate::relay::server_book`] and gives way where nothing else is left;
+/// this never does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Standing {
+    /// It says nothing against it.
+    #[default]
+    Open,
+    /// It takes so many from all boxes; each asks first.
+    Limited,
+    /// There is no room for a call of this box for a while.
+    Closed,
+    /// It leaves: nothing new goes there in this life.
+    Leaving,
+}
+
+impl Standing {
+    /// Whether a call may be sent there.
+    pub const fn takes_calls(self) -> bool {
+        match self {
+            Self::Open | Self::Limited => true,
+            Self::Closed | Self::Leaving => false,
+        }
+    }
+
+    /// Whether it may have a part in another server's call: a limit counts calls alone.
+    pub const fn reads_parts(self) -> bool {
+        match self {
+            Self::Open | Self::Limited | Self::Closed => true,
+            Self::Leaving => false,
+        }
+    }
+}
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -9,11 +9,11 @@
 
 use crate::relay::cells::Boxes;
 use crate::relay::route_table::RouteTable;
-use crate::relay::server_limits::LimitRow;
 use crate::relay::server_list::ServerNews;
+use crate::relay::server_notices::NoticeRows;
 
 /// Version of the frames between boxes; a frame of another version is dropped.
-pub const FRAME_VERSION: u8 = 7;
+pub const FRAME_VERSION: u8 = 8;
 /// Largest frame, in bytes; tables are at most a megabyte in the store.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -63,8 +63,8 @@
     pub servers: Option<ServerNews>,
     /// How much longer entries that are missing now are to be held.
     pub hold_left: Duration,
-    /// What servers say that they take.
-    pub limits: Vec<LimitRow>,
+    /// What servers say of the calls they take.
+    pub notices: NoticeRows,
     /// Other boxes that are known, if they were asked for.
     pub boxes: Vec<BoxAddresses>,
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -30,6 +30,7 @@
 mod test_relay_server_book;
 mod test_relay_server_limits;
 mod test_relay_server_list;
+mod test_relay_server_notices;
 mod test_relay_state_pull;
 mod test_relay_stop;
 mod test_relay_work_key;
--- a/lib/tests/test_relay_engine_cell.rs
+++ b/lib/tests/test_relay_engine_cell.rs
@@ -11,7 +11,7 @@
 use badgerferry_lib::relay::engine_plan::EnginePlan;
 use badgerferry_lib::relay::engine_plan::EnginePool;
 use badgerferry_lib::relay::engine_plan::EngineState;
-use badgerferry_lib::relay::server_limits::Standing;
+use badgerferry_lib::relay::standing::Standing;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -12,6 +12,7 @@
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
 use badgerferry_lib::relay::load_datagram::Teller;
+use badgerferry_lib::relay::server_notices::NoticeRows;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
 use badgerferry_lib::relay::state_pull::Revisions;
 use badgerferry_lib::time::Time;
@@ -190,7 +191,7 @@
         departures: Vec::new(),
         slow: Vec::new(),
         suspects: Vec::new(),
-        limits: Vec::new(),
+        notices: NoticeRows::default(),
         rows,
     }
 }
--- a/lib/tests/test_relay_server_book.rs
+++ b/lib/tests/test_relay_server_book.rs
@@ -7,14 +7,20 @@
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_book::Evidence;
 use badgerferry_lib::relay::server_book::ServerBook;
-use badgerferry_lib::relay::server_limits::Standing;
 use badgerferry_lib::relay::server_list::ListedServer;
+use badgerferry_lib::relay::standing::Standing;
+use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_lib::time::Time;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::listed_server::server;
 
+/// Servers that say nothing of the calls they take.
+const fn open(_life: ServerLife) -> Standing {
+    Standing::Open
+}
+
 fn book(names: &[&str]) -> ServerBook {
     let mut book = ServerBook::default();
     book.set_servers(names.iter().map(|name| server(name)).collect());
@@ -26,9 +32,8 @@
     let mut counts = BTreeMap::new();
     for _ in 0..200 {
         let hall = HallName::new("hall-a");
-        let usable = book.usable(now, &ServiceName::new("boards"), tried);
-        let usable = usable.into_iter().map(|record| (record, Standing::Open));
-        let picked = ServerBook::pick(now, usable.collect(), &hall, &mut rng);
+        let usable = book.usable(now, &ServiceName::new("boards"), tried, open);
+        let picked = ServerBook::pick(now, usable, &hall, &mut rng);
         let name = picked.expect("there are servers").info.name.to_string();
         *counts.entry(name).or_default() += 1;
     }
@@ -75,11 +80,17 @@
 
     let cut = picks(&book, Time::from_millis(10), &[]);
     let later = Time::from_millis(1_100);
-    let usable = book.usable(later, &ServiceName::new("boards"), &[]).len();
+    let usable = book
+        .usable(later, &ServiceName::new("boards"), &[], open)
+        .len();
     book.sent(later, &ServerName::new("b4"));
-    let while_tried = book.usable(later, &ServiceName::new("boards"), &[]).len();
+    let while_tried = book
+        .usable(later, &ServiceName::new("boards"), &[], open)
+        .len();
     book.answers(later, &ServerName::new("b4"));
-    let after = book.usable(later, &ServiceName::new("boards"), &[]).len();
+    let after = book
+        .usable(later, &ServiceName::new("boards"), &[], open)
+        .len();
 
     assert_eq!(cut.keys().collect::<Vec<_>>(), ["a1"]);
     assert_eq!((usable, while_tried, after), (2, 1, 2));
@@ -98,7 +109,12 @@
         book.answers(Time::from_millis(at), &ServerName::new("b4"));
     }
 
-    let usable = book.usable(Time::from_millis(10), &ServiceName::new("boards"), &[]);
+    let usable = book.usable(
+        Time::from_millis(10),
+        &ServiceName::new("boards"),
+        &[],
+        open,
+    );
 
     assert_eq!(usable.len(), 1);
 }
@@ -114,8 +130,16 @@
 }
 
 fn usable_names(book: &ServerBook, at: u64) -> Vec<String> {
-    let usable = book.usable(Time::from_millis(at), &ServiceName::new("boards"), &[]);
-    let mut names: Vec<String> = usable.iter().map(|row| row.info.name.to_string()).collect();
+    let usable = book.usable(
+        Time::from_millis(at),
+        &ServiceName::new("boards"),
+        &[],
+        open,
+    );
+    let mut names: Vec<String> = usable
+        .iter()
+        .map(|(row, _)| row.info.name.to_string())
+        .collect();
     names.sort();
     names
 }
@@ -263,3 +287,55 @@
     assert_eq!(same_life.keys().collect::<Vec<_>>(), ["b"]);
     assert_eq!(next_life.len(), 2);
 }
+
+#[test]
+fn no_fallback_uses_a_server_that_leaves() {
+    let mut book = book(&["a", "b"]);
+    let (a, b) = (ServerName::new("a"), ServerName::new("b"));
+    let leaves = book.get(&a).expect("known").life;
+    let standing = |life| {
+        if life == leaves {
+            Standing::Leaving
+        } else {
+            Standing::Open
+        }
+    };
+    book.sent(Time::ZERO, &b);
+    book.ended(Time::ZERO, &b, Evidence::Unreachable);
+    let names = |tried: &[ServerName]| {
+        let at = Time::from_millis(10);
+        let usable = book.usable(at, &ServiceName::new("boards"), tried, standing);
+        let names = usable.iter().map(|(row, _)| row.info.name.clone());
+        names.collect::<Vec<_>>()
+    };
+
+    // The other one rests after a failure, then was tried besides.
+    assert_eq!(names(&[]), std::slice::from_ref(&b));
+    assert_eq!(names(std::slice::from_ref(&b)), std::slice::from_ref(&b));
+}
+
+#[test]
+fn a_server_that_is_only_suspected_is_used_where_the_others_are_closed() {
+    let mut book = book(&["a", "b"]);
+    let (a, b) = (ServerName::new("a"), ServerName::new("b"));
+    let closed = book.get(&a).expect("known").life;
+    let standing = |life| {
+        if life == closed {
+            Standing::Closed
+        } else {
+            Standing::Open
+        }
+    };
+    book.sent(Time::ZERO, &b);
+    book.ended(Time::ZERO, &b, Evidence::Unreachable);
+
+    let usable = book.usable(
+        Time::from_millis(10),
+        &ServiceName::new("boards"),
+        &[],
+        standing,
+    );
+
+    let takes = usable.iter().find(|(_, standing)| standing.takes_calls());
+    assert_eq!(takes.map(|(row, _)| &row.info.name), Some(&b));
+}
--- a/lib/tests/test_relay_server_limits.rs
+++ b/lib/tests/test_relay_server_limits.rs
@@ -5,7 +5,7 @@
 use badgerferry_lib::relay::call_rate::CallRate;
 use badgerferry_lib::relay::server_limits::LimitRow;
 use badgerferry_lib::relay::server_limits::ServerLimits;
-use badgerferry_lib::relay::server_limits::Standing;
+use badgerferry_lib::relay::standing::Standing;
 use badgerferry_lib::relay::stated::Stated;
 use badgerferry_lib::relay::work_key::ServerLife;
 use badgerferry_lib::time::Time;
--- a/testutils/src/relay_model/boxes.rs
+++ b/testutils/src/relay_model/boxes.rs
@@ -21,7 +21,7 @@
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::long_queue::LongQueue;
 use badgerferry_lib::relay::long_queue::QueueHead;
-use badgerferry_lib::relay::server_limits::Standing;
+use badgerferry_lib::relay::standing::Standing;
 use badgerferry_lib::time::Time;
 use rand::Rng;
 
