relay: a box that a server turned away sends it nothing until its pause is over

What callers saw: short calls were refused within 10 ms while 16 of 18 engines had room, in the worst second 15 of 25; calls of other classes were served.

Cause: Retry-After of a server's 503 stood in no type, and a decline was evidence of nothing. Short calls are packed on the first engines of an order that all boxes share, two of which shed, so each call chose these two again: 216 requests in 5 s. 64 of 119 calls that were lost ended after one decline, since the declines had used up the retry budget.

The pause binds the box that was turned away; the longest one holds, an answer to an earlier call does not end it, an hour is the most. It is asked at the gate, last before the send, and no fall-back passes over it. Other boxes are told and prefer other servers. When it is over, one call tries the server before others follow, never one that was turned away already. Where all servers of a service are paused, a call waits if the first of them opens in its time, and is refused at once otherwise (servers_shedding) with the time until then, spread over a quarter of it.

Ruled out: the gate's queue and calls on their way (the requests went on for as long as the engines shed), and the last resort of the choice (16 engines had room).

--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -180,6 +180,7 @@
         | RefusalReason::EndsServers
         | RefusalReason::SuspectRuns
         | RefusalReason::ServersLimited
+        | RefusalReason::ServersShedding
         | RefusalReason::ServersLeaving
         | RefusalReason::NoSettings => StatusCode::SERVICE_UNAVAILABLE,
     }
@@ -202,6 +203,7 @@
         RefusalReason::EndsServers => "servers ended under each of the last runs of it",
         RefusalReason::SuspectRuns => "servers ended under it, and another run of it goes on",
         RefusalReason::ServersLimited => "the servers take no more calls now",
+        RefusalReason::ServersShedding => "the servers shed load",
         RefusalReason::ServersLeaving => "all servers that could take it leave",
     }
 }
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -28,6 +28,7 @@
 use badgerferry_lib::relay::standing::Standing;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::headers::Reader;
+use rand::Rng;
 
 use crate::relay::call::Call;
 use crate::relay::call::NO_SERVER_RETRY;
@@ -41,6 +42,8 @@
 
 /// Estimate of a plain call's time where nothing is known, for patience with a silent server.
 const PLAIN_EXPECTED: Duration = Duration::from_millis(300);
+/// Part of the time until a server opens over which callers that are refused come back.
+const RETURN_SPREAD: f64 = 0.25;
 /// The last rank that engines know.
 const LAST_RANK: u8 = 9;
 
@@ -169,16 +172,20 @@
     /// There are none that can take it.
     NoEngines,
     /// All that there are take no call of this box before so long.
-    AllClosed(Duration),
+    AllClosed(Duration, RefusalReason),
     /// All that there are leave.
     AllLeaving,
 }
 
 impl NotNow {
-    const fn refusal(self) -> (RefusalReason, Duration) {
+    fn refusal(self) -> (RefusalReason, Duration) {
         match self {
             Self::NoEngines => (RefusalReason::NoServer, NO_SERVER_RETRY),
-            Self::AllClosed(room_in) => (RefusalReason::ServersLimited, room_in),
+            Self::AllClosed(room_in, why) => {
+                // Callers that are refused together do not come back in one instant.
+                let spread = rand::rng().random_range(0.0..RETURN_SPREAD);
+                (why, room_in + room_in.mul_f64(spread))
+            }
             Self::AllLeaving => (RefusalReason::ServersLeaving, NO_SERVER_RETRY),
         }
     }
@@ -187,7 +194,7 @@
     fn lasts_until(self, now: Time, at: Time) -> bool {
         match self {
             Self::NoEngines => false,
-            Self::AllClosed(room_in) => now + room_in >= at,
+            Self::AllClosed(room_in, _) => now + room_in >= at,
             Self::AllLeaving => true,
         }
     }
@@ -202,7 +209,13 @@
     tried: &[ServerName],
 ) -> Result<Vec<(&'a ServerRecord, Standing)>, NotNow> {
     let notices = lock(&call.relay.gate.notices);
-    let standing = |life| notices.standing(now, life);
+    let is_repeat = !tried.is_empty();
+    let standing = |life| match notices.standing(now, life) {
+        Standing::Open if is_repeat && notices.shedding.awaits_trial(now, life) => {
+            Standing::Shedding
+        }
+        standing => standing,
+    };
     let mut usable = book.usable(now, &call.service, tried, standing);
     if usable.iter().any(|(_, standing)| standing.takes_calls()) {
         return Ok(usable);
@@ -216,7 +229,13 @@
     let first = listed.filter_map(opens_in).min_by_key(|(wait, _)| *wait);
     match first {
         None => Err(NotNow::AllLeaving),
-        Some((wait, _)) if wait > call.patience(tried.is_empty()) => Err(NotNow::AllClosed(wait)),
+        Some((wait, record)) if wait > call.patience(!is_repeat) => {
+            let why = match standing(record.life) {
+                Standing::BackOff => RefusalReason::ServersShedding,
+                _ => RefusalReason::ServersLimited,
+            };
+            Err(NotNow::AllClosed(wait, why))
+        }
         Some((_, record)) => {
             usable.retain(|(other, _)| other.key != record.key);
             usable.push((record, Standing::Limited));
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -99,6 +99,8 @@
         gauge!("badgerferry_servers_limited").set(limits.limited().count() as f64);
         gauge!("badgerferry_limits_pushed_out").set(limits.pushed_out() as f64);
         gauge!("badgerferry_servers_leaving").set(notices.leaving.len() as f64);
+        let paused = notices.shedding.paused(relay.clock.now());
+        gauge!("badgerferry_servers_paused").set(paused as f64);
         gauge!("badgerferry_leaving_pushed_out").set(notices.leaving.pushed_out() as f64);
     }
     gauge!("badgerferry_boxes_known").set(relay.boxes() as f64);
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -93,6 +93,8 @@
     /// Names of servers.
     pub book: Arc<Mutex<ServerBook>>,
     /// Wakes whoever tells the boxes of this hall.
+    pub load_changed: Arc<Notify>,
+    /// Wakes it at once.
     pub urgent_changed: Arc<Notify>,
     /// Wakes whoever tells other halls.
     pub hall_changed: Arc<Notify>,
@@ -128,14 +130,26 @@
     /// The server takes no call of this box now.
     pub async fn enter(&self, entrant: &Entrant<'_>) -> Result<Pass, Closed> {
         let target = entrant.target;
+        // It was chosen though it wants no call yet: there is no other one.
+        let pause = lock(&self.notices).shedding.left(self.now(), target.life);
+        if pause <= entrant.patience {
+            tokio::time::sleep(pause).await;
+        }
         self.take_limited(entrant).await?;
-        // It may have begun to leave while the call waited.
-        let standing = self.standing(target);
-        if standing == Standing::Leaving {
-            held_back(entrant, standing);
-            return Err(Closed);
+        // What it says may have changed while the call waited.
+        let now = self.now();
+        let mut notices = lock(&self.notices);
+        let standing = notices.standing(now, target.life);
+        match standing {
+            Standing::BackOff | Standing::Leaving => {
+                held_back(entrant, standing);
+                Err(Closed)
+            }
+            Standing::Open | Standing::Limited | Standing::Shedding | Standing::Closed => {
+                notices.shedding.sent(now, target.life);
+                Ok(Pass(()))
+            }
         }
-        Ok(Pass(()))
     }
 
     /// Takes a place at a server that names a limit.
@@ -170,10 +184,11 @@
     ///
     /// It takes none now.
     pub async fn enter_idle(&self, target: &Target) -> Result<Pass, Closed> {
-        match self.standing(target) {
-            Standing::Open => return Ok(Pass(())),
-            Standing::Closed | Standing::Leaving => return Err(Closed),
-            Standing::Limited => {}
+        if !self.standing(target).takes_calls() {
+            return Err(Closed);
+        }
+        if lock(&self.notices).limits.limit(target.life).is_none() {
+            return Ok(Pass(()));
         }
         let verdict = self.ask(target, Duration::ZERO).await;
         verdict.map(|_wait| Pass(())).map_err(|_room_in| Closed)
@@ -183,7 +198,7 @@
     ///
     /// # Errors
     ///
-    /// The server leaves.
+    /// The server leaves, or wants nothing of this box now.
     pub fn enter_order(&self, target: &Target) -> Result<Pass, Closed> {
         if self.standing(target).reads_parts() {
             Ok(self.charge(target))
@@ -335,16 +350,20 @@
         log_unreadable(id, target, notice);
         let now = self.now();
         let changes = lock(&self.notices).answered(now, target.life, notice, has_proof);
-        if self.log_changes(&changes, "an answer") {
+        self.log_changes(&changes, "an answer");
+        if is_urgent(&changes) {
             self.parts.urgent_changed.notify_one();
             self.parts.hall_changed.notify_one();
+        } else if !changes.shedding.is_empty() {
+            self.parts.load_changed.notify_one();
         }
     }
 
     /// Takes what another box tells of servers.
     pub fn take_rows(&self, rows: &NoticeRows, source: &str) {
         let changes = lock(&self.notices).take_rows(self.now(), rows);
-        if self.log_changes(&changes, source) {
+        self.log_changes(&changes, source);
+        if is_urgent(&changes) {
             // Other halls are told by whoever speaks for this one.
             self.parts.hall_changed.notify_one();
         }
@@ -359,17 +378,21 @@
         self.take_rows(&rows, "a question");
     }
 
-    /// Logs what is new; true if any is worth telling other boxes at once.
-    fn log_changes(&self, changes: &NoticeChanges, source: &str) -> bool {
+    fn log_changes(&self, changes: &NoticeChanges, source: &str) {
         let limits = changes.limits.iter().filter(|change| change.is_news);
-        limits.clone().for_each(|change| self.log(change, source));
-        for life in &changes.leaving {
-            let server = lock(&self.parts.book).name_of(*life);
-            let server = server.map(tracing::field::display);
-            let life = format!("{:016x}", life.0);
-            tracing::info!(server, life, source, "server leaves");
+        limits.for_each(|change| self.log(change, source));
+        for (lives, message) in [
+            (&changes.leaving, "server leaves"),
+            (&changes.shedding, "server sheds load"),
+            (&changes.recovered, "server takes calls again"),
+        ] {
+            for life in lives {
+                let server = lock(&self.parts.book).name_of(*life);
+                let server = server.map(tracing::field::display);
+                let life = format!("{:016x}", life.0);
+                tracing::info!(server, life, source, message);
+            }
         }
-        limits.count() > 0 || !changes.leaving.is_empty()
     }
 
     fn log(&self, change: &LimitChange, source: &str) {
@@ -392,6 +415,12 @@
     }
 }
 
+/// Whether other boxes are to know at once: each call there is one too many. Of a server that sheds
+/// they hear with the next datagram.
+fn is_urgent(changes: &NoticeChanges) -> bool {
+    changes.limits.iter().any(|change| change.is_news) || !changes.leaving.is_empty()
+}
+
 fn question(target: &Target, word: LimitRow, patience: Duration) -> PermitAsk {
     PermitAsk {
         id: rand::random(),
@@ -405,7 +434,8 @@
 fn held_back(entrant: &Entrant<'_>, standing: Standing) {
     let why = match standing {
         Standing::Leaving => "leaving",
-        Standing::Open | Standing::Limited | Standing::Closed => "closed",
+        Standing::BackOff => "back_off",
+        Standing::Open | Standing::Limited | Standing::Shedding | Standing::Closed => "closed",
     };
     counter!("badgerferry_calls_held_back_total", "why" => why).increment(1);
     tracing::info!(
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -108,7 +108,7 @@
     /// The route table in force as other boxes are told it.
     encoded_table: Mutex<Option<EncodedTable>>,
     /// Wakes the sender of load datagrams.
-    pub load_changed: Notify,
+    pub load_changed: Arc<Notify>,
     /// Wakes it at once: a long prompt waits, starts or has been read, an engine is slow, there are
     /// new routes, or servers leave.
     pub urgent_changed: Arc<Notify>,
@@ -132,6 +132,7 @@
         };
         let followed = Arc::new(Mutex::new(followed));
         let book: Arc<Mutex<ServerBook>> = Arc::default();
+        let load_changed: Arc<Notify> = Arc::default();
         let urgent_changed: Arc<Notify> = Arc::default();
         let hall_changed: Arc<Notify> = Arc::default();
         let clock = Clock::start();
@@ -140,6 +141,7 @@
             clock,
             followed: Arc::clone(&followed),
             book: Arc::clone(&book),
+            load_changed: Arc::clone(&load_changed),
             urgent_changed: Arc::clone(&urgent_changed),
             hall_changed: Arc::clone(&hall_changed),
         });
@@ -161,7 +163,7 @@
             upstream: Upstream::default(),
             followed,
             encoded_table: Mutex::default(),
-            load_changed: Notify::new(),
+            load_changed,
             urgent_changed,
             hall_changed,
             stopping: AtomicBool::new(false),
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -79,6 +79,8 @@
     SuspectRuns,
     /// All servers that could take it say how many calls they take, and have those.
     ServersLimited,
+    /// All servers that could take it turned calls away and asked for a pause.
+    ServersShedding,
     /// All servers that could take it leave.
     ServersLeaving,
 }
@@ -100,6 +102,7 @@
             Self::EndsServers => "ends_servers",
             Self::SuspectRuns => "suspect_runs",
             Self::ServersLimited => "servers_limited",
+            Self::ServersShedding => "servers_shedding",
             Self::ServersLeaving => "servers_leaving",
         }
     }
--- a/lib/src/relay/engine_group.rs
+++ b/lib/src/relay/engine_group.rs
@@ -104,13 +104,15 @@
         engine.standing.takes_calls() && engine.free_memory(self.model) >= share
     }
 
-    /// The first that may lead; one that names a limit only where no other one may.
+    /// The first that may lead; one that names a limit or sheds load only where no other one may.
     fn lead_among(&self, able: &[usize]) -> Option<usize> {
         let first = |standing: Standing| {
             let may_lead = |&at: &usize| self.engines[at].standing == standing && self.leads(at);
             able.iter().position(may_lead)
         };
-        first(Standing::Open).or_else(|| first(Standing::Limited))
+        first(Standing::Open)
+            .or_else(|| first(Standing::Limited))
+            .or_else(|| first(Standing::Shedding))
     }
 
     /// So many engines that can read parts of this length; the one that leads is first.
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -64,8 +64,8 @@
 const HELPER_DELAY: Duration = Duration::from_millis(60);
 /// What a trip to another data hall costs, as time.
 const OTHER_HALL: Duration = Duration::from_millis(2);
-/// What a limited engine costs more than another, as time: its few calls are for when the others are
-/// full, and for prompts that need it.
+/// What an engine costs more than another that names a limit or sheds load, as time: its few calls
+/// are for when the others are full, and for prompts that need it.
 const LIMITED: Duration = Duration::from_millis(250);
 /// What an engine costs that takes no call now, as time: no call goes there.
 const CLOSED: Duration = Duration::from_hours(1);
@@ -291,8 +291,8 @@
     }
     cost + match engine.standing {
         Standing::Open => Duration::ZERO,
-        Standing::Limited => LIMITED,
-        Standing::Closed | Standing::Leaving => CLOSED,
+        Standing::Limited | Standing::Shedding => LIMITED,
+        Standing::Closed | Standing::BackOff | Standing::Leaving => CLOSED,
     }
 }
 
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -34,6 +34,7 @@
 pub mod server_limits;
 pub mod server_list;
 pub mod server_notices;
+pub mod shedding_servers;
 pub mod standing;
 pub mod state_pull;
 pub mod stated;
--- a/lib/src/relay/server_book.rs
+++ b/lib/src/relay/server_book.rs
@@ -56,7 +56,8 @@
 const FAILURE_COST: f64 = 20.0;
 /// What another data hall costs, in calls ahead.
 const OTHER_HALL_COST: f64 = 0.3;
-/// What a server costs more that names a limit, in calls ahead: as much as one whose slots are taken.
+/// What a server costs more that names a limit or sheds load, in calls ahead: as much as one whose
+/// slots are taken.
 const LIMITED_COST: f64 = 1.0;
 
 /// How a server's part in a call ended, as far as it speaks for or against the server.
@@ -151,7 +152,11 @@
         };
         let limited = match standing {
             Standing::Open => 0.0,
-            Standing::Limited | Standing::Closed | Standing::Leaving => LIMITED_COST,
+            Standing::Limited
+            | Standing::Shedding
+            | Standing::Closed
+            | Standing::BackOff
+            | Standing::Leaving => LIMITED_COST,
         };
         f64::from(calls) / f64::from(self.info.slots) + self.failing * FAILURE_COST + trip + limited
     }
--- a/lib/src/relay/server_notices.rs
+++ b/lib/src/relay/server_notices.rs
@@ -1,4 +1,4 @@
-//! What servers say of the calls they take: limits, and that they leave.
+//! What servers say of the calls they take: limits, pauses, and that they leave.
 
 use std::time::Duration;
 
@@ -10,6 +10,8 @@
 use crate::relay::server_limits::LimitChange;
 use crate::relay::server_limits::LimitRow;
 use crate::relay::server_limits::ServerLimits;
+use crate::relay::shedding_servers::ShedRow;
+use crate::relay::shedding_servers::SheddingServers;
 use crate::relay::standing::Standing;
 use crate::relay::stated::Stated;
 use crate::relay::work_key::ServerLife;
@@ -33,6 +35,8 @@
     pub limits: Vec<LimitRow>,
     /// Those that leave.
     pub leaving: Vec<ServerLife>,
+    /// Those that turned the box away.
+    pub shedding: Vec<ShedRow>,
 }
 
 /// What is new by a notice or by rows.
@@ -42,6 +46,10 @@
     pub limits: Vec<LimitChange>,
     /// Servers that leave.
     pub leaving: Vec<ServerLife>,
+    /// Servers that shed load.
+    pub shedding: Vec<ServerLife>,
+    /// Servers that shed load and take calls again.
+    pub recovered: Vec<ServerLife>,
 }
 
 /// What servers said, by their lives.
@@ -51,6 +59,8 @@
     pub limits: ServerLimits,
     /// Servers that leave.
     pub leaving: LeavingServers,
+    /// Servers that shed load.
+    pub shedding: SheddingServers,
 }
 
 impl ServerNotices {
@@ -71,6 +81,13 @@
         if notice.leaving == Stated::Value(true) && self.leaving.note(now, life) {
             changes.leaving.push(life);
         }
+        match notice.retry_after {
+            Stated::Value(pause) if self.shedding.shed(now, life, pause) => {
+                changes.shedding.push(life);
+            }
+            Stated::Absent if self.shedding.took(now, life) => changes.recovered.push(life),
+            Stated::Value(_) | Stated::Absent | Stated::Unreadable => {}
+        }
         changes
     }
 
@@ -82,6 +99,8 @@
             leaving: leaving
                 .filter(|life| self.leaving.note(now, *life))
                 .collect(),
+            shedding: self.shedding.take_rows(now, &rows.shedding),
+            recovered: Vec::new(),
         }
     }
 
@@ -90,14 +109,18 @@
         if self.leaving.holds(life) {
             return Standing::Leaving;
         }
-        self.limits.standing(now, life)
+        let limit = self.limits.standing(now, life);
+        limit.max(self.shedding.standing(now, life))
     }
 
     /// How long until a server takes a call of this box; `None` if it never does in this life.
     pub fn opens_in(&self, now: Time, life: ServerLife) -> Option<Duration> {
         match self.standing(now, life) {
-            Standing::Open | Standing::Limited => Some(Duration::ZERO),
-            Standing::Closed => Some(self.limits.closed_for(now, life)),
+            Standing::Open | Standing::Limited | Standing::Shedding => Some(Duration::ZERO),
+            Standing::Closed | Standing::BackOff => {
+                let closed_for = self.limits.closed_for(now, life);
+                Some(closed_for.max(self.shedding.left(now, life)))
+            }
             Standing::Leaving => None,
         }
     }
@@ -107,6 +130,7 @@
         NoticeRows {
             limits: self.limits.rows(now),
             leaving: self.leaving.rows(now),
+            shedding: self.shedding.rows(now),
         }
     }
 
@@ -115,6 +139,7 @@
         NoticeRows {
             limits: self.limits.all_rows(now),
             leaving: self.leaving.all_rows(),
+            shedding: self.shedding.rows(now),
         }
     }
 }
--- a/lib/src/relay/standing.rs
+++ b/lib/src/relay/standing.rs
@@ -12,8 +12,12 @@
     Open,
     /// It takes so many from all boxes; each asks first.
     Limited,
+    /// It turned other boxes away, or one call of this box tries it again: others come first.
+    Shedding,
     /// There is no room for a call of this box for a while.
     Closed,
+    /// It asked this box for a pause.
+    BackOff,
     /// It leaves: nothing new goes there in this life.
     Leaving,
 }
@@ -22,16 +26,16 @@
     /// Whether a call may be sent there.
     pub const fn takes_calls(self) -> bool {
         match self {
-            Self::Open | Self::Limited => true,
-            Self::Closed | Self::Leaving => false,
+            Self::Open | Self::Limited | Self::Shedding => true,
+            Self::Closed | Self::BackOff | Self::Leaving => false,
         }
     }
 
     /// Whether it may have a part in another server's call: a limit counts calls alone.
     pub const fn reads_parts(self) -> bool {
         match self {
-            Self::Open | Self::Limited | Self::Closed => true,
-            Self::Leaving => false,
+            Self::Open | Self::Limited | Self::Shedding | Self::Closed => true,
+            Self::BackOff | Self::Leaving => false,
         }
     }
 }
--- a/lib/tests/test_relay_server_notices.rs
+++ b/lib/tests/test_relay_server_notices.rs
@@ -125,3 +125,189 @@
     assert_eq!(leaving.pushed_out(), 10_000 - 4_096);
     assert!(leaving.holds(ServerLife(9_999)));
 }
+
+const PAUSE: Duration = Duration::from_secs(3);
+
+fn sheds(pause: Duration) -> Notice {
+    Notice {
+        retry_after: Stated::Value(pause),
+        ..Notice::default()
+    }
+}
+
+/// Notices of a box that was turned away at 0 ms for three seconds.
+fn paused() -> ServerNotices {
+    let mut notices = ServerNotices::default();
+    notices.answered(Time::ZERO, SERVER, &sheds(PAUSE), false);
+    notices
+}
+
+#[test]
+fn a_server_that_sheds_wants_nothing_until_its_pause_is_over() {
+    let notices = paused();
+
+    let before = Time::from_millis(2_999);
+    assert_eq!(notices.standing(before, SERVER), Standing::BackOff);
+    assert_eq!(
+        notices.opens_in(before, SERVER),
+        Some(Duration::from_millis(1))
+    );
+    assert_eq!(
+        notices.standing(Time::from_millis(3_000), SERVER),
+        Standing::Open
+    );
+    assert_eq!(notices.standing(before, ServerLife(8)), Standing::Open);
+}
+
+#[test]
+fn a_shorter_pause_after_a_longer_one_shortens_nothing() {
+    let mut notices = paused();
+    notices.answered(
+        Time::from_millis(100),
+        SERVER,
+        &sheds(Duration::from_millis(50)),
+        false,
+    );
+
+    assert_eq!(
+        notices.standing(Time::from_millis(2_900), SERVER),
+        Standing::BackOff
+    );
+}
+
+#[test]
+fn an_answer_to_an_earlier_call_does_not_end_a_pause() {
+    let mut notices = paused();
+
+    let changes = notices.answered(Time::from_millis(100), SERVER, &Notice::default(), true);
+
+    assert!(changes.recovered.is_empty());
+    assert_eq!(
+        notices.standing(Time::from_millis(200), SERVER),
+        Standing::BackOff
+    );
+}
+
+#[test]
+fn after_a_pause_one_call_tries_the_server_and_others_follow_its_answer() {
+    let mut notices = paused();
+    let after = Time::from_millis(3_010);
+    assert_eq!(notices.standing(after, SERVER), Standing::Open);
+
+    notices.shedding.sent(after, SERVER);
+    assert_eq!(notices.standing(after, SERVER), Standing::Shedding);
+    let changes = notices.answered(Time::from_millis(3_020), SERVER, &Notice::default(), true);
+
+    assert_eq!(changes.recovered, [SERVER]);
+    assert_eq!(
+        notices.standing(Time::from_millis(3_021), SERVER),
+        Standing::Open
+    );
+}
+
+#[test]
+fn a_trial_that_is_turned_away_begins_a_new_pause() {
+    let mut notices = paused();
+    let after = Time::from_millis(3_010);
+    notices.shedding.sent(after, SERVER);
+
+    let changes = notices.answered(after, SERVER, &sheds(PAUSE), false);
+
+    assert_eq!(changes.shedding, [SERVER]);
+    assert_eq!(
+        notices.standing(Time::from_millis(6_000), SERVER),
+        Standing::BackOff
+    );
+}
+
+#[test]
+fn a_trial_without_an_answer_keeps_others_away_for_half_a_second() {
+    let mut notices = paused();
+    notices.shedding.sent(Time::from_millis(3_010), SERVER);
+
+    assert_eq!(
+        notices.standing(Time::from_millis(3_400), SERVER),
+        Standing::Shedding
+    );
+    assert_eq!(
+        notices.standing(Time::from_millis(3_600), SERVER),
+        Standing::Open
+    );
+}
+
+#[test]
+fn a_box_that_is_told_prefers_others_until_the_teller_has_tried_again() {
+    let mut teller = paused();
+    let mut told = ServerNotices::default();
+    let now = Time::from_millis(10);
+    let rows = teller.rows(now);
+
+    let changes = told.take_rows(now, &rows);
+
+    assert_eq!(changes.shedding, [SERVER]);
+    for at in [10, 3_200] {
+        assert_eq!(
+            told.standing(Time::from_millis(at), SERVER),
+            Standing::Shedding
+        );
+    }
+    assert_eq!(
+        told.standing(Time::from_millis(3_300), SERVER),
+        Standing::Open
+    );
+}
+
+#[test]
+fn a_pause_that_other_boxes_tell_of_keeps_no_box_away_for_long() {
+    let mut teller = ServerNotices::default();
+    teller.answered(Time::ZERO, SERVER, &sheds(Duration::from_hours(1)), false);
+    let mut told = ServerNotices::default();
+    told.take_rows(Time::ZERO, &teller.rows(Time::ZERO));
+
+    let later = Time::from_millis(10_300);
+    assert_eq!(told.standing(later, SERVER), Standing::Open);
+    assert_eq!(teller.standing(later, SERVER), Standing::BackOff);
+}
+
+#[test]
+fn a_pause_without_an_end_is_one_of_an_hour() {
+    let mut notices = ServerNotices::default();
+    notices.answered(Time::ZERO, SERVER, &sheds(Duration::MAX), false);
+
+    let hour = Duration::from_hours(1);
+    assert_eq!(notices.opens_in(Time::ZERO, SERVER), Some(hour));
+    assert_eq!(notices.standing(Time::ZERO + hour, SERVER), Standing::Open);
+}
+
+#[test]
+fn a_pause_of_no_time_is_none() {
+    let mut notices = ServerNotices::default();
+
+    let changes = notices.answered(Time::ZERO, SERVER, &sheds(Duration::ZERO), false);
+
+    assert!(changes.shedding.is_empty());
+    assert_eq!(notices.standing(Time::ZERO, SERVER), Standing::Open);
+}
+
+#[test]
+fn leaving_outweighs_a_pause_and_a_pause_a_limit() {
+    let mut notices = paused();
+    notices.answered(Time::ZERO, SERVER, &limited(), true);
+    assert_eq!(notices.standing(Time::ZERO, SERVER), Standing::BackOff);
+
+    notices.answered(Time::ZERO, SERVER, &leaves(), true);
+
+    assert_eq!(notices.standing(Time::ZERO, SERVER), Standing::Leaving);
+}
+
+#[test]
+fn thousands_that_shed_stay_within_bounds() {
+    let mut notices = ServerNotices::default();
+    for life in 0..5_000 {
+        let now = Time::from_millis(life);
+        notices.answered(now, ServerLife(life), &sheds(PAUSE), false);
+        assert!(notices.rows(now).shedding.len() <= 16);
+    }
+
+    assert!(notices.shedding.paused(Time::from_millis(5_000)) <= 2_048);
+}
