relay: servers that shed take no attempt from a call that others could run

Cause: a route's attempts counted servers that had turned the call away in need like those that may have run it. They bound how many servers may run a call; one that sheds has not. It counts on against the retry budget, and four in a row end the call.

--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -393,7 +393,12 @@
         RunWord::OtherServer => Evidence::Unreachable,
         RunWord::NotRun | RunWord::Nothing => Evidence::Neutral,
     });
-    TryResult::Ended(TryEnd::Declined)
+    let pause = head.notice.retry_after.value().unwrap_or_default();
+    TryResult::Ended(if pause.is_zero() {
+        TryEnd::Declined
+    } else {
+        TryEnd::Shed
+    })
 }
 
 async fn whole_answer(call: &Call, received: Received) -> TryResult {
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -1,7 +1,7 @@
 //! The tries of one call: what follows when one ends.
 //!
-//! A try ends in one of five ways. Only two of them prove that nothing ran: no connection
-//! was made, or the server said so itself. The proof is the [`Unsent`] token of
+//! A try ends in one of six ways. Three of them prove that nothing ran: no connection
+//! was made, or the server said so itself, perhaps with a pause that it wants. The proof is the [`Unsent`] token of
 //! [`crate::outcome`]; a call that may not be repeated is sent again only with it in hand,
 //! and "not run" is told only with it.
 
@@ -16,6 +16,9 @@
 
 /// Connections tried for one call: each server in a row may be gone, the caller still waits.
 const MAX_CONNECT_TRIES: u32 = 4;
+/// Servers in a row that may turn one call away while they shed load. None of them is asked again in
+/// its pause, and each repeat is paid for from the retry budget.
+const MAX_SHED: u32 = 4;
 
 /// How one try ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +27,8 @@
     NoConnection,
     /// The server answered that it did not run the call.
     Declined,
+    /// The same, and it wants no call for a while.
+    Shed,
     /// It broke, or its answer can't be used; the call may have run.
     Lost,
     /// The server ran the call and answered with a failure of its own.
@@ -56,6 +61,7 @@
     repeatable: bool,
     max_sent: u32,
     sent: u32,
+    shed: u32,
     connects: u32,
     claim: Option<Claim>,
 }
@@ -67,6 +73,7 @@
             repeatable,
             max_sent,
             sent: 0,
+            shed: 0,
             connects: 0,
             claim: Some(Claim::Unsent(Unsent::new())),
         }
@@ -89,7 +96,12 @@
 
     /// Whether another server may be tried, as far as the call itself goes.
     pub const fn may_repeat(&self) -> bool {
-        self.repeatable && self.sent < self.max_sent
+        self.repeatable && self.has_attempt_left()
+    }
+
+    /// Whether it may go to another server. One that turned it away in need took no attempt.
+    const fn has_attempt_left(&self) -> bool {
+        self.sent - self.shed < self.max_sent && self.shed < MAX_SHED
     }
 
     /// Records that the call is being sent.
@@ -125,10 +137,14 @@
                 self.take_back(NotStarted::NoConnection);
             }
             TryEnd::Declined => self.take_back(NotStarted::ServerSaidSo),
+            TryEnd::Shed => {
+                self.shed += 1;
+                self.take_back(NotStarted::ServerSaidSo);
+            }
             TryEnd::Lost | TryEnd::ServerError => self.claim = Some(Claim::MayHaveRun),
         }
         let allowed = self.repeatable || self.is_unsent();
-        let left = self.sent < self.max_sent && self.connects < MAX_CONNECT_TRIES;
+        let left = self.has_attempt_left() && self.connects < MAX_CONNECT_TRIES;
         if allowed && left && (!self.is_repeat() || may_repeat()) {
             return Next::TryElsewhere;
         }
