--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -32,6 +32,7 @@
 mod store_follow;
 mod suspects;
 mod tries;
+mod unknown_headers;
 mod upstream;
 
 /// Runs the daemon until it is told to stop.
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -42,6 +42,7 @@
 use crate::relay::followed::Followed;
 use crate::relay::server_gate::GateParts;
 use crate::relay::server_gate::ServerGate;
+use crate::relay::unknown_headers::UnknownHeaders;
 use crate::relay::upstream::Upstream;
 use crate::traffic::lock;
 
@@ -101,6 +102,8 @@
     pub suspects_changed: Notify,
     /// The way to servers.
     pub gate: ServerGate,
+    /// Headers of servers that nothing reads.
+    pub unknown_headers: UnknownHeaders,
     /// Connections to servers.
     pub upstream: Upstream,
     /// What control knows of the platform's state.
@@ -160,6 +163,7 @@
             verdicts: Notify::new(),
             suspects_changed: Notify::new(),
             gate,
+            unknown_headers: UnknownHeaders::default(),
             upstream: Upstream::default(),
             followed,
             encoded_table: Mutex::default(),
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -240,6 +240,11 @@
     };
     let (parts, body) = answer.into_parts();
     let head = headers::read_answer(parts.status, &parts.headers, call.head.id.as_deref());
+    let relay = &call.relay;
+    let server = &flight.chosen.server;
+    relay
+        .unknown_headers
+        .note(call.id(), server, &parts.headers);
     flight.is_framed = headers::is_framed(&parts.headers);
     let now = call.relay.clock.now();
     lock(&call.relay.book).answers(now, &flight.chosen.server);
--- a/daemon/tests/test_relay_calls.rs
+++ b/daemon/tests/test_relay_calls.rs
@@ -419,3 +419,21 @@
     assert!(plain.first_event_ms.is_none() && plain.objective_ms > 0);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_header_that_nothing_reads_is_told_once() {
+    let world = World::start(1).await.expect("a world");
+    world.servers[0].add_header("Server-Mood", "tired");
+    for at in 0..3 {
+        let text = call("POST", "/again/a", &format!("call-{at}"), "", "");
+        let answer = Caller::once(world.relay.front(), &text).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.header("server-mood"), Some("tired"), "{answer:?}");
+    }
+
+    let line = "a server's header is not known";
+    let told = || world.relay.log().matches(line).count();
+    wait_until(|| told() > 0).await.expect("a line");
+    assert_eq!(told(), 1);
+    assert!(world.relay.log().contains("server-mood"));
+}
