--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_relay_server_limits;
 mod test_relay_server_list;
 mod test_relay_server_notices;
+mod test_relay_shed_model;
 mod test_relay_state_pull;
 mod test_relay_stop;
 mod test_relay_work_key;
--- a/testutils/src/bin/emulate/main.rs
+++ b/testutils/src/bin/emulate/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod limits;
 mod relay;
+mod shedding;
 
 use std::fmt::Debug;
 use std::time::Duration;
@@ -39,6 +40,7 @@
     Compare(relay::CompareArgs),
     Crashes(crashes::CrashArgs),
     Limits(limits::LimitArgs),
+    Shedding(shedding::ShedArgs),
 }
 
 /// Run seeds with faults and assert the invariants.
@@ -263,6 +265,10 @@
             limits::play(&args);
             return Ok(());
         }
+        Command::Shedding(args) => {
+            shedding::play(&args);
+            return Ok(());
+        }
     };
     match args.what.as_str() {
         "leases" => run_and_tell(&args, seeded_leases::run, LeaseCounts::add),
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod seeded_requests;
 pub mod seeded_settings;
 pub mod seeds;
+pub mod shed_model;
 pub mod world;
