--- a/cli/src/commands/limits.rs
+++ b/cli/src/commands/limits.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use badgerferry_lib::relay::limit_uses::LimitLine;
-use badgerferry_lib::relay::limit_uses::LimitUses;
+use badgerferry_lib::relay::notice_uses::NoticeLine;
+use badgerferry_lib::relay::notice_uses::NoticeUses;
 
 use crate::exit::CommandError;
 use crate::exit::CommandResult;
@@ -13,7 +13,8 @@
 use crate::output::Format;
 use crate::output::Table;
 
-/// Say which servers name a limit, and what became of the calls to them, from the boxes' logs.
+/// Say which servers name a limit, shed load or leave, and what became of the calls to them, from the
+/// boxes' logs.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "limits")]
 pub struct LimitsArgs {
@@ -35,12 +36,12 @@
         let error = CommandError::new(Failure::Usage, "no log is named");
         return Err(error.hint("badgerferry limits FILE..."));
     }
-    let mut uses = LimitUses::default();
+    let mut uses = NoticeUses::default();
     for path in &args.files {
         log_files::read(path, |line| {
             let value = line.map(|line| line.value);
             // Most lines tell of something else.
-            let line = value.and_then(|value| serde_json::from_value::<LimitLine>(value).ok());
+            let line = value.and_then(|value| serde_json::from_value::<NoticeLine>(value).ok());
             if let Some(line) = line {
                 uses.take(line);
             }
@@ -50,28 +51,52 @@
     Ok(())
 }
 
-fn text_of(uses: &LimitUses) -> String {
-    let mut table = Table::new(&["SERVER", "CALLS/S", "SINCE", "WENT", "FULL", "LONGEST WAIT"]);
+fn text_of(uses: &NoticeUses) -> String {
+    let (mut limited, mut others) = (
+        Table::new(&["SERVER", "CALLS/S", "SINCE", "WENT", "FULL", "LONGEST WAIT"]),
+        Table::new(&[
+            "SERVER",
+            "LEAVES SINCE",
+            "SHED",
+            "LAST",
+            "PAUSE",
+            "HELD BACK",
+        ]),
+    );
+    let or_dash = |text: &Option<String>| text.clone().unwrap_or_else(|| "-".to_owned());
     for (server, of) in &uses.servers {
-        let limit = of
-            .limit
-            .map_or("over".to_owned(), |limit| limit.to_string());
-        table.row([
-            server.clone(),
-            limit,
-            of.since.clone().unwrap_or_else(|| "-".to_owned()),
-            of.granted.to_string(),
-            of.full.to_string(),
-            format!("{} ms", of.longest_wait_ms),
-        ]);
+        if of.since.is_some() || of.granted + of.full > 0 {
+            let limit = of.limit.map(|limit| limit.to_string());
+            limited.row([
+                server.clone(),
+                limit.unwrap_or_else(|| "over".to_owned()),
+                or_dash(&of.since),
+                of.granted.to_string(),
+                of.full.to_string(),
+                format!("{} ms", of.longest_wait_ms),
+            ]);
+        }
+        if of.leaves_since.is_some() || of.shed + of.held_back > 0 {
+            let pause = of.pause_ms.map(|pause| format!("{pause} ms"));
+            others.row([
+                server.clone(),
+                or_dash(&of.leaves_since),
+                of.shed.to_string(),
+                or_dash(&of.shed_at),
+                or_dash(&pause),
+                of.held_back.to_string(),
+            ]);
+        }
     }
-    let LimitUses {
-        unanswered,
-        refused,
-        ..
-    } = uses;
-    let all = table.render();
+    let refused: u64 = uses.refused.values().sum();
+    let by_outcome: Vec<String> = (uses.refused.iter())
+        .map(|(outcome, calls)| format!(" {outcome} {calls}"))
+        .collect();
     format!(
-        "{all}\ncalls refused, all servers closed: {refused}\nquestions without an answer: {unanswered}\n"
+        "{}\n{}\ncalls refused, no server open: {refused}{}\nquestions without an answer: {}\n",
+        limited.render(),
+        others.render(),
+        by_outcome.concat(),
+        uses.unanswered
     )
 }
--- a/cli/tests/test_output.rs
+++ b/cli/tests/test_output.rs
@@ -133,6 +133,12 @@
         r#"{"timestamp":"2026-03-01T00:00:10Z","message":"server names a limit","server":"i-2","limit":4.0}"#,
         r#"{"timestamp":"2026-03-01T00:00:12Z","message":"server names no limit any more","server":"i-2"}"#,
         r#"{"timestamp":"2026-03-01T00:00:12Z","message":"a question for a limited server got no answer"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:13Z","message":"server declined","call":"c3","server":"i-3","status":503,"retry_after_ms":3000}"#,
+        r#"{"timestamp":"2026-03-01T00:00:13Z","message":"server declined","call":"c4","server":"i-4","status":503}"#,
+        r#"{"timestamp":"2026-03-01T00:00:14Z","message":"call held back from a server","call":"c5","server":"i-3","why":"back_off"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:14Z","message":"call ended","call":"c5","outcome":"servers_shedding"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:16Z","message":"server leaves","server":"i-5","source":"box-2"}"#,
+        r#"{"timestamp":"2026-03-01T00:00:15Z","message":"server leaves","server":"i-5","source":"an answer"}"#,
         "no line of a box",
     ];
     std::fs::write(&path, lines.join("\n")).expect("the file can be written");
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::long_queue::Looks;
 use badgerferry_lib::relay::route_table::Denied;
@@ -74,6 +75,20 @@
     );
 }
 
+/// No server takes the call now; why, and when it may come back.
+pub fn no_server_takes(call: &Call, reason: RefusalReason, retry_after: Duration) {
+    if !LATE_LINES.take() {
+        return;
+    }
+    tracing::info!(
+        call = call.id(),
+        service = %call.service,
+        reason = reason.code(),
+        retry_after_ms = retry_after.as_millis() as u64,
+        "no server takes the call"
+    );
+}
+
 /// A try got no head of an answer.
 pub fn try_failed(call: &Call, chosen: &Chosen, cause: &SendError) {
     counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
--- a/daemon/src/relay/tries.rs
+++ b/daemon/src/relay/tries.rs
@@ -218,7 +218,10 @@
 ) -> TryResult {
     let (run, chosen, pass) = match admit(call, tried).await {
         Ok(admitted) => admitted,
-        Err((reason, retry_after)) => return TryResult::NoServer(reason, retry_after),
+        Err((reason, retry_after)) => {
+            log_lines::no_server_takes(call, reason, retry_after);
+            return TryResult::NoServer(reason, retry_after);
+        }
     };
     tried.push(chosen.server.clone());
     log_lines::routed(call, attempts, &chosen);
--- a/lib/src/relay/limit_uses.rs
+++ b/lib/src/relay/notice_uses.rs
@@ -1,14 +1,14 @@
-//! What servers said that they take, and what became of the calls that asked for it, from boxes' lines.
+//! What servers said of the calls they take, and what became of calls for it, from boxes' lines.
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A line that tells of a limited server; other lines are none.
+/// A line that tells of what a server said; other lines are none.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(tag = "message")]
-pub enum LimitLine {
+pub enum NoticeLine {
     /// A limit began or changed.
     #[serde(rename = "server names a limit")]
     Named {
@@ -40,6 +40,30 @@
     /// A question got no answer.
     #[serde(rename = "a question for a limited server got no answer")]
     Unanswered,
+    /// A server leaves.
+    #[serde(rename = "server leaves")]
+    Leaves {
+        /// The server.
+        server: Option<String>,
+        /// When.
+        timestamp: String,
+    },
+    /// A server turned a call away, perhaps with a pause that it wants.
+    #[serde(rename = "server declined")]
+    Declined {
+        /// The server.
+        server: String,
+        /// The pause.
+        retry_after_ms: Option<u64>,
+        /// When.
+        timestamp: String,
+    },
+    /// A call was chosen for a server that takes none.
+    #[serde(rename = "call held back from a server")]
+    HeldBack {
+        /// The server.
+        server: String,
+    },
     /// A call ended.
     #[serde(rename = "call ended")]
     Ended {
@@ -58,12 +82,12 @@
     Full,
 }
 
-/// Outcome of calls for which no server had room.
-const REFUSED: &str = "servers_limited";
+/// Outcomes of calls for which no server was open.
+const REFUSED: [&str; 3] = ["servers_limited", "servers_shedding", "servers_leaving"];
 
 /// One server.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
-pub struct LimitUse {
+pub struct ServerUse {
     /// Calls a second by its last word; none if that is over.
     pub limit: Option<f64>,
     /// When it first said so.
@@ -74,35 +98,43 @@
     pub full: u64,
     /// Longest wait of a call that went there.
     pub longest_wait_ms: u64,
+    /// When it was first told to leave.
+    pub leaves_since: Option<String>,
+    /// Calls that it turned away with a pause that it wants.
+    pub shed: u64,
+    /// The pause that it last named.
+    pub pause_ms: Option<u64>,
+    /// When it last did.
+    pub shed_at: Option<String>,
+    /// Calls that went elsewhere, since it took none when they were to be sent.
+    pub held_back: u64,
 }
 
-/// All limited servers.
+/// All servers that said something.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
-pub struct LimitUses {
+pub struct NoticeUses {
     /// By name.
-    pub servers: BTreeMap<String, LimitUse>,
+    pub servers: BTreeMap<String, ServerUse>,
     /// Questions that got no answer.
     pub unanswered: u64,
-    /// Calls that were refused since all servers were closed to their box.
-    pub refused: u64,
+    /// Calls that were refused since no server took any of their box, by outcome.
+    pub refused: BTreeMap<String, u64>,
 }
 
-impl LimitUses {
+impl NoticeUses {
     /// Takes a line; those of several boxes may come in any order.
-    pub fn take(&mut self, line: LimitLine) {
+    pub fn take(&mut self, line: NoticeLine) {
         match line {
-            LimitLine::Named {
+            NoticeLine::Named {
                 server: Some(server),
                 limit,
                 timestamp,
             } => self.word(server, Some(limit), timestamp),
-            LimitLine::Over {
+            NoticeLine::Over {
                 server: Some(server),
                 timestamp,
             } => self.word(server, None, timestamp),
-            // A box that does not list the server yet tells only its life.
-            LimitLine::Named { server: None, .. } | LimitLine::Over { server: None, .. } => {}
-            LimitLine::Asked {
+            NoticeLine::Asked {
                 server,
                 outcome,
                 wait_ms,
@@ -114,8 +146,40 @@
                 }
                 of.longest_wait_ms = of.longest_wait_ms.max(wait_ms.unwrap_or_default());
             }
-            LimitLine::Unanswered => self.unanswered += 1,
-            LimitLine::Ended { outcome } => self.refused += u64::from(outcome == REFUSED),
+            NoticeLine::Unanswered => self.unanswered += 1,
+            NoticeLine::Leaves {
+                server: Some(server),
+                timestamp,
+            } => {
+                let since = &mut self.servers.entry(server).or_default().leaves_since;
+                if since.as_ref().is_none_or(|since| timestamp < *since) {
+                    *since = Some(timestamp);
+                }
+            }
+            NoticeLine::Declined {
+                server,
+                retry_after_ms: Some(pause),
+                timestamp,
+            } => {
+                let of = self.servers.entry(server).or_default();
+                of.shed += 1;
+                if of.shed_at.as_ref().is_none_or(|at| timestamp >= *at) {
+                    of.pause_ms = Some(pause);
+                    of.shed_at = Some(timestamp);
+                }
+            }
+            NoticeLine::HeldBack { server } => {
+                self.servers.entry(server).or_default().held_back += 1;
+            }
+            NoticeLine::Ended { outcome } if REFUSED.contains(&outcome.as_str()) => {
+                *self.refused.entry(outcome).or_default() += 1;
+            }
+            // A box that does not list the server yet tells only its life.
+            NoticeLine::Named { .. }
+            | NoticeLine::Over { .. }
+            | NoticeLine::Leaves { .. }
+            | NoticeLine::Declined { .. }
+            | NoticeLine::Ended { .. } => {}
         }
     }
 
