relay: the end of a server that said it leaves is blamed on no work

What callers would have seen: a work that ran on three servers which ended by plan, while the store was away, refused for ten minutes as one that ends servers. Found by reading, looking for what else goes by the list of the store alone; an entry that says so was left out already.

The test has three servers that say in their answers that they leave and then end under the same call: before, the work was held after the third and eleven calls were refused; none now.

--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -227,6 +227,11 @@
         Pass(())
     }
 
+    /// Whether the server said that it leaves.
+    pub fn leaves(&self, target: &Target) -> bool {
+        self.standing(target) == Standing::Leaving
+    }
+
     fn standing(&self, target: &Target) -> Standing {
         lock(&self.notices).standing(self.now(), target.life)
     }
--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -159,7 +159,7 @@
         let record = book.get(&chosen.server);
         record.is_some_and(|record| !record.info.leaving && record.life == chosen.target.life)
     };
-    if !is_listed {
+    if !is_listed || relay.gate.leaves(&chosen.target) {
         return;
     }
     let ended = ServerEnd {
--- a/daemon/tests/test_relay_crashes.rs
+++ b/daemon/tests/test_relay_crashes.rs
@@ -1,5 +1,6 @@
 //! Calls that end the servers which run them.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_standin::caller::Answer;
@@ -8,6 +9,7 @@
 use badgerferry_standin::crashes::Crashes;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
+use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Store;
 
@@ -19,6 +21,8 @@
 const FOUND: Duration = Duration::from_millis(1_500);
 /// Servers that one piece of work may end.
 const MOST_LIVES: usize = 3;
+/// Between ends that are to count by themselves.
+const APART: Duration = Duration::from_millis(500);
 /// Where boxes enter themselves, as they find each other by it.
 const BOXES: &str = "badgerferry/boxes/";
 /// What a caller is told whose call ends servers.
@@ -267,3 +271,48 @@
     assert_eq!(last.status, 503);
     Ok(())
 }
+
+#[tokio::test]
+async fn servers_that_said_they_leave_and_end_under_a_call_blame_no_work() -> anyhow::Result<()> {
+    let fleet = Fleet::start(1, 4).await?;
+    let (stays, leaving) = fleet.servers.split_last().expect("servers");
+    for server in leaving {
+        server.say_leaving(Some("1"));
+        server.usually(Behaviour::SilentAfter(1));
+    }
+    let body = "a prompt that servers leave under";
+    let ends = async {
+        for _ in 0..200 {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            let runs = |server: &&Server| server.working.load(Ordering::SeqCst) > 0;
+            if let Some(server) = leaving.iter().find(runs) {
+                // Ends that lie close together count as one.
+                tokio::time::sleep(APART).await;
+                server.crash();
+            }
+        }
+    };
+    let calls = async {
+        let mut told = Vec::new();
+        for round in 0..12 {
+            told.push(stream(&fleet.boxes[0], &format!("call-{round}"), body).await?);
+        }
+        anyhow::Ok(told)
+    };
+
+    let told = tokio::select! {
+        told = calls => told?,
+        () = ends => anyhow::bail!("the calls do not end"),
+    };
+
+    assert!(fleet.lives_ended() >= 3, "{}", fleet.lives_ended());
+    for answer in told {
+        assert!(
+            !answer.body.contains(REASON),
+            "{answer:?}; {}",
+            fleet.logs()
+        );
+    }
+    assert_eq!(stays.lives_ended(), 0);
+    Ok(())
+}
