soak: servers that say they leave, and servers that shed

Servers say in their answers that they leave, with nothing in the store, end and start again under their names; others turn all calls away for up to four seconds and ask for pauses of one. The ledger holds what a server turned away in any pause against the calls that callers may have on their way and two for each life of a box.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -26,6 +26,10 @@
     Lapse(usize),
     /// A server says that it leaves, and comes back later.
     Leave(usize),
+    /// A server says in its answers that it leaves, ends, and starts again under its name.
+    SayLeaving(usize),
+    /// A server turns all calls away and asks for a pause each time.
+    Shed(usize),
     /// A server does this with its next calls.
     Misbehave(usize, Behaviour, usize),
     /// A box is killed and started again.
@@ -60,6 +64,8 @@
 
 /// Faults a second, on average.
 const RATE: f64 = 3.0;
+/// Besides, servers that say in their answers that they leave, or ask for pauses.
+const NOTICE_RATE: f64 = 0.7;
 
 /// Draws a plan.
 pub fn plan(rng: &mut ChaCha8Rng, length: Duration, boxes: usize, servers: usize) -> Vec<Planned> {
@@ -71,10 +77,26 @@
             lasts: Duration::from_millis(rng.random_range(100..2_500)),
         })
         .collect();
+    // Drawn after the others, which stay what they are for a seed.
+    let notices = (length.as_secs_f64() * NOTICE_RATE).ceil() as usize;
+    rows.extend((0..notices).map(|_| Planned {
+        at: length.mul_f64(rng.random()),
+        fault: draw_notice(rng, servers),
+        lasts: Duration::from_millis(rng.random_range(500..4_000)),
+    }));
     rows.sort_by_key(|row| row.at);
     rows
 }
 
+fn draw_notice(rng: &mut ChaCha8Rng, servers: usize) -> Fault {
+    let server = rng.random_range(0..servers);
+    if rng.random() {
+        Fault::SayLeaving(server)
+    } else {
+        Fault::Shed(server)
+    }
+}
+
 fn draw(rng: &mut ChaCha8Rng, boxes: usize, servers: usize) -> Fault {
     let a_box = rng.random_range(0..boxes);
     let server = rng.random_range(0..servers);
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use badgerferry_standin::caller::Answer;
 use badgerferry_standin::server::Server;
@@ -96,6 +97,38 @@
     Ok(())
 }
 
+/// Requests that a box may send a server in a pause that it was asked for, by the rule.
+const IN_A_PAUSE: usize = 2;
+
+/// Holds what servers turned away against the pauses that they asked for: in any of that length each
+/// caller may have a call on its way, and each life of a box two more.
+///
+/// # Errors
+///
+/// A server turned more away.
+pub fn check_pauses(
+    servers: &[Server],
+    pause: Duration,
+    callers: usize,
+    box_lives: usize,
+) -> anyhow::Result<()> {
+    let most = callers + IN_A_PAUSE * box_lives;
+    for server in servers {
+        let seen = server.seen();
+        let asked = seen.iter().filter(|seen| seen.asked_for_pause);
+        let times: Vec<Instant> = asked.filter_map(|seen| seen.at).collect();
+        for (at, begin) in times.iter().enumerate() {
+            let got = times[at..].partition_point(|other| *other < *begin + pause);
+            anyhow::ensure!(
+                got <= most,
+                "{} turned {got} calls away within a pause that it asked for, {most} at most may come",
+                server.name
+            );
+        }
+    }
+    Ok(())
+}
+
 /// Holds the servers that ended under one piece of work against what so many lives of boxes may let end.
 ///
 /// # Errors
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -41,6 +41,11 @@
 const STOP_TIME: Duration = Duration::from_secs(9);
 /// Calls a second that the first server says it takes, all the time.
 const LIMIT: f64 = 3.0;
+/// The pause that servers ask for which shed.
+const PAUSE_TEXT: &str = "1";
+const PAUSE: Duration = Duration::from_secs(1);
+/// How long a server that left is away.
+const STARTS_AGAIN: Duration = Duration::from_millis(200);
 /// After the faults, until all boxes must know of calls that end servers.
 const NEWS_IN_FORCE: Duration = Duration::from_secs(2);
 /// Tries to be served after the faults, a tenth of a second apart, before a run counts as lost.
@@ -139,7 +144,10 @@
     let checked = recovered
         .and_then(|()| ledger::check(&rows, &servers))
         .and_then(|()| ledger::check_lives(&stage.fragile, box_lives))
-        .and_then(|()| ledger::check_limit(&stage.servers[0], LIMIT));
+        .and_then(|()| ledger::check_limit(&stage.servers[0], LIMIT))
+        .and_then(|()| {
+            ledger::check_pauses(&stage.servers, PAUSE, CALLERS * size.boxes, box_lives)
+        });
     if let Err(cause) = checked {
         let logs = stage.keep_logs(seed).await?;
         return Err(cause.context(format!("plan {plan:#?}; logs in {logs}")));
@@ -238,6 +246,12 @@
                 last().await;
                 self.list(at, "ready");
             }
+            Fault::SayLeaving(at) => self.say_leaving(at, planned.lasts).await,
+            Fault::Shed(at) => {
+                self.servers[at].shed(Some(PAUSE_TEXT));
+                last().await;
+                self.servers[at].shed(None);
+            }
             Fault::Misbehave(at, behaviour, count) => {
                 self.servers[at].next(&vec![behaviour; count]);
             }
@@ -258,6 +272,17 @@
         Ok(())
     }
 
+    /// Its answers say so for a while, nothing else does; then its entry goes with its life.
+    async fn say_leaving(&self, at: usize, lasts: Duration) {
+        let server = &self.servers[at];
+        server.say_leaving(Some("1"));
+        tokio::time::sleep(lasts).await;
+        self.store.remove(&server.key());
+        server.crash();
+        tokio::time::sleep(STARTS_AGAIN).await;
+        self.list(at, "ready");
+    }
+
     fn list(&self, at: usize, state: &str) {
         let server = &self.servers[at];
         let entry = server.entry_at(state, self.ways[at].address);
