relay: a call to a server without a pause waits for no timer

The gate slept for the pause that a server wants, none in the usual case: a timer of no time ends with the next tick of a millisecond, so each call went that much later and woke the box once more.

--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -132,7 +132,8 @@
         let target = entrant.target;
         // It was chosen though it wants no call yet: there is no other one.
         let pause = lock(&self.notices).shedding.left(self.now(), target.life);
-        if pause <= entrant.patience {
+        // A timer of no time still ends with the next tick.
+        if !pause.is_zero() && pause <= entrant.patience {
             tokio::time::sleep(pause).await;
         }
         self.take_limited(entrant).await?;
