relay: which servers may have a part in a call stands in a file of its own

It asks of a call a service, the servers that were tried and a patience, and knows no call. engines.rs is 80 lines shorter; nothing that is decided changes.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -41,6 +41,7 @@
 
 use crate::relay::answer_body::AnswerBody;
 use crate::relay::caller_answer;
+use crate::relay::candidates::NO_SERVER_RETRY;
 use crate::relay::live_stream;
 use crate::relay::log_lines;
 use crate::relay::server_gate::MOST_PATIENCE;
@@ -54,8 +55,6 @@
 const ROUTES_SOON: Duration = Duration::from_secs(2);
 /// When to come back where this box has no routes yet, or is leaving.
 const SOON: Duration = Duration::from_millis(300);
-/// When to come back where no server took the call; a restarting one needs about that long.
-pub const NO_SERVER_RETRY: Duration = Duration::from_millis(250);
 
 /// A call whose head and body are read.
 #[derive(Debug)]
--- /dev/null
+++ b/daemon/src/relay/candidates.rs
@@ -0,0 +1,131 @@
+//! Servers that may have a part in a call now, by what they said and how they do.
+
+use std::time::Duration;
+
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::relay::server_book::ServerBook;
+use badgerferry_lib::relay::server_book::ServerRecord;
+use badgerferry_lib::relay::standing::Standing;
+use badgerferry_lib::time::Time;
+use rand::Rng;
+
+use crate::relay::state::Relay;
+use crate::traffic::lock;
+
+/// When to come back where no server took the call; a restarting one needs about that long.
+pub const NO_SERVER_RETRY: Duration = Duration::from_millis(250);
+/// Part of the time until a server opens over which callers that are refused come back.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// Why a call can't be sent now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotNow {
+    /// There are none that can take it.
+    NoEngines,
+    /// All that there are take no call of this box before so long.
+    AllClosed(Duration, RefusalReason),
+    /// All that there are leave.
+    AllLeaving,
+}
+
+impl NotNow {
+    /// What its caller is told, and when to come back.
+    pub fn refusal(self) -> (RefusalReason, Duration) {
+        match self {
+            Self::NoEngines => (RefusalReason::NoServer, NO_SERVER_RETRY),
+            Self::AllClosed(room_in, why) => {
+                // Callers that are refused together do not come back in one instant.
+                let spread = rand::rng().random_range(0.0..RETURN_SPREAD);
+                (why, room_in + room_in.mul_f64(spread))
+            }
+            Self::AllLeaving => (RefusalReason::ServersLeaving, NO_SERVER_RETRY),
+        }
+    }
+
+    /// Whether nothing changes in a call's favour before this time.
+    pub fn lasts_until(self, now: Time, at: Time) -> bool {
+        match self {
+            Self::NoEngines => false,
+            Self::AllClosed(room_in, _) => now + room_in >= at,
+            Self::AllLeaving => true,
+        }
+    }
+}
+
+/// What a call is to be sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Servers that it was sent to.
+    pub tried: &'a [ServerName],
+    /// How long it may wait for a place.
+    pub patience: Duration,
+}
+
+/// Servers that may have a part in a call, and how each stands. Where none takes calls, the one that
+/// opens first may be waited for.
+///
+/// # Errors
+///
+/// Why none can take the call now.
+pub fn of_service<'a>(
+    relay: &Relay,
+    now: Time,
+    book: &'a ServerBook,
+    wanted: &Wanted<'_>,
+) -> Result<Vec<(&'a ServerRecord, Standing)>, NotNow> {
+    let Wanted {
+        service,
+        tried,
+        patience,
+    } = *wanted;
+    let notices = lock(&relay.gate.notices);
+    let is_repeat = !tried.is_empty();
+    let standing = |life| match notices.standing(now, life) {
+        Standing::Open if is_repeat && notices.shedding.awaits_trial(now, life) => {
+            Standing::Shedding
+        }
+        standing => standing,
+    };
+    let mut usable = book.usable(now, service, tried, standing);
+    if usable.iter().any(|(_, standing)| standing.takes_calls()) {
+        return Ok(usable);
+    }
+    let listed = book.of_service(service);
+    let mut listed = listed.filter(|record| !record.info.leaving).peekable();
+    if listed.peek().is_none() {
+        return Err(NotNow::NoEngines);
+    }
+    let opens_in = |record: &'a ServerRecord| Some((notices.opens_in(now, record.life)?, record));
+    let first = listed.filter_map(opens_in).min_by_key(|(wait, _)| *wait);
+    match first {
+        None => Err(NotNow::AllLeaving),
+        Some((wait, record)) if wait > patience => {
+            let why = match standing(record.life) {
+                Standing::BackOff => RefusalReason::ServersShedding,
+                _ => RefusalReason::ServersLimited,
+            };
+            Err(NotNow::AllClosed(wait, why))
+        }
+        Some((_, record)) => {
+            usable.retain(|(other, _)| other.key != record.key);
+            usable.push((record, Standing::Limited));
+            Ok(usable)
+        }
+    }
+}
+
+/// Leaves engines out that are slow, unless nothing that takes calls is left then.
+pub fn without_slow<'a>(
+    relay: &Relay,
+    now: Time,
+    candidates: Vec<(&'a ServerRecord, Standing)>,
+) -> Vec<(&'a ServerRecord, Standing)> {
+    let paces = lock(&relay.paces);
+    let fast = paces.without_slow(now, candidates.clone(), |(record, _)| record.key);
+    let takes_calls = fast.iter().any(|(_, standing)| standing.takes_calls());
+    if takes_calls { fast } else { candidates }
+}
--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -26,12 +26,13 @@
 use badgerferry_lib::relay::server_book::ServerBook;
 use badgerferry_lib::relay::server_book::ServerRecord;
 use badgerferry_lib::relay::standing::Standing;
-use badgerferry_lib::time::Time;
 use badgerferry_platform::headers::Reader;
-use rand::Rng;
 
 use crate::relay::call::Call;
-use crate::relay::call::NO_SERVER_RETRY;
+use crate::relay::candidates;
+use crate::relay::candidates::NO_SERVER_RETRY;
+use crate::relay::candidates::NotNow;
+use crate::relay::candidates::Wanted;
 use crate::relay::late_calls::LateWatch;
 use crate::relay::log_lines;
 use crate::relay::reservations::NotReserved;
@@ -42,8 +43,6 @@
 
 /// Estimate of a plain call's time where nothing is known, for patience with a silent server.
 const PLAIN_EXPECTED: Duration = Duration::from_millis(300);
-/// Part of the time until a server opens over which callers that are refused come back.
-const RETURN_SPREAD: f64 = 0.25;
 /// The last rank that engines know.
 const LAST_RANK: u8 = 9;
 
@@ -166,84 +165,6 @@
     }
 }
 
-/// Why a call can't be sent now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NotNow {
-    /// There are none that can take it.
-    NoEngines,
-    /// All that there are take no call of this box before so long.
-    AllClosed(Duration, RefusalReason),
-    /// All that there are leave.
-    AllLeaving,
-}
-
-impl NotNow {
-    fn refusal(self) -> (RefusalReason, Duration) {
-        match self {
-            Self::NoEngines => (RefusalReason::NoServer, NO_SERVER_RETRY),
-            Self::AllClosed(room_in, why) => {
-                // Callers that are refused together do not come back in one instant.
-                let spread = rand::rng().random_range(0.0..RETURN_SPREAD);
-                (why, room_in + room_in.mul_f64(spread))
-            }
-            Self::AllLeaving => (RefusalReason::ServersLeaving, NO_SERVER_RETRY),
-        }
-    }
-
-    /// Whether nothing changes in a call's favour before this time.
-    fn lasts_until(self, now: Time, at: Time) -> bool {
-        match self {
-            Self::NoEngines => false,
-            Self::AllClosed(room_in, _) => now + room_in >= at,
-            Self::AllLeaving => true,
-        }
-    }
-}
-
-/// Servers that may have a part in a call, and how each stands. Where none takes calls, the one that
-/// opens first may be waited for.
-fn candidates<'a>(
-    call: &Call,
-    now: Time,
-    book: &'a ServerBook,
-    tried: &[ServerName],
-) -> Result<Vec<(&'a ServerRecord, Standing)>, NotNow> {
-    let notices = lock(&call.relay.gate.notices);
-    let is_repeat = !tried.is_empty();
-    let standing = |life| match notices.standing(now, life) {
-        Standing::Open if is_repeat && notices.shedding.awaits_trial(now, life) => {
-            Standing::Shedding
-        }
-        standing => standing,
-    };
-    let mut usable = book.usable(now, &call.service, tried, standing);
-    if usable.iter().any(|(_, standing)| standing.takes_calls()) {
-        return Ok(usable);
-    }
-    let listed = book.of_service(&call.service);
-    let mut listed = listed.filter(|record| !record.info.leaving).peekable();
-    if listed.peek().is_none() {
-        return Err(NotNow::NoEngines);
-    }
-    let opens_in = |record: &'a ServerRecord| Some((notices.opens_in(now, record.life)?, record));
-    let first = listed.filter_map(opens_in).min_by_key(|(wait, _)| *wait);
-    match first {
-        None => Err(NotNow::AllLeaving),
-        Some((wait, record)) if wait > call.patience(!is_repeat) => {
-            let why = match standing(record.life) {
-                Standing::BackOff => RefusalReason::ServersShedding,
-                _ => RefusalReason::ServersLimited,
-            };
-            Err(NotNow::AllClosed(wait, why))
-        }
-        Some((_, record)) => {
-            usable.retain(|(other, _)| other.key != record.key);
-            usable.push((record, Standing::Limited));
-            Ok(usable)
-        }
-    }
-}
-
 /// Chooses; `tried` servers are used again only where there is no other. One that
 /// `is_apart` and needs no group of engines goes where few others are.
 ///
@@ -263,6 +184,14 @@
     }
 }
 
+fn wanted<'a>(call: &'a Call, tried: &'a [ServerName]) -> Wanted<'a> {
+    Wanted {
+        service: &call.service,
+        tried,
+        patience: call.patience(tried.is_empty()),
+    }
+}
+
 fn choose_plain(
     call: &Arc<Call>,
     tried: &[ServerName],
@@ -271,7 +200,8 @@
     let now = relay.clock.now();
     let book = lock(&relay.book);
     let hall = &relay.settings.hall;
-    let candidates = candidates(call, now, &book, tried).map_err(NotNow::refusal)?;
+    let candidates = candidates::of_service(relay, now, &book, &wanted(call, tried));
+    let candidates = candidates.map_err(NotNow::refusal)?;
     let record = ServerBook::pick(now, candidates, hall, &mut rand::rng());
     let record = record.ok_or(NotNow::NoEngines.refusal())?;
     Ok(Chosen {
@@ -423,8 +353,8 @@
     let boxes = relay.boxes_beside(scope);
     let book = lock(&relay.book);
     let table = lock(&relay.loads).table(now);
-    let candidates = candidates(call, now, &book, tried)?;
-    let mut candidates = without_slow(relay, now, candidates);
+    let candidates = candidates::of_service(relay, now, &book, &wanted(call, tried))?;
+    let mut candidates = candidates::without_slow(relay, now, candidates);
     if among == Among::Apart {
         let busy = |(record, _): &(&ServerRecord, Standing)| {
             let load = table.get(&record.key);
@@ -467,18 +397,6 @@
     })
 }
 
-/// Leaves engines out that are slow, unless nothing that takes calls is left then.
-fn without_slow<'a>(
-    relay: &Relay,
-    now: Time,
-    candidates: Vec<(&'a ServerRecord, Standing)>,
-) -> Vec<(&'a ServerRecord, Standing)> {
-    let paces = lock(&relay.paces);
-    let fast = paces.without_slow(now, candidates.clone(), |(record, _)| record.key);
-    let takes_calls = fast.iter().any(|(_, standing)| standing.takes_calls());
-    if takes_calls { fast } else { candidates }
-}
-
 /// Enters the work of a plan.
 fn enter(relay: &Arc<Relay>, planned: Planned) -> Started {
     let Planned {
--- a/daemon/src/relay/live_stream.rs
+++ b/daemon/src/relay/live_stream.rs
@@ -20,7 +20,7 @@
 use crate::relay::answer_body::PIECES;
 use crate::relay::answer_body::Piece;
 use crate::relay::call::Call;
-use crate::relay::call::NO_SERVER_RETRY;
+use crate::relay::candidates::NO_SERVER_RETRY;
 use crate::relay::log_lines;
 use crate::relay::log_lines::StreamTimes;
 use crate::relay::tries;
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod call;
 mod caller_answer;
 mod caller_io;
+mod candidates;
 mod engine_call;
 mod engines;
 mod followed;
