relay: a server that resets a connection while it is made, or closes it at once, may be ending

The look at it either was reset while the connection was made, which counted as no answer, or was closed at once while the process still listened, which counted as living after a second look.

Both are signs of a process that ends, so the look goes on for its 50 ms until nobody listens, or a connection stays open. What else goes wrong with such a look is logged.

The test of servers that leave let them be ended in a second life, without that they had said so: each is ended once now, and the check is the same.

--- a/daemon/src/relay/suspects.rs
+++ b/daemon/src/relay/suspects.rs
@@ -25,7 +25,9 @@
 use metrics::counter;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::relay::call::Call;
 use crate::relay::engines::Chosen;
@@ -50,6 +52,8 @@
 const ENDS_WITHIN: Duration = Duration::from_millis(50);
 /// How long the process is watched after that; its end counts whenever it comes.
 const WATCHED_FOR: Duration = Duration::from_secs(1);
+/// Between two connections to a server that closes each at once.
+const PROBE_PAUSE: Duration = Duration::from_millis(2);
 /// Longest silence of the store in a call that writes.
 const STORE_LIMIT: Duration = Duration::from_secs(1);
 /// Until a write that failed is tried again.
@@ -168,18 +172,14 @@
         began,
     };
     let address = chosen.address.clone();
-    let mut stream = match probe(&address).await {
-        Probe::Refused => return ended.record(call),
-        Probe::NoAnswer => return,
-        Probe::Taken(stream) => stream,
-    };
-    match has_ended(&address, &mut stream, ENDS_WITHIN).await {
-        Some(true) => ended.record(call),
-        Some(false) => {}
-        None => {
+    match has_ended(&address, ENDS_WITHIN).await {
+        Ending::Ended => ended.record(call),
+        Ending::Lives => {}
+        Ending::Open(mut stream) => {
             let call = Arc::clone(call);
             tokio::spawn(async move {
-                if has_ended(&address, &mut stream, WATCHED_FOR).await == Some(true) {
+                let closed = timeout(WATCHED_FOR, stream.read(&mut [0])).await.is_ok();
+                if closed && matches!(has_ended(&address, ENDS_WITHIN).await, Ending::Ended) {
                     ended.record(&call);
                 }
             });
@@ -213,19 +213,45 @@
     }
 }
 
-/// Whether the process at the other end of a new connection has ended; `None` while that is open.
+/// Whether a server's process has ended.
+enum Ending {
+    Ended,
+    Lives,
+    /// It took a connection and has not closed it yet.
+    Open(TcpStream),
+}
+
+/// Looks whether a process ends within a time.
 ///
-/// A process that ends closes its connections one after the other, some before it stops listening: a
-/// connection that was taken in that moment is closed with it, and then nobody takes another.
-async fn has_ended(address: &str, stream: &mut TcpStream, patience: Duration) -> Option<bool> {
-    // Closed in order or reset, it is closed.
-    let _closed = timeout(patience, stream.read(&mut [0])).await.ok()?;
-    Some(matches!(probe(address).await, Probe::Refused))
+/// One that ends closes its connections one after the other, some before it stops listening: new ones
+/// are taken and closed with it until nobody takes another.
+async fn has_ended(address: &str, within: Duration) -> Ending {
+    let until = Instant::now() + within;
+    loop {
+        match probe(address).await {
+            Probe::Refused => return Ending::Ended,
+            Probe::NoAnswer => return Ending::Lives,
+            Probe::Closed => {}
+            Probe::Taken(mut stream) => {
+                // Closed in order or reset, it is closed.
+                let closed = timeout_at(until, stream.read(&mut [0])).await;
+                if closed.is_err() {
+                    return Ending::Open(stream);
+                }
+            }
+        }
+        if Instant::now() >= until {
+            return Ending::Lives;
+        }
+        tokio::time::sleep(PROBE_PAUSE).await;
+    }
 }
 
 /// What became of a connection to a server.
 enum Probe {
     Refused,
+    /// It was reset while it was made: nobody has listened since, or somebody does.
+    Closed,
     Taken(TcpStream),
     NoAnswer,
 }
@@ -234,7 +260,12 @@
     match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => Probe::Taken(stream),
         Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(_)) | Err(_) => Probe::NoAnswer,
+        Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionReset => Probe::Closed,
+        Ok(Err(cause)) => {
+            tracing::info!(address, %cause, "a server could not be looked at");
+            Probe::NoAnswer
+        }
+        Err(_elapsed) => Probe::NoAnswer,
     }
 }
 
--- a/daemon/tests/test_relay_crashes.rs
+++ b/daemon/tests/test_relay_crashes.rs
@@ -21,6 +21,8 @@
 const FOUND: Duration = Duration::from_millis(1_500);
 /// Servers that one piece of work may end.
 const MOST_LIVES: usize = 3;
+/// How long a server may still listen when its connections are closed.
+const LINGERS: Duration = Duration::from_millis(30);
 /// Between ends that are to count by themselves.
 const APART: Duration = Duration::from_millis(500);
 /// Where boxes enter themselves, as they find each other by it.
@@ -37,14 +39,14 @@
 
 impl Fleet {
     async fn start(boxes: usize, servers: usize) -> anyhow::Result<Self> {
-        Self::start_lingering(boxes, servers, Duration::ZERO).await
+        Self::start_with(boxes, servers, |crashes| crashes).await
     }
 
-    /// With servers that still listen for a while when they end.
-    async fn start_lingering(
+    /// With servers that end in their own way.
+    async fn start_with(
         boxes: usize,
         servers: usize,
-        lingers: Duration,
+        end: impl Fn(Crashes) -> Crashes,
     ) -> anyhow::Result<Self> {
         let store = Store::start().await?;
         store.put_routes(&desired_state(3, &["key-1"]));
@@ -52,7 +54,7 @@
         for at in 0..servers {
             let name = format!("i-{at}");
             let server = Server::start(&name, "boards", Duration::from_millis(20)).await?;
-            server.crash_by(Crashes::by(DEADLY, AWAY, &store).lingering(lingers));
+            server.crash_by(end(Crashes::by(DEADLY, AWAY, &store)));
             store.put(&server.key(), &server.entry("ready"));
             rows.push(server);
         }
@@ -101,8 +103,8 @@
     Caller::once(at.front(), &call("POST", "/stream/a", id, "", body)).await
 }
 
-async fn ends_three_of_them(lingers: Duration) -> anyhow::Result<()> {
-    let fleet = Fleet::start_lingering(4, 12, lingers).await?;
+async fn ends_three_of_them(end: impl Fn(Crashes) -> Crashes) -> anyhow::Result<()> {
+    let fleet = Fleet::start_with(4, 12, end).await?;
 
     for round in 0..4 {
         for (at, one) in fleet.boxes.iter().enumerate() {
@@ -132,13 +134,19 @@
 #[tokio::test]
 async fn a_call_that_ends_servers_ends_three_of_them_at_whichever_boxes_it_comes()
 -> anyhow::Result<()> {
-    ends_three_of_them(Duration::ZERO).await
+    ends_three_of_them(|crashes| crashes).await
 }
 
 #[tokio::test]
 async fn a_server_that_listens_on_for_a_moment_while_it_ends_counts_as_ended() -> anyhow::Result<()>
 {
-    ends_three_of_them(Duration::from_millis(30)).await
+    ends_three_of_them(|crashes| crashes.lingering(LINGERS)).await
+}
+
+#[tokio::test]
+async fn a_server_that_closes_new_connections_while_it_ends_counts_as_ended() -> anyhow::Result<()>
+{
+    ends_three_of_them(|crashes| crashes.lingering(LINGERS).closing()).await
 }
 
 /// The news must reach a box that hears no other one, and a box that has only just started.
@@ -284,10 +292,13 @@
     let ends = async {
         for _ in 0..200 {
             tokio::time::sleep(Duration::from_millis(30)).await;
-            let runs = |server: &&Server| server.working.load(Ordering::SeqCst) > 0;
+            let runs = |server: &&Server| {
+                server.lives_ended() == 0 && server.working.load(Ordering::SeqCst) > 0
+            };
             if let Some(server) = leaving.iter().find(runs) {
                 // Ends that lie close together count as one.
                 tokio::time::sleep(APART).await;
+                server.usually(Behaviour::Serve);
                 server.crash();
             }
         }
