relay: how a server stands for a repeat is decided in one place

The daemon and the model each had the rule that a call which was turned away is not the one to try a server after its pause. Nothing that is decided changes.

--- a/daemon/src/relay/candidates.rs
+++ b/daemon/src/relay/candidates.rs
@@ -83,12 +83,12 @@
         patience,
     } = *wanted;
     let notices = lock(&relay.gate.notices);
-    let is_repeat = !tried.is_empty();
-    let standing = |life| match notices.standing(now, life) {
-        Standing::Open if is_repeat && notices.shedding.awaits_trial(now, life) => {
-            Standing::Shedding
+    let standing = |life| {
+        if tried.is_empty() {
+            notices.standing(now, life)
+        } else {
+            notices.standing_for_repeat(now, life)
         }
-        standing => standing,
     };
     let mut usable = book.usable(now, service, tried, standing);
     if usable.iter().any(|(_, standing)| standing.takes_calls()) {
--- a/lib/src/relay/server_notices.rs
+++ b/lib/src/relay/server_notices.rs
@@ -113,6 +113,15 @@
         limit.max(self.shedding.standing(now, life))
     }
 
+    /// The same for a call that another server has turned away or lost: it is not the one to try a server
+    /// after its pause.
+    pub fn standing_for_repeat(&self, now: Time, life: ServerLife) -> Standing {
+        match self.standing(now, life) {
+            Standing::Open if self.shedding.awaits_trial(now, life) => Standing::Shedding,
+            standing => standing,
+        }
+    }
+
     /// How long until a server takes a call of this box; `None` if it never does in this life.
     pub fn opens_in(&self, now: Time, life: ServerLife) -> Option<Duration> {
         match self.standing(now, life) {
--- a/lib/tests/test_relay_server_notices.rs
+++ b/lib/tests/test_relay_server_notices.rs
@@ -311,3 +311,15 @@
 
     assert!(notices.shedding.paused(Time::from_millis(5_000)) <= 2_048);
 }
+
+#[test]
+fn a_call_that_was_turned_away_does_not_try_another_server_after_its_pause() {
+    let notices = paused();
+    let after = Time::from_millis(3_010);
+
+    assert_eq!(notices.standing(after, SERVER), Standing::Open);
+    assert_eq!(
+        notices.standing_for_repeat(after, SERVER),
+        Standing::Shedding
+    );
+}
--- a/testutils/src/shed_model.rs
+++ b/testutils/src/shed_model.rs
@@ -203,15 +203,12 @@
     /// One of the first servers of the order that have room, one that sheds only where no other has.
     fn choose(&mut self, now: Time, sent: &Sent) -> Option<usize> {
         let notices = &self.boxes[sent.from];
-        let standing = |server: usize| match notices.standing(now, life(server)) {
-            Standing::Open if !sent.tried.is_empty() => {
-                if notices.shedding.awaits_trial(now, life(server)) {
-                    Standing::Shedding
-                } else {
-                    Standing::Open
-                }
+        let standing = |server: usize| {
+            if sent.tried.is_empty() {
+                notices.standing(now, life(server))
+            } else {
+                notices.standing_for_repeat(now, life(server))
             }
-            standing => standing,
         };
         let of = |most: u32, wanted: Standing| {
             let has_room = |&server: &usize| {
