--- a/daemon/src/relay/candidates.rs
+++ b/daemon/src/relay/candidates.rs
@@ -65,7 +65,7 @@
     pub patience: Duration,
 }
 
-/// Servers that may have a part in a call, and how each stands. Where none takes calls, the one that
+/// Servers that may have a part in a call, and whether each takes it. Where none does, the one that
 /// opens first may be waited for.
 ///
 /// # Errors
--- a/daemon/src/relay/log_lines.rs
+++ b/daemon/src/relay/log_lines.rs
@@ -111,7 +111,9 @@
         server = %chosen.server,
         status = status.as_u16(),
         at_fault = head.at_fault,
-        retry_after_ms = head.notice.retry_after.value().map(|span| span.as_millis() as u64),
+        // Saturates: a server may name any time.
+        retry_after_ms = (head.notice.retry_after.value())
+            .map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
         load = ?head.load.map(|load| (load.running, load.waiting, load.slots)),
         "server declined"
     );
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -1,5 +1,8 @@
-//! The one way to a backend server: whatever is sent there passes here, and is counted where the server
-//! says how many calls it takes.
+//! The one way to a backend server: whatever is sent there passes here, last before the send.
+//!
+//! What servers say of the calls they take is [`badgerferry_lib::relay::server_notices`]: one that leaves
+//! gets nothing new, one that asked for a pause nothing until it is over, and one that names a limit no
+//! more than that.
 //!
 //! Who gives out a limited server's calls is [`badgerferry_lib::relay::quota_keeper`]; here it is asked, by
 //! datagrams, and answers.
@@ -55,7 +58,7 @@
 #[derive(Debug)]
 pub struct Pass(());
 
-/// The server has no room for the request now.
+/// The server takes no request of this box now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Closed;
 
@@ -291,7 +294,7 @@
     /// Decides on a call to a server whose calls this box gives out.
     fn decide(&self, life: ServerLife, takers: usize, patience: Duration) -> Verdict {
         let now = self.now();
-        // Its limit may be over by a newer word than the asking box has.
+        // Its limit may be over by a newer answer than the asking box knows of.
         let Some(limit) = lock(&self.notices).limits.limit(life) else {
             return Verdict::Granted { after: 0 };
         };
--- a/lib/src/relay/shedding_servers.rs
+++ b/lib/src/relay/shedding_servers.rs
@@ -126,7 +126,7 @@
         news
     }
 
-    /// How a server stands by its pauses.
+    /// Whether a server takes calls, by its pauses.
     pub fn standing(&self, now: Time, life: ServerLife) -> Standing {
         let own = match self.own.get(&life) {
             Some(known) if known.until > now => return Standing::BackOff,
--- a/lib/src/relay/standing.rs
+++ b/lib/src/relay/standing.rs
@@ -1,6 +1,6 @@
 //! Whether a server takes a call, by what the server itself said.
 
-/// How a server stands; where several hold, the last one does.
+/// Whether a server takes calls; of several states the last one counts.
 ///
 /// These are the server's own statements. What a box concludes by itself, from failures or from
 /// silence, is a preference of [`crate::relay::server_book`] and gives way where nothing else is left;
