relay: the first routes are in force once the servers are known

Cause: routes and servers come with one read of the store, or one pull, and the routes were put in force first. Calls that wait for them run on another thread and find a service without servers until the entries have been taken.

The servers are taken first.

--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -170,9 +170,6 @@
         servers = answer.servers.as_ref().map(news_for_log),
         "state from a neighbour"
     );
-    if let Some(stamped) = table {
-        relay.offer_table(stamped, "neighbour");
-    }
     if let Some(news) = answer.servers {
         let now = relay.clock.now();
         let hold_left = answer.hold_left;
@@ -182,6 +179,10 @@
         });
     }
     relay.gate.take_rows(&answer.notices, "a pull");
+    // Last: calls that wait for the first routes go by them at once.
+    if let Some(stamped) = table {
+        relay.offer_table(stamped, "neighbour");
+    }
     let mut followed = lock(&relay.followed);
     for of in answer.boxes {
         followed.boxes.entry(of.name.clone()).or_insert(of);
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -229,6 +229,7 @@
             ..ServerEntries::default()
         };
         let mut boxes = Boxes::new();
+        let mut routes = None;
         for change in items {
             match change {
                 Change::Server { server, .. } => {
@@ -238,6 +239,7 @@
                     self.entries.insert(of.name.clone(), revision);
                     boxes.insert(of.name.clone(), of);
                 }
+                Change::Routes { .. } => routes = Some(change),
                 other => self.take(other),
             }
         }
@@ -253,6 +255,10 @@
         let now = self.relay.clock.now();
         lock(&self.relay.followed).servers.replace(now, entries);
         self.relay.show_servers_of_store();
+        // Calls that wait for the first routes go by them at once, and need the servers.
+        if let Some(routes) = routes {
+            self.take(routes);
+        }
     }
 
     fn take(&mut self, change: Change) {
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -72,6 +72,31 @@
     Ok(())
 }
 
+/// Entries of many servers are read with the routes, and must be known before a call goes by those.
+#[tokio::test]
+async fn a_call_that_waits_for_the_first_routes_finds_the_servers_as_well() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    store.put_routes(&desired_state(3, &["key-1"]));
+    let server = Server::start("i-0", "boards", Duration::from_millis(20)).await?;
+    store.put(&server.key(), &server.entry("ready"));
+    for at in 0..4_000 {
+        let mut entry = server.entry("ready");
+        entry["service"] = "others".into();
+        store.put(&format!("servers/x-{at}"), &entry);
+    }
+    store.set_mode(Mode::Busy);
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_line(&["store lost"]).await?;
+    let mut caller = Caller::connect(relay.front()).await?;
+
+    caller.send(&again("id-1", "key-1")).await?;
+    store.set_mode(Mode::Serving);
+
+    let answer = caller.answer().await?;
+    assert_eq!(answer.status, 200, "{answer:?}; {}", relay.log());
+    Ok(())
+}
+
 #[tokio::test]
 async fn new_routes_keys_and_servers_are_in_force_soon_after_the_store_took_them()
 -> anyhow::Result<()> {
