--- a/lib/src/relay/served_shares.rs
+++ b/lib/src/relay/served_shares.rs
@@ -41,7 +41,17 @@
 
     /// The lesser served share of the two largest groups, as a part of that of all.
     pub const fn of_the_largest(&self) -> f64 {
-        self.largest_tenth.min(self.fifth_beneath) / self.all.max(f64::MIN_POSITIVE)
+        self.tenth_of_all().min(self.beneath_of_all())
+    }
+
+    /// Served share of the largest tenth, as a part of that of all.
+    pub const fn tenth_of_all(&self) -> f64 {
+        self.largest_tenth / self.all.max(f64::MIN_POSITIVE)
+    }
+
+    /// Served share of the fifth beneath the largest tenth, as a part of that of all.
+    pub const fn beneath_of_all(&self) -> f64 {
+        self.fifth_beneath / self.all.max(f64::MIN_POSITIVE)
     }
 }
 
--- a/testutils/src/bin/emulate/relay.rs
+++ b/testutils/src/bin/emulate/relay.rs
@@ -6,6 +6,7 @@
 use anyhow::Context;
 use argh::FromArgs;
 use badgerferry_lib::relay::cells::Scope;
+use badgerferry_lib::relay::served_shares::ServedShares;
 use badgerferry_testutils::relay_model;
 use badgerferry_testutils::relay_model::DayResult;
 use badgerferry_testutils::relay_model::Scenario;
@@ -74,7 +75,7 @@
         println!("{}", serde_json::to_string(result)?);
     }
     for (name, figure) in figures(&scenario, &results) {
-        eprintln!("{name:28} {figure:.4}");
+        eprintln!("{name:40} {figure:.4}");
     }
     Ok(())
 }
@@ -126,10 +127,35 @@
         add("largest tenth served", &|row| row.served[at].largest_tenth);
         add("fifth beneath served", &|row| row.served[at].fifth_beneath);
         add("refused", &|row| row.refused[at] as f64);
+        figures.extend(starved_days(&kind.name, results, at));
     }
     figures
 }
 
+/// Served share of the largest prompts against all of their kind, beneath which they count as starved.
+const STARVED_UNDER: f64 = 0.5;
+
+/// Share of the days that starve the largest prompts of a kind, and the worst and the median day.
+fn starved_days(name: &str, results: &[DayResult], kind: usize) -> Vec<(String, f64)> {
+    let groups: [(&str, fn(&ServedShares) -> f64); 2] = [
+        ("largest tenth", ServedShares::tenth_of_all),
+        ("fifth beneath", ServedShares::beneath_of_all),
+    ];
+    let group = |(group, ratio): (&str, fn(&ServedShares) -> f64)| {
+        let mut days: Vec<f64> = results.iter().map(|row| ratio(&row.served[kind])).collect();
+        days.sort_by(f64::total_cmp);
+        let starved = days.iter().filter(|day| **day < STARVED_UNDER).count();
+        let at = |index: usize| days.get(index).copied().unwrap_or_default();
+        [
+            ("days starved", starved as f64 / days.len().max(1) as f64),
+            ("of all, worst day", at(0)),
+            ("of all, median day", at(days.len() / 2)),
+        ]
+        .map(|(what, figure)| (format!("{name} {group}, {what}"), figure))
+    };
+    groups.into_iter().flat_map(group).collect()
+}
+
 /// Compares.
 ///
 /// # Errors
