--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -235,7 +235,8 @@
         let planned = match apart {
             Some(Ok(planned)) => planned,
             Some(Err(_)) | None => {
-                plan(call, tried, model, prompt, Among::All).map_err(NotNow::refusal)?
+                let all = Among::All { late_part: None };
+                plan(call, tried, model, prompt, all).map_err(NotNow::refusal)?
             }
         };
         let started = enter(&call.relay, planned);
@@ -334,7 +335,8 @@
 /// Among which engines a call is placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Among {
-    All,
+    /// All; a large prompt that will be late may be read in parts up to a length.
+    All { late_part: Option<Duration> },
     /// A quiet one, apart from other calls.
     Apart,
 }
@@ -378,6 +380,10 @@
         due_in: now.until(call.due()),
         pause: call.route.pause,
         least_pause: call.routes.least_pause(&call.service),
+        late_part: match among {
+            Among::All { late_part } => late_part,
+            Among::Apart => None,
+        },
     };
     let cells = Cells {
         pool: EnginePool {
@@ -460,12 +466,16 @@
     loop {
         let now = relay.clock.now();
         let mut not_now = NotNow::NoEngines;
-        let planned = || {
-            let planned = plan(call, tried, model, prompt, Among::All);
-            planned.inspect_err(|why| not_now = *why).ok()
-        };
         let own = &relay.settings.name;
-        let turn = lock(&relay.long_queue).take_turn(now, place.ticket, own, planned);
+        let turn = {
+            let mut queue = lock(&relay.long_queue);
+            let late_part = queue.late_part(now, place.ticket);
+            let planned = || {
+                let planned = plan(call, tried, model, prompt, Among::All { late_part });
+                planned.inspect_err(|why| not_now = *why).ok()
+            };
+            queue.take_turn(now, place.ticket, own, planned)
+        };
         if let Some(planned) = turn {
             return Ok(enter(relay, planned));
         }
--- a/lib/src/relay/engine_group.rs
+++ b/lib/src/relay/engine_group.rs
@@ -59,6 +59,8 @@
     pub(crate) reserve: bool,
     /// Whether all engines together can't read it in parts of [`LONGEST_PART_ALONE`].
     pub(crate) is_huge: bool,
+    /// Longest part that an engine reads which writes nothing.
+    pub(crate) longest_alone: Duration,
     /// What streams bear beside a part.
     pub(crate) bearable: Bearable,
 }
@@ -74,7 +76,7 @@
             _ if load.long_reads > 0 => Duration::ZERO,
             _ if at < self.lane => self.bearable.beside_short,
             (0, 0) if self.is_huge => Duration::MAX,
-            (0, 0) => LONGEST_PART_ALONE,
+            (0, 0) => self.longest_alone,
             (0, _) => self.bearable.beside_long,
             _ => self.bearable.beside_short,
         }
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -152,6 +152,8 @@
     pub pause: Option<Duration>,
     /// Longest good pause of the most urgent streams that the same engines write.
     pub least_pause: Option<Duration>,
+    /// Longest part of a large prompt that can't be on time; it is read by as few engines as that takes.
+    pub late_part: Option<Duration>,
 }
 
 /// How a generation runs.
@@ -394,9 +396,8 @@
     } else {
         all
     };
-    let least = parts_of(read, longest_part(aims.due_in))
-        .min(engines.len() - lane)
-        .min(most);
+    let longest = longest_part(aims.due_in).max(aims.late_part.unwrap_or_default());
+    let least = parts_of(read, longest).min(engines.len() - lane).min(most);
     let group = EngineGroup {
         model,
         engines,
@@ -404,9 +405,12 @@
         lane,
         reserve,
         is_huge,
+        longest_alone: longest.max(LONGEST_PART_ALONE),
         bearable: Bearable::new(model, aims.least_pause),
     };
-    let wanted = if reserve {
+    let wanted = if aims.late_part.is_some() {
+        least
+    } else if reserve {
         most
     } else {
         let free = group.free() as f64 * share_of_free(pool.boxes);
--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -3,9 +3,11 @@
 //! Engines are sent little more than they can read at once, so the order is still open here.
 //! Those that can be on time go first, the shortest reading before longer: most prompts are
 //! on time so. Prompts whose reading takes even all engines that may read one a good part of their
-//! time count alike, and go by lot: else the largest would always be passed, and never served where
-//! there is more to read than engines can. One that will be late whoever reads it goes when nothing else
-//! waits, and is given up once no engines could answer it in time.
+//! time go by lot: else the largest would always be passed, and never served where there is more to
+//! read than engines can. The larger one is, the better is its lot, since it can start less often. One that
+//! will be late whoever reads it goes when nothing else waits, and is given up once no engines could answer it
+//! in time. Where engines are few a large one is nearly always late when others wait: there it keeps its place,
+//! and is read by few engines in longer parts.
 //!
 //! The order holds over all boxes: each tells the others which of its prompts comes first, and
 //! a prompt waits while another box has one that goes before it. Without that, all boxes see
@@ -31,11 +33,16 @@
 /// Engines that read one prompt at most.
 const MOST_READERS: u32 = MAX_HELPERS as u32 + 1;
 /// Part of its objective that reading takes all engines that may read a prompt, from which on it is large:
-/// large ones count alike, and the lot decides. First come, first served would make all of them late in turn.
-const LARGE_PART: f64 = 0.1;
-/// Engines from which large prompts go by lot. Where there are fewer, one takes more than half of them and holds up
-/// all others.
-const LEAST_ENGINES_FOR_LOT: usize = 2 * MOST_READERS as usize;
+/// large ones go by lot. First come, first served would make all of them late in turn.
+const LARGE_PART: f64 = 0.07;
+/// The same where engines are few: one takes most of them and holds up all others.
+const LARGE_PART_OF_FEW: f64 = 0.1;
+/// Engines beneath which they are few: one group of readers is more than half of them.
+const FEW_ENGINES: usize = 2 * MOST_READERS as usize;
+/// Power of a large prompt's reading by which its lot is divided.
+const LOT_POWER: f64 = 0.6;
+/// Longest part of a large prompt that is late and keeps its place: few engines need to be free at once.
+const LATE_PART: Duration = Duration::from_millis(3_500);
 /// Time that passes and writing need at least, beside the reading.
 const LEAST_RUN: Duration = Duration::from_secs(2);
 
@@ -90,21 +97,42 @@
         now + self.read / MOST_READERS > self.due
     }
 
+    fn engines_are_few(&self) -> bool {
+        self.engines < FEW_ENGINES
+    }
+
     /// Reading from which it counts as large.
     fn large_read(&self) -> Duration {
-        match self.engines {
-            LEAST_ENGINES_FOR_LOT.. => self.objective.mul_f64(LARGE_PART) * MOST_READERS,
-            _ => Duration::MAX,
+        let part = if self.engines_are_few() {
+            LARGE_PART_OF_FEW
+        } else {
+            LARGE_PART
+        };
+        self.objective.mul_f64(part) * MOST_READERS
+    }
+
+    /// Whether it keeps its place among large prompts though it will be late.
+    fn keeps_place(&self) -> bool {
+        self.engines_are_few() && self.read >= self.large_read()
+    }
+
+    /// Longest part that it may be read in because it will be late all the same, and has its turn;
+    /// none where it is read as others are.
+    fn late_part(&self, now: Time) -> Option<Duration> {
+        if !self.will_be_late(now) || !self.keeps_place() {
+            return None;
         }
+        let time_to_read = now.until(self.deadline).saturating_sub(2 * LEAST_RUN);
+        Some(LATE_PART.min(time_to_read)).filter(|part| !part.is_zero())
     }
 
     fn head(&self, now: Time) -> QueueHead {
-        let is_late = self.will_be_late(now);
+        let is_late = self.will_be_late(now) && !self.keeps_place();
         let large = self.large_read();
         let (read, lot) = match self.read {
             // Late ones are no longer worth much: what takes engines the least goes first.
             read if is_late || read < large => (read, 0),
-            _ => (large, self.lot),
+            read => (large, weighted_lot(self.lot, read, large)),
         };
         QueueHead {
             is_late,
@@ -114,6 +142,12 @@
     }
 }
 
+/// The lot of a large prompt: better, so smaller, the more reading it takes.
+fn weighted_lot(lot: u16, read: Duration, large: Duration) -> u16 {
+    let times = read.as_secs_f64() / large.as_secs_f64().max(f64::MIN_POSITIVE);
+    (f64::from(lot) / times.powf(LOT_POWER)) as u16
+}
+
 /// What a box tells of the prompt that it would send next; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct QueueHead {
@@ -279,6 +313,13 @@
         planned
     }
 
+    /// Longest part that a waiting prompt may be read in because it will be late all the same; none
+    /// where it is read as others are.
+    pub fn late_part(&self, now: Time, ticket: Ticket) -> Option<Duration> {
+        let row = self.rows.iter().find(|row| row.ticket == ticket)?;
+        row.waiting.late_part(now)
+    }
+
     /// What a waiting prompt met so far.
     pub fn looks(&self, ticket: Ticket) -> Looks {
         let row = self.rows.iter().find(|row| row.ticket == ticket);
--- a/lib/tests/test_relay_engine_plan.rs
+++ b/lib/tests/test_relay_engine_plan.rs
@@ -55,6 +55,7 @@
         due_in,
         pause,
         least_pause: SHORT,
+        late_part: None,
     }
 }
 
@@ -343,6 +344,7 @@
             due_in: Duration::from_millis(rng.random_range(0..5_000)),
             pause,
             least_pause: [SHORT, MIDDLE, None][rng.random_range(0..3)],
+            late_part: None,
         };
         let found = engine_plan::plan(&pool(&engines, boxes), &prompt, aims, &mut rng);
         let Some(plan) = found else { continue };
@@ -450,3 +452,22 @@
     assert!([2, 3].contains(&with_room.parts[0].engine), "{with_room:?}");
     assert_eq!(without.parts[0].engine, 1, "{without:?}");
 }
+
+#[test]
+fn a_large_prompt_that_is_late_is_read_by_few_engines_in_longer_parts() {
+    let engines = idle(18);
+    let part = Duration::from_millis(3_500);
+    let late = Aims {
+        late_part: Some(part),
+        ..aims(Duration::ZERO, PATIENT)
+    };
+
+    let usual = plan_due(&engines, 300_000, Duration::ZERO).expect("engines are idle");
+    let plan = plan_with(&engines, 300_000, late, 6).expect("engines are idle");
+
+    let read = MODEL.read(300_000);
+    let least = (read.as_secs_f64() / part.as_secs_f64()).ceil() as usize;
+    assert_eq!(plan.parts.len(), least);
+    assert!(plan.parts[0].read <= part);
+    assert!(usual.parts.len() > least);
+}
--- a/testutils/src/relay_model/boxes.rs
+++ b/testutils/src/relay_model/boxes.rs
@@ -66,6 +66,8 @@
     pub(super) prompt: Prompt,
     pub(super) due: Time,
     pub(super) pause: Duration,
+    /// Longest part, where it will be late all the same.
+    pub(super) late_part: Option<Duration>,
 }
 
 /// A plan, with engines by their place in the run's list.
@@ -208,6 +210,7 @@
             due_in: now.until(asked.due),
             pause: Some(asked.pause),
             least_pause: rules.least_pause,
+            late_part: asked.late_part,
         };
         let plan = cells.plan(&asked.prompt, aims, rng)?;
         Some(Planned { plan, states, rows })
--- a/testutils/src/relay_model/run.rs
+++ b/testutils/src/relay_model/run.rs
@@ -273,6 +273,7 @@
             prompt: call.prompt,
             due: call.at + Duration::from_millis(kind.aim_ms),
             pause: Duration::from_millis(kind.pause_ms),
+            late_part: None,
         }
     }
 
@@ -315,7 +316,10 @@
         let Some(ticket) = self.calls[id].ticket else {
             return self.queue(now, id);
         };
-        let asked = self.asked(id);
+        let asked = Asked {
+            late_part: self.boxes[box_at].queue.late_part(now, ticket),
+            ..self.asked(id)
+        };
         let rules = &self.rules;
         let of = &mut self.boxes[box_at];
         let mut queue = std::mem::take(&mut of.queue);
