--- a/cli/src/commands/suspects.rs
+++ b/cli/src/commands/suspects.rs
@@ -66,7 +66,9 @@
 
 fn failed(what: &str, cause: &StoreError) -> CommandError {
     let kind = match cause {
-        StoreError::NotDone(_) | StoreError::HistoryGone => Failure::Refused,
+        StoreError::NotDone(_) | StoreError::HistoryGone | StoreError::NewEra(_) => {
+            Failure::Refused
+        }
         StoreError::NoAnswer(_) => Failure::NoAnswer,
     };
     CommandError::new(kind, format!("failed to {what}: {cause}"))
--- a/daemon/src/relay/followed.rs
+++ b/daemon/src/relay/followed.rs
@@ -11,8 +11,6 @@
 /// What control knows of the platform's state.
 #[derive(Debug, Default)]
 pub struct Followed {
-    /// Revision of the route table in force; 0 for none.
-    pub table_revision: u64,
     /// The servers.
     pub servers: ServerList,
     /// All boxes that are known, this one included.
@@ -30,6 +28,17 @@
 }
 
 impl Followed {
+    /// Takes the boxes that the store lists. One that was heard lately stays: the store may have come back
+    /// from a copy in which that box is missing until it enters itself again.
+    pub fn take_boxes(&mut self, now: Time, listed: Boxes) {
+        let before = std::mem::replace(&mut self.boxes, listed);
+        for (name, of) in before {
+            if self.heard.lives(now, &name) {
+                self.boxes.entry(name).or_insert(of);
+            }
+        }
+    }
+
     /// Whom this box tells of its work, and whose engines it uses first.
     pub fn scope(&self) -> Scope {
         Scope::of(&self.boxes)
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -77,15 +77,10 @@
 }
 
 fn set_gauges(relay: &Relay) {
-    let revisions = relay.revisions();
-    let version = relay
-        .routes
-        .load()
-        .as_ref()
-        .map_or(0, |index| index.table().version);
-    gauge!("badgerferry_routes_version").set(version as f64);
-    gauge!("badgerferry_routes_revision").set(revisions.table as f64);
-    gauge!("badgerferry_servers_revision").set(revisions.servers as f64);
+    let known = relay.known_state();
+    gauge!("badgerferry_routes_version").set(known.routes.unwrap_or_default() as f64);
+    gauge!("badgerferry_store_era").set(known.servers.era as f64);
+    gauge!("badgerferry_servers_revision").set(known.servers.revision as f64);
     gauge!("badgerferry_long_prompts_waiting").set(lock(&relay.long_queue).len() as f64);
     {
         let quarantine = lock(&relay.quarantine);
--- a/daemon/src/relay/neighbours.rs
+++ b/daemon/src/relay/neighbours.rs
@@ -199,7 +199,7 @@
         sequence,
         teller,
         is_urgent: false,
-        have: relay.revisions(),
+        have: relay.known_state(),
         follows_store: relay.follows_store(),
         waits: None,
         faults,
@@ -320,7 +320,7 @@
         if passed_on.is_due(relay, now, &datagram) {
             pass_on(relay, socket, &datagram).await;
         }
-        let have = relay.revisions();
+        let have = relay.known_state();
         let is_newer = have.lacks(datagram.have);
         // Far news is pulled by the box that passes it on, the others pull from that one.
         let lacks_state = is_newer && !is_passed_on(&datagram);
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -8,13 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use badgerferry_lib::relay::route_table::RouteTable;
 use badgerferry_lib::relay::server_list::ServerNews;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
+use badgerferry_lib::relay::state_pull::KnownState;
 use badgerferry_lib::relay::state_pull::MAX_FRAME_BYTES;
 use badgerferry_lib::relay::state_pull::PullAnswer;
 use badgerferry_lib::relay::state_pull::PullRequest;
-use badgerferry_lib::relay::state_pull::Revisions;
-use badgerferry_lib::relay::state_pull::StampedTable;
 use badgerferry_lib::relay::state_pull::first_sources;
 use metrics::counter;
 use rand::seq::IndexedRandom;
@@ -60,7 +60,7 @@
 }
 
 /// An answer of two frames: what is newer, and the route table if that is.
-type Answer = (PullAnswer, Option<StampedTable>);
+type Answer = (PullAnswer, Option<RouteTable>);
 
 /// Whether this box lacks addresses of others, and has not asked for them just now.
 pub fn wants_boxes(relay: &Relay) -> bool {
@@ -84,7 +84,7 @@
         None => 1,
     };
     for _ in 0..most {
-        if pull_from_named(relay, &name, relay.revisions()).await == Pulled::Done {
+        if pull_from_named(relay, &name, relay.known_state()).await == Pulled::Done {
             return;
         }
         tokio::time::sleep(BUSY_PAUSE).await;
@@ -97,14 +97,14 @@
 
 /// A box that has newer state, drawn from those that said so.
 fn any_ahead(relay: &Relay) -> Option<String> {
-    let have = relay.revisions();
+    let have = relay.known_state();
     let followed = lock(&relay.followed);
     let ahead = followed.heard.ahead_of(relay.clock.now(), have);
     ahead.choose(&mut rand::rng()).map(|&name| name.to_owned())
 }
 
 /// Pulls from a box, or from any other one if its address is not known.
-async fn pull_from_named(relay: &Arc<Relay>, name: &str, have: Revisions) -> Pulled {
+async fn pull_from_named(relay: &Arc<Relay>, name: &str, have: KnownState) -> Pulled {
     let address = {
         let followed = lock(&relay.followed);
         let named = followed.boxes.get(name).map(|of| of.pull.clone());
@@ -131,12 +131,12 @@
         let all = first_sources(settings.pull, &settings.seeds, &lock(&relay.followed).boxes);
         let drawn = all.choose(&mut rand::rng()).copied();
         if let (None, Some(address)) = (relay.routes.load().as_ref(), drawn) {
-            pull(relay, address, relay.revisions()).await;
+            pull(relay, address, relay.known_state()).await;
         }
     }
 }
 
-async fn pull(relay: &Arc<Relay>, address: SocketAddr, have: Revisions) -> Pulled {
+async fn pull(relay: &Arc<Relay>, address: SocketAddr, have: KnownState) -> Pulled {
     let request = PullRequest {
         version: FRAME_VERSION,
         have,
@@ -164,9 +164,9 @@
     };
     tracing::info!(
         %address,
-        have_table = have.table,
-        have_servers = have.servers,
-        table = table.as_ref().map(|stamped| stamped.revision),
+        have_version = have.routes,
+        have_servers = %have.servers,
+        version = table.as_ref().map(|table| table.version),
         servers = answer.servers.as_ref().map(news_for_log),
         "state from a neighbour"
     );
@@ -180,8 +180,8 @@
     }
     relay.gate.take_rows(&answer.notices, "a pull");
     // Last: calls that wait for the first routes go by them at once.
-    if let Some(stamped) = table {
-        relay.offer_table(stamped, "neighbour");
+    if let Some(table) = table {
+        relay.offer_table(table, "neighbour");
     }
     let mut followed = lock(&relay.followed);
     for of in answer.boxes {
@@ -190,15 +190,15 @@
     Pulled::Done
 }
 
-/// Revision and extent of news, for logs.
+/// Position and extent of news, for logs.
 fn news_for_log(news: &ServerNews) -> String {
     match news {
         ServerNews::All(entries) => {
-            format!("all {} at {}", entries.servers.len(), entries.revision)
+            format!("all {} at {}", entries.servers.len(), entries.position)
         }
         ServerNews::Changes(changes) => {
             let count = changes.put.len() + changes.gone.len();
-            format!("{count} changes to {}", changes.revision)
+            format!("{count} changes to {}", changes.position)
         }
     }
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -22,15 +22,15 @@
 use badgerferry_lib::relay::quarantine::Quarantine;
 use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::relay::route_table::RouteIndex;
+use badgerferry_lib::relay::route_table::RouteTable;
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_book::ServerBook;
 use badgerferry_lib::relay::server_list::ServerList;
 use badgerferry_lib::relay::server_notices::NoticeRows;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
+use badgerferry_lib::relay::state_pull::KnownState;
 use badgerferry_lib::relay::state_pull::PullAnswer;
 use badgerferry_lib::relay::state_pull::PullRequest;
-use badgerferry_lib::relay::state_pull::Revisions;
-use badgerferry_lib::relay::state_pull::StampedTable;
 use badgerferry_lib::relay::work_key::WorkKey;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
@@ -67,7 +67,7 @@
 /// A route table, encoded once for all boxes that ask for it.
 #[derive(Debug, Clone)]
 struct EncodedTable {
-    revision: u64,
+    version: u64,
     bytes: Bytes,
 }
 
@@ -238,14 +238,19 @@
     }
 
     /// Which state this box has.
-    pub fn revisions(&self) -> Revisions {
-        let followed = lock(&self.followed);
-        Revisions {
-            table: followed.table_revision,
-            servers: followed.servers.entries().revision,
+    pub fn known_state(&self) -> KnownState {
+        KnownState {
+            routes: self.version_in_force(),
+            servers: lock(&self.followed).servers.entries().position,
         }
     }
 
+    /// Version of the route table in force.
+    pub fn version_in_force(&self) -> Option<u64> {
+        let routes = self.routes.load();
+        routes.as_ref().map(|index| index.table().version)
+    }
+
     /// Boxes that choose among the engines which this box uses first.
     pub fn boxes_beside(&self, scope: Scope) -> usize {
         let followed = lock(&self.followed);
@@ -272,7 +277,7 @@
     pub fn newer_than(&self, request: &PullRequest) -> PullAnswer {
         let have = request.have;
         // Boxes that are up hear of them with the datagrams.
-        let has_just_started = have.table == 0;
+        let has_just_started = have.routes.is_none();
         let notices = if has_just_started {
             lock(&self.gate.notices).all_rows(self.clock.now())
         } else {
@@ -285,7 +290,7 @@
             Vec::new()
         };
         PullAnswer {
-            table_follows: followed.table_revision > have.table && self.routes.load().is_some(),
+            table_follows: self.version_in_force() > have.routes,
             servers: followed.servers.news_since(have.servers),
             hold_left: followed.servers.hold_left(self.clock.now()),
             notices,
@@ -295,59 +300,59 @@
 
     /// The route table in force as it follows an answer.
     pub fn table_for(&self, answer: &PullAnswer) -> Option<Bytes> {
-        let revision = lock(&self.followed).table_revision;
-        answer
-            .table_follows
-            .then(|| self.encoded_table(revision))
-            .flatten()
+        answer.table_follows.then(|| self.encoded_table()).flatten()
     }
 
-    /// The route table in force, which is as new as this revision.
-    fn encoded_table(&self, revision: u64) -> Option<Bytes> {
+    fn encoded_table(&self) -> Option<Bytes> {
+        let routes = self.routes.load_full()?;
+        let version = routes.table().version;
         let mut encoded = lock(&self.encoded_table);
-        if let Some(table) = encoded.as_ref().filter(|table| table.revision == revision) {
+        if let Some(table) = encoded.as_ref().filter(|table| table.version == version) {
             return Some(table.bytes.clone());
         }
-        let stamped = StampedTable {
-            revision,
-            table: self.routes.load_full()?.table().clone(),
-        };
-        let bytes = match postcard::to_stdvec(&stamped) {
+        let bytes = match postcard::to_stdvec(routes.table()) {
             Ok(bytes) => Bytes::from(bytes),
             Err(cause) => {
-                tracing::error!(%cause, revision, "the route table can't be encoded");
+                tracing::error!(%cause, version, "the route table can't be encoded");
                 return None;
             }
         };
         *encoded = Some(EncodedTable {
-            revision,
+            version,
             bytes: bytes.clone(),
         });
         Some(bytes)
     }
 
-    /// Puts a route table in force if it is newer than the one that is.
-    pub fn offer_table(&self, stamped: StampedTable, source: &'static str) {
-        let mut followed = lock(&self.followed);
-        let in_force = self.routes.load_full();
-        let version = in_force.as_ref().map(|index| index.table().version);
-        let is_newer = stamped.revision > followed.table_revision
-            && version.is_none_or(|version| stamped.table.version > version);
-        followed.table_revision = followed.table_revision.max(stamped.revision);
-        if !is_newer {
+    /// Puts a route table in force if its version is higher than that of the one that is.
+    pub fn offer_table(&self, table: RouteTable, source: &'static str) {
+        // Held until the table is in force: tables come from the store and from other boxes.
+        let followed = lock(&self.followed);
+        let (version, before) = (table.version, self.version_in_force());
+        let position = followed.servers.entries().position;
+        if before >= Some(version) {
+            if before > Some(version) {
+                tracing::info!(
+                    version,
+                    in_force = before,
+                    source,
+                    "older routes passed over"
+                );
+            }
             return;
         }
         tracing::info!(
-            version = stamped.table.version,
-            before = version,
-            revision = stamped.revision,
-            routes = stamped.table.routes.len(),
-            workspaces = stamped.table.workspaces.len(),
+            version,
+            before,
+            era = position.era,
+            revision = position.revision,
+            routes = table.routes.len(),
+            workspaces = table.workspaces.len(),
             source,
             "routes in force"
         );
-        let index = Arc::new(RouteIndex::new(stamped.table));
-        self.routes.store(Some(index));
+        self.routes.store(Some(Arc::new(RouteIndex::new(table))));
+        drop(followed);
         self.routes_known.notify_waiters();
         // Neighbours are told at once, not after the pause that a hundred boxes in a hall bring: each
         // round in which the routes spread would take that pause longer.
--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -12,10 +12,11 @@
 use badgerferry_lib::relay::cells::Boxes;
 use badgerferry_lib::relay::server_list::ServerEntries;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
-use badgerferry_lib::relay::state_pull::StampedTable;
+use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_platform::store::Store;
 use badgerferry_platform::store::StoreError;
 use badgerferry_platform::store_change::Change;
+use rand::Rng;
 use tokio::time::Instant;
 
 use crate::relay::state;
@@ -46,6 +47,10 @@
 /// Longest pause after a failure: a change is to be known within four seconds of the store's
 /// return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Within this time after a return from a copy boxes that follow the store read all of it.
+const READ_AGAIN_WITHIN: Duration = Duration::from_millis(200);
+/// Within this time the others write their entries again, which nobody waits for.
+const ENTER_AGAIN_WITHIN: Duration = Duration::from_secs(5);
 /// How often boxes are looked for that were silent long.
 const SWEEP_PAUSE: Duration = Duration::from_mins(1);
 
@@ -54,16 +59,17 @@
     let mut store = Store::new(relay.settings.store, CALL_LIMIT);
     let mut follow = Follow::new(relay);
     loop {
-        if follow.is_entered && !relay.must_follow_store() {
+        if follow.entered_in.is_some() && !relay.must_follow_store() {
             follow.follow_neighbours();
+            follow.enter_again(&mut store).await;
             tokio::time::sleep(LOOK_AT_NEIGHBOURS).await;
             continue;
         }
-        let reads_all = follow.revision.is_none();
+        let is_first = follow.position.is_none() && follow.entered_in.is_none();
         let pause = match follow.step(&mut store).await {
             Ok(()) => {
                 follow.answered();
-                if reads_all { FIRST_WATCH } else { GATHER }
+                if is_first { FIRST_WATCH } else { GATHER }
             }
             Err(cause) => follow.failed(&cause),
         };
@@ -73,17 +79,19 @@
 
 struct Follow<'a> {
     relay: &'a Arc<Relay>,
-    /// Revision to watch from; none where all must be read.
-    revision: Option<u64>,
+    /// Where to watch from; none where all must be read.
+    position: Option<StorePosition>,
     lost_since: Option<Instant>,
     failures: usize,
     backoff: Backoff,
     /// What other boxes are to know of this one.
     own: BoxAddresses,
-    /// Whether the store holds that.
-    is_entered: bool,
-    /// The store's revision of each box's entry.
-    entries: HashMap<String, u64>,
+    /// The era in which the store held that.
+    entered_in: Option<u64>,
+    /// When it is written again after a return from a copy.
+    enters_again: Option<Instant>,
+    /// Where the store took each box's entry, in the era that is read.
+    entries: HashMap<String, StorePosition>,
     swept: Instant,
 }
 
@@ -91,12 +99,13 @@
     fn new(relay: &'a Arc<Relay>) -> Self {
         Self {
             relay,
-            revision: None,
+            position: None,
             lost_since: None,
             failures: 0,
             backoff: Backoff::default(),
             own: state::own_addresses(&relay.settings),
-            is_entered: false,
+            entered_in: None,
+            enters_again: None,
             entries: HashMap::new(),
             swept: Instant::now(),
         }
@@ -107,14 +116,14 @@
             0 => CALL_LIMIT,
             failures => LOST_LIMITS[failures % LOST_LIMITS.len()],
         });
-        let Some(after) = self.revision else {
+        let Some(after) = self.position else {
             let all = store.read_all().await?;
             self.store_answers();
-            self.take_everything(all.revision, all.items);
-            self.revision = Some(all.revision);
-            return self.enter(store).await;
+            self.take_everything(all.position, all.items);
+            self.position = Some(all.position);
+            return self.enter(store, all.position.era).await;
         };
-        self.enter(store).await?;
+        self.enter(store, after.era).await?;
         let wait = match self.lost_since {
             Some(_) => LOST_WATCH_WAIT,
             None => WATCH_WAIT,
@@ -138,21 +147,44 @@
             // Once for all of them: each time, the list is copied whole.
             self.relay.show_servers_of_store();
         }
-        self.revision = Some(seen.revision);
+        self.position = Some(seen.position);
         self.sweep(store).await
     }
 
-    /// Enters this box, unless the store holds its addresses from an earlier life.
-    async fn enter(&mut self, store: &mut Store) -> Result<(), StoreError> {
-        if self.is_entered {
+    /// Enters this box in an era of the store, unless that holds its addresses.
+    async fn enter(&mut self, store: &mut Store, era: u64) -> Result<(), StoreError> {
+        if self.entered_in >= Some(era) {
             return Ok(());
         }
-        store.put_box(&self.own).await?;
-        self.is_entered = true;
-        tracing::info!(r#box = self.own.name, "this box is entered in the store");
+        let era = store.put_box(&self.own).await?;
+        self.entered_in = Some(era);
+        self.enters_again = None;
+        tracing::info!(
+            r#box = self.own.name,
+            era,
+            "this box is entered in the store"
+        );
         Ok(())
     }
 
+    /// Enters this box again, some time after it heard from others that the store came back from a copy:
+    /// all boxes hear of it at once.
+    async fn enter_again(&mut self, store: &mut Store) {
+        let era = self.relay.known_state().servers.era;
+        if self.entered_in >= Some(era) {
+            return;
+        }
+        let within = rand::rng().random_range(Duration::ZERO..ENTER_AGAIN_WITHIN);
+        let at = *self.enters_again.get_or_insert(Instant::now() + within);
+        if Instant::now() < at {
+            return;
+        }
+        if let Err(cause) = self.enter(store, era).await {
+            tracing::warn!(%cause, era, "this box could not be entered in the store again");
+            self.enters_again = None;
+        }
+    }
+
     /// Removes entries of boxes that were silent long, if this box does that for its hall.
     async fn sweep(&mut self, store: &mut Store) -> Result<(), StoreError> {
         if self.swept.elapsed() < SWEEP_PAUSE {
@@ -166,13 +198,14 @@
             cells::abandoned(&followed.boxes, &self.own, silent_for)
         };
         for name in abandoned {
-            if let Some(&revision) = self.entries.get(&name) {
+            if let Some(&at) = self.entries.get(&name) {
                 tracing::info!(
                     r#box = name,
-                    revision,
+                    era = at.era,
+                    revision = at.revision,
                     "entry of a box removed, which is silent long"
                 );
-                store.remove_box(&name, revision).await?;
+                store.remove_box(&name, at).await?;
             }
         }
         Ok(())
@@ -187,8 +220,8 @@
 
     /// Goes on from where the neighbours' news are, should this box follow the store again.
     fn follow_neighbours(&mut self) {
-        let have = self.relay.revisions();
-        self.revision = self.revision.max(Some(have.servers));
+        let have = self.relay.known_state();
+        self.position = self.position.max(Some(have.servers));
         // Its news reaches this box through them: entries that end are no longer held for long.
         let now = self.relay.clock.now();
         lock(&self.relay.followed).servers.store_answers(now);
@@ -206,55 +239,80 @@
     }
 
     fn failed(&mut self, cause: &StoreError) -> Duration {
-        if *cause == StoreError::HistoryGone {
-            tracing::info!(
-                revision = self.revision,
-                "store's history is gone; reading all"
-            );
-            self.revision = None;
-            return Duration::ZERO;
+        let (era, revision) = self.position.map(|at| (at.era, at.revision)).unzip();
+        match cause {
+            StoreError::HistoryGone => {
+                tracing::info!(era, revision, "store's history is gone; reading all");
+                self.position = None;
+                return Duration::ZERO;
+            }
+            StoreError::NewEra(new_era) => {
+                tracing::warn!(
+                    era,
+                    revision,
+                    new_era,
+                    "store came back from a copy; reading all"
+                );
+                self.position = None;
+                return rand::rng().random_range(Duration::ZERO..READ_AGAIN_WITHIN);
+            }
+            StoreError::NotDone(_) | StoreError::NoAnswer(_) => {}
         }
         if self.lost_since.is_none() {
             self.lost_since = Some(Instant::now());
-            tracing::warn!(%cause, revision = self.revision, "store lost");
+            tracing::warn!(%cause, era, revision, "store lost");
         }
         self.failures += 1;
         lock(&self.relay.followed).servers.store_lost();
         self.backoff.next(&mut rand::rng()).min(LONGEST_PAUSE)
     }
 
-    fn take_everything(&mut self, revision: u64, items: Vec<Change>) {
+    fn take_everything(&mut self, position: StorePosition, items: Vec<Change>) {
         let mut entries = ServerEntries {
-            revision,
+            position,
             ..ServerEntries::default()
         };
         let mut boxes = Boxes::new();
         let mut routes = None;
+        self.entries.clear();
         for change in items {
             match change {
                 Change::Server { server, .. } => {
                     entries.servers.insert(server.name.clone(), server);
                 }
-                Change::Box { revision, of } => {
-                    self.entries.insert(of.name.clone(), revision);
+                Change::Box { position, of } => {
+                    self.entries.insert(of.name.clone(), position);
                     boxes.insert(of.name.clone(), of);
                 }
-                Change::Routes { .. } => routes = Some(change),
+                Change::Routes(_) => routes = Some(change),
                 other => self.take(other),
             }
         }
+        let before = self.relay.known_state().servers;
         tracing::info!(
-            revision,
+            era = position.era,
+            revision = position.revision,
+            known_era = before.era,
+            known_revision = before.revision,
             servers = entries.servers.len(),
             boxes = boxes.len(),
             "store read whole"
         );
-        self.is_entered = boxes.get(&self.own.name) == Some(&self.own);
+        if boxes.get(&self.own.name) == Some(&self.own) {
+            self.entered_in = Some(position.era);
+        }
         boxes.insert(self.own.name.clone(), self.own.clone());
-        lock(&self.relay.followed).boxes = boxes;
         let now = self.relay.clock.now();
-        lock(&self.relay.followed).servers.replace(now, entries);
+        {
+            let mut followed = lock(&self.relay.followed);
+            followed.take_boxes(now, boxes);
+            followed.servers.replace(now, entries);
+        }
         self.relay.show_servers_of_store();
+        if position.era > before.era {
+            lock(&self.relay.quarantine).store_forgot();
+            self.relay.suspects_changed.notify_one();
+        }
         // Calls that wait for the first routes go by them at once, and need the servers.
         if let Some(routes) = routes {
             self.take(routes);
@@ -264,36 +322,36 @@
     fn take(&mut self, change: Change) {
         let relay = self.relay;
         match change {
-            Change::Routes { revision, table } => {
-                let table = *table;
-                relay.offer_table(StampedTable { revision, table }, "store");
-            }
-            Change::Server { revision, server } => {
+            Change::Routes(table) => relay.offer_table(*table, "store"),
+            Change::Server { position, server } => {
                 tracing::info!(
                     server = %server.name,
                     service = %server.service,
                     address = server.address,
                     leaving = server.leaving,
                     born = server.born,
-                    revision,
+                    era = position.era,
+                    revision = position.revision,
                     "server entry"
                 );
-                lock(&relay.followed).servers.put(revision, server);
+                lock(&relay.followed).servers.put(position, server);
             }
-            Change::ServerGone { revision, name } => {
-                tracing::info!(server = %name, revision, "server entry gone");
+            Change::ServerGone { position, name } => {
+                let (era, revision) = (position.era, position.revision);
+                tracing::info!(server = %name, era, revision, "server entry gone");
                 let now = relay.clock.now();
                 let mut followed = lock(&relay.followed);
-                followed.servers.remove(now, revision, &name);
+                followed.servers.remove(now, position, &name);
             }
-            Change::Box { revision, of } => {
-                tracing::info!(r#box = of.name, revision, "box entry");
-                self.entries.insert(of.name.clone(), revision);
+            Change::Box { position, of } => {
+                let (era, revision) = (position.era, position.revision);
+                tracing::info!(r#box = of.name, era, revision, "box entry");
+                self.entries.insert(of.name.clone(), position);
                 lock(&relay.followed).boxes.insert(of.name.clone(), of);
             }
             Change::BoxGone { name } if name == self.own.name => {
                 tracing::warn!(r#box = name, "this box's entry is gone");
-                self.is_entered = false;
+                self.entered_in = None;
             }
             Change::BoxGone { name } => {
                 tracing::info!(r#box = name, "box entry gone");
@@ -302,14 +360,15 @@
             }
             Change::Suspect { work, fact } => suspects::stored(relay, work, fact),
             Change::Unreadable {
-                revision,
+                position,
                 server: Some(name),
                 cause,
                 ..
             } => {
-                tracing::error!(server = %name, cause, revision, "server entry can't be read; it is not used");
+                let (era, revision) = (position.era, position.revision);
+                tracing::error!(server = %name, cause, era, revision, "server entry can't be read; it is not used");
                 let mut followed = lock(&relay.followed);
-                followed.servers.put_unreadable(revision, &name);
+                followed.servers.put_unreadable(position, &name);
             }
             Change::Unreadable { key, cause, .. } => {
                 tracing::error!(
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use badgerferry_lib::relay::state_pull::BoxAddresses;
+use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_platform::store::Store as Client;
 use badgerferry_platform::store::StoreError;
 use badgerferry_standin::caller::Caller;
@@ -422,7 +423,7 @@
 
     let all = client.read_all().await?;
 
-    assert_eq!(all.revision, 7);
+    assert_eq!(all.position.revision, 7);
     answers.await?
 }
 
@@ -439,12 +440,16 @@
         processor: 250,
     };
     client.put_box(&of).await?;
-    let first = store.revision_of(key);
+    let position = || StorePosition {
+        era: store.era(),
+        revision: store.revision_of(key),
+    };
+    let first = position();
     client.put_box(&of).await?;
 
     let refused = client.remove_box("box-9", first).await;
-    let is_kept = store.revision_of(key) > first;
-    client.remove_box("box-9", store.revision_of(key)).await?;
+    let is_kept = position() > first;
+    client.remove_box("box-9", position()).await?;
 
     assert!(
         matches!(refused, Err(StoreError::NotDone(_))),
--- a/lib/src/relay/heard_boxes.rs
+++ b/lib/src/relay/heard_boxes.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::relay::state_pull::Revisions;
+use crate::relay::state_pull::KnownState;
 use crate::time::Time;
 
 /// A box that was heard within this time lives: two of its longest pauses, and a lost datagram.
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Heard {
     at: Time,
-    have: Revisions,
+    have: KnownState,
 }
 
 /// Other boxes by name.
@@ -27,7 +27,7 @@
 
 impl HeardBoxes {
     /// Records what a box said of its state.
-    pub fn hear(&mut self, at: Time, name: &str, have: Revisions) {
+    pub fn hear(&mut self, at: Time, name: &str, have: KnownState) {
         self.rows.insert(name.to_owned(), Heard { at, have });
     }
 
@@ -50,7 +50,7 @@
     }
 
     /// Living boxes that said they have newer state than this.
-    pub fn ahead_of(&self, now: Time, have: Revisions) -> Vec<&str> {
+    pub fn ahead_of(&self, now: Time, have: KnownState) -> Vec<&str> {
         let rows = self.rows.iter();
         let ahead = rows.filter(|(_, row)| now.since(row.at) < LIVES && have.lacks(row.have));
         ahead.map(|(name, _)| name.as_str()).collect()
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -10,7 +10,7 @@
 use crate::relay::quarantine::WorkRow;
 use crate::relay::server_notices::NoticeRows;
 use crate::relay::state_pull::FRAME_VERSION;
-use crate::relay::state_pull::Revisions;
+use crate::relay::state_pull::KnownState;
 
 /// Largest datagram; stays under the usual packet size.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -45,7 +45,7 @@
     /// Whether what can't wait has changed, as what long prompts do; other halls are told at once, too.
     pub is_urgent: bool,
     /// The state that it has.
-    pub have: Revisions,
+    pub have: KnownState,
     /// Whether the store answered it lately, so that others may follow it in place of the store.
     pub follows_store: bool,
     /// The long prompt that would be sent next of those that wait there, if any.
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -268,6 +268,7 @@
             Fact::Released => self.change(now, work, |known| {
                 known.released = known.released.max(Some(at));
                 known.is_held_in_store = false;
+                known.is_release_lost = false;
             }),
         }
     }
@@ -425,11 +426,24 @@
             let ends = ends.map(|end| Fact::Ended(end.life));
             let is_held = verdict == Verdict::Held && !known.is_held_in_store;
             let held = is_held.then_some(Fact::Held);
-            ends.chain(held).map(|fact| (*work, fact))
+            // A work that came to be held after its release is not released again.
+            let is_released = known.is_release_lost && verdict != Verdict::Held;
+            let released = is_released.then_some(Fact::Released);
+            let facts = ends.chain(held).chain(released);
+            facts.map(|fact| (*work, fact))
         });
         facts.collect()
     }
 
+    /// The store came back from a copy: what it held of works that this box saw is to be written again.
+    pub fn store_forgot(&mut self) {
+        for known in self.works.values_mut().filter(|known| known.is_own) {
+            known.ends.iter_mut().for_each(|end| end.to_store = true);
+            known.is_held_in_store = false;
+            known.is_release_lost = known.released.is_some();
+        }
+    }
+
     /// Works that are held now.
     pub fn held(&self, now: Time) -> usize {
         let mut verdicts = self.works.values().map(|known| known.verdict(now));
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -4,6 +4,10 @@
 //! means that its server is gone. One that lapsed while the store was away comes back soon
 //! after the store does, if the server lives: so for a short time after the store's return a
 //! missing entry is held. What a server said of its own leaving always counts at once.
+//!
+//! A store that comes back from a copy shows entries as they were: servers that started since are missing
+//! until they write again, and are held as after an outage; what is known of a life that ended or
+//! leaves stays known.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -16,6 +20,7 @@
 use crate::ids::HallName;
 use crate::ids::ServerName;
 use crate::relay::route_table::ServiceName;
+use crate::relay::store_position::StorePosition;
 use crate::relay::work_key::ServerLife;
 use crate::time::Time;
 
@@ -48,20 +53,20 @@
     }
 }
 
-/// Entries of all servers at one revision of the store.
+/// Entries of all servers at one position of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntries {
-    /// The store's revision that the entries show.
-    pub revision: u64,
+    /// Where the store stood when it showed these entries.
+    pub position: StorePosition,
     /// By name.
     pub servers: BTreeMap<ServerName, ListedServer>,
 }
 
-/// What changed between two revisions of the store.
+/// What changed between two positions of one era of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerChanges {
-    /// The revision at which the changes are complete.
-    pub revision: u64,
+    /// Where the changes are complete.
+    pub position: StorePosition,
     /// Entries that are new or changed, as they are now.
     pub put: Vec<ListedServer>,
     /// Servers whose entries went.
@@ -71,7 +76,7 @@
 /// What a box that is behind is told.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerNews {
-    /// Everything: what changed since its revision is not known any more.
+    /// Everything: what changed since its position is not known any more, or it is of another era.
     All(ServerEntries),
     /// What changed since then.
     Changes(ServerChanges),
@@ -79,15 +84,20 @@
 
 /// Changes that are remembered; with more at once, a box that is behind is told everything.
 const MAX_CHANGES: usize = 2_000;
+/// Lives that are remembered after their end, for a store that comes back from a copy in which they
+/// still stand; such a copy is some seconds old.
+const MAX_ENDED: usize = 512;
 
 /// What one box believes of the servers.
 #[derive(Debug, Default)]
 pub struct ServerList {
     entries: ServerEntries,
-    /// Names of changed entries by revision, oldest first.
-    changes: VecDeque<(u64, ServerName)>,
-    /// The revision since which no change is missing from `changes`.
-    complete_since: u64,
+    /// Names of changed entries by position, oldest first.
+    changes: VecDeque<(StorePosition, ServerName)>,
+    /// Since when no change is missing from `changes`.
+    complete_since: StorePosition,
+    /// Lives whose entries went while the store worked, oldest first.
+    ended: VecDeque<ServerLife>,
     held: BTreeMap<ServerName, ListedServer>,
     away: bool,
     hold_until: Time,
@@ -123,13 +133,18 @@
         self.hold_until = self.hold_until.max(now + left);
     }
 
-    /// Takes all entries at a revision; an older one than known is ignored.
-    pub fn replace(&mut self, now: Time, entries: ServerEntries) {
-        if entries.revision < self.entries.revision {
+    /// Takes all entries at a position; an older one than known is ignored.
+    pub fn replace(&mut self, now: Time, mut entries: ServerEntries) {
+        if entries.position < self.entries.position {
             return;
         }
+        let was_read = self.entries.position > StorePosition::default();
+        if was_read && entries.position.era > self.entries.position.era {
+            self.hold_until = self.hold_until.max(now + HOLD_AFTER_RETURN);
+            self.keep_known_ends(&mut entries);
+        }
         self.changes.clear();
-        self.complete_since = entries.revision;
+        self.complete_since = entries.position;
         let before = std::mem::replace(&mut self.entries, entries);
         for (name, server) in before.servers {
             if !self.entries.servers.contains_key(&name) {
@@ -140,49 +155,67 @@
         self.held.retain(|name, _| !known.contains_key(name));
     }
 
-    /// Takes one changed entry.
-    pub fn put(&mut self, revision: u64, server: ListedServer) {
-        self.changed(revision, &server.name);
+    /// Marks lives in a copy of the store that are known to have ended or to leave: no life takes that
+    /// back.
+    fn keep_known_ends(&self, entries: &mut ServerEntries) {
+        for (name, server) in &mut entries.servers {
+            let known = self.entries.servers.get(name);
+            let known = known.filter(|known| known.life() == server.life());
+            server.leaving |= known.is_some_and(|known| known.leaving);
+            server.leaving |= self.ended.contains(&server.life());
+        }
+    }
+
+    /// Takes one changed entry; one of another era than the list's is ignored.
+    pub fn put(&mut self, position: StorePosition, server: ListedServer) {
+        if !self.changed(position, &server.name) {
+            return;
+        }
         self.held.remove(&server.name);
+        self.ended.retain(|life| *life != server.life());
         self.entries.servers.insert(server.name.clone(), server);
     }
 
     /// Takes an entry that can't be read: it names no server to use. A server that lives writes its own
     /// again soon.
-    pub fn put_unreadable(&mut self, revision: u64, name: &ServerName) {
+    pub fn put_unreadable(&mut self, position: StorePosition, name: &ServerName) {
         match self.entries.servers.get(name) {
             Some(server) => {
                 let leaving = ListedServer {
                     leaving: true,
                     ..server.clone()
                 };
-                self.put(revision, leaving);
+                self.put(position, leaving);
+            }
+            None => {
+                self.changed(position, name);
             }
-            None => self.changed(revision, name),
         }
         self.held.remove(name);
     }
 
-    /// Takes the end of an entry.
-    pub fn remove(&mut self, now: Time, revision: u64, name: &ServerName) {
-        self.changed(revision, name);
+    /// Takes the end of an entry; one of another era than the list's is ignored.
+    pub fn remove(&mut self, now: Time, position: StorePosition, name: &ServerName) {
+        if !self.changed(position, name) {
+            return;
+        }
         if let Some(server) = self.entries.servers.remove(name) {
             self.went(now, server);
         }
     }
 
-    /// What a box lacks that has seen all changes up to a revision.
-    pub fn news_since(&self, revision: u64) -> Option<ServerNews> {
-        if revision >= self.entries.revision {
+    /// What a box lacks that has seen all changes up to a position.
+    pub fn news_since(&self, position: StorePosition) -> Option<ServerNews> {
+        if position >= self.entries.position {
             return None;
         }
-        if revision < self.complete_since {
+        if position < self.complete_since {
             return Some(ServerNews::All(self.entries.clone()));
         }
-        let newer = self.changes.iter().filter(|(at, _)| *at > revision);
+        let newer = self.changes.iter().filter(|(at, _)| *at > position);
         let names: BTreeSet<&ServerName> = newer.map(|(_, name)| name).collect();
         let mut changes = ServerChanges {
-            revision: self.entries.revision,
+            position: self.entries.position,
             ..ServerChanges::default()
         };
         for name in names {
@@ -198,26 +231,36 @@
     pub fn take_news(&mut self, now: Time, news: ServerNews) {
         match news {
             ServerNews::All(entries) => self.replace(now, entries),
-            ServerNews::Changes(changes) if changes.revision > self.entries.revision => {
+            ServerNews::Changes(changes) if self.can_take(changes.position) => {
                 for server in changes.put {
-                    self.put(changes.revision, server);
+                    self.put(changes.position, server);
                 }
                 for name in changes.gone {
-                    self.remove(now, changes.revision, &name);
+                    self.remove(now, changes.position, &name);
                 }
-                self.entries.revision = changes.revision;
+                self.entries.position = changes.position;
             }
             ServerNews::Changes(_) => {}
         }
     }
 
-    fn changed(&mut self, revision: u64, name: &ServerName) {
-        self.entries.revision = self.entries.revision.max(revision);
-        self.changes.push_back((revision, name.clone()));
+    /// Whether changes up to a position are newer, and of the list's era.
+    fn can_take(&self, position: StorePosition) -> bool {
+        position > self.entries.position && position.shares_era_with(self.entries.position)
+    }
+
+    /// Notes a change; false if it is of another era, and to be ignored.
+    fn changed(&mut self, position: StorePosition, name: &ServerName) -> bool {
+        if !position.shares_era_with(self.entries.position) {
+            return false;
+        }
+        self.entries.position = self.entries.position.max(position);
+        self.changes.push_back((position, name.clone()));
         if self.changes.len() > MAX_CHANGES {
             let forgotten = self.changes.pop_front();
             self.complete_since = forgotten.map_or(self.complete_since, |(at, _)| at);
         }
+        true
     }
 
     /// Lets go of what was held long enough; true if anything went.
@@ -244,6 +287,11 @@
         let may_have_lapsed = self.away || now < self.hold_until;
         if may_have_lapsed && !server.leaving {
             self.held.insert(server.name.clone(), server);
+        } else {
+            self.ended.push_back(server.life());
+            if self.ended.len() > MAX_ENDED {
+                self.ended.pop_front();
+            }
         }
     }
 }
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -8,28 +8,31 @@
 use serde::Serialize;
 
 use crate::relay::cells::Boxes;
-use crate::relay::route_table::RouteTable;
 use crate::relay::server_list::ServerNews;
 use crate::relay::server_notices::NoticeRows;
+use crate::relay::store_position::StorePosition;
 
 /// Version of the frames between boxes; a frame of another version is dropped.
-pub const FRAME_VERSION: u8 = 8;
+pub const FRAME_VERSION: u8 = 9;
 /// Largest frame, in bytes; tables are at most a megabyte in the store.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
-/// What of the store's state a box has, by revision.
+/// What of the store's state a box has.
+///
+/// Route tables are ordered by their own version, which operators only raise, wherever the store stands
+/// in its history. Server entries have none, and are ordered by where they were read.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Revisions {
-    /// Revision of the route table; 0 for none.
-    pub table: u64,
-    /// Revision up to which server entries are known; 0 for none.
-    pub servers: u64,
+pub struct KnownState {
+    /// Version of the route table in force, if there is one.
+    pub routes: Option<u64>,
+    /// Up to where server entries are known.
+    pub servers: StorePosition,
 }
 
-impl Revisions {
+impl KnownState {
     /// Whether another box that has this is ahead of it in anything.
-    pub const fn lacks(self, other: Self) -> bool {
-        other.table > self.table || other.servers > self.servers
+    pub fn lacks(self, other: Self) -> bool {
+        other.routes > self.routes || other.servers > self.servers
     }
 }
 
@@ -39,25 +42,16 @@
     /// [`FRAME_VERSION`].
     pub version: u8,
     /// What the asking box has.
-    pub have: Revisions,
+    pub have: KnownState,
     /// Whether it lacks boxes: it knows hardly any, or heard of one that it does not know.
     pub wants_boxes: bool,
 }
 
-/// A route table with the revision at which the store took it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct StampedTable {
-    /// The store's revision.
-    pub revision: u64,
-    /// The table.
-    pub table: RouteTable,
-}
-
 /// What is newer.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PullAnswer {
-    /// Whether the route table is newer: it follows as a [`StampedTable`] in a frame of its own,
-    /// which is encoded once for all boxes that ask.
+    /// Whether the route table is newer: it follows in a frame of its own, which is encoded once for
+    /// all boxes that ask.
     pub table_follows: bool,
     /// Server entries, if newer.
     pub servers: Option<ServerNews>,
--- a/lib/src/relay/suspect_work.rs
+++ b/lib/src/relay/suspect_work.rs
@@ -89,6 +89,8 @@
     pub(super) held: Option<Hold>,
     /// When an operator released it.
     pub(super) released: Option<Moment>,
+    /// Whether the store lost the release, and is to hold it again.
+    pub(super) is_release_lost: bool,
     /// Whether the store says that it is held.
     pub(super) is_held_in_store: bool,
     /// Whether a server ended under a run of this box.
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -14,7 +14,8 @@
 use badgerferry_lib::relay::load_datagram::Teller;
 use badgerferry_lib::relay::server_notices::NoticeRows;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
-use badgerferry_lib::relay::state_pull::Revisions;
+use badgerferry_lib::relay::state_pull::KnownState;
+use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_lib::time::Time;
 
 use crate::seeded::seeded;
@@ -181,9 +182,12 @@
         sequence: 12,
         teller: Teller::Box,
         is_urgent: false,
-        have: Revisions {
-            table: 3,
-            servers: 900,
+        have: KnownState {
+            routes: Some(3),
+            servers: StorePosition {
+                era: 2,
+                revision: 900,
+            },
         },
         follows_store: true,
         waits: None,
@@ -224,9 +228,13 @@
 #[test]
 fn a_datagram_of_another_version_is_dropped() {
     let mut bytes = datagram(Vec::new()).encode();
-    bytes[0] = 9;
+    let other = FRAME_VERSION + 1;
+    bytes[0] = other;
 
-    assert_eq!(LoadDatagram::decode(&bytes), Err(BadDatagram::Version(9)));
+    assert_eq!(
+        LoadDatagram::decode(&bytes),
+        Err(BadDatagram::Version(other))
+    );
     assert_eq!(LoadDatagram::decode(&[]), Err(BadDatagram::Malformed));
     assert_eq!(
         LoadDatagram::decode(&[FRAME_VERSION, 200]),
--- a/lib/tests/test_relay_heard_boxes.rs
+++ b/lib/tests/test_relay_heard_boxes.rs
@@ -3,11 +3,19 @@
 use std::time::Duration;
 
 use badgerferry_lib::relay::heard_boxes::HeardBoxes;
-use badgerferry_lib::relay::state_pull::Revisions;
+use badgerferry_lib::relay::state_pull::KnownState;
+use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_lib::time::Time;
 
-const fn have(table: u64, servers: u64) -> Revisions {
-    Revisions { table, servers }
+const fn have(version: u64, revision: u64) -> KnownState {
+    in_era(0, version, revision)
+}
+
+const fn in_era(era: u64, version: u64, revision: u64) -> KnownState {
+    KnownState {
+        routes: Some(version),
+        servers: StorePosition { era, revision },
+    }
 }
 
 const fn at(millis: u64) -> Time {
@@ -39,3 +47,25 @@
     assert_eq!(heard.silent_for(at(3_000), "a"), Duration::from_secs(2));
     assert_eq!(heard.silent_for(at(3_000), "b"), Duration::from_secs(3));
 }
+
+#[test]
+fn a_box_of_an_older_era_is_ahead_of_none_whatever_its_revision() {
+    let mut heard = HeardBoxes::default();
+    heard.hear(at(0), "older", in_era(1, 5, 90));
+    heard.hear(at(0), "newer", in_era(2, 5, 4));
+
+    assert!(heard.ahead_of(at(100), in_era(2, 5, 4)).is_empty());
+    assert_eq!(heard.ahead_of(at(100), in_era(1, 5, 90)), ["newer"]);
+}
+
+#[test]
+fn a_box_without_routes_lacks_any() {
+    let mut heard = HeardBoxes::default();
+    heard.hear(at(0), "first", have(0, 1));
+    let none = KnownState {
+        routes: None,
+        ..have(0, 1)
+    };
+
+    assert_eq!(heard.ahead_of(at(100), none), ["first"]);
+}
--- a/lib/tests/test_relay_quarantine.rs
+++ b/lib/tests/test_relay_quarantine.rs
@@ -544,3 +544,48 @@
         first == known(&mut rows)
     }
 }
+
+fn keep_all(it: &mut Quarantine, now: Time) -> Vec<(WorkKey, Fact)> {
+    let facts = it.to_store(now, false);
+    for &(work, fact) in &facts {
+        it.stored(now, work, fact);
+    }
+    facts
+}
+
+#[test]
+fn what_a_store_lost_with_a_copy_is_written_again_once() {
+    let mut it = after(3);
+    let written = keep_all(&mut it, at(1_500));
+
+    it.store_forgot();
+    let again = keep_all(&mut it, at(1_600));
+
+    assert_eq!(again, written);
+    assert_eq!(it.to_store(at(1_700), false), []);
+    let mut told = Quarantine::default();
+    told.take_rows(
+        at(1_500),
+        RunsOf::Box,
+        "box-2",
+        &after(3).rows(at(1_500), RunsOf::Box),
+    );
+    told.store_forgot();
+    assert_eq!(told.to_store(at(1_600), false), [], "others write it");
+}
+
+#[test]
+fn a_release_that_a_store_lost_is_written_again_unless_the_work_is_held_since() {
+    let mut it = after(3);
+    keep_all(&mut it, at(1_500));
+    it.stored(at(2_000), WORK, Fact::Released);
+    let released = (WORK, Fact::Released);
+
+    it.store_forgot();
+    let before = it.to_store(at(2_100), false);
+    end(&mut it, at(2_200), WORK, 9);
+    let after = it.to_store(at(2_300), false);
+
+    assert!(before.contains(&released));
+    assert!(!after.contains(&released) && after.contains(&(WORK, Fact::Held)));
+}
--- a/lib/tests/test_relay_server_list.rs
+++ b/lib/tests/test_relay_server_list.rs
@@ -8,13 +8,26 @@
 use badgerferry_lib::relay::server_list::ServerEntries;
 use badgerferry_lib::relay::server_list::ServerList;
 use badgerferry_lib::relay::server_list::ServerNews;
+use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_lib::time::Time;
 
 use crate::listed_server::server;
 
+const fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
+const fn in_era(era: u64, revision: u64) -> StorePosition {
+    StorePosition { era, revision }
+}
+
 fn entries(revision: u64, names: &[&str]) -> ServerEntries {
+    entries_at(at(revision), names)
+}
+
+fn entries_at(position: StorePosition, names: &[&str]) -> ServerEntries {
     ServerEntries {
-        revision,
+        position,
         servers: names
             .iter()
             .map(|name| (ServerName::new(*name), server(name)))
@@ -33,7 +46,7 @@
     let mut list = ServerList::default();
     list.replace(Time::ZERO, entries(1, &["a", "b"]));
 
-    list.remove(Time::from_millis(5), 2, &ServerName::new("a"));
+    list.remove(Time::from_millis(5), at(2), &ServerName::new("a"));
 
     assert_eq!(names(&list), ["b"]);
 }
@@ -62,7 +75,7 @@
     list.store_answers(Time::from_millis(9_000));
     list.replace(Time::from_millis(9_000), entries(7, &[]));
 
-    list.put(8, server("a"));
+    list.put(at(8), server("a"));
     list.tick(Time::from_millis(20_000));
 
     assert_eq!(names(&list), ["a"]);
@@ -76,7 +89,7 @@
         leaving: true,
         ..server("a")
     };
-    list.put(2, leaving);
+    list.put(at(2), leaving);
     list.store_lost();
 
     list.replace(Time::from_millis(5), entries(3, &[]));
@@ -100,10 +113,10 @@
     teller.replace(Time::ZERO, entries(5, &["a", "b"]));
     let mut told = ServerList::default();
     told.replace(Time::ZERO, entries(5, &["a", "b"]));
-    teller.put(6, server("c"));
-    teller.remove(Time::ZERO, 7, &ServerName::new("a"));
+    teller.put(at(6), server("c"));
+    teller.remove(Time::ZERO, at(7), &ServerName::new("a"));
 
-    let news = teller.news_since(5).expect("it is behind");
+    let news = teller.news_since(at(5)).expect("it is behind");
     told.take_news(Time::ZERO, news.clone());
 
     let ServerNews::Changes(changes) = news else {
@@ -111,7 +124,7 @@
     };
     assert_eq!((changes.put.len(), changes.gone.len()), (1, 1));
     assert_eq!(told.entries(), teller.entries());
-    assert_eq!(teller.news_since(7), None);
+    assert_eq!(teller.news_since(at(7)), None);
 }
 
 #[test]
@@ -119,12 +132,12 @@
     let mut teller = ServerList::default();
     teller.replace(Time::ZERO, entries(5, &["a", "b"]));
     for revision in 6..4_000 {
-        teller.put(revision, server("c"));
+        teller.put(at(revision), server("c"));
     }
 
-    let before_the_last_read = teller.news_since(4);
-    let before_what_is_remembered = teller.news_since(10);
-    let lately = teller.news_since(3_990);
+    let before_the_last_read = teller.news_since(at(4));
+    let before_what_is_remembered = teller.news_since(at(10));
+    let lately = teller.news_since(at(3_990));
 
     assert!(matches!(before_the_last_read, Some(ServerNews::All(_))));
     assert!(matches!(
@@ -142,12 +155,12 @@
     second.replace(Time::ZERO, entries(5, &["a"]));
     third.replace(Time::ZERO, entries(5, &["a"]));
     for revision in 6..9 {
-        first.put(revision, server("b"));
-        let news = first.news_since(revision - 1).expect("it is behind");
+        first.put(at(revision), server("b"));
+        let news = first.news_since(at(revision - 1)).expect("it is behind");
         second.take_news(Time::ZERO, news);
     }
 
-    let news = second.news_since(5).expect("it is behind");
+    let news = second.news_since(at(5)).expect("it is behind");
     third.take_news(Time::ZERO, news);
 
     assert_eq!(third.entries(), first.entries());
@@ -157,8 +170,8 @@
 fn old_news_never_move_the_list_back() {
     let mut teller = ServerList::default();
     teller.replace(Time::ZERO, entries(5, &["a"]));
-    teller.put(6, server("b"));
-    let old = teller.news_since(5).expect("there is news");
+    teller.put(at(6), server("b"));
+    let old = teller.news_since(at(5)).expect("there is news");
     let mut list = ServerList::default();
     list.replace(Time::ZERO, entries(9, &["c"]));
 
@@ -173,10 +186,10 @@
     teller.replace(Time::ZERO, entries(5, &["a", "b"]));
     let mut told = ServerList::default();
     told.replace(Time::ZERO, entries(5, &["a", "b"]));
-    teller.remove(Time::ZERO, 6, &ServerName::new("a"));
+    teller.remove(Time::ZERO, at(6), &ServerName::new("a"));
 
     told.hold_for(Time::ZERO, Duration::from_secs(1));
-    told.take_news(Time::ZERO, teller.news_since(5).expect("it is behind"));
+    told.take_news(Time::ZERO, teller.news_since(at(5)).expect("it is behind"));
     let held = names(&told);
     told.tick(Time::from_millis(1_001));
 
@@ -189,12 +202,101 @@
     let mut list = ServerList::default();
     list.replace(Time::ZERO, entries(1, &["a", "b"]));
 
-    list.put_unreadable(2, &ServerName::new("a"));
-    list.put_unreadable(3, &ServerName::new("unknown"));
+    list.put_unreadable(at(2), &ServerName::new("a"));
+    list.put_unreadable(at(3), &ServerName::new("unknown"));
 
     let leaving: Vec<bool> = list.servers().iter().map(|server| server.leaving).collect();
     assert_eq!(names(&list), ["a", "b"]);
     assert_eq!(leaving, [true, false]);
-    list.put(4, server("a"));
+    list.put(at(4), server("a"));
+    assert!(list.servers().iter().all(|server| !server.leaving));
+}
+
+/// A store that comes back from a copy gives revisions out again.
+#[test]
+fn entries_of_a_newer_era_are_taken_though_their_revision_is_lower() {
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries_at(in_era(1, 56), &["a"]));
+
+    list.replace(Time::ZERO, entries_at(in_era(2, 52), &["a", "b"]));
+    list.put(in_era(2, 53), server("c"));
+
+    assert_eq!(names(&list), ["a", "b", "c"]);
+    assert_eq!(list.entries().position, in_era(2, 53));
+}
+
+#[test]
+fn changes_of_another_era_are_ignored() {
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries_at(in_era(2, 52), &["a"]));
+
+    list.put(in_era(1, 60), server("b"));
+    list.remove(Time::ZERO, in_era(1, 61), &ServerName::new("a"));
+    list.replace(Time::ZERO, entries_at(in_era(1, 90), &["b"]));
+
+    assert_eq!(names(&list), ["a"]);
+    assert_eq!(list.entries().position, in_era(2, 52));
+}
+
+#[test]
+fn a_box_of_an_older_era_is_told_everything_and_none_of_a_newer_one_is_told() {
+    let mut teller = ServerList::default();
+    teller.replace(Time::ZERO, entries_at(in_era(2, 5), &["a"]));
+    teller.put(in_era(2, 6), server("b"));
+
+    assert!(matches!(
+        teller.news_since(in_era(1, 90)),
+        Some(ServerNews::All(_))
+    ));
+    assert_eq!(teller.news_since(in_era(3, 1)), None);
+}
+
+#[test]
+fn a_server_that_a_copy_lacks_is_held_until_it_had_time_to_write_again() {
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries_at(in_era(1, 9), &["a", "b"]));
+    let back = Time::from_millis(5_000);
+
+    list.replace(back, entries_at(in_era(2, 4), &["a"]));
+    let held = names(&list);
+    list.tick(back + HOLD_AFTER_RETURN);
+
+    assert_eq!(held, ["a", "b"]);
+    assert_eq!(names(&list), ["a"]);
+}
+
+#[test]
+fn a_copy_brings_no_server_back_that_ended_or_leaves() {
+    let mut list = ServerList::default();
+    list.replace(
+        Time::ZERO,
+        entries_at(in_era(1, 9), &["ended", "leaves", "lives"]),
+    );
+    list.remove(Time::ZERO, in_era(1, 10), &ServerName::new("ended"));
+    let leaving = ListedServer {
+        leaving: true,
+        ..server("leaves")
+    };
+    list.put(in_era(1, 11), leaving);
+
+    list.replace(
+        Time::ZERO,
+        entries_at(in_era(2, 9), &["ended", "leaves", "lives"]),
+    );
+
+    let usable = list.servers().into_iter().filter(|server| !server.leaving);
+    let usable: Vec<String> = usable.map(|server| server.name.to_string()).collect();
+    assert_eq!(usable, ["lives"]);
+}
+
+#[test]
+fn a_server_that_writes_its_entry_after_a_return_is_used() {
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries_at(in_era(1, 9), &["a"]));
+    list.remove(Time::ZERO, in_era(1, 10), &ServerName::new("a"));
+    list.replace(Time::ZERO, entries_at(in_era(2, 9), &["a"]));
+
+    list.put(in_era(2, 10), server("a"));
+
     assert!(list.servers().iter().all(|server| !server.leaving));
 }
