--- a/daemon/src/relay/engines.rs
+++ b/daemon/src/relay/engines.rs
@@ -232,12 +232,11 @@
 ) -> Result<Chosen, (RefusalReason, Duration)> {
     if !engine_plan::is_long(model, prompt, call.route.pause) {
         let apart = is_apart.then(|| plan(call, tried, model, prompt, Among::Apart));
-        let planned = match apart {
-            Some(Ok(planned)) => planned,
-            Some(Err(_)) | None => {
-                let all = Among::All { late_part: None };
-                plan(call, tried, model, prompt, all).map_err(NotNow::refusal)?
-            }
+        let planned = if let Some(Ok(planned)) = apart {
+            planned
+        } else {
+            let all = Among::All { late_part: None };
+            plan(call, tried, model, prompt, all).map_err(NotNow::refusal)?
         };
         let started = enter(&call.relay, planned);
         started.works.changed();
--- a/testutils/src/bin/emulate/relay.rs
+++ b/testutils/src/bin/emulate/relay.rs
@@ -135,13 +135,16 @@
 /// Served share of the largest prompts against all of their kind, beneath which they count as starved.
 const STARVED_UNDER: f64 = 0.5;
 
+/// Served share of a group of a kind's prompts, as a part of that of all.
+type ServedRatio = fn(&ServedShares) -> f64;
+
 /// Share of the days that starve the largest prompts of a kind, and the worst and the median day.
 fn starved_days(name: &str, results: &[DayResult], kind: usize) -> Vec<(String, f64)> {
-    let groups: [(&str, fn(&ServedShares) -> f64); 2] = [
+    let groups: [(&str, ServedRatio); 2] = [
         ("largest tenth", ServedShares::tenth_of_all),
         ("fifth beneath", ServedShares::beneath_of_all),
     ];
-    let group = |(group, ratio): (&str, fn(&ServedShares) -> f64)| {
+    let group = |(group, ratio): (&str, ServedRatio)| {
         let mut days: Vec<f64> = results.iter().map(|row| ratio(&row.served[kind])).collect();
         days.sort_by(f64::total_cmp);
         let starved = days.iter().filter(|day| **day < STARVED_UNDER).count();
