relay: lives known to be over stay so when a copy is read twice

What an earlier era told of a life holds against each reading of the copy until the server writes its entry again; what the same era told does not, since an entry that lapsed may have come back. Where a box goes on reading is decided in the library now (StoreCursor), which the model plays as boxes do.

--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -12,6 +12,8 @@
 use badgerferry_lib::relay::cells::Boxes;
 use badgerferry_lib::relay::server_list::ServerEntries;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
+use badgerferry_lib::relay::store_cursor::Ask;
+use badgerferry_lib::relay::store_cursor::StoreCursor;
 use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_platform::store::Store;
 use badgerferry_platform::store::StoreError;
@@ -65,7 +67,7 @@
             tokio::time::sleep(LOOK_AT_NEIGHBOURS).await;
             continue;
         }
-        let is_first = follow.position.is_none() && follow.entered_in.is_none();
+        let is_first = follow.cursor.next() == Ask::Everything && follow.entered_in.is_none();
         let pause = match follow.step(&mut store).await {
             Ok(()) => {
                 follow.answered();
@@ -79,8 +81,7 @@
 
 struct Follow<'a> {
     relay: &'a Arc<Relay>,
-    /// Where to watch from; none where all must be read.
-    position: Option<StorePosition>,
+    cursor: StoreCursor,
     lost_since: Option<Instant>,
     failures: usize,
     backoff: Backoff,
@@ -99,7 +100,7 @@
     fn new(relay: &'a Arc<Relay>) -> Self {
         Self {
             relay,
-            position: None,
+            cursor: StoreCursor::default(),
             lost_since: None,
             failures: 0,
             backoff: Backoff::default(),
@@ -116,12 +117,15 @@
             0 => CALL_LIMIT,
             failures => LOST_LIMITS[failures % LOST_LIMITS.len()],
         });
-        let Some(after) = self.position else {
-            let all = store.read_all().await?;
-            self.store_answers();
-            self.take_everything(all.position, all.items);
-            self.position = Some(all.position);
-            return self.enter(store, all.position.era).await;
+        let after = match self.cursor.next() {
+            Ask::ChangesSince(position) => position,
+            Ask::Everything => {
+                let all = store.read_all().await?;
+                self.store_answers();
+                self.take_everything(all.position, all.items);
+                self.cursor.has_read(all.position);
+                return self.enter(store, all.position.era).await;
+            }
         };
         self.enter(store, after.era).await?;
         let wait = match self.lost_since {
@@ -147,7 +151,7 @@
             // Once for all of them: each time, the list is copied whole.
             self.relay.show_servers_of_store();
         }
-        self.position = Some(seen.position);
+        self.cursor.has_read(seen.position);
         self.sweep(store).await
     }
 
@@ -220,8 +224,7 @@
 
     /// Goes on from where the neighbours' news are, should this box follow the store again.
     fn follow_neighbours(&mut self) {
-        let have = self.relay.known_state();
-        self.position = self.position.max(Some(have.servers));
+        self.cursor.was_told(self.relay.known_state().servers);
         // Its news reaches this box through them: entries that end are no longer held for long.
         let now = self.relay.clock.now();
         lock(&self.relay.followed).servers.store_answers(now);
@@ -239,11 +242,12 @@
     }
 
     fn failed(&mut self, cause: &StoreError) -> Duration {
-        let (era, revision) = self.position.map(|at| (at.era, at.revision)).unzip();
+        let position = self.cursor.position();
+        let (era, revision) = position.map(|at| (at.era, at.revision)).unzip();
         match cause {
             StoreError::HistoryGone => {
                 tracing::info!(era, revision, "store's history is gone; reading all");
-                self.position = None;
+                self.cursor.lost_history();
                 return Duration::ZERO;
             }
             StoreError::NewEra(new_era) => {
@@ -253,7 +257,7 @@
                     new_era,
                     "store came back from a copy; reading all"
                 );
-                self.position = None;
+                self.cursor.lost_history();
                 return rand::rng().random_range(Duration::ZERO..READ_AGAIN_WITHIN);
             }
             StoreError::NotDone(_) | StoreError::NoAnswer(_) => {}
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -39,6 +39,7 @@
 pub mod state_pull;
 pub mod stated;
 pub mod stop_plan;
+pub mod store_cursor;
 pub mod store_position;
 pub mod suspect_work;
 pub(crate) mod turns;
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -84,9 +84,9 @@
 
 /// Changes that are remembered; with more at once, a box that is behind is told everything.
 const MAX_CHANGES: usize = 2_000;
-/// Lives that are remembered after their end, for a store that comes back from a copy in which they
+/// Lives that are remembered once they are over, for a store that comes back from a copy in which they
 /// still stand; such a copy is some seconds old.
-const MAX_ENDED: usize = 512;
+const MAX_OVER: usize = 512;
 
 /// What one box believes of the servers.
 #[derive(Debug, Default)]
@@ -96,8 +96,9 @@
     changes: VecDeque<(StorePosition, ServerName)>,
     /// Since when no change is missing from `changes`.
     complete_since: StorePosition,
-    /// Lives whose entries went while the store worked, oldest first.
-    ended: VecDeque<ServerLife>,
+    /// Lives that leave or whose entries went while the store worked, oldest first, and the era that told
+    /// so.
+    over: VecDeque<(ServerLife, u64)>,
     held: BTreeMap<ServerName, ListedServer>,
     away: bool,
     hold_until: Time,
@@ -141,8 +142,8 @@
         let was_read = self.entries.position > StorePosition::default();
         if was_read && entries.position.era > self.entries.position.era {
             self.hold_until = self.hold_until.max(now + HOLD_AFTER_RETURN);
-            self.keep_known_ends(&mut entries);
         }
+        self.keep_what_is_over(&mut entries);
         self.changes.clear();
         self.complete_since = entries.position;
         let before = std::mem::replace(&mut self.entries, entries);
@@ -155,14 +156,28 @@
         self.held.retain(|name, _| !known.contains_key(name));
     }
 
-    /// Marks lives in a copy of the store that are known to have ended or to leave: no life takes that
-    /// back.
-    fn keep_known_ends(&self, entries: &mut ServerEntries) {
-        for (name, server) in &mut entries.servers {
-            let known = self.entries.servers.get(name);
-            let known = known.filter(|known| known.life() == server.life());
-            server.leaving |= known.is_some_and(|known| known.leaving);
-            server.leaving |= self.ended.contains(&server.life());
+    /// Marks lives in a copy of the store that an earlier era told to be over: the copy is older.
+    fn keep_what_is_over(&mut self, entries: &mut ServerEntries) {
+        let era = entries.position.era;
+        for server in entries.servers.values_mut() {
+            let life = server.life();
+            let told = self.over.iter().find(|(over, _)| *over == life);
+            if server.leaving {
+                self.note_over(life, era);
+            } else if told.is_some_and(|(_, told)| *told < era) {
+                server.leaving = true;
+            }
+        }
+    }
+
+    /// Notes that a life is over; the first era that told so counts.
+    fn note_over(&mut self, life: ServerLife, era: u64) {
+        if self.over.iter().any(|(over, _)| *over == life) {
+            return;
+        }
+        self.over.push_back((life, era));
+        if self.over.len() > MAX_OVER {
+            self.over.pop_front();
         }
     }
 
@@ -172,7 +187,11 @@
             return;
         }
         self.held.remove(&server.name);
-        self.ended.retain(|life| *life != server.life());
+        if server.leaving {
+            self.note_over(server.life(), position.era);
+        } else {
+            self.over.retain(|(over, _)| *over != server.life());
+        }
         self.entries.servers.insert(server.name.clone(), server);
     }
 
@@ -288,10 +307,7 @@
         if may_have_lapsed && !server.leaving {
             self.held.insert(server.name.clone(), server);
         } else {
-            self.ended.push_back(server.life());
-            if self.ended.len() > MAX_ENDED {
-                self.ended.pop_front();
-            }
+            self.note_over(server.life(), self.entries.position.era);
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_relay_engine_pace;
 mod test_relay_engine_plan;
 mod test_relay_engine_time;
+mod test_relay_era_model;
 mod test_relay_event_join;
 mod test_relay_hall_reach;
 mod test_relay_heard_boxes;
--- a/lib/tests/test_relay_server_list.rs
+++ b/lib/tests/test_relay_server_list.rs
@@ -300,3 +300,18 @@
 
     assert!(list.servers().iter().all(|server| !server.leaving));
 }
+
+/// A box that was told by another one of the new era reads the store in that era once more.
+#[test]
+fn a_copy_that_is_read_twice_brings_no_server_back() {
+    let mut list = ServerList::default();
+    list.replace(Time::ZERO, entries_at(in_era(1, 9), &["a", "b"]));
+    list.remove(Time::ZERO, in_era(1, 10), &ServerName::new("a"));
+
+    list.replace(Time::ZERO, entries_at(in_era(2, 9), &["a", "b"]));
+    list.replace(Time::ZERO, entries_at(in_era(2, 9), &["a", "b"]));
+
+    let usable = list.servers().into_iter().filter(|server| !server.leaving);
+    let usable: Vec<String> = usable.map(|server| server.name.to_string()).collect();
+    assert_eq!(usable, ["b"]);
+}
