soak: the store comes back from copies, and new versions are in force after it

What operators and servers had written is written again 0.3 s after the return, but for what they wrote since. After the faults each box must have a new version in force within four seconds, and the next one, which takes the new key away.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -22,6 +22,9 @@
     LoseAnswers(u32),
     /// The store forgets its history.
     ForgetHistory,
+    /// The store comes back from a copy that it kept when the fault began, and what operators and
+    /// servers wrote since is written again some time later.
+    ReturnFromCopy,
     /// A server's entry lapses and comes back.
     Lapse(usize),
     /// A server says that it leaves, and comes back later.
@@ -66,6 +69,8 @@
 const RATE: f64 = 3.0;
 /// Besides, servers that say in their answers that they leave, or ask for pauses.
 const NOTICE_RATE: f64 = 0.7;
+/// Besides, returns of the store from a copy.
+const RETURN_RATE: f64 = 0.3;
 
 /// Draws a plan.
 pub fn plan(rng: &mut ChaCha8Rng, length: Duration, boxes: usize, servers: usize) -> Vec<Planned> {
@@ -84,6 +89,12 @@
         fault: draw_notice(rng, servers),
         lasts: Duration::from_millis(rng.random_range(500..4_000)),
     }));
+    let returns = (length.as_secs_f64() * RETURN_RATE).ceil() as usize;
+    rows.extend((0..returns).map(|_| Planned {
+        at: length.mul_f64(rng.random()),
+        fault: Fault::ReturnFromCopy,
+        lasts: Duration::from_millis(rng.random_range(100..3_000)),
+    }));
     rows.sort_by_key(|row| row.at);
     rows
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -48,6 +48,10 @@
 const STARTS_AGAIN: Duration = Duration::from_millis(200);
 /// After the faults, until all boxes must know of calls that end servers.
 const NEWS_IN_FORCE: Duration = Duration::from_secs(2);
+/// From the store's return until what operators and servers wrote since is written again.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(300);
+/// Within this time a new version is in force at all boxes that reach each other and the store.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
 /// Tries to be served after the faults, a tenth of a second apart, before a run counts as lost.
 const RECOVERY_TRIES: usize = 200;
 
@@ -137,6 +141,10 @@
         Ok(()) => stage.holds_what_ends_servers(&fronts).await,
         Err(cause) => Err(cause),
     };
+    let recovered = match recovered {
+        Ok(()) => stage.takes_new_routes(&fronts).await,
+        Err(cause) => Err(cause),
+    };
     let restarts = plan.iter().filter(|planned| planned.fault.starts_a_box());
     let box_lives = size.boxes + restarts.count();
     let rows = rows.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -236,6 +244,13 @@
             }
             Fault::LoseAnswers(count) => self.store.lose_answers(count),
             Fault::ForgetHistory => self.store.forget_history(),
+            Fault::ReturnFromCopy => {
+                self.store.keep_copy();
+                last().await;
+                let before = self.store.return_from_copy();
+                tokio::time::sleep(WRITTEN_AGAIN_AFTER).await;
+                self.store.write_again(before);
+            }
             Fault::Lapse(at) => {
                 self.store.remove(&self.servers[at].key());
                 last().await;
@@ -365,6 +380,31 @@
         Ok(())
     }
 
+    /// Whatever became of the store, a new version is in force in time at each box, and the one after it.
+    async fn takes_new_routes(&self, fronts: &[SocketAddr]) -> anyhow::Result<()> {
+        for (keys, wanted) in [(&["key-1", "key-new"][..], 200), (&["key-1"][..], 401)] {
+            let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+            self.store.put_routes(&desired_state(version, keys));
+            let text = call(
+                "GET",
+                "/again/a",
+                &format!("recovery-new-{version}"),
+                "",
+                "",
+            );
+            let text = text.replace("key-1", "key-new");
+            let until = tokio::time::Instant::now() + IN_FORCE_WITHIN;
+            for (at, front) in fronts.iter().enumerate() {
+                while Caller::once(*front, &text).await?.status != wanted {
+                    let in_time = tokio::time::Instant::now() < until;
+                    anyhow::ensure!(in_time, "version {version} is not in force at box {at}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// The platform starts a process again that a signal ended before it could take signals.
     async fn start_again_if_ended(&self, at: usize) -> anyhow::Result<()> {
         let mut a_box = self.boxes[at].lock().await;
