--- a/lib/src/relay/long_queue.rs
+++ b/lib/src/relay/long_queue.rs
@@ -313,11 +313,13 @@
         planned
     }
 
-    /// Longest part that a waiting prompt may be read in because it will be late all the same; none
-    /// where it is read as others are.
+    /// Longest part that a waiting prompt may be read in because it will be late all the same, while
+    /// others wait; none where it is read as others are.
     pub fn late_part(&self, now: Time, ticket: Ticket) -> Option<Duration> {
+        let mut told = self.others.values().chain(self.halls.values());
+        let others_wait = self.rows.len() > 1 || told.any(|told| told.lives(now));
         let row = self.rows.iter().find(|row| row.ticket == ticket)?;
-        row.waiting.late_part(now)
+        row.waiting.late_part(now).filter(|_| others_wait)
     }
 
     /// What a waiting prompt met so far.
--- a/lib/tests/test_relay_long_queue.rs
+++ b/lib/tests/test_relay_long_queue.rs
@@ -225,8 +225,12 @@
         ..waiting(25_000, 3_000)
     };
     let ticket = queue.push(Time::ZERO, late);
+    let at = Time::from_millis(9_000);
 
-    let part = queue.late_part(Time::from_millis(9_000), ticket);
-    assert_eq!(part, Some(Duration::from_secs(2)));
+    let alone = queue.late_part(at, ticket);
+    queue.push(Time::ZERO, late);
+
+    assert_eq!(alone, None, "it is read by all that are free");
+    assert_eq!(queue.late_part(at, ticket), Some(Duration::from_secs(2)));
     assert_eq!(queue.late_part(Time::from_millis(12_000), ticket), None);
 }
