--- a/daemon/src/relay/store_follow.rs
+++ b/daemon/src/relay/store_follow.rs
@@ -302,9 +302,8 @@
             boxes = boxes.len(),
             "store read whole"
         );
-        if boxes.get(&self.own.name) == Some(&self.own) {
-            self.entered_in = Some(position.era);
-        }
+        let is_entered = boxes.get(&self.own.name) == Some(&self.own);
+        self.entered_in = is_entered.then_some(position.era);
         boxes.insert(self.own.name.clone(), self.own.clone());
         let now = self.relay.clock.now();
         {
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -400,6 +400,22 @@
 }
 
 /// Answers one call with a list that comes in pieces, with a pause before each.
+#[tokio::test]
+async fn a_box_whose_entry_went_with_the_history_enters_itself_again() -> anyhow::Result<()> {
+    let world = World::start(1).await?;
+    let store = world.store.clone();
+    let key = "badgerferry/boxes/box-1";
+    wait_until(|| store.revision_of(key) > 0).await?;
+    store.set_mode(Mode::Reset);
+    world.relay.wait_line(&["store lost"]).await?;
+
+    store.remove(key);
+    store.forget_history();
+    store.set_mode(Mode::Serving);
+
+    wait_until(|| store.revision_of(key) > 0).await
+}
+
 async fn answer_in_pieces(listener: TcpListener, pause: Duration) -> anyhow::Result<()> {
     let (mut stream, _peer) = listener.accept().await?;
     let _ = stream.read(&mut [0; 4_096]).await?;
