relay: count connection attempts to servers by outcome

A box that is cut off from its servers and a fleet whose servers are down wrote the same lines. Boxes now count connections made, refused and timed out, and a failed attempt names the service and address, so that one can see whether other boxes connect to the same servers in the same second.

--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -135,7 +135,9 @@
     let fingerprint = may_have_run.then(|| call.fingerprint());
     tracing::info!(
         call = call.id(),
+        service = %call.service,
         server = %selection.server,
+        address = selection.address,
         work = fingerprint.map(tracing::field::display),
         %cause,
         "attempt failed"
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use metrics::counter;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
@@ -227,7 +228,14 @@
 /// The connection is refused, or the attempt times out.
 pub async fn connect(address: &str) -> Result<Connection, SendError> {
     let not_sent = |cause: &dyn std::fmt::Display| SendError::NotSent(cause.to_string());
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let outcome = match &connected {
+        Ok(Ok(_stream)) => "connected",
+        Ok(Err(_cause)) => "refused",
+        Err(_elapsed) => "timed_out",
+    };
+    counter!("badgerferry_server_connections_total", "outcome" => outcome).increment(1);
+    let stream = match connected {
         Ok(Ok(stream)) => stream,
         Ok(Err(cause)) => return Err(not_sent(&cause)),
         Err(_elapsed) => return Err(SendError::ConnectTimeout),
