tests: boxes whose paths to the servers are cut, failing

The stand-in gives each box links of its own to the servers: the box reads the store through a view with the addresses of its links, so that one box's path can be cut while the others reach the same servers. The proxy of the soak moves there. It can refuse connections, or leave them unanswered by a listener whose backlog is full, as a network that drops packets does.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_relay_leaving;
 mod test_relay_limits;
 mod test_relay_reservations;
+mod test_relay_server_paths;
 mod test_relay_shedding;
 mod test_relay_slow_engines;
 mod test_relay_slow_readers;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::proxy::Link;
+use badgerferry_standin::proxy::Link;
 
 /// A fault to inject.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -17,7 +17,6 @@
 mod callers;
 mod faults;
 mod ledger;
-mod proxy;
 mod run;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -29,8 +29,8 @@
 use crate::faults::Fault;
 use crate::faults::Planned;
 use crate::ledger;
-use crate::proxy::Link;
-use crate::proxy::Proxy;
+use badgerferry_standin::proxy::Link;
+use badgerferry_standin::proxy::Proxy;
 
 const CALLERS_PER_BOX: usize = 4;
 /// Number of servers that crash on [`callers::CRASHING_PROMPT`].
