relay: a box whose path to servers is cut connects through its peers

Callers of boxes that had lost their path to all servers saw 503 for nearly every first try, while other boxes reached the same servers: 0 of 57 and 2 of 67 served against 196 of 196 and 145 of 145.

A box judged each server, had no notion of its own path, and had no other way to a server. Failures at several servers at once were taken for failures of the servers (a fault of the observer taken for one of the observed), and as a doubtful server is better than none, each call went through them again.

Now failed connections to two servers of a service, with none made in between, are evidence about the path of the box. Servers of another hall count once, since the link between halls may be cut. The box then asks a peer to connect: two of its hall first, then one of another hall, never one that has announced the same cut. The peer passes on bytes only, over TCP at the address of its datagrams; the call, its limits, retries, resumed streams and the knowledge whether it may have run stay with the box that took it. A peer that is cut off says so before anything is sent, and never asks a further one. Connections it carries are reset unless the server closed them, so that a response without framing does not look complete. Probes of two servers every 250 ms find out when the path is back; no caller pays for them. Where no peer connects either, calls are refused at once as servers_unreachable, with a Retry-After as long as the cut has lasted, between 0.25 and 2 s. Silent reservations no longer count as faults of engines while the path is in doubt. A planned stop waits for carried connections.

Datagrams have version 12: they tell the services that are cut off.

--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -188,6 +188,7 @@
         | RefusalReason::ServersEvacuated
         | RefusalReason::ServersFull
         | RefusalReason::ServersLeaving
+        | RefusalReason::ServersUnreachable
         | RefusalReason::NoSettings => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -217,6 +218,7 @@
         }
         RefusalReason::ServersFull => "the queues of all servers are full",
         RefusalReason::ServersLeaving => "all servers that could take it leave",
+        RefusalReason::ServersUnreachable => "no box can connect to the servers that could take it",
     }
 }
 
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -36,6 +36,8 @@
 use crate::relay::server_gate::MAX_SERVERS_PER_ATTEMPT;
 use crate::relay::server_gate::OWNER_RETRY_DELAY;
 use crate::relay::server_gate::PendingCall;
+use crate::relay::server_path;
+use crate::relay::server_path::Destination;
 use crate::relay::server_selection;
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
@@ -173,10 +175,15 @@
         Reuse::Never
     };
     let connection_pool = &call.relay.connection_pool;
-    let (server, address) = (&attempt.selection.server, &attempt.selection.address);
+    let destination = Destination {
+        relay: &call.relay,
+        server: &attempt.selection.server,
+        address: &attempt.selection.address,
+        call: call.id(),
+    };
     let patience = reader_patience::server_patience(&call.route);
     let sent = connection_pool
-        .send(server, address, reuse, request, patience, admitted)
+        .send(&destination, reuse, request, patience, admitted)
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
@@ -252,6 +259,7 @@
     tried: &[ServerName],
     is_isolated: bool,
 ) -> Result<(Selection, Admitted), (RefusalReason, Duration)> {
+    server_path::check_available(call).await?;
     for _ in 0..MAX_SERVERS_PER_ATTEMPT {
         let selection = server_selection::select(call, tried, is_isolated).await?;
         let pending = PendingCall {
@@ -300,6 +308,10 @@
             attempt.finish(ServerOutcome::ConnectTimeout);
             AttemptResult::Ended(AttemptEnd::NoConnection)
         }
+        SendError::NoPath => {
+            attempt.finish(ServerOutcome::Inconclusive);
+            AttemptResult::Ended(AttemptEnd::NoConnection)
+        }
         SendError::Lost(_) => {
             attempt.finish_broken().await;
             AttemptResult::Ended(AttemptEnd::Lost)
--- a/daemon/src/relay/cluster_view.rs
+++ b/daemon/src/relay/cluster_view.rs
@@ -1,6 +1,7 @@
 //! The control thread's view of servers, other boxes and contact with the store.
 
 use badgerferry_lib::ids::HallName;
+use badgerferry_lib::relay::carriers::PeerPaths;
 use badgerferry_lib::relay::gossip_topology::Boxes;
 use badgerferry_lib::relay::gossip_topology::GossipScope;
 use badgerferry_lib::relay::peer_liveness::PeerLiveness;
@@ -17,6 +18,8 @@
     pub boxes: Boxes,
     /// Which other boxes are live, and the state that they announced.
     pub peer_liveness: PeerLiveness,
+    /// Services to which other boxes are cut off.
+    pub peer_paths: PeerPaths,
     /// When the store last answered this box.
     pub store_answered_at: Option<Time>,
     /// When a peer last announced that it follows the store.
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -13,23 +13,20 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use metrics::counter;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use tokio::time::timeout;
 
 use crate::relay::listener::MAX_UNSENT_BYTES;
 use crate::relay::request_body::BodyTransfers;
 use crate::relay::request_body::RequestBody;
 use crate::relay::server_gate::Admitted;
+use crate::relay::server_path;
+use crate::relay::server_path::Destination;
 use crate::traffic::lock;
 
-/// Connect timeout. The latency is a few milliseconds between halls, and some tens of milliseconds
-/// between regions.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which unacknowledged bytes or unanswered probes end a connection.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between keep-alive probes of a silent peer.
@@ -55,6 +52,9 @@
     /// The connection was lost after the request was sent, so the call may have run.
     #[error("connection lost: {0}")]
     Lost(String),
+    /// Nothing was sent: no peer connects to servers of the service for this box.
+    #[error("path to the servers is cut, and no peer connects")]
+    NoPath,
     /// Nothing was sent: the server has not read the bodies of earlier requests.
     #[error("earlier request bodies are unread")]
     EarlierBodiesUnread,
@@ -139,13 +139,13 @@
     /// [`SendError::NotSent`] only if no byte was written.
     pub async fn send(
         &self,
-        server: &ServerName,
-        address: &str,
+        destination: &Destination<'_>,
         reuse: Reuse,
         mut request: Request<RequestBody>,
         patience: Duration,
         admitted: Admitted,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let server = destination.server;
         let progress = (self.body_transfers)
             .begin(server, request.body_mut(), patience)
             .await
@@ -156,7 +156,7 @@
         };
         let mut connection = match pooled {
             Some(connection) => connection,
-            None => connect(address).await?,
+            None => server_path::connect(destination).await?,
         };
         let response = match progress {
             None => connection.send(request, admitted).await?,
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Closes the idle connections to servers that match.
+    pub fn close_idle(&self, mut matches: impl FnMut(&ServerName) -> bool) {
+        lock(&self.idle).retain(|server, _| !matches(server));
+    }
+
     /// Closes connections whose idle time is over.
     pub fn close_expired(&self) {
         let now = Instant::now();
@@ -221,33 +226,17 @@
     }
 }
 
-/// Opens a new connection.
+/// Opens an HTTP connection on a stream that leads to a server.
 ///
 /// # Errors
 ///
-/// The connection is refused, or the attempt times out.
-pub async fn connect(address: &str) -> Result<Connection, SendError> {
-    let not_sent = |cause: &dyn std::fmt::Display| SendError::NotSent(cause.to_string());
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let outcome = match &connected {
-        Ok(Ok(_stream)) => "connected",
-        Ok(Err(_cause)) => "refused",
-        Err(_elapsed) => "timed_out",
-    };
-    counter!("badgerferry_server_connections_total", "outcome" => outcome).increment(1);
-    let stream = match connected {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(cause)) => return Err(not_sent(&cause)),
-        Err(_elapsed) => return Err(SendError::ConnectTimeout),
-    };
-    if let Err(cause) = set_socket_options(&stream) {
-        tracing::warn!(address, %cause, "failed to set socket options");
-    }
+/// [`SendError::NotSent`]: the handshake failed.
+pub async fn open(stream: TcpStream) -> Result<Connection, SendError> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|cause| not_sent(&cause))?;
+        .map_err(|cause| SendError::NotSent(cause.to_string()))?;
     // The sender and the response body report the end of this task.
     let task = tokio::spawn(connection).abort_handle();
     Ok(Connection {
@@ -256,7 +245,15 @@
     })
 }
 
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options of a stream to a server or to a peer that carries one, so that a lost path is
+/// noticed and few bytes are buffered.
+pub fn set_socket_options(stream: &TcpStream) {
+    if let Err(cause) = try_set_socket_options(stream) {
+        tracing::warn!(%cause, "failed to set socket options");
+    }
+}
+
+fn try_set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(PEER_TIMEOUT))?;
--- a/daemon/src/relay/engine_call.rs
+++ b/daemon/src/relay/engine_call.rs
@@ -7,9 +7,10 @@
 use http_body_util::Limited;
 use hyper::body::Bytes;
 
-use crate::relay::connection_pool;
 use crate::relay::request_body::RequestBody;
 use crate::relay::server_gate::Admitted;
+use crate::relay::server_path;
+use crate::relay::server_path::Destination;
 
 /// Largest response body; a report that lists many reservations takes a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
@@ -20,15 +21,15 @@
 ///
 /// The connection failed, or the response was incomplete or larger than `MAX_RESPONSE_BYTES`.
 pub async fn exchange(
-    address: &str,
+    destination: &Destination<'_>,
     call: EngineCall,
     admitted: Admitted,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
-    let mut connection = connection_pool::connect(address).await?;
+    let mut connection = server_path::connect(destination).await?;
     let request = Request::builder()
         .method(call.method)
         .uri(call.path)
-        .header(http::header::HOST, address)
+        .header(http::header::HOST, destination.address)
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(RequestBody::new(Bytes::from(call.body)))?;
     let response = connection.send(request, admitted).await?;
--- a/daemon/src/relay/first_event_watchdog.rs
+++ b/daemon/src/relay/first_event_watchdog.rs
@@ -101,7 +101,12 @@
     let admitted = relay.gate.admit_background(&engine.target).await.ok()?;
     let address = &engine.address;
     let report = async {
-        let (_, body) = engine_call::exchange(address, reports::report_request(), admitted).await?;
+        let (_, body) = engine_call::exchange(
+            &engine.destination(relay),
+            reports::report_request(),
+            admitted,
+        )
+        .await?;
         anyhow::Ok(reports::parse_pace(&body)?)
     };
     let outcome = match timeout(REPORT_TIMEOUT, report).await {
--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -25,6 +25,7 @@
 use badgerferry_lib::relay::pull_timer::Missing;
 use badgerferry_lib::relay::pull_timer::PullTimer;
 use badgerferry_lib::relay::quarantine::RunScope;
+use badgerferry_lib::relay::server_paths::ServiceKey;
 use badgerferry_lib::relay::slow_engine_tracker::ReportOrigin;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
 use badgerferry_lib::relay::state_pull::KnownState;
@@ -213,6 +214,10 @@
             RunScope::Hall,
         ),
     };
+    let cut_off = match run_scope {
+        RunScope::Box => cut_off_services(relay),
+        RunScope::Hall => Vec::new(),
+    };
     let suspects = lock(&relay.quarantine).rows(now, run_scope);
     let notices = lock(&relay.gate.notices).rows(now);
     let unconfirmed = lock(&relay.cluster_view).servers.unconfirmed_digest();
@@ -229,6 +234,7 @@
         queue_head: None,
         faults,
         departures,
+        cut_off,
         slow_engines,
         suspects,
         notices,
@@ -236,6 +242,15 @@
     }
 }
 
+/// Services to whose servers the own path is cut.
+fn cut_off_services(relay: &Relay) -> Vec<ServiceKey> {
+    let paths = lock(&relay.server_paths);
+    let cut_off = paths.cut_off();
+    cut_off
+        .map(|(service, _since)| ServiceKey::of(service))
+        .collect()
+}
+
 async fn send_to_all(socket: &UdpSocket, datagram: &mut LoadDatagram, to: &[SocketAddr]) {
     let omitted = datagram.truncate_rows();
     counter!("badgerferry_load_rows_left_out_total").increment(omitted as u64);
@@ -475,6 +490,11 @@
         cluster_view
             .peer_liveness
             .record(now, &datagram.from, datagram.known_state);
+        if datagram.source == LoadSource::Box {
+            cluster_view
+                .peer_paths
+                .record(&datagram.from, &datagram.cut_off);
+        }
         let hall = cluster_view.boxes.get(&datagram.from);
         let hall = hall.map(|peer| HallName::new(&peer.hall));
         cluster_view.has_unknown_peer |= hall.is_none();
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -111,6 +111,10 @@
         gauge!("badgerferry_held_bytes", "side" => side.name()).set(held as f64);
         gauge!("badgerferry_held_bytes_bound", "side" => side.name()).set(bound as f64);
     }
+    let cut_off = lock(&relay.server_paths).cut_off().count();
+    gauge!("badgerferry_services_cut_off").set(cut_off as f64);
+    let carried = relay.carried.load(std::sync::atomic::Ordering::SeqCst);
+    gauge!("badgerferry_connections_carried").set(carried as f64);
     gauge!("badgerferry_boxes_known").set(relay.box_count() as f64);
     gauge!("badgerferry_ready").set(f64::from(u8::from(relay.is_ready())));
     let in_flight = relay.in_flight.load(std::sync::atomic::Ordering::SeqCst);
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod call_log;
 mod caller_io;
 mod candidates;
+mod carried;
 mod cluster_view;
 mod connection_pool;
 mod engine_call;
@@ -34,6 +35,7 @@
 mod reservations;
 mod response_body;
 mod server_gate;
+mod server_path;
 mod server_selection;
 mod state;
 mod stop;
@@ -58,6 +60,7 @@
         let relay = Arc::new(state::Relay::new(settings));
         let front = listener::listen(relay.settings.front)?;
         let ready = listener::listen(relay.settings.ready)?;
+        let carried = listener::listen(relay.settings.load)?;
         start_control(&relay)?;
         tracing::info!(
             r#box = relay.settings.name,
@@ -68,6 +71,8 @@
             "daemon started"
         );
         tokio::spawn(front::serve(front, Arc::clone(&relay)));
+        tokio::spawn(carried::serve(carried, Arc::clone(&relay)));
+        tokio::spawn(server_path::probe_cut_paths(Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_ready(ready, Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_metrics(metrics, Arc::clone(&relay)));
         stop::wait_for_exit(&relay, signals).await;
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -323,14 +323,16 @@
     }
 }
 
-async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> anyhow::Result<()> {
+/// Writes a frame: its length in bytes, then the bytes.
+pub async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> anyhow::Result<()> {
     let len = u32::try_from(bytes.len())?;
     stream.write_all(&len.to_be_bytes()).await?;
     stream.write_all(bytes).await?;
     Ok(())
 }
 
-async fn read_frame(stream: &mut TcpStream) -> anyhow::Result<Vec<u8>> {
+/// Reads a frame of at most `MAX_FRAME_BYTES`.
+pub async fn read_frame(stream: &mut TcpStream) -> anyhow::Result<Vec<u8>> {
     let mut len = [0; 4];
     stream.read_exact(&mut len).await?;
     let len = u32::from_be_bytes(len) as usize;
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -92,6 +92,7 @@
         let orders = reserved.engines.iter().map(async |(engine, tokens)| {
             let admitted = relay.gate.admit_order(&engine.target).ok()?;
             send_order(
+                relay,
                 engine,
                 orders::reserve(&reserved.id, *tokens, ttl),
                 admitted,
@@ -195,15 +196,20 @@
 /// Sends a renewal or a release, charged to the engine's quota but never delayed by it: a delayed
 /// release would leave memory reserved, and a delayed renewal would lose memory that is in use.
 async fn charge_and_send(relay: &Relay, engine: &Engine, call: EngineCall) -> Option<StatusCode> {
-    send_order(engine, call, relay.gate.charge(&engine.target)).await
+    send_order(relay, engine, call, relay.gate.charge(&engine.target)).await
 }
 
 /// Sends an order on a connection of its own; `None` if there is no response.
-async fn send_order(engine: &Engine, call: EngineCall, admitted: Admitted) -> Option<StatusCode> {
+async fn send_order(
+    relay: &Relay,
+    engine: &Engine,
+    call: EngineCall,
+    admitted: Admitted,
+) -> Option<StatusCode> {
     let address = &engine.address;
     match timeout(
         ORDER_TIMEOUT,
-        engine_call::exchange(address, call, admitted),
+        engine_call::exchange(&engine.destination(relay), call, admitted),
     )
     .await
     {
--- /dev/null
+++ b/daemon/src/relay/server_path.rs
@@ -0,0 +1,417 @@
+//! Connections to servers: made by this box itself or, while its own path to the servers of a
+//! service is cut, by a peer.
+//!
+//! The evidence and the decision are in [`badgerferry_lib::relay::server_paths`]. A peer passes on
+//! bytes only, see [`super::carried`]. All that concerns the call stays with this box: the choice of
+//! the server, limits, retries, and whether the call may have run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerferry_lib::ids::HallName;
+use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::carriers;
+use badgerferry_lib::relay::carriers::CarrierQuery;
+use badgerferry_lib::relay::carriers::CarryRequest;
+use badgerferry_lib::relay::carriers::CarryResponse;
+use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::relay::server_paths::ConnectResult;
+use badgerferry_lib::relay::server_paths::PathChange;
+use badgerferry_lib::relay::server_paths::PathTarget;
+use badgerferry_lib::relay::server_paths::ServerPath;
+use badgerferry_lib::relay::server_paths::ServerPaths;
+use badgerferry_lib::relay::server_paths::ServiceKey;
+use badgerferry_lib::relay::state_pull::FRAME_VERSION;
+use futures::future::join_all;
+use metrics::counter;
+use rand::seq::IteratorRandom;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::relay::call::Call;
+use crate::relay::candidates::with_jitter;
+use crate::relay::connection_pool;
+use crate::relay::connection_pool::Connection;
+use crate::relay::connection_pool::SendError;
+use crate::relay::log_rate_limit::ON_TIME_LINES;
+use crate::relay::pulls;
+use crate::relay::state::Relay;
+use crate::traffic::lock;
+
+/// Connect timeout. The latency is a few milliseconds between halls, and some tens of milliseconds
+/// between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time in which a peer must be connected to, connect to the server and respond: its own connect
+/// timeout, and two round trips between regions.
+const CARRIER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Peers that fail to connect to a server before it counts as unreachable for them. One alone may
+/// have been cut off at the same time and not know it yet.
+const MAX_FAILED_CARRIERS: usize = 2;
+/// Interval between two probes of a path that is cut.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Servers connected to in each probe; different ones, as some of them may be down.
+const PROBED_SERVERS: usize = 2;
+/// Longest time for which a stream that has started waits for a path. Callers give a stream up after
+/// two seconds of silence, part of which has passed.
+const MAX_PATH_WAIT: Duration = Duration::from_secs(1);
+/// Interval at which a stream that waits for a path checks for one.
+const PATH_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Where a connection leads.
+#[derive(Debug, Clone, Copy)]
+pub struct Destination<'a> {
+    /// State of the daemon.
+    pub relay: &'a Relay,
+    /// Server.
+    pub server: &'a ServerName,
+    /// Address of the server, as `ip:port`.
+    pub address: &'a str,
+    /// Id of the call, for logs.
+    pub call: &'a str,
+}
+
+/// Why this box made no connection itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConnectFailure {
+    /// The connection was refused, or another error occurred.
+    Refused(String),
+    /// There was no answer in time.
+    TimedOut,
+}
+
+/// What the tracker knows of a server.
+struct KnownServer {
+    service: ServiceName,
+    hall: HallName,
+}
+
+fn known_server(relay: &Relay, server: &ServerName) -> Option<KnownServer> {
+    let tracker = lock(&relay.tracker);
+    tracker.get(server).map(|record| KnownServer {
+        service: record.info.service.clone(),
+        hall: record.info.hall.clone(),
+    })
+}
+
+/// Connects to a server, through a peer if the own path is cut.
+///
+/// # Errors
+///
+/// No connection was made, so nothing was sent.
+pub async fn connect(destination: &Destination<'_>) -> Result<Connection, SendError> {
+    let relay = destination.relay;
+    let known = known_server(relay, destination.server);
+    let path = || {
+        known.as_ref().map_or(ServerPath::Direct, |known| {
+            lock(&relay.server_paths).path(&known.service)
+        })
+    };
+    if path() == ServerPath::Direct {
+        match connect_directly(relay, destination.server, destination.address).await {
+            Ok(stream) => return connection_pool::open(stream).await,
+            // Unless this failure has shown that the path is cut.
+            Err(cause) if path() == ServerPath::Direct => {
+                return Err(match cause {
+                    ConnectFailure::Refused(cause) => SendError::NotSent(cause),
+                    ConnectFailure::TimedOut => SendError::ConnectTimeout,
+                });
+            }
+            Err(_cut) => {}
+        }
+    }
+    match (path(), known) {
+        (ServerPath::Unavailable, _) | (_, None) => Err(SendError::NoPath),
+        (ServerPath::Direct | ServerPath::ThroughPeers, Some(known)) => {
+            let stream = connect_through_peer(destination, &known).await?;
+            connection_pool::open(stream).await
+        }
+    }
+}
+
+/// Connects to a server without asking any peer, and records the result as evidence about the path.
+///
+/// # Errors
+///
+/// The connection was not made.
+pub async fn connect_directly(
+    relay: &Relay,
+    server: &ServerName,
+    address: &str,
+) -> Result<TcpStream, ConnectFailure> {
+    let connected = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(cause)) => Err(ConnectFailure::Refused(cause.to_string())),
+        Err(_elapsed) => Err(ConnectFailure::TimedOut),
+    };
+    let outcome = match &connected {
+        Ok(_stream) => "connected",
+        Err(ConnectFailure::Refused(_)) => "refused",
+        Err(ConnectFailure::TimedOut) => "timed_out",
+    };
+    counter!("badgerferry_server_connections_total", "outcome" => outcome).increment(1);
+    record_direct(relay, server, connected.is_ok());
+    let stream = connected?;
+    connection_pool::set_socket_options(&stream);
+    Ok(stream)
+}
+
+/// Records whether this box itself connected to a server.
+fn record_direct(relay: &Relay, server: &ServerName, is_connected: bool) {
+    let result = connect_result(is_connected);
+    record(relay, server, |paths, target, halls| {
+        paths.record_direct(relay.clock.now(), target, halls, result)
+    });
+}
+
+fn record_at_peer(relay: &Relay, server: &ServerName, is_connected: bool) {
+    let result = connect_result(is_connected);
+    record(relay, server, |paths, target, halls| {
+        paths.record_at_peer(relay.clock.now(), target, halls, result)
+    });
+}
+
+const fn connect_result(is_connected: bool) -> ConnectResult {
+    if is_connected {
+        ConnectResult::Connected
+    } else {
+        ConnectResult::Failed
+    }
+}
+
+fn record(
+    relay: &Relay,
+    server: &ServerName,
+    f: impl FnOnce(
+        &mut ServerPaths,
+        PathTarget<'_>,
+        &mut dyn Iterator<Item = &HallName>,
+    ) -> Option<PathChange>,
+) {
+    let change = {
+        let tracker = lock(&relay.tracker);
+        let Some(record) = tracker.get(server) else {
+            return;
+        };
+        let target = PathTarget {
+            service: &record.info.service,
+            server: record.key,
+            hall: &record.info.hall,
+        };
+        let servers = tracker.of_service(&record.info.service);
+        let servers = servers.filter(|other| !other.info.leaving);
+        let mut halls = servers.map(|other| &other.info.hall);
+        f(&mut lock(&relay.server_paths), target, &mut halls)
+    };
+    if let Some(change) = change {
+        announce(relay, &change);
+    }
+}
+
+/// Logs a change, tells the peers, and starts or ends the probes.
+fn announce(relay: &Relay, change: &PathChange) {
+    let what = match (change.path, change.before) {
+        (ServerPath::Direct, _) => "path to servers restored",
+        (ServerPath::Unavailable, _) => "no path to servers, own or through peers",
+        (ServerPath::ThroughPeers, ServerPath::Unavailable) => "peers connect to servers again",
+        (ServerPath::ThroughPeers, _) => "path to servers cut; connecting through peers",
+    };
+    tracing::warn!(
+        service = %change.service,
+        failed = change.failed,
+        oldest_failure_ms = change.oldest_failure.as_millis() as u64,
+        lost_for_ms = change.lost_for.as_millis() as u64,
+        what,
+        "path to servers changed"
+    );
+    counter!("badgerferry_server_path_changes_total", "to" => match change.path {
+        ServerPath::Direct => "direct",
+        ServerPath::ThroughPeers => "peers",
+        ServerPath::Unavailable => "none",
+    })
+    .increment(1);
+    if change.before == ServerPath::Direct {
+        // Idle connections lead through the path that is cut.
+        let tracker = lock(&relay.tracker);
+        let is_cut_off = |server: &ServerName| {
+            let record = tracker.get(server);
+            record.is_some_and(|record| record.info.service == change.service)
+        };
+        relay.connection_pool.close_idle(is_cut_off);
+    }
+    relay.urgent_changed.notify_one();
+    relay.server_path_changed.notify_one();
+}
+
+/// Asks peers in turn to connect to a server.
+async fn connect_through_peer(
+    destination: &Destination<'_>,
+    known: &KnownServer,
+) -> Result<TcpStream, SendError> {
+    let Destination {
+        relay,
+        server,
+        call,
+        ..
+    } = *destination;
+    let mut failed = 0;
+    for (peer, address) in carriers(relay, known) {
+        let response = match timeout(CARRIER_TIMEOUT, request(destination, address)).await {
+            Ok(Ok((response, stream))) => Ok((response, stream)),
+            Ok(Err(cause)) => Err(format!("{cause:#}")),
+            Err(_elapsed) => Err("timed out".to_owned()),
+        };
+        let outcome = match &response {
+            Ok((response, _stream)) => response.code(),
+            Err(_cause) => "no_answer",
+        };
+        counter!("badgerferry_peer_connections_total", "outcome" => outcome).increment(1);
+        let is_connected = matches!(response, Ok((CarryResponse::Connected, _)));
+        if !is_connected || ON_TIME_LINES.allow() {
+            tracing::info!(
+                call,
+                service = %known.service,
+                %server,
+                peer,
+                outcome,
+                cause = response.as_ref().err(),
+                "connection through a peer"
+            );
+        }
+        match response {
+            Ok((CarryResponse::Connected, stream)) => {
+                record_at_peer(relay, server, true);
+                return Ok(stream);
+            }
+            Ok((CarryResponse::Refused | CarryResponse::TimedOut, _)) => {
+                failed += 1;
+                if failed == MAX_FAILED_CARRIERS {
+                    break;
+                }
+            }
+            Ok((CarryResponse::CutOff | CarryResponse::Busy | CarryResponse::Unknown, _))
+            | Err(_) => {}
+        }
+    }
+    if failed > 0 {
+        record_at_peer(relay, server, false);
+        return Err(SendError::NotSent("no peer reaches the server".to_owned()));
+    }
+    let change = lock(&relay.server_paths).record_no_peer(relay.clock.now(), &known.service);
+    if let Some(change) = change {
+        announce(relay, &change);
+    }
+    Err(SendError::NoPath)
+}
+
+/// Names and addresses of the peers to ask.
+fn carriers(relay: &Relay, known: &KnownServer) -> Vec<(String, SocketAddr)> {
+    let now = relay.clock.now();
+    let service = ServiceKey::of(&known.service);
+    let cluster_view = lock(&relay.cluster_view);
+    let peers = carriers::carriers(
+        &cluster_view.boxes,
+        CarrierQuery {
+            own: &relay.settings.name,
+            own_hall: &relay.settings.hall,
+            server_hall: &known.hall,
+        },
+        |name| cluster_view.peer_liveness.is_live(now, name),
+        |name| cluster_view.peer_paths.reaches(name, service),
+        &mut rand::rng(),
+    );
+    let peers = peers.into_iter();
+    let peers = peers.filter_map(|peer| Some((peer.name.clone(), peer.load.parse().ok()?)));
+    peers.collect()
+}
+
+/// Asks the peer at this address to connect to the server.
+async fn request(
+    destination: &Destination<'_>,
+    address: SocketAddr,
+) -> anyhow::Result<(CarryResponse, TcpStream)> {
+    let request = CarryRequest {
+        version: FRAME_VERSION,
+        from: destination.relay.settings.name.clone(),
+        server: destination.server.clone(),
+        call: destination.call.to_owned(),
+    };
+    let mut stream = TcpStream::connect(address).await?;
+    connection_pool::set_socket_options(&stream);
+    pulls::write_frame(&mut stream, &postcard::to_stdvec(&request)?).await?;
+    let response = pulls::read_frame(&mut stream).await?;
+    Ok((postcard::from_bytes(&response)?, stream))
+}
+
+/// Checks that there is a path to the servers of the call's service. A stream that has started
+/// waits for one, since it would be aborted otherwise.
+///
+/// # Errors
+///
+/// Neither this box nor a peer can connect; the delay before a retry.
+pub async fn check_available(call: &Call) -> Result<(), (RefusalReason, Duration)> {
+    let relay = &call.relay;
+    let is_available = || lock(&relay.server_paths).path(&call.service) != ServerPath::Unavailable;
+    let max_wait = call.max_admission_wait(false).min(MAX_PATH_WAIT);
+    let until = relay.clock.now() + max_wait;
+    while !is_available() {
+        let now = relay.clock.now();
+        if now >= until {
+            let delay = lock(&relay.server_paths).retry_delay(now, &call.service);
+            return Err((RefusalReason::ServersUnreachable, with_jitter(delay)));
+        }
+        tokio::time::sleep(PATH_POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Probes the paths that are cut until they are restored. Never returns.
+pub async fn probe_cut_paths(relay: Arc<Relay>) {
+    loop {
+        let cut_off: Vec<ServiceName> = (lock(&relay.server_paths).cut_off())
+            .map(|(service, _since)| service.clone())
+            .collect();
+        if cut_off.is_empty() {
+            relay.server_path_changed.notified().await;
+            continue;
+        }
+        tokio::time::sleep(with_jitter(PROBE_INTERVAL)).await;
+        join_all(cut_off.iter().map(|service| probe(&relay, service))).await;
+    }
+}
+
+async fn probe(relay: &Relay, service: &ServiceName) {
+    let probed = probed_servers(relay, service);
+    let direct = probed
+        .iter()
+        .map(|(server, address)| connect_directly(relay, server, address));
+    join_all(direct).await;
+    let path = lock(&relay.server_paths).path(service);
+    let Some((server, address)) = probed.first() else {
+        return;
+    };
+    if let (ServerPath::Unavailable, Some(known)) = (path, known_server(relay, server)) {
+        let destination = Destination {
+            relay,
+            server,
+            address,
+            call: "-",
+        };
+        // The result is recorded; the connection is not needed.
+        let _ = connect_through_peer(&destination, &known).await;
+    }
+}
+
+/// Names and addresses of random servers that are in service.
+fn probed_servers(relay: &Relay, service: &ServiceName) -> Vec<(ServerName, String)> {
+    let tracker = lock(&relay.tracker);
+    let servers = tracker.of_service(service);
+    let servers = servers
+        .filter(|record| !record.info.leaving && !relay.gate.is_evacuated(&record.info.hall));
+    let chosen = servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS);
+    let chosen = chosen.into_iter();
+    chosen
+        .map(|record| (record.info.name.clone(), record.info.address.clone()))
+        .collect()
+}
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -27,6 +27,7 @@
 use badgerferry_lib::relay::plain_selection::PlainCall;
 use badgerferry_lib::relay::plain_selection::PlainDecision;
 use badgerferry_lib::relay::quarantine;
+use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
 use badgerferry_lib::relay::stream_gaps::StreamGaps;
@@ -42,6 +43,7 @@
 use crate::relay::reservations::Reservations;
 use crate::relay::reservations::ReserveError;
 use crate::relay::server_gate::Target;
+use crate::relay::server_path::Destination;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -154,6 +156,16 @@
 }
 
 impl Engine {
+    /// Where connections to the engine lead, for requests of this box itself.
+    pub fn destination<'a>(&'a self, relay: &'a Relay) -> Destination<'a> {
+        Destination {
+            relay,
+            server: &self.server,
+            address: &self.address,
+            call: "-",
+        }
+    }
+
     fn of(record: &ServerRecord) -> Self {
         Self {
             server: record.info.name.clone(),
@@ -284,7 +296,7 @@
         // queued again.
         match reserve(call, &registered).await {
             Ok(reserved) => return Ok(selection(call, registered, Some(reserved), waited)),
-            Err(refused) => record_refusals(&call.relay, &refused),
+            Err(refused) => record_refusals(&call.relay, &call.service, &refused),
         }
         tokio::time::sleep(RESERVATION_RETRY_DELAY).await;
     }
@@ -330,13 +342,16 @@
 }
 
 /// Records a fault of engines that refuse reservations or do not respond, which may exclude them.
-/// Engines without free memory and those of evacuated halls are not at fault.
-fn record_refusals(relay: &Relay, refused: &[(String, ReserveError)]) {
+/// Engines without free memory and those of evacuated halls are not at fault, and neither are those
+/// that do not respond while the path of this box may be cut.
+fn record_refusals(relay: &Relay, service: &ServiceName, refused: &[(String, ReserveError)]) {
     let now = relay.clock.now();
+    let is_path_doubtful = lock(&relay.server_paths).is_doubtful(service);
     let mut tracker = lock(&relay.tracker);
     for (address, why) in refused {
         match why {
             ReserveError::NoRoom | ReserveError::Evacuated => {}
+            ReserveError::Silent if is_path_doubtful => {}
             ReserveError::Refused | ReserveError::Silent => tracker.record_fault(now, address),
         }
     }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -33,6 +33,7 @@
 use badgerferry_lib::relay::server_list::ServerEntry;
 use badgerferry_lib::relay::server_list::ServerList;
 use badgerferry_lib::relay::server_notices::NoticeRows;
+use badgerferry_lib::relay::server_paths::ServerPaths;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
 use badgerferry_lib::relay::slow_engine_tracker::SlowEngineTracker;
 use badgerferry_lib::relay::state_pull::BoxAddresses;
@@ -118,6 +119,12 @@
     pub unknown_headers: UnknownHeaders,
     /// Bytes held for slow callers and servers.
     pub held_bytes: Arc<HeldByteAccount>,
+    /// Whether the own path to the servers of each service is cut.
+    pub server_paths: Mutex<ServerPaths>,
+    /// Notifies the task that probes paths that are cut.
+    pub server_path_changed: Notify,
+    /// Connections that this box carries for peers.
+    pub carried: AtomicUsize,
     /// Idle connections to servers.
     pub connection_pool: ConnectionPool,
     /// Servers, boxes and contact with the store.
@@ -128,7 +135,7 @@
     pub load_changed: Arc<Notify>,
     /// Notifies the sender of this box's load to send at once: a long prompt is queued, starts or
     /// has been prefilled, an engine is slow, a server is faulty, leaves or changes its limit,
-    /// there are new routes, a hall is evacuated or restored, a run of a suspect request starts or
+    /// the path to the servers of a service is cut or restored, there are new routes, a hall is evacuated or restored, a run of a suspect request starts or
     /// ends, or its record changes.
     pub urgent_changed: Arc<Notify>,
     /// Notifies the sender of the hall's load to other halls: a box of this hall announces one of
@@ -171,6 +178,7 @@
         });
         let held_bytes = HeldByteAccount::new(clock, settings.memory);
         let body_bound = held_bytes.limits().map(|limits| limits.side);
+        let server_paths = Mutex::new(ServerPaths::new(settings.hall.clone()));
         Self {
             settings,
             incarnation: rand::random(),
@@ -189,6 +197,9 @@
             gate,
             unknown_headers: UnknownHeaders::default(),
             held_bytes,
+            server_paths,
+            server_path_changed: Notify::new(),
+            carried: AtomicUsize::new(0),
             connection_pool: ConnectionPool::new(body_bound),
             cluster_view,
             encoded_table: Mutex::default(),
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -97,6 +97,7 @@
     }
 }
 
+/// Calls of this box, and connections that it carries for peers.
 fn in_flight(relay: &Relay) -> usize {
-    relay.in_flight.load(Ordering::SeqCst)
+    relay.in_flight.load(Ordering::SeqCst) + relay.carried.load(Ordering::SeqCst)
 }
--- a/daemon/tests/fake_peer.rs
+++ b/daemon/tests/fake_peer.rs
@@ -76,6 +76,7 @@
         follows_store: false,
         queue_head: None,
         faults: Vec::new(),
+        cut_off: Vec::new(),
         departures: Vec::new(),
         slow_engines: Vec::new(),
         suspects: Vec::new(),
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -89,6 +89,8 @@
     ServersFull,
     /// All eligible servers are leaving.
     ServersLeaving,
+    /// The network paths of this box and of its peers to the servers are cut.
+    ServersUnreachable,
 }
 
 impl RefusalReason {
@@ -112,6 +114,7 @@
             Self::ServersEvacuated => "servers_evacuated",
             Self::ServersFull => "servers_full",
             Self::ServersLeaving => "servers_leaving",
+            Self::ServersUnreachable => "servers_unreachable",
         }
     }
 }
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -10,6 +10,7 @@
 use crate::relay::long_prompt_queue::QueueHead;
 use crate::relay::quarantine::QuarantineRow;
 use crate::relay::server_notices::NoticeRows;
+use crate::relay::server_paths::ServiceKey;
 use crate::relay::state_pull::FRAME_VERSION;
 use crate::relay::state_pull::KnownState;
 
@@ -59,6 +60,8 @@
     pub faults: Vec<EngineKey>,
     /// Servers that recently began to leave or were removed, according to the store.
     pub departures: Vec<EngineKey>,
+    /// Services to whose servers the sender's own path is cut; empty in datagrams for other halls.
+    pub cut_off: Vec<ServiceKey>,
     /// Engines that recently reported that they are slow: to the sender or, if the datagram is for
     /// other halls, to any box of its hall.
     pub slow_engines: Vec<EngineKey>,
--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -14,7 +14,7 @@
 use crate::relay::store_position::StorePosition;
 
 /// Version of the frames between boxes. Frames of other versions are dropped.
-pub const FRAME_VERSION: u8 = 11;
+pub const FRAME_VERSION: u8 = 12;
 /// Maximum frame size. Route tables in the store are at most one megabyte.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -77,7 +77,8 @@
     pub hall: String,
     /// TCP address for pulls, as `ip:port`.
     pub pull: String,
-    /// UDP address for load datagrams, as `ip:port`.
+    /// UDP address for load datagrams, and TCP address for connections that a peer requests, as
+    /// `ip:port`.
     pub load: String,
     /// Available processor time in thousandths of a core; 0 if not announced.
     #[serde(default)]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_relay_server_limits;
 mod test_relay_server_list;
 mod test_relay_server_notices;
+mod test_relay_server_paths;
 mod test_relay_server_tracker;
 mod test_relay_shed_model;
 mod test_relay_slow_engine_tracker;
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -207,6 +207,7 @@
         follows_store: true,
         queue_head: None,
         faults: Vec::new(),
+        cut_off: Vec::new(),
         departures: Vec::new(),
         slow_engines: Vec::new(),
         suspects: Vec::new(),
