quarantine: a server that refuses one box only has not crashed

Refused connections prove an exit only if they aren't refused to this box alone. The check asks a peer to connect: if it can, the server is up. If no peer can tell, the server counts as crashed unless other servers of the service are out of reach as well; a box without any peer decides by what it sees, as before.

--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -20,6 +20,7 @@
 use badgerferry_lib::relay::quarantine::StoredFact;
 use badgerferry_lib::relay::request_fingerprint::RequestFingerprint;
 use badgerferry_lib::relay::request_fingerprint::ServerIncarnation;
+use badgerferry_lib::relay::server_paths::ServerPath;
 use badgerferry_lib::relay::suspect_request::RequestStatus;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::store::Store;
@@ -31,6 +32,9 @@
 
 use crate::relay::call::Call;
 use crate::relay::gossip::source_name;
+use crate::relay::server_path;
+use crate::relay::server_path::Destination;
+use crate::relay::server_path::PeerVerdict;
 use crate::relay::server_selection::Selection;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -178,6 +182,9 @@
 /// other reasons too. If new connections are refused, the process has exited. A server that is
 /// leaving, or whose data hall is evacuated, may exit by itself and is
 /// ignored. `run_started` is the time at which the run was sent.
+///
+/// If only the path of this box to its servers is cut, connections are refused as well. So a peer
+/// that can connect to the server overrides what this box sees.
 pub async fn detect_crash(
     call: &Arc<Call>,
     selection: &Selection,
@@ -202,6 +209,9 @@
     let address = selection.address.clone();
     let state = match check_exit(&address, CLOSING_TIMEOUT, RECONNECT_DELAY).await {
         ProcessState::Exited => {
+            if !is_exit_confirmed(call, &crash.server, &address).await {
+                return CrashCheck::NoCrash;
+            }
             crash.record(call);
             return CrashCheck::Crashed;
         }
@@ -210,7 +220,9 @@
     };
     let call = Arc::clone(call);
     tokio::spawn(async move {
-        if exits_later(&address, state).await {
+        if exits_later(&address, state).await
+            && is_exit_confirmed(&call, &crash.server, &address).await
+        {
             crash.record(&call);
         }
     });
@@ -234,6 +246,33 @@
     matches!(state, ProcessState::Exited)
 }
 
+/// Whether a server that refuses this box has exited. Peers that connect to it show that it has not.
+/// If no peer can tell, it has unless other servers of the service are out of reach too.
+async fn is_exit_confirmed(call: &Call, server: &ServerName, address: &str) -> bool {
+    let relay = &call.relay;
+    server_path::record_direct(relay, server, false);
+    let destination = Destination {
+        relay,
+        server,
+        address,
+        call: call.id(),
+    };
+    let is_up = match server_path::ask_peers(&destination).await {
+        PeerVerdict::Up => true,
+        PeerVerdict::Down | PeerVerdict::Alone => false,
+        PeerVerdict::Unknown => lock(&relay.server_paths).path(&call.service) != ServerPath::Direct,
+    };
+    if is_up {
+        counter!("badgerferry_server_exits_refuted_total").increment(1);
+        tracing::info!(
+            call = call.id(),
+            %server,
+            "server refuses this box but has not exited: its path is cut"
+        );
+    }
+    !is_up
+}
+
 /// Crash of a server during a run.
 struct ServerCrash {
     server: ServerName,
--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -158,7 +158,7 @@
 }
 
 /// Records whether this box itself connected to a server.
-fn record_direct(relay: &Relay, server: &ServerName, is_connected: bool) {
+pub fn record_direct(relay: &Relay, server: &ServerName, is_connected: bool) {
     let result = connect_result(is_connected);
     record(relay, server, |paths, target, halls| {
         paths.record_direct(relay.clock.now(), target, halls, result)
@@ -344,6 +344,50 @@
     Ok((postcard::from_bytes(&response)?, stream))
 }
 
+/// Whether a server is up that refuses this box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerVerdict {
+    /// A peer connects to it, so the path of this box is at fault.
+    Up,
+    /// It refuses a peer as well.
+    Down,
+    /// No peer could tell.
+    Unknown,
+    /// There is no peer.
+    Alone,
+}
+
+/// Asks peers whether a server that refuses this box is up.
+pub async fn ask_peers(destination: &Destination<'_>) -> PeerVerdict {
+    let Some(known) = known_server(destination.relay, destination.server) else {
+        return PeerVerdict::Unknown;
+    };
+    let peers = carriers(destination.relay, &known);
+    if peers.is_empty() {
+        let has_peers = {
+            let now = destination.relay.clock.now();
+            lock(&destination.relay.cluster_view)
+                .peer_liveness
+                .has_live_peer(now)
+        };
+        return if has_peers {
+            PeerVerdict::Unknown
+        } else {
+            PeerVerdict::Alone
+        };
+    }
+    for (_peer, address) in peers {
+        let response = timeout(CARRIER_TIMEOUT, request(destination, address)).await;
+        match response {
+            Ok(Ok((CarryResponse::Connected, _stream))) => return PeerVerdict::Up,
+            Ok(Ok((CarryResponse::Refused, _stream))) => return PeerVerdict::Down,
+            // Another peer may be able to tell.
+            _ => {}
+        }
+    }
+    PeerVerdict::Unknown
+}
+
 /// Checks that there is a path to the servers of the call's service. A stream that has started
 /// waits for one, since it would be aborted otherwise.
 ///
