relay: check the path when calls are silent, and resume streams early

Streams under way when the path is cut were silent until four times their gap limit, 1 s or more, and unary calls until the system gave the connection up after 2 s. Silence is no evidence by itself, as servers pause for other reasons, but it is a reason to look: a call that is silent for longer than expected has its server connected to, and another one if that takes over 60 ms, at most once a second for a service. If these fail, the path is cut, and attempts that are silent on connections of this box are resumed through peers, within the retry budget, where they may be repeated. Attempts on connections that live on are left alone.

Tests: a stream under way is resumed; calls that may run once do so while the path comes and goes; calls are refused within 200 ms while no box reaches the servers, and served once it is back; a cut to one service leaves another alone; servers silent for a second are no cut.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -25,15 +25,16 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use tokio::time::timeout;
 
 use crate::relay::call::Call;
 use crate::relay::call_attempt::AttemptGuard;
 use crate::relay::call_attempt::AttemptResult;
 use crate::relay::call_log;
 use crate::relay::connection_pool::Connection;
+use crate::relay::connection_pool::Via;
 use crate::relay::held_bytes::ResponseReader;
 use crate::relay::response_body::ResponseBody;
+use crate::relay::server_path;
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
 
@@ -111,7 +112,7 @@
     ConnectionLost(String),
     /// The stream could not be parsed.
     InvalidData(String),
-    /// No data arrived within [`silence_timeout`].
+    /// No data arrived, see [`Silence`].
     TimedOut(&'static str),
 }
 
@@ -363,17 +364,68 @@
     response
 }
 
-/// Time without data from the server after which an attempt counts as failed. `is_first` is set
-/// until the first event.
-pub fn silence_timeout(call: &Call, selection: &Selection, is_first: bool) -> Duration {
-    let objective = call.route.objective;
-    match (is_first, call.route.max_gap) {
-        (true, _) => (selection.expected_first_event * 3).max(objective) + FIRST_EVENT_SLACK,
-        (false, Some(max_gap)) => (max_gap * 4).max(MIN_EVENT_TIMEOUT),
-        (false, None) => Duration::MAX,
+/// How long an attempt may receive no data.
+#[derive(Debug, Clone, Copy)]
+pub struct Silence {
+    /// Time after which the attempt counts as failed.
+    timeout: Duration,
+    /// Time after which the path to the server is checked; the attempt fails early if it is cut.
+    expected: Duration,
+    why: &'static str,
+}
+
+impl Silence {
+    /// However long it lasts.
+    pub const TOLERATED: Self = Self {
+        timeout: Duration::MAX,
+        expected: Duration::MAX,
+        why: "",
+    };
+
+    /// Silence until the first event.
+    pub fn before_first_event(call: &Call, selection: &Selection, via: Via) -> Self {
+        let expected = selection.expected_first_event;
+        Self {
+            timeout: (expected * 3).max(call.route.objective) + FIRST_EVENT_SLACK,
+            expected: expected * 2,
+            why: "first event timed out",
+        }
+        .on(via)
+    }
+
+    /// Silence between events.
+    pub fn between_events(call: &Call, via: Via) -> Self {
+        let Some(max_gap) = call.route.max_gap else {
+            return Self::TOLERATED;
+        };
+        Self {
+            timeout: (max_gap * 4).max(MIN_EVENT_TIMEOUT),
+            expected: max_gap,
+            why: "no data within the timeout",
+        }
+        .on(via)
+    }
+
+    /// Only connections that this box made itself depend on its path.
+    const fn on(mut self, via: Via) -> Self {
+        if matches!(via, Via::Peer) {
+            self.expected = Duration::MAX;
+        }
+        self
+    }
+
+    /// Resolves with the reason once the silence has lasted too long.
+    pub async fn lasts(self, call: &Call, server: &ServerName) -> &'static str {
+        tokio::select! {
+            () = tokio::time::sleep(self.timeout) => self.why,
+            () = server_path::cut_while_silent(call, server, self.expected) => PATH_CUT,
+        }
     }
 }
 
+/// Why a silent attempt fails early.
+const PATH_CUT: &str = "silent, and the path to the servers is cut";
+
 /// Added to the larger of the route's objective and three times the estimate, which gives the
 /// timeout of the first event.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(500);
@@ -395,9 +447,13 @@
         mut body,
         ..
     } = received;
-    let mut read_timeout = silence_timeout(call, &attempt.selection, true);
+    let mut silence = Silence::before_first_event(call, &attempt.selection, connection.via);
     let (events, complete) = loop {
-        let failure = match timeout(read_timeout, body.frame()).await {
+        let frame = tokio::select! {
+            frame = body.frame() => Ok(frame),
+            why = silence.lasts(call, &attempt.selection.server) => Err(why),
+        };
+        let failure = match frame {
             Ok(Some(Ok(frame))) => match join.push(&frame.into_data().unwrap_or_default()) {
                 Ok(events) if events.is_empty() => continue,
                 Ok(events) => break (events, false),
@@ -406,12 +462,12 @@
             Ok(None) if !join.is_inside_event() => break (Bytes::new(), true),
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
-            Err(_elapsed) if attempts.may_retry() && call.has_retry_budget() => {
-                StreamFailure::TimedOut("first event timed out")
+            Err(why) if attempts.may_retry() && call.has_retry_budget() => {
+                StreamFailure::TimedOut(why)
             }
             // Without a retry, the attempt goes on until the deadline of the call.
-            Err(_elapsed) => {
-                read_timeout = Duration::MAX;
+            Err(_why) => {
+                silence = Silence::TOLERATED;
                 continue;
             }
         };
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -42,6 +42,9 @@
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
 
+/// Added to the estimate of a response after which the path to the server is checked.
+const RESPONSE_SLACK: Duration = Duration::from_millis(100);
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum AttemptResult {
@@ -182,8 +185,20 @@
         call: call.id(),
     };
     let patience = reader_patience::server_patience(&call.route);
+    let may_resend = attempts.may_retry() && call.has_retry_budget();
+    let path_cut = async {
+        match may_resend {
+            true => {
+                let selection = &attempt.selection;
+                let expected = selection.expected_first_event + RESPONSE_SLACK;
+                server_path::cut_while_silent(call, &selection.server, expected).await;
+            }
+            // It may run here only, and the response may still arrive.
+            false => std::future::pending().await,
+        }
+    };
     let sent = connection_pool
-        .send(&destination, reuse, request, patience, admitted)
+        .send(&destination, reuse, request, patience, admitted, path_cut)
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -68,6 +68,17 @@
 pub struct Connection {
     sender: Option<SendRequest<RequestBody>>,
     task: AbortHandle,
+    /// Who made it.
+    pub via: Via,
+}
+
+/// Who made a connection to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Via {
+    /// This box.
+    Own,
+    /// A peer, while the own path was cut.
+    Peer,
 }
 
 impl Connection {
@@ -132,7 +143,8 @@
     }
 
     /// Sends a call once on an idle or a new connection and waits for the response head. `patience`
-    /// is the longest time for which the server may read nothing of a large body.
+    /// is the longest time for which the server may read nothing of a large body. `path_cut` resolves
+    /// if a connection made by this box is no longer worth waiting for.
     ///
     /// # Errors
     ///
@@ -144,6 +156,7 @@
         mut request: Request<RequestBody>,
         patience: Duration,
         admitted: Admitted,
+        path_cut: impl Future<Output = ()>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let server = destination.server;
         let progress = (self.body_transfers)
@@ -158,12 +171,19 @@
             Some(connection) => connection,
             None => server_path::connect(destination).await?,
         };
-        let response = match progress {
-            None => connection.send(request, admitted).await?,
-            Some(progress) => tokio::select! {
-                response = connection.send(request, admitted) => response?,
-                () = progress.stalled(patience) => return Err(SendError::BodyUnread),
-            },
+        let is_own = connection.via == Via::Own;
+        let stalled = async {
+            match progress {
+                Some(progress) => progress.stalled(patience).await,
+                None => std::future::pending().await,
+            }
+        };
+        let response = tokio::select! {
+            response = connection.send(request, admitted) => response?,
+            () = stalled => return Err(SendError::BodyUnread),
+            () = path_cut, if is_own => {
+                return Err(SendError::Lost("path to the servers is cut".to_owned()));
+            }
         };
         Ok((response, connection))
     }
@@ -231,7 +251,7 @@
 /// # Errors
 ///
 /// [`SendError::NotSent`]: the handshake failed.
-pub async fn open(stream: TcpStream) -> Result<Connection, SendError> {
+pub async fn open(stream: TcpStream, via: Via) -> Result<Connection, SendError> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
@@ -242,6 +262,7 @@
     Ok(Connection {
         sender: Some(sender),
         task,
+        via,
     })
 }
 
--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -35,6 +35,7 @@
 use crate::relay::connection_pool;
 use crate::relay::connection_pool::Connection;
 use crate::relay::connection_pool::SendError;
+use crate::relay::connection_pool::Via;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
 use crate::relay::pulls;
 use crate::relay::state::Relay;
@@ -56,7 +57,10 @@
 /// Longest time for which a stream that has started waits for a path. Callers give a stream up after
 /// two seconds of silence, part of which has passed.
 const MAX_PATH_WAIT: Duration = Duration::from_secs(1);
-/// Interval at which a stream that waits for a path checks for one.
+/// Time after which a connection attempt of a check is doubted, and a second server is tried. Longer
+/// than a round trip between regions.
+const CHECK_STAGGER: Duration = Duration::from_millis(60);
+/// Interval at which a stream that waits for a path, or on one, checks for changes.
 const PATH_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Where a connection leads.
@@ -110,7 +114,7 @@
     };
     if path() == ServerPath::Direct {
         match connect_directly(relay, destination.server, destination.address).await {
-            Ok(stream) => return connection_pool::open(stream).await,
+            Ok(stream) => return connection_pool::open(stream, Via::Own).await,
             // Unless this failure has shown that the path is cut.
             Err(cause) if path() == ServerPath::Direct => {
                 return Err(match cause {
@@ -125,7 +129,7 @@
         (ServerPath::Unavailable, _) | (_, None) => Err(SendError::NoPath),
         (ServerPath::Direct | ServerPath::ThroughPeers, Some(known)) => {
             let stream = connect_through_peer(destination, &known).await?;
-            connection_pool::open(stream).await
+            connection_pool::open(stream, Via::Peer).await
         }
     }
 }
@@ -388,6 +392,54 @@
     PeerVerdict::Unknown
 }
 
+/// Resolves once a call that received nothing for `expected` is on a path that is cut, and peers
+/// connect instead. Until then it has the path checked.
+pub async fn cut_while_silent(call: &Call, server: &ServerName, expected: Duration) {
+    let relay = &call.relay;
+    tokio::time::sleep(expected).await;
+    let mut is_checked = false;
+    while lock(&relay.server_paths).path(&call.service) != ServerPath::ThroughPeers {
+        if !is_checked {
+            is_checked = true;
+            check_path(relay, &call.service, server);
+        }
+        tokio::time::sleep(PATH_POLL_INTERVAL).await;
+    }
+}
+
+/// Connects to a server whose call is silent and, if that takes long, to another one. The results
+/// are evidence about the path.
+fn check_path(relay: &Arc<Relay>, service: &ServiceName, server: &ServerName) {
+    if !lock(&relay.server_paths).should_check(relay.clock.now(), service) {
+        return;
+    }
+    let address = {
+        let tracker = lock(&relay.tracker);
+        tracker
+            .get(server)
+            .map(|record| record.info.address.clone())
+    };
+    let Some(address) = address else { return };
+    let others = probed_servers(relay, service).into_iter();
+    let other = others.into_iter().find(|(other, _)| other != server);
+    let (relay, server) = (Arc::clone(relay), server.clone());
+    tokio::spawn(async move {
+        let first = connect_directly(&relay, &server, &address);
+        tokio::pin!(first);
+        let is_quick = timeout(CHECK_STAGGER, first.as_mut()).await;
+        match (is_quick, other) {
+            // Connected, or refused: then the retry of a call connects elsewhere.
+            (Ok(_), _) => {}
+            (Err(_elapsed), None) => drop(first.await),
+            (Err(_elapsed), Some((other, address))) => {
+                let second = connect_directly(&relay, &other, &address);
+                // The results are recorded.
+                let _ = tokio::join!(first, second);
+            }
+        }
+    });
+}
+
 /// Checks that there is a path to the servers of the call's service. A stream that has started
 /// waits for one, since it would be aborted otherwise.
 ///
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -21,6 +21,7 @@
 
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::MAX_UNCOUNTED_BYTES;
+use crate::relay::attempt_response::Silence;
 use crate::relay::attempt_response::StreamFailure;
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
@@ -257,7 +258,7 @@
         ..
     } = *live;
     sink.held_back = Duration::ZERO;
-    let mut read_timeout = attempt_response::silence_timeout(call, &attempt.selection, false);
+    let mut silence = Silence::between_events(call, connection.via);
     let unread_limit = unread_limit(call, &attempt.selection);
     let mut caught_up_at = Instant::now();
     let mut harmless_at = Some(Instant::now() + HARMLESS_AFTER);
@@ -291,7 +292,8 @@
             break;
         }
         let frame = tokio::select! {
-            frame = timeout(read_timeout, body.frame()) => frame,
+            frame = body.frame() => Ok(frame),
+            why = silence.lasts(call, &attempt.selection.server) => Err(why),
             () = sink.tx.closed() => return ForwardEnd::CallerGone,
         };
         let mut retry_spent = false;
@@ -316,15 +318,15 @@
             }
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
-            Err(_elapsed) => {
+            Err(why) => {
                 // Silence alone does not end a stream: if it may not be resumed on another server,
                 // the attempt goes on until the deadline of the call.
                 retry_spent = attempts.may_retry() && call.try_spend_retry();
                 if !retry_spent {
-                    read_timeout = Duration::MAX;
+                    silence = Silence::TOLERATED;
                     continue;
                 }
-                StreamFailure::TimedOut("no data within the timeout")
+                StreamFailure::TimedOut(why)
             }
         };
         let is_excused = !reader_patience::counts_against_server(sink.held_back);
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -30,10 +30,13 @@
 /// Time that a server takes for one event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Time in which a call that can't be served must be refused.
+const PROMPT: Duration = Duration::from_millis(200);
+
 /// Boxes, each with links of its own to all servers.
 struct LinkedFleet {
     _store: Store,
-    _servers: Vec<Server>,
+    servers: Vec<Server>,
     boxes: Vec<RelayBox>,
     links: Vec<ServerLinks>,
 }
@@ -63,7 +66,7 @@
         tokio::time::sleep(DISCOVERY_TIME).await;
         Ok(Self {
             _store: store,
-            _servers: servers,
+            servers,
             boxes,
             links,
         })
@@ -167,3 +170,139 @@
     );
     Ok(())
 }
+
+#[tokio::test]
+async fn stream_under_way_is_resumed_through_a_peer() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    let mut caller = Caller::connect(fleet.boxes[0].front()).await?;
+    let request = call("POST", "/stream/a", "call-1", "", "a prompt");
+
+    caller.send(&request).await?;
+    tokio::time::sleep(EVENT_INTERVAL * 5 / 2).await;
+    fleet.links[0].set(Link::Dropped);
+
+    let response = caller.read_response().await?;
+    assert!(response.is_complete, "{response:?}; {}", fleet.logs());
+    let received = fleet.servers.iter().flat_map(Server::received_calls);
+    assert_eq!(received.count(), 2);
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_that_may_run_once_do_so_while_paths_come_and_go() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    let callers = (0..8).map(|_| fleet.call_box(0, "POST", "/once/a", FLAPPING_TIME));
+    let flap = async {
+        let links = [Link::Refused, Link::Open, Link::Dropped, Link::Open];
+        for link in links.into_iter().cycle().take(8) {
+            tokio::time::sleep(FLAPPING_TIME / 9).await;
+            fleet.links[0].set(link);
+        }
+    };
+
+    let (responses, ()) = futures::join!(join_all(callers), flap);
+
+    let received: Vec<_> = fleet
+        .servers
+        .iter()
+        .flat_map(Server::received_calls)
+        .collect();
+    let runs = |id: &str| received.iter().filter(|seen| seen.id() == id).count();
+    for seen in &received {
+        assert_eq!(runs(seen.id()), 1, "{}", seen.id());
+    }
+    for (response, _) in responses.iter().flatten() {
+        let id = response
+            .header("badgerferry-attempt-id")
+            .unwrap_or_default();
+        assert!(response.status != 503 || runs(id) == 0, "{response:?}");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_are_refused_at_once_while_no_box_reaches_the_servers() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    fleet
+        .links
+        .iter()
+        .for_each(|links| links.set(Link::Dropped));
+    let both = || [0, 1].map(|index| fleet.call_box(index, "GET", "/again/a", DETECTION_TIME));
+    join_all(both()).await;
+
+    let refused = fleet.call_box(0, "GET", "/again/a", COUNTED_TIME).await;
+    fleet.links.iter().for_each(|links| links.set(Link::Open));
+    join_all(both()).await;
+    let served = fleet.call_box(0, "GET", "/again/a", COUNTED_TIME).await;
+
+    let is_prompt = |(response, took): &&(RawResponse, Duration)| {
+        let retry_after = response.header("retry-after").unwrap_or_default();
+        let retry_after: f64 = retry_after.parse().unwrap_or_default();
+        response.status == 503 && retry_after >= 0.25 && *took < PROMPT
+    };
+    let prompt = refused.iter().filter(is_prompt).count();
+    assert!(
+        prompt * 10 >= refused.len() * 9,
+        "{prompt} of {}",
+        refused.len()
+    );
+    assert_eq!(count_served(&served), served.len(), "{}", fleet.logs());
+    Ok(())
+}
+
+#[tokio::test]
+async fn cut_to_one_service_leaves_another_alone() -> anyhow::Result<()> {
+    let services = ["boards", "boards", "boards", "fragile", "fragile"];
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &services).await?;
+
+    fleet.links[0].set_for_service("boards", Link::Dropped);
+
+    fleet.check_served(0, "POST", "/stream/a").await;
+    fleet.check_served(0, "POST", "/stream/fragile/a").await;
+    let log = fleet.boxes[0].log();
+    let cuts = log
+        .lines()
+        .filter(|line| line.contains("path to servers changed"));
+    assert!(
+        cuts.clone().count() > 0 && cuts.clone().all(|line| line.contains("boards")),
+        "{log}"
+    );
+    Ok(())
+}
+
+#[tokio::test]
+async fn box_serves_directly_again_once_its_path_is_back() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    fleet.links[0].set(Link::NewRefused);
+    fleet.check_served(0, "GET", "/again/a").await;
+
+    fleet.links[0].set(Link::Open);
+
+    fleet.boxes[0]
+        .wait_for_log_line(&["path to servers restored"])
+        .await?;
+    fleet.check_served(0, "GET", "/again/a").await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn servers_that_are_silent_for_a_second_are_no_cut() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    fleet
+        .call_box(0, "POST", "/stream/a", Duration::from_millis(500))
+        .await;
+
+    fleet.links[0].set(Link::Silent);
+    fleet
+        .call_box(0, "POST", "/stream/a", Duration::from_secs(1))
+        .await;
+    fleet.links[0].set(Link::Open);
+
+    fleet.check_served(0, "POST", "/stream/a").await;
+    assert!(
+        !fleet.logs().contains("path to servers changed"),
+        "{}",
+        fleet.logs()
+    );
+    Ok(())
+}
--- a/lib/src/relay/server_paths.rs
+++ b/lib/src/relay/server_paths.rs
@@ -7,7 +7,8 @@
 //! may be cut to the servers of one service only.
 //!
 //! Only new connections count. Open ones may outlive a cut, and the system of a server that is
-//! silent for a while still accepts connections. All servers of another data hall count as one
+//! silent for a while still accepts connections. A call that is silent for longer than expected is
+//! a reason to open some. All servers of another data hall count as one
 //! piece of evidence: the link between the halls may be cut, which the peers of this box share.
 //!
 //! A peer that can't connect either is evidence that the servers are down, or that the peer is cut
@@ -38,6 +39,8 @@
 const RESTORED_AFTER: usize = 2;
 /// Age after which a failure no longer counts.
 const EVIDENCE_TTL: Duration = Duration::from_secs(3);
+/// Minimum interval between two checks of a path on which calls are silent.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Bounds of the retry delay of callers while no path is left.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -199,6 +202,8 @@
 pub struct ServerPaths {
     own_hall: HallName,
     services: HashMap<ServiceName, ServicePath>,
+    /// When the path to each service was last checked because a call was silent.
+    checked: HashMap<ServiceName, Time>,
 }
 
 impl ServerPaths {
@@ -207,6 +212,7 @@
         Self {
             own_hall,
             services: HashMap::new(),
+            checked: HashMap::new(),
         }
     }
 
@@ -222,6 +228,18 @@
         self.services.contains_key(service)
     }
 
+    /// Whether to check the path because a call to the service is silent. Silence is no evidence by
+    /// itself: servers pause for other reasons. Records the check if so.
+    pub fn should_check(&mut self, now: Time, service: &ServiceName) -> bool {
+        let last = self.checked.get(service);
+        let is_due = last.is_none_or(|last| now.since(*last) >= CHECK_INTERVAL);
+        let is_checked = is_due && self.path(service) == ServerPath::Direct;
+        if is_checked {
+            self.checked.insert(service.clone(), now);
+        }
+        is_checked
+    }
+
     /// Services to which the own path is cut, and since when.
     pub fn cut_off(&self) -> impl Iterator<Item = (&ServiceName, Time)> {
         let services = self.services.iter();
