--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,6 +7,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::run::Size;
+
 use badgerferry_standin::proxy::Link;
 
 /// A fault to inject.
@@ -14,6 +16,8 @@
 pub enum Fault {
     /// The link to a server changes.
     ServerLink(usize, Link),
+    /// The links of one box to all servers change.
+    BoxLinks(usize, Link),
     /// The link to the store changes.
     StoreLink(Link),
     /// The store switches to another response mode.
@@ -72,8 +76,17 @@
 /// Additional restores of the store from a backup per second.
 const RESTORES_PER_SECOND: f64 = 0.3;
 
+/// Additional cuts between a box and all servers per second.
+const SERVER_CUTS_PER_SECOND: f64 = 0.7;
+
 /// Draws a plan, sorted by start. Any change to the order of draws changes the plan of every seed.
-pub fn plan(rng: &mut ChaCha8Rng, length: Duration, boxes: usize, servers: usize) -> Vec<Planned> {
+pub fn plan(rng: &mut ChaCha8Rng, size: Size) -> Vec<Planned> {
+    let Size {
+        boxes,
+        servers,
+        fault_duration: length,
+        cuts_servers,
+    } = size;
     let count = (length.as_secs_f64() * FAULTS_PER_SECOND).ceil() as usize;
     let mut plan: Vec<Planned> = (0..count)
         .map(|_| Planned {
@@ -95,6 +108,13 @@
         fault: Fault::ReturnFromCopy,
         lasts: Duration::from_millis(rng.random_range(100..3_000)),
     }));
+    let cuts = (length.as_secs_f64() * SERVER_CUTS_PER_SECOND).ceil() as usize;
+    let cuts = if cuts_servers { cuts } else { 0 };
+    plan.extend((0..cuts).map(|_| Planned {
+        at: length.mul_f64(rng.random()),
+        fault: Fault::BoxLinks(rng.random_range(0..boxes), draw_cut(rng)),
+        lasts: Duration::from_millis(rng.random_range(100..4_000)),
+    }));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -140,6 +160,10 @@
     }
 }
 
+fn draw_cut(rng: &mut ChaCha8Rng) -> Link {
+    [Link::Dropped, Link::Refused, Link::NewRefused][rng.random_range(0..3)]
+}
+
 fn draw_behaviour(rng: &mut ChaCha8Rng) -> Behaviour {
     let after = rng.random_range(0..4);
     let all = [
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -40,6 +40,9 @@
     /// servers in each run (4)
     #[argh(option, default = "4")]
     servers: usize,
+    /// give each box links of its own to the servers, and cut those of some boxes
+    #[argh(switch)]
+    server_cuts: bool,
     /// a seed to pass over, since it is known to fail; may be repeated
     #[argh(option)]
     pass_over: Vec<u64>,
@@ -88,6 +91,7 @@
             boxes: args.boxes,
             servers: args.servers,
             fault_duration: Duration::from_secs(args.seconds),
+            cuts_servers: args.server_cuts,
         };
         // On a signal the run is dropped, which kills its boxes. Orphaned boxes would keep polling
         // their store at an address that a server of another run may get.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -17,6 +17,7 @@
 use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::relay_box::random_loopback_ip;
 use badgerferry_standin::server::Server;
+use badgerferry_standin::server_links::ServerLinks;
 use badgerferry_standin::store::Mode;
 use badgerferry_standin::store::Store;
 use rand::SeedableRng;
@@ -57,6 +58,9 @@
 /// Attempts to get a call served by each box after the faults, 100 ms apart, before the run fails.
 const RECOVERY_ATTEMPTS: usize = 200;
 
+/// Calls in a row that a box must serve while its links to all servers are cut.
+const SERVED_WHILE_CUT: usize = 10;
+
 /// Exit code that [`RelayBox::exit_code`] reports for a process killed by a signal.
 const KILLED_BY_SIGNAL: i32 = -1;
 
@@ -69,6 +73,9 @@
     pub servers: usize,
     /// Length of the fault phase.
     pub fault_duration: Duration,
+    /// Whether each box has links of its own to the servers, which are cut. Boxes then don't pull
+    /// state from each other, see [`badgerferry_standin::server_links`].
+    pub cuts_servers: bool,
 }
 
 /// Counts of a successful run.
@@ -92,9 +99,12 @@
 
 struct Cluster {
     store: Store,
-    store_proxy: Proxy,
+    /// Links to the store: one of all boxes, or one of each.
+    store_proxies: Vec<Proxy>,
     servers: Vec<Server>,
     server_proxies: Vec<Proxy>,
+    /// Links of each box to the servers, if they can be cut.
+    server_links: Vec<ServerLinks>,
     /// Reached without a proxy, so that connections are refused while they are down.
     fragile: Vec<Server>,
     boxes: Vec<Mutex<RelayBox>>,
@@ -108,7 +118,7 @@
 /// An invariant is violated, a box did not recover, or a process or a fault could not be started.
 pub async fn run(seed: u64, size: Size) -> anyhow::Result<Summary> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let plan = faults::plan(&mut rng, size.fault_duration, size.boxes, size.servers);
+    let plan = faults::plan(&mut rng, size);
     let cluster = Arc::new(Cluster::start(size).await?);
     let records = CallRecords::default();
     let stop = Arc::new(AtomicBool::new(false));
@@ -147,6 +157,10 @@
         Ok(()) => cluster.check_new_routes(&fronts).await,
         Err(cause) => Err(cause),
     };
+    let recovered = match recovered {
+        Ok(()) => cluster.check_cut_box_serves(&fronts).await,
+        Err(cause) => Err(cause),
+    };
     let restarts = plan.iter().filter(|planned| planned.fault.restarts_box());
     let box_starts = size.boxes + restarts.count();
     let records = records
@@ -185,7 +199,7 @@
     async fn start(size: Size) -> anyhow::Result<Self> {
         let store = Store::start().await?;
         store.put_routes(&desired_state(1, &["key-1"]));
-        let store_proxy = Proxy::start(store.address).await?;
+        let mut store_proxies = vec![Proxy::start(store.address).await?];
         let (mut servers, mut server_proxies) = (Vec::new(), Vec::new());
         for index in 0..size.servers {
             let pace = Duration::from_millis(15);
@@ -209,11 +223,24 @@
             fragile.push(server);
         }
         let ips: Vec<_> = (0..size.boxes).map(|_| random_loopback_ip()).collect();
-        let mut boxes = Vec::new();
+        let (mut boxes, mut server_links) = (Vec::new(), Vec::new());
         for (index, ip) in ips.iter().enumerate() {
-            let seeds = &ips[..ips.len().min(3)];
             let name = format!("box-{index}");
-            let started = RelayBox::start_at(&name, *ip, store_proxy.address, seeds)?;
+            let started = if size.cuts_servers {
+                let targets = servers.iter().zip(&server_proxies);
+                let targets = targets.map(|(server, proxy)| (server, proxy.address));
+                let links = ServerLinks::start_to(&store, &name, targets).await?;
+                // All boxes of a hall follow the store if there are two.
+                let hall = format!("hall-{}", index / 2);
+                let store_proxy = Proxy::start(links.store.address).await?;
+                let started = RelayBox::start_in_hall(&name, &hall, store_proxy.address)?;
+                store_proxies.push(store_proxy);
+                server_links.push(links);
+                started
+            } else {
+                let seeds = &ips[..ips.len().min(3)];
+                RelayBox::start_at(&name, *ip, store_proxies[0].address, seeds)?
+            };
             boxes.push(Mutex::new(started));
         }
         for a_box in &boxes {
@@ -221,9 +248,10 @@
         }
         Ok(Self {
             store,
-            store_proxy,
+            store_proxies,
             servers,
             server_proxies,
+            server_links,
             fragile,
             boxes,
             routes_version: AtomicU64::new(1),
@@ -246,10 +274,15 @@
                 wait().await;
                 self.server_proxies[index].set(Link::Open);
             }
+            Fault::BoxLinks(index, link) => {
+                self.server_links[index].set(link);
+                wait().await;
+                self.server_links[index].set(Link::Open);
+            }
             Fault::StoreLink(link) => {
-                self.store_proxy.set(link);
+                self.set_store_links(link);
                 wait().await;
-                self.store_proxy.set(Link::Open);
+                self.set_store_links(Link::Open);
             }
             Fault::StoreMode(mode) => {
                 self.store.set_mode(mode);
@@ -339,11 +372,18 @@
         a_box.restart()
     }
 
+    fn set_store_links(&self, link: Link) {
+        self.store_proxies.iter().for_each(|proxy| proxy.set(link));
+    }
+
     fn clear_faults(&self) {
         self.server_proxies
             .iter()
             .for_each(|proxy| proxy.set(Link::Open));
-        self.store_proxy.set(Link::Open);
+        self.server_links
+            .iter()
+            .for_each(|links| links.set(Link::Open));
+        self.set_store_links(Link::Open);
         self.store.set_mode(Mode::Serving);
         (0..self.servers.len()).for_each(|index| self.publish_entry(index, "ready"));
     }
@@ -442,6 +482,35 @@
         Ok(())
     }
 
+    /// Checks that a box serves calls while its links to all servers are cut.
+    async fn check_cut_box_serves(&self, fronts: &[SocketAddr]) -> anyhow::Result<()> {
+        let (Some(links), Some(front)) = (self.server_links.first(), fronts.first()) else {
+            return Ok(());
+        };
+        for cut in [Link::Dropped, Link::Refused] {
+            links.set(cut);
+            let (mut served, mut number) = (0, 0);
+            while served < SERVED_WHILE_CUT {
+                anyhow::ensure!(
+                    number < RECOVERY_ATTEMPTS,
+                    "box 0 did not serve {SERVED_WHILE_CUT} calls in a row while its links to \
+                     servers were cut ({cut:?})"
+                );
+                let id = format!("recovery-cut-{cut:?}-{number}");
+                let text = call("GET", "/again/a", &id, "", "");
+                let response = Caller::exchange(*front, &text).await;
+                served = match response {
+                    Ok(response) if response.status == 200 => served + 1,
+                    _ => 0,
+                };
+                number += 1;
+                tokio::time::sleep(Duration::from_millis(30)).await;
+            }
+            links.set(Link::Open);
+        }
+        Ok(())
+    }
+
     /// Acts for the platform, which restarts a box that a signal killed before it handled signals.
     async fn restart_if_killed(&self, index: usize) -> anyhow::Result<()> {
         let mut a_box = self.boxes[index].lock().await;
