relay: a path is cut only if a peer connects where this box can't

Failures at two servers were taken for proof.

They only raise a suspicion now. What a peer sees of the same servers decides: if it connects, the path is cut; if it is refused as well, the server is down. Calls are refused without an attempt only after a probe of four random servers, directly and two of them through peers, reached none. A crash that a peer confirms is no evidence about the path.

--- a/daemon/src/relay/carried.rs
+++ b/daemon/src/relay/carried.rs
@@ -116,8 +116,11 @@
     let Some((service, address)) = known else {
         return (CarryResponse::Unknown, None);
     };
-    if lock(&relay.server_paths).path(&service) != ServerPath::Direct {
-        return (CarryResponse::CutOff, None);
+    match lock(&relay.server_paths).path(&service) {
+        ServerPath::Direct | ServerPath::Suspected => {}
+        ServerPath::ThroughPeers | ServerPath::Unavailable => {
+            return (CarryResponse::CutOff, None);
+        }
     }
     match server_path::connect_directly(relay, &request.server, &address).await {
         Ok(stream) => (CarryResponse::Connected, Some(stream)),
--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -245,10 +245,7 @@
 /// Services to whose servers the own path is cut.
 fn cut_off_services(relay: &Relay) -> Vec<ServiceKey> {
     let paths = lock(&relay.server_paths);
-    let cut_off = paths.cut_off();
-    cut_off
-        .map(|(service, _since)| ServiceKey::of(service))
-        .collect()
+    paths.cut_off().map(ServiceKey::of).collect()
 }
 
 async fn send_to_all(socket: &UdpSocket, datagram: &mut LoadDatagram, to: &[SocketAddr]) {
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -72,7 +72,7 @@
         );
         tokio::spawn(front::serve(front, Arc::clone(&relay)));
         tokio::spawn(carried::serve(carried, Arc::clone(&relay)));
-        tokio::spawn(server_path::probe_cut_paths(Arc::clone(&relay)));
+        tokio::spawn(server_path::probe_paths(Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_ready(ready, Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_metrics(metrics, Arc::clone(&relay)));
         stop::wait_for_exit(&relay, signals).await;
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -250,7 +250,6 @@
 /// If no peer can tell, it has unless other servers of the service are out of reach too.
 async fn is_exit_confirmed(call: &Call, server: &ServerName, address: &str) -> bool {
     let relay = &call.relay;
-    server_path::record_direct(relay, server, false);
     let destination = Destination {
         relay,
         server,
--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -20,6 +20,7 @@
 use badgerferry_lib::relay::server_paths::ConnectResult;
 use badgerferry_lib::relay::server_paths::PathChange;
 use badgerferry_lib::relay::server_paths::PathTarget;
+use badgerferry_lib::relay::server_paths::PeerConnectResult;
 use badgerferry_lib::relay::server_paths::ServerPath;
 use badgerferry_lib::relay::server_paths::ServerPaths;
 use badgerferry_lib::relay::server_paths::ServiceKey;
@@ -52,8 +53,10 @@
 const MAX_FAILED_CARRIERS: usize = 2;
 /// Interval between two probes of a path that is cut.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Servers connected to in each probe; different ones, as some of them may be down.
+/// Servers connected to in each probe of a path that is cut; some of them may be down.
 const PROBED_SERVERS: usize = 2;
+/// Servers that must all be out of reach before calls are refused without an attempt.
+const DECISIVE_PROBES: usize = 4;
 /// Longest time for which a stream that has started waits for a path. Callers give a stream up after
 /// two seconds of silence, part of which has passed.
 const MAX_PATH_WAIT: Duration = Duration::from_secs(1);
@@ -112,22 +115,22 @@
             lock(&relay.server_paths).path(&known.service)
         })
     };
-    if path() == ServerPath::Direct {
+    if matches!(path(), ServerPath::Direct | ServerPath::Suspected) {
         match connect_directly(relay, destination.server, destination.address).await {
             Ok(stream) => return connection_pool::open(stream, Via::Own).await,
-            // Unless this failure has shown that the path is cut.
             Err(cause) if path() == ServerPath::Direct => {
                 return Err(match cause {
                     ConnectFailure::Refused(cause) => SendError::NotSent(cause),
                     ConnectFailure::TimedOut => SendError::ConnectTimeout,
                 });
             }
-            Err(_cut) => {}
+            // The path may be cut.
+            Err(_failure) => {}
         }
     }
     match (path(), known) {
         (ServerPath::Unavailable, _) | (_, None) => Err(SendError::NoPath),
-        (ServerPath::Direct | ServerPath::ThroughPeers, Some(known)) => {
+        (_, Some(known)) => {
             let stream = connect_through_peer(destination, &known).await?;
             connection_pool::open(stream, Via::Peer).await
         }
@@ -162,28 +165,23 @@
 }
 
 /// Records whether this box itself connected to a server.
-pub fn record_direct(relay: &Relay, server: &ServerName, is_connected: bool) {
-    let result = connect_result(is_connected);
+fn record_direct(relay: &Relay, server: &ServerName, is_connected: bool) {
+    let result = if is_connected {
+        ConnectResult::Connected
+    } else {
+        ConnectResult::Failed
+    };
     record(relay, server, |paths, target, halls| {
         paths.record_direct(relay.clock.now(), target, halls, result)
     });
 }
 
-fn record_at_peer(relay: &Relay, server: &ServerName, is_connected: bool) {
-    let result = connect_result(is_connected);
+fn record_at_peer(relay: &Relay, server: &ServerName, result: PeerConnectResult) {
     record(relay, server, |paths, target, halls| {
         paths.record_at_peer(relay.clock.now(), target, halls, result)
     });
 }
 
-const fn connect_result(is_connected: bool) -> ConnectResult {
-    if is_connected {
-        ConnectResult::Connected
-    } else {
-        ConnectResult::Failed
-    }
-}
-
 fn record(
     relay: &Relay,
     server: &ServerName,
@@ -216,7 +214,9 @@
 /// Logs a change, tells the peers, and starts or ends the probes.
 fn announce(relay: &Relay, change: &PathChange) {
     let what = match (change.path, change.before) {
+        (ServerPath::Direct, ServerPath::Suspected) => "path to servers not cut",
         (ServerPath::Direct, _) => "path to servers restored",
+        (ServerPath::Suspected, _) => "path to servers may be cut",
         (ServerPath::Unavailable, _) => "no path to servers, own or through peers",
         (ServerPath::ThroughPeers, ServerPath::Unavailable) => "peers connect to servers again",
         (ServerPath::ThroughPeers, _) => "path to servers cut; connecting through peers",
@@ -231,11 +231,12 @@
     );
     counter!("badgerferry_server_path_changes_total", "to" => match change.path {
         ServerPath::Direct => "direct",
+        ServerPath::Suspected => "suspected",
         ServerPath::ThroughPeers => "peers",
         ServerPath::Unavailable => "none",
     })
     .increment(1);
-    if change.before == ServerPath::Direct {
+    if change.path == ServerPath::ThroughPeers {
         // Idle connections lead through the path that is cut.
         let tracker = lock(&relay.tracker);
         let is_cut_off = |server: &ServerName| {
@@ -259,7 +260,7 @@
         call,
         ..
     } = *destination;
-    let mut failed = 0;
+    let mut results = Vec::new();
     for (peer, address) in carriers(relay, known) {
         let response = match timeout(CARRIER_TIMEOUT, request(destination, address)).await {
             Ok(Ok((response, stream))) => Ok((response, stream)),
@@ -285,28 +286,27 @@
         }
         match response {
             Ok((CarryResponse::Connected, stream)) => {
-                record_at_peer(relay, server, true);
+                record_at_peer(relay, server, PeerConnectResult::Connected);
                 return Ok(stream);
             }
-            Ok((CarryResponse::Refused | CarryResponse::TimedOut, _)) => {
-                failed += 1;
-                if failed == MAX_FAILED_CARRIERS {
-                    break;
-                }
+            Ok((CarryResponse::Refused, _)) => {
+                record_at_peer(relay, server, PeerConnectResult::Refused);
+                return Err(SendError::NotSent("refused to a peer as well".to_owned()));
             }
-            Ok((CarryResponse::CutOff | CarryResponse::Busy | CarryResponse::Unknown, _))
-            | Err(_) => {}
+            Ok((response, _)) => results.push(response),
+            Err(_cause) => {}
+        }
+        let timed_out = results.iter().filter(|it| **it == CarryResponse::TimedOut);
+        if timed_out.count() == MAX_FAILED_CARRIERS {
+            break;
         }
     }
-    if failed > 0 {
-        record_at_peer(relay, server, false);
-        return Err(SendError::NotSent("no peer reaches the server".to_owned()));
-    }
-    let change = lock(&relay.server_paths).record_no_peer(relay.clock.now(), &known.service);
-    if let Some(change) = change {
-        announce(relay, &change);
+    record_at_peer(relay, server, PeerConnectResult::Unknown);
+    if results.contains(&CarryResponse::TimedOut) {
+        Err(SendError::NotSent("no answer to peers either".to_owned()))
+    } else {
+        Err(SendError::NoPath)
     }
-    Err(SendError::NoPath)
 }
 
 /// Names and addresses of the peers to ask.
@@ -361,7 +361,7 @@
     Alone,
 }
 
-/// Asks peers whether a server that refuses this box is up.
+/// Asks peers whether a server that refuses this box is up. If so, that is evidence about the path.
 pub async fn ask_peers(destination: &Destination<'_>) -> PeerVerdict {
     let Some(known) = known_server(destination.relay, destination.server) else {
         return PeerVerdict::Unknown;
@@ -383,7 +383,15 @@
     for (_peer, address) in peers {
         let response = timeout(CARRIER_TIMEOUT, request(destination, address)).await;
         match response {
-            Ok(Ok((CarryResponse::Connected, _stream))) => return PeerVerdict::Up,
+            Ok(Ok((CarryResponse::Connected, _stream))) => {
+                record_direct(destination.relay, destination.server, false);
+                record_at_peer(
+                    destination.relay,
+                    destination.server,
+                    PeerConnectResult::Connected,
+                );
+                return PeerVerdict::Up;
+            }
             Ok(Ok((CarryResponse::Refused, _stream))) => return PeerVerdict::Down,
             // Another peer may be able to tell.
             _ => {}
@@ -420,7 +428,7 @@
             .map(|record| record.info.address.clone())
     };
     let Some(address) = address else { return };
-    let others = probed_servers(relay, service).into_iter();
+    let others = probed_servers(relay, service, PROBED_SERVERS).into_iter();
     let other = others.into_iter().find(|(other, _)| other != server);
     let (relay, server) = (Arc::clone(relay), server.clone());
     tokio::spawn(async move {
@@ -462,50 +470,70 @@
     Ok(())
 }
 
-/// Probes the paths that are cut until they are restored. Never returns.
-pub async fn probe_cut_paths(relay: Arc<Relay>) {
+/// Probes the paths that are suspected or cut until they are restored. Never returns.
+pub async fn probe_paths(relay: Arc<Relay>) {
     loop {
-        let cut_off: Vec<ServiceName> = (lock(&relay.server_paths).cut_off())
-            .map(|(service, _since)| service.clone())
-            .collect();
-        if cut_off.is_empty() {
+        let probed: Vec<ServiceName> = lock(&relay.server_paths).probed().cloned().collect();
+        if probed.is_empty() {
             relay.server_path_changed.notified().await;
             continue;
         }
+        join_all(probed.iter().map(|service| probe(&relay, service))).await;
         tokio::time::sleep(with_jitter(PROBE_INTERVAL)).await;
-        join_all(cut_off.iter().map(|service| probe(&relay, service))).await;
     }
 }
 
+/// Connects to random servers of the service, directly and, if peers may be unable to connect, also
+/// through these.
 async fn probe(relay: &Relay, service: &ServiceName) {
-    let probed = probed_servers(relay, service);
-    let direct = probed
-        .iter()
-        .map(|(server, address)| connect_directly(relay, server, address));
-    join_all(direct).await;
-    let path = lock(&relay.server_paths).path(service);
-    let Some((server, address)) = probed.first() else {
-        return;
+    let asks_peers = lock(&relay.server_paths).should_probe_peers(service);
+    let count = if asks_peers {
+        DECISIVE_PROBES
+    } else {
+        PROBED_SERVERS
     };
-    if let (ServerPath::Unavailable, Some(known)) = (path, known_server(relay, server)) {
-        let destination = Destination {
-            relay,
-            server,
-            address,
-            call: "-",
-        };
-        // The result is recorded; the connection is not needed.
-        let _ = connect_through_peer(&destination, &known).await;
+    let probed = probed_servers(relay, service, count);
+    let direct = async {
+        let probes = probed
+            .iter()
+            .map(|(server, address)| connect_directly(relay, server, address));
+        join_all(probes).await.iter().any(Result::is_ok)
+    };
+    let through_peers = async {
+        let probes = probed.iter().take(PROBED_SERVERS);
+        let probes = probes.map(|(server, address)| probe_through_peer(relay, server, address));
+        asks_peers && join_all(probes).await.contains(&true)
+    };
+    let (is_direct, is_through_peers) = tokio::join!(direct, through_peers);
+    if asks_peers && !is_direct && !is_through_peers {
+        let now = relay.clock.now();
+        let change = lock(&relay.server_paths).record_failed_probe(now, service);
+        if let Some(change) = change {
+            announce(relay, &change);
+        }
     }
 }
 
+async fn probe_through_peer(relay: &Relay, server: &ServerName, address: &str) -> bool {
+    let Some(known) = known_server(relay, server) else {
+        return false;
+    };
+    let destination = Destination {
+        relay,
+        server,
+        address,
+        call: "-",
+    };
+    connect_through_peer(&destination, &known).await.is_ok()
+}
+
 /// Names and addresses of random servers that are in service.
-fn probed_servers(relay: &Relay, service: &ServiceName) -> Vec<(ServerName, String)> {
+fn probed_servers(relay: &Relay, service: &ServiceName, count: usize) -> Vec<(ServerName, String)> {
     let tracker = lock(&relay.tracker);
     let servers = tracker.of_service(service);
     let servers = servers
         .filter(|record| !record.info.leaving && !relay.gate.is_evacuated(&record.info.hall));
-    let chosen = servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS);
+    let chosen = servers.choose_multiple(&mut rand::rng(), count);
     let chosen = chosen.into_iter();
     chosen
         .map(|record| (record.info.name.clone(), record.info.address.clone()))
--- a/lib/src/relay/server_paths.rs
+++ b/lib/src/relay/server_paths.rs
@@ -1,18 +1,21 @@
 //! Whether this box's own network path to the servers of each service works.
 //!
 //! A failed connection says something about the server or about the path of this box. Failures at
-//! several servers of a service, with no connection made in between, are evidence about the path:
-//! the box then connects through peers, see [`crate::relay::carriers`], and probes its own path
-//! until servers can be connected to directly again. Services are judged separately, since a path
-//! may be cut to the servers of one service only.
+//! two servers of a service, with no connection made in between, only raise the suspicion that the
+//! path is cut: several servers may have crashed together. What peers see of the same servers tells
+//! the cases apart. If a peer connects to a server that this box can't connect to, the path is cut,
+//! and peers connect from then on, see [`crate::relay::carriers`]. If the server refuses the peer as
+//! well, it is down. Services are judged separately, since a path may be cut to the servers of one
+//! service only.
+//!
+//! While a path is suspected or cut, random servers are probed. Connections to two of them restore
+//! it. If neither this box nor a peer connects to any of them, no path is left, and calls are
+//! refused at once until a probe succeeds.
 //!
 //! Only new connections count. Open ones may outlive a cut, and the system of a server that is
 //! silent for a while still accepts connections. A call that is silent for longer than expected is
-//! a reason to open some. All servers of another data hall count as one
-//! piece of evidence: the link between the halls may be cut, which the peers of this box share.
-//!
-//! A peer that can't connect either is evidence that the servers are down, or that the peer is cut
-//! off as well. If no peer connects, calls are refused at once until a probe succeeds.
+//! a reason to open some. All servers of another data hall count as one piece of evidence: the link
+//! between the halls may be cut, which the peers of this box share.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -30,10 +33,8 @@
 use crate::relay::route_table::ServiceName;
 use crate::time::Time;
 
-/// Failed places, without a connection in between, after which the path counts as cut.
-const LOST_AFTER: usize = 2;
-/// Places that peers can't connect to, without a connection in between, after which no path is left.
-const NO_PATH_AFTER: usize = 3;
+/// Failed places, without a connection in between, after which the path is suspected.
+const SUSPECTED_AFTER: usize = 2;
 /// Places that are connected to directly, without a failure in between, after which the path counts
 /// as restored.
 const RESTORED_AFTER: usize = 2;
@@ -63,6 +64,8 @@
 pub enum ServerPath {
     /// This box connects to the servers itself.
     Direct,
+    /// This box connects itself, and asks a peer if that fails: its path may be cut.
+    Suspected,
     /// Its own path is cut; peers connect for it.
     ThroughPeers,
     /// Neither this box nor a peer can connect.
@@ -80,7 +83,7 @@
     pub hall: &'a HallName,
 }
 
-/// Whether a connection was made.
+/// Whether this box made a connection itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectResult {
     /// The server accepted it.
@@ -89,6 +92,17 @@
     Failed,
 }
 
+/// Whether a peer made a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerConnectResult {
+    /// The server accepted it.
+    Connected,
+    /// The server refused it, so it is down.
+    Refused,
+    /// The server did not answer the peer, or no peer could be asked.
+    Unknown,
+}
+
 /// The path to the servers of a service changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PathChange {
@@ -102,7 +116,7 @@
     pub failed: usize,
     /// Age of the oldest of these failures.
     pub oldest_failure: Duration,
-    /// Time since the own path was lost; zero if it is lost now.
+    /// Time since the path was last direct; zero if it was until now.
     pub lost_for: Duration,
 }
 
@@ -113,86 +127,73 @@
     Hall(HallName),
 }
 
-/// The own path is cut.
 #[derive(Debug)]
-struct Cut {
-    since: Time,
-    /// Places connected to directly since the last failure.
+struct ServicePath {
+    path: ServerPath,
+    /// When the path was last direct, if it is not.
+    lost_at: Time,
+    /// Places that this box failed to connect to since it last connected to one.
+    failed: BTreeMap<Place, Time>,
+    /// Places connected to directly since the last failure, while the path is cut.
     connected: BTreeSet<Place>,
-    /// Places that peers failed to connect to since one last did.
-    failed_at_peers: BTreeSet<Place>,
-    is_available: bool,
+    /// Whether a peer failed to connect since one last did.
+    has_peer_failed: bool,
 }
 
-impl Cut {
-    const fn starting(since: Time) -> Self {
+impl ServicePath {
+    const fn direct(now: Time) -> Self {
         Self {
-            since,
+            path: ServerPath::Direct,
+            lost_at: now,
+            failed: BTreeMap::new(),
             connected: BTreeSet::new(),
-            failed_at_peers: BTreeSet::new(),
-            is_available: true,
+            has_peer_failed: false,
         }
     }
 
-    const fn path(&self) -> ServerPath {
-        if self.is_available {
-            ServerPath::ThroughPeers
-        } else {
-            ServerPath::Unavailable
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct ServicePath {
-    /// Places that this box failed to connect to since it last connected to one.
-    failed: BTreeMap<Place, Time>,
-    cut: Option<Cut>,
-}
-
-impl ServicePath {
-    fn path(&self) -> ServerPath {
-        self.cut.as_ref().map_or(ServerPath::Direct, Cut::path)
+    fn restore(&mut self, now: Time) {
+        *self = Self::direct(now);
     }
 
     fn record_direct(&mut self, now: Time, place: Place, places: usize, result: ConnectResult) {
-        match (result, &mut self.cut) {
-            (ConnectResult::Connected, None) => self.failed.clear(),
-            (ConnectResult::Connected, Some(cut)) => {
-                self.failed.remove(&place);
-                cut.connected.insert(place);
-                if cut.connected.len() >= RESTORED_AFTER.min(places) {
-                    self.cut = None;
-                    self.failed.clear();
+        match (result, self.path) {
+            (ConnectResult::Connected, ServerPath::ThroughPeers) => {
+                self.connected.insert(place);
+                if self.connected.len() >= RESTORED_AFTER.min(places) {
+                    self.restore(now);
                 }
             }
-            (ConnectResult::Failed, Some(cut)) => {
-                cut.connected.clear();
-                self.failed.insert(place, now);
-            }
-            (ConnectResult::Failed, None) => {
+            (ConnectResult::Connected, _) => self.restore(now),
+            (ConnectResult::Failed, path) => {
+                self.connected.clear();
                 self.failed.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
                 self.failed.insert(place, now);
-                if self.failed.len() >= LOST_AFTER.min(places) {
-                    self.cut = Some(Cut::starting(now));
+                if path == ServerPath::Direct && self.failed.len() >= SUSPECTED_AFTER.min(places) {
+                    self.path = ServerPath::Suspected;
+                    self.lost_at = now;
                 }
             }
         }
     }
 
-    fn record_at_peer(&mut self, place: Place, places: usize, result: ConnectResult) {
-        let Some(cut) = &mut self.cut else { return };
-        match result {
-            ConnectResult::Connected => {
-                cut.failed_at_peers.clear();
-                cut.is_available = true;
-            }
-            ConnectResult::Failed => {
-                cut.failed_at_peers.insert(place);
-                if cut.failed_at_peers.len() >= NO_PATH_AFTER.min(places) {
-                    cut.is_available = false;
+    fn record_at_peer(
+        &mut self,
+        now: Time,
+        place: &Place,
+        places: usize,
+        result: PeerConnectResult,
+    ) {
+        self.has_peer_failed = result != PeerConnectResult::Connected;
+        match (result, self.path) {
+            (_, ServerPath::Direct) => {}
+            (PeerConnectResult::Connected, _) => self.path = ServerPath::ThroughPeers,
+            (PeerConnectResult::Refused, ServerPath::Suspected) => {
+                self.failed.remove(place);
+                if self.failed.len() < SUSPECTED_AFTER.min(places) {
+                    self.restore(now);
                 }
             }
+            (PeerConnectResult::Refused | PeerConnectResult::Unknown, _) => {}
         }
     }
 }
@@ -219,7 +220,7 @@
     /// Path to the servers of a service.
     pub fn path(&self, service: &ServiceName) -> ServerPath {
         let known = self.services.get(service);
-        known.map_or(ServerPath::Direct, ServicePath::path)
+        known.map_or(ServerPath::Direct, |known| known.path)
     }
 
     /// Whether recent connections to servers of the service failed, so that a failure of one server
@@ -240,10 +241,28 @@
         is_checked
     }
 
-    /// Services to which the own path is cut, and since when.
-    pub fn cut_off(&self) -> impl Iterator<Item = (&ServiceName, Time)> {
+    /// Services to which the own path is cut.
+    pub fn cut_off(&self) -> impl Iterator<Item = &ServiceName> {
+        let is_cut = |path| matches!(path, ServerPath::ThroughPeers | ServerPath::Unavailable);
+        let services = self.services.iter();
+        services.filter_map(move |(service, known)| is_cut(known.path).then_some(service))
+    }
+
+    /// Services to probe: those whose path is suspected or cut.
+    pub fn probed(&self) -> impl Iterator<Item = &ServiceName> {
         let services = self.services.iter();
-        services.filter_map(|(service, known)| Some((service, known.cut.as_ref()?.since)))
+        let services = services.filter(|(_, known)| known.path != ServerPath::Direct);
+        services.map(|(service, _)| service)
+    }
+
+    /// Whether to probe through peers as well: no peer has connected lately.
+    pub fn should_probe_peers(&self, service: &ServiceName) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| match known.path {
+            ServerPath::Direct => false,
+            ServerPath::Suspected | ServerPath::Unavailable => true,
+            ServerPath::ThroughPeers => known.has_peer_failed,
+        })
     }
 
     /// Records a connection attempt of this box itself. `halls` are those of the service's servers,
@@ -271,31 +290,31 @@
         now: Time,
         target: PathTarget<'_>,
         halls: impl Iterator<Item = &'a HallName>,
-        result: ConnectResult,
+        result: PeerConnectResult,
     ) -> Option<PathChange> {
+        if !self.services.contains_key(target.service) {
+            return None;
+        }
         let (place, places) = (self.place(target), self.count_places(halls));
         self.change(now, target.service, |known| {
-            known.record_at_peer(place, places, result);
+            known.record_at_peer(now, &place, places, result);
         })
     }
 
-    /// Records that no peer could be asked to connect.
-    pub fn record_no_peer(&mut self, now: Time, service: &ServiceName) -> Option<PathChange> {
+    /// Records that neither this box nor a peer connected to any of the probed servers.
+    pub fn record_failed_probe(&mut self, now: Time, service: &ServiceName) -> Option<PathChange> {
         self.change(now, service, |known| {
-            if let Some(cut) = &mut known.cut {
-                cut.is_available = false;
+            if known.path != ServerPath::Direct {
+                known.path = ServerPath::Unavailable;
             }
         })
     }
 
-    /// Delay after which a caller may try again while no path is left: as long as the cut has lasted,
-    /// within bounds, since a cut that has just begun may be short.
+    /// Delay after which a caller may try again while no path is left: as long as that has lasted,
+    /// within bounds, since an outage that has just begun may be short.
     pub fn retry_delay(&self, now: Time, service: &ServiceName) -> Duration {
         let known = self.services.get(service);
-        let since = known
-            .and_then(|known| known.cut.as_ref())
-            .map(|cut| cut.since);
-        let lasted = since.map_or(Duration::ZERO, |since| now.since(since));
+        let lasted = known.map_or(Duration::ZERO, |known| now.since(known.lost_at));
         lasted.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
     }
 
@@ -305,11 +324,15 @@
         service: &ServiceName,
         f: impl FnOnce(&mut ServicePath),
     ) -> Option<PathChange> {
-        let known = self.services.entry(service.clone()).or_default();
-        let before = known.path();
-        let cut_since = known.cut.as_ref().map(|cut| cut.since);
+        let known = self.services.entry(service.clone());
+        let known = known.or_insert_with(|| ServicePath::direct(now));
+        let (before, lost_at) = (known.path, known.lost_at);
         f(known);
-        let path = known.path();
+        let path = known.path;
+        let lost_for = match before {
+            ServerPath::Direct => Duration::ZERO,
+            _ => now.since(lost_at),
+        };
         let change = (path != before).then(|| PathChange {
             service: service.clone(),
             path,
@@ -317,9 +340,9 @@
             failed: known.failed.len(),
             oldest_failure: (known.failed.values().min())
                 .map_or(Duration::ZERO, |at| now.since(*at)),
-            lost_for: cut_since.map_or(Duration::ZERO, |since| now.since(since)),
+            lost_for,
         });
-        if known.failed.is_empty() && known.cut.is_none() {
+        if known.failed.is_empty() && known.path == ServerPath::Direct {
             self.services.remove(service);
         }
         change
