--- a/daemon/src/relay/carried.rs
+++ b/daemon/src/relay/carried.rs
@@ -45,11 +45,11 @@
 struct CarriedGuard(Arc<Relay>);
 
 impl CarriedGuard {
-    /// `None` if the box carries its maximum number of connections, or is stopping.
+    /// `None` if the box carries its maximum number of connections, or refuses calls as it stops.
     fn begin(relay: &Arc<Relay>) -> Option<Self> {
         let guard = Self(Arc::clone(relay));
         let carried = relay.carried.fetch_add(1, Ordering::SeqCst);
-        (carried < relay.settings.max_carried && !relay.is_stopping()).then_some(guard)
+        (carried < relay.settings.max_carried && !relay.refuses_calls()).then_some(guard)
     }
 }
 
