--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -187,14 +187,13 @@
     let patience = reader_patience::server_patience(&call.route);
     let may_resend = attempts.may_retry() && call.has_retry_budget();
     let path_cut = async {
-        match may_resend {
-            true => {
-                let selection = &attempt.selection;
-                let expected = selection.expected_first_event + RESPONSE_SLACK;
-                server_path::cut_while_silent(call, &selection.server, expected).await;
-            }
+        if may_resend {
+            let selection = &attempt.selection;
+            let expected = selection.expected_first_event + RESPONSE_SLACK;
+            server_path::cut_while_silent(call, &selection.server, expected).await;
+        } else {
             // It may run here only, and the response may still arrive.
-            false => std::future::pending().await,
+            std::future::pending::<()>().await;
         }
     };
     let sent = connection_pool
--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -428,7 +428,7 @@
             .map(|record| record.info.address.clone())
     };
     let Some(address) = address else { return };
-    let others = probed_servers(relay, service, PROBED_SERVERS).into_iter();
+    let others = random_servers(relay, service, PROBED_SERVERS).into_iter();
     let other = others.into_iter().find(|(other, _)| other != server);
     let (relay, server) = (Arc::clone(relay), server.clone());
     tokio::spawn(async move {
@@ -473,12 +473,12 @@
 /// Probes the paths that are suspected or cut until they are restored. Never returns.
 pub async fn probe_paths(relay: Arc<Relay>) {
     loop {
-        let probed: Vec<ServiceName> = lock(&relay.server_paths).probed().cloned().collect();
-        if probed.is_empty() {
+        let services: Vec<ServiceName> = lock(&relay.server_paths).probed().cloned().collect();
+        if services.is_empty() {
             relay.server_path_changed.notified().await;
             continue;
         }
-        join_all(probed.iter().map(|service| probe(&relay, service))).await;
+        join_all(services.iter().map(|service| probe(&relay, service))).await;
         tokio::time::sleep(with_jitter(PROBE_INTERVAL)).await;
     }
 }
@@ -492,16 +492,18 @@
     } else {
         PROBED_SERVERS
     };
-    let probed = probed_servers(relay, service, count);
+    let servers = random_servers(relay, service, count);
     let direct = async {
-        let probes = probed
+        let probes = servers
             .iter()
             .map(|(server, address)| connect_directly(relay, server, address));
         join_all(probes).await.iter().any(Result::is_ok)
     };
     let through_peers = async {
-        let probes = probed.iter().take(PROBED_SERVERS);
-        let probes = probes.map(|(server, address)| probe_through_peer(relay, server, address));
+        let probes = servers
+            .iter()
+            .take(PROBED_SERVERS)
+            .map(|(server, address)| probe_through_peer(relay, server, address));
         asks_peers && join_all(probes).await.contains(&true)
     };
     let (is_direct, is_through_peers) = tokio::join!(direct, through_peers);
@@ -528,7 +530,7 @@
 }
 
 /// Names and addresses of random servers that are in service.
-fn probed_servers(relay: &Relay, service: &ServiceName, count: usize) -> Vec<(ServerName, String)> {
+fn random_servers(relay: &Relay, service: &ServiceName, count: usize) -> Vec<(ServerName, String)> {
     let tracker = lock(&relay.tracker);
     let servers = tracker.of_service(service);
     let servers = servers
