relay: one peer that is refused does not speak for the server

The crash check asks all three peers at once, and one that connects decides. A connection is given up after two refusals, not one. Where peers get no answer, the attempt counts as a connect timeout, as evidence about the hall, as one of the box's own would.

The new test of two boxes cut off together failed before.

--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -260,7 +260,7 @@
         call,
         ..
     } = *destination;
-    let mut results = Vec::new();
+    let mut failures = Vec::new();
     for (peer, address) in carriers(relay, known) {
         let response = match timeout(CARRIER_TIMEOUT, request(destination, address)).await {
             Ok(Ok((response, stream))) => Ok((response, stream)),
@@ -289,24 +289,26 @@
                 record_at_peer(relay, server, PeerConnectResult::Connected);
                 return Ok(stream);
             }
-            Ok((CarryResponse::Refused, _)) => {
-                record_at_peer(relay, server, PeerConnectResult::Refused);
-                return Err(SendError::NotSent("refused to a peer as well".to_owned()));
+            Ok((response @ (CarryResponse::Refused | CarryResponse::TimedOut), _)) => {
+                failures.push(response);
+                if failures.len() == MAX_FAILED_CARRIERS {
+                    break;
+                }
             }
-            Ok((response, _)) => results.push(response),
-            Err(_cause) => {}
-        }
-        let timed_out = results.iter().filter(|it| **it == CarryResponse::TimedOut);
-        if timed_out.count() == MAX_FAILED_CARRIERS {
-            break;
+            Ok((CarryResponse::CutOff | CarryResponse::Busy | CarryResponse::Unknown, _))
+            | Err(_) => {}
         }
     }
-    record_at_peer(relay, server, PeerConnectResult::Unknown);
-    if results.contains(&CarryResponse::TimedOut) {
-        Err(SendError::NotSent("no answer to peers either".to_owned()))
+    let (result, error) = if failures.contains(&CarryResponse::TimedOut) {
+        (PeerConnectResult::Unknown, SendError::ConnectTimeout)
+    } else if failures.contains(&CarryResponse::Refused) {
+        let cause = "refused to peers as well".to_owned();
+        (PeerConnectResult::Refused, SendError::NotSent(cause))
     } else {
-        Err(SendError::NoPath)
-    }
+        (PeerConnectResult::Unknown, SendError::NoPath)
+    };
+    record_at_peer(relay, server, result);
+    Err(error)
 }
 
 /// Names and addresses of the peers to ask.
@@ -380,24 +382,22 @@
             PeerVerdict::Alone
         };
     }
-    for (_peer, address) in peers {
+    let responses = peers.into_iter().map(async |(_peer, address)| {
         let response = timeout(CARRIER_TIMEOUT, request(destination, address)).await;
-        match response {
-            Ok(Ok((CarryResponse::Connected, _stream))) => {
-                record_direct(destination.relay, destination.server, false);
-                record_at_peer(
-                    destination.relay,
-                    destination.server,
-                    PeerConnectResult::Connected,
-                );
-                return PeerVerdict::Up;
-            }
-            Ok(Ok((CarryResponse::Refused, _stream))) => return PeerVerdict::Down,
-            // Another peer may be able to tell.
-            _ => {}
-        }
+        response.ok()?.ok().map(|(response, _stream)| response)
+    });
+    // All of them, since one may have been cut off at the same time and not know it yet.
+    let responses = join_all(responses).await;
+    if responses.contains(&Some(CarryResponse::Connected)) {
+        let Destination { relay, server, .. } = *destination;
+        record_direct(relay, server, false);
+        record_at_peer(relay, server, PeerConnectResult::Connected);
+        PeerVerdict::Up
+    } else if responses.contains(&Some(CarryResponse::Refused)) {
+        PeerVerdict::Down
+    } else {
+        PeerVerdict::Unknown
     }
-    PeerVerdict::Unknown
 }
 
 /// Resolves once a call that received nothing for `expected` is on a path that is cut, and peers
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -149,15 +149,18 @@
     Ok(())
 }
 
-/// A cut that resets connections looks like a crash of each server to the box that is cut off.
-#[tokio::test]
-async fn requests_of_a_box_that_is_cut_off_do_not_become_suspect() -> anyhow::Result<()> {
-    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
-    let callers = (0..8).map(|_| fleet.call_box(0, "POST", "/stream/a", FLAPPING_TIME));
+/// Resets the links of the first `cut_off` boxes again and again while they serve streams, and checks
+/// that this makes no request suspect.
+async fn check_cuts_are_no_crashes(halls: &[&str], cut_off: usize) -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(halls, &BOARDS).await?;
+    let callers = (0..8 * cut_off)
+        .map(|caller| fleet.call_box(caller % cut_off, "POST", "/stream/a", FLAPPING_TIME));
     let flap = async {
         for link in [Link::Refused, Link::Open].into_iter().cycle().take(6) {
             tokio::time::sleep(FLAPPING_TIME / 7).await;
-            fleet.links[0].set(link);
+            fleet.links[..cut_off]
+                .iter()
+                .for_each(|links| links.set(link));
         }
     };
 
@@ -171,6 +174,18 @@
     Ok(())
 }
 
+/// A cut that resets connections looks like a crash of each server to the box that is cut off.
+#[tokio::test]
+async fn requests_of_a_box_that_is_cut_off_do_not_become_suspect() -> anyhow::Result<()> {
+    check_cuts_are_no_crashes(&["hall-a", "hall-a"], 1).await
+}
+
+/// A peer that is cut off at the same time is refused by the server as well.
+#[tokio::test]
+async fn requests_of_boxes_that_are_cut_off_together_do_not_become_suspect() -> anyhow::Result<()> {
+    check_cuts_are_no_crashes(&["hall-a", "hall-a", "hall-b"], 2).await
+}
+
 #[tokio::test]
 async fn stream_under_way_is_resumed_through_a_peer() -> anyhow::Result<()> {
     let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
