relay: hear peers for 60 ms about a refusal; alone, keep the own failure

Found by the soak's new mode and by review. A peer that is suspended held up the check for a crash by 300 ms, in which the request that caused it could run elsewhere: once one peer is refused as well, the others are heard for 60 ms. A box without peers whose path was suspected reported no path where its server had refused it, so the server was not excluded; its own failure counts now.

Soak: queued misbehaviour of servers ends with the faults.

--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -25,11 +25,15 @@
 use badgerferry_lib::relay::server_paths::ServerPaths;
 use badgerferry_lib::relay::server_paths::ServiceKey;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
+use futures::StreamExt;
 use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use metrics::counter;
 use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::relay::call::Call;
 use crate::relay::candidates::with_jitter;
@@ -51,6 +55,9 @@
 /// Peers that fail to connect to a server before it counts as unreachable for them. One alone may
 /// have been cut off at the same time and not know it yet.
 const MAX_FAILED_CARRIERS: usize = 2;
+/// Longest wait for other peers once one is refused by a server too. An exit that is told late lets
+/// the request that caused it run elsewhere.
+const SECOND_OPINION_TIMEOUT: Duration = Duration::from_millis(60);
 /// Interval between two probes of a path that is cut.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Servers connected to in each probe of a path that is cut; some of them may be down.
@@ -115,25 +122,26 @@
             lock(&relay.server_paths).path(&known.service)
         })
     };
+    let mut own_failure = None;
     if matches!(path(), ServerPath::Direct | ServerPath::Suspected) {
         match connect_directly(relay, destination.server, destination.address).await {
             Ok(stream) => return connection_pool::open(stream, Via::Own).await,
-            Err(cause) if path() == ServerPath::Direct => {
-                return Err(match cause {
-                    ConnectFailure::Refused(cause) => SendError::NotSent(cause),
-                    ConnectFailure::TimedOut => SendError::ConnectTimeout,
-                });
-            }
-            // The path may be cut.
-            Err(_failure) => {}
+            Err(cause) => own_failure = Some(cause),
         }
     }
-    match (path(), known) {
-        (ServerPath::Unavailable, _) | (_, None) => Err(SendError::NoPath),
-        (_, Some(known)) => {
-            let stream = connect_through_peer(destination, &known).await?;
-            connection_pool::open(stream, Via::Peer).await
+    let result = match (path(), &known) {
+        (ServerPath::Suspected | ServerPath::ThroughPeers, Some(known)) => {
+            connect_through_peer(destination, known).await
+        }
+        (ServerPath::Direct | ServerPath::Unavailable, _) | (_, None) => Err(SendError::NoPath),
+    };
+    match (result, own_failure) {
+        (Ok(stream), _) => connection_pool::open(stream, Via::Peer).await,
+        (Err(SendError::NoPath), Some(ConnectFailure::Refused(cause))) => {
+            Err(SendError::NotSent(cause))
         }
+        (Err(SendError::NoPath), Some(ConnectFailure::TimedOut)) => Err(SendError::ConnectTimeout),
+        (Err(error), _) => Err(error),
     }
 }
 
@@ -382,22 +390,30 @@
             PeerVerdict::Alone
         };
     }
-    let responses = peers.into_iter().map(async |(_peer, address)| {
-        let response = timeout(CARRIER_TIMEOUT, request(destination, address)).await;
-        response.ok()?.ok().map(|(response, _stream)| response)
-    });
-    // All of them, since one may have been cut off at the same time and not know it yet.
-    let responses = join_all(responses).await;
-    if responses.contains(&Some(CarryResponse::Connected)) {
-        let Destination { relay, server, .. } = *destination;
-        record_direct(relay, server, false);
-        record_at_peer(relay, server, PeerConnectResult::Connected);
-        PeerVerdict::Up
-    } else if responses.contains(&Some(CarryResponse::Refused)) {
-        PeerVerdict::Down
-    } else {
-        PeerVerdict::Unknown
+    let mut responses: FuturesUnordered<_> = peers
+        .into_iter()
+        .map(async |(_peer, address)| request(destination, address).await)
+        .collect();
+    let mut until = Instant::now() + CARRIER_TIMEOUT;
+    let mut verdict = PeerVerdict::Unknown;
+    while let Ok(Some(response)) = timeout_at(until, responses.next()).await {
+        match response.map(|(response, _stream)| response) {
+            Ok(CarryResponse::Connected) => {
+                let Destination { relay, server, .. } = *destination;
+                record_direct(relay, server, false);
+                record_at_peer(relay, server, PeerConnectResult::Connected);
+                return PeerVerdict::Up;
+            }
+            // Others are heard for a while: this one may have been cut off at the same time and not
+            // know it yet.
+            Ok(CarryResponse::Refused) => {
+                verdict = PeerVerdict::Down;
+                until = until.min(Instant::now() + SECOND_OPINION_TIMEOUT);
+            }
+            Ok(_) | Err(_) => {}
+        }
     }
+    verdict
 }
 
 /// Resolves once a call that received nothing for `expected` is on a path that is cut, and peers
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -385,6 +385,9 @@
             .for_each(|links| links.set(Link::Open));
         self.set_store_links(Link::Open);
         self.store.set_mode(Mode::Serving);
+        self.servers
+            .iter()
+            .for_each(Server::clear_queued_behaviours);
         (0..self.servers.len()).for_each(|index| self.publish_entry(index, "ready"));
     }
 
