--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -28,6 +28,7 @@
 mod log_rate_limit;
 mod metrics_page;
 mod notice_log;
+mod peer_connections;
 mod permit_transport;
 mod pulls;
 mod request_body;
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -32,9 +32,9 @@
 
 use crate::relay::call::Call;
 use crate::relay::gossip::source_name;
-use crate::relay::server_path;
+use crate::relay::peer_connections;
+use crate::relay::peer_connections::PeerVerdict;
 use crate::relay::server_path::Destination;
-use crate::relay::server_path::PeerVerdict;
 use crate::relay::server_selection::Selection;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -256,7 +256,7 @@
         address,
         call: call.id(),
     };
-    let is_up = match server_path::ask_peers(&destination).await {
+    let is_up = match peer_connections::ask_peers(&destination).await {
         PeerVerdict::Up => true,
         PeerVerdict::Down | PeerVerdict::Alone => false,
         PeerVerdict::Unknown => lock(&relay.server_paths).path(&call.service) != ServerPath::Direct,
