relay: attempts that a cut of the own path ended blame no server

An attempt given up because the path is cut had its server checked for a crash over the same path, 200 ms before the call could go elsewhere, and counted as a failure of the server; so did a stream that a reset of the own path broke. Such ends are inconclusive now.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -114,6 +114,8 @@
     InvalidData(String),
     /// No data arrived, see [`Silence`].
     TimedOut(&'static str),
+    /// No data arrived, and the path of this box to the servers is cut.
+    PathCut,
 }
 
 impl StreamFailure {
@@ -122,6 +124,7 @@
         let why = match self {
             Self::ConnectionLost(why) | Self::InvalidData(why) => why,
             Self::TimedOut(why) => *why,
+            Self::PathCut => "silent, and the path to the servers is cut",
         };
         call_log::unusable_response(call, &attempt.selection, StatusCode::OK, why);
     }
@@ -132,6 +135,7 @@
         match self {
             Self::ConnectionLost(_) => attempt.finish_broken().await,
             Self::InvalidData(_) | Self::TimedOut(_) => attempt.finish(ServerOutcome::Failure),
+            Self::PathCut => attempt.finish(ServerOutcome::Inconclusive),
         }
         AttemptResult::Ended(AttemptEnd::Lost)
     }
@@ -414,18 +418,17 @@
         self
     }
 
-    /// Resolves with the reason once the silence has lasted too long.
-    pub async fn lasts(self, call: &Call, server: &ServerName) -> &'static str {
+    /// Resolves once the silence has lasted too long.
+    pub async fn lasts(self, call: &Call, server: &ServerName) -> StreamFailure {
         tokio::select! {
-            () = tokio::time::sleep(self.timeout) => self.why,
-            () = server_path::cut_while_silent(call, server, self.expected) => PATH_CUT,
+            () = tokio::time::sleep(self.timeout) => StreamFailure::TimedOut(self.why),
+            () = server_path::cut_while_silent(call, server, self.expected) => {
+                StreamFailure::PathCut
+            }
         }
     }
 }
 
-/// Why a silent attempt fails early.
-const PATH_CUT: &str = "silent, and the path to the servers is cut";
-
 /// Added to the larger of the route's objective and three times the estimate, which gives the
 /// timeout of the first event.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(500);
@@ -451,7 +454,7 @@
     let (events, complete) = loop {
         let frame = tokio::select! {
             frame = body.frame() => Ok(frame),
-            why = silence.lasts(call, &attempt.selection.server) => Err(why),
+            failure = silence.lasts(call, &attempt.selection.server) => Err(failure),
         };
         let failure = match frame {
             Ok(Some(Ok(frame))) => match join.push(&frame.into_data().unwrap_or_default()) {
@@ -462,11 +465,9 @@
             Ok(None) if !join.is_inside_event() => break (Bytes::new(), true),
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
-            Err(why) if attempts.may_retry() && call.has_retry_budget() => {
-                StreamFailure::TimedOut(why)
-            }
+            Err(failure) if attempts.may_retry() && call.has_retry_budget() => failure,
             // Without a retry, the attempt goes on until the deadline of the call.
-            Err(_why) => {
+            Err(_silent) => {
                 silence = Silence::TOLERATED;
                 continue;
             }
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -121,9 +121,13 @@
     async fn finish_after_crash_check(&mut self, outcome: ServerOutcome) {
         let check =
             request_quarantine::detect_crash(&self.call, &self.selection, self.sent_at).await;
-        self.record_end(outcome);
-        if check == CrashCheck::Crashed {
-            tokio::time::sleep(quarantine::REPORT_WAIT).await;
+        match check {
+            CrashCheck::PathCut => self.record_end(ServerOutcome::Inconclusive),
+            CrashCheck::NoCrash => self.record_end(outcome),
+            CrashCheck::Crashed => {
+                self.record_end(outcome);
+                tokio::time::sleep(quarantine::REPORT_WAIT).await;
+            }
         }
     }
 
@@ -326,6 +330,10 @@
             attempt.finish(ServerOutcome::Inconclusive);
             AttemptResult::Ended(AttemptEnd::NoConnection)
         }
+        SendError::PathCut => {
+            attempt.finish(ServerOutcome::Inconclusive);
+            AttemptResult::Ended(AttemptEnd::Lost)
+        }
         SendError::Lost(_) => {
             attempt.finish_broken().await;
             AttemptResult::Ended(AttemptEnd::Lost)
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -131,7 +131,10 @@
 pub fn attempt_failed(call: &Call, selection: &Selection, cause: &SendError) {
     counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
     // The fingerprint is logged only if the call may have run, and so may have crashed its server.
-    let may_have_run = matches!(cause, SendError::Lost(_) | SendError::BodyUnread);
+    let may_have_run = matches!(
+        cause,
+        SendError::Lost(_) | SendError::PathCut | SendError::BodyUnread
+    );
     let fingerprint = may_have_run.then(|| call.fingerprint());
     tracing::info!(
         call = call.id(),
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -55,6 +55,9 @@
     /// Nothing was sent: no peer connects to servers of the service for this box.
     #[error("path to the servers is cut, and no peer connects")]
     NoPath,
+    /// No response arrived, and the path of this box to the servers is cut. The call may have run.
+    #[error("no response, and the path to the servers is cut")]
+    PathCut,
     /// Nothing was sent: the server has not read the bodies of earlier requests.
     #[error("earlier request bodies are unread")]
     EarlierBodiesUnread,
@@ -182,7 +185,7 @@
             response = connection.send(request, admitted) => response?,
             () = stalled => return Err(SendError::BodyUnread),
             () = path_cut, if is_own => {
-                return Err(SendError::Lost("path to the servers is cut".to_owned()));
+                return Err(SendError::PathCut);
             }
         };
         Ok((response, connection))
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -172,6 +172,8 @@
 pub enum CrashCheck {
     /// The server crashed, and the crash is recorded.
     Crashed,
+    /// The server is up, and the path of this box to it is cut.
+    PathCut,
     /// No crash is known. One may be recorded later, if the server is still closing connections.
     NoCrash,
 }
@@ -210,7 +212,7 @@
     let state = match check_exit(&address, CLOSING_TIMEOUT, RECONNECT_DELAY).await {
         ProcessState::Exited => {
             if !is_exit_confirmed(call, &crash.server, &address).await {
-                return CrashCheck::NoCrash;
+                return CrashCheck::PathCut;
             }
             crash.record(call);
             return CrashCheck::Crashed;
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -293,7 +293,7 @@
         }
         let frame = tokio::select! {
             frame = body.frame() => Ok(frame),
-            why = silence.lasts(call, &attempt.selection.server) => Err(why),
+            failure = silence.lasts(call, &attempt.selection.server) => Err(failure),
             () = sink.tx.closed() => return ForwardEnd::CallerGone,
         };
         let mut retry_spent = false;
@@ -318,7 +318,7 @@
             }
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
-            Err(why) => {
+            Err(failure) => {
                 // Silence alone does not end a stream: if it may not be resumed on another server,
                 // the attempt goes on until the deadline of the call.
                 retry_spent = attempts.may_retry() && call.try_spend_retry();
@@ -326,11 +326,12 @@
                     silence = Silence::TOLERATED;
                     continue;
                 }
-                StreamFailure::TimedOut(why)
+                failure
             }
         };
         let is_excused = !reader_patience::counts_against_server(sink.held_back);
-        if is_excused && !matches!(failure, StreamFailure::TimedOut(_)) {
+        let is_silence = matches!(failure, StreamFailure::TimedOut(_) | StreamFailure::PathCut);
+        if is_excused && !is_silence {
             failure.log(call, &attempt);
             attempt.finish_unread().await;
             return ForwardEnd::LeftUnread { join };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -58,6 +58,8 @@
 /// Attempts to get a call served by each box after the faults, 100 ms apart, before the run fails.
 const RECOVERY_ATTEMPTS: usize = 200;
 
+/// Time in which boxes that pull no state from each other discover each other.
+const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Calls in a row that a box must serve while its links to all servers are cut.
 const SERVED_WHILE_CUT: usize = 10;
 
@@ -246,6 +248,9 @@
         for a_box in &boxes {
             a_box.lock().await.wait_ready().await?;
         }
+        if size.cuts_servers {
+            tokio::time::sleep(DISCOVERY_TIME).await;
+        }
         Ok(Self {
             store,
             store_proxies,
