--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -398,9 +398,10 @@
 
     async fn wait_until_served(&self, fronts: &[SocketAddr]) -> anyhow::Result<()> {
         for (index, front) in fronts.iter().enumerate() {
-            self.restart_if_killed(index).await?;
             let mut served = false;
             for number in 0..RECOVERY_ATTEMPTS {
+                // A box that a signal has just killed may not have ended yet.
+                self.restart_if_killed(index).await?;
                 let text = call(
                     "GET",
                     "/again/a",
