--- a/daemon/src/relay/peer_connections.rs
+++ b/daemon/src/relay/peer_connections.rs
@@ -37,9 +37,9 @@
 /// Peers that fail to connect to a server before it counts as unreachable for them. One alone may
 /// have been cut off at the same time and not know it yet.
 const MAX_FAILED_CARRIERS: usize = 2;
-/// Longest wait for other peers once one is refused by a server too. An exit that is told late lets
-/// the request that caused it run elsewhere.
-const SECOND_OPINION_TIMEOUT: Duration = Duration::from_millis(60);
+/// Longest wait for the remaining peers once a server has refused one as well. Until an exit is
+/// recorded, the request that caused it may be sent to other servers.
+const REMAINING_PEERS_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Asks peers in turn to connect to a server.
 ///
@@ -192,11 +192,11 @@
                 server_path::record_at_peer(relay, server, PeerConnectResult::Connected);
                 return PeerVerdict::Up;
             }
-            // Others are heard for a while: this one may have been cut off at the same time and not
-            // know it yet.
+            // Waits for the others: this one may have been cut off at the same time and not know it
+            // yet.
             Ok(CarryResponse::Refused) => {
                 verdict = PeerVerdict::Down;
-                until = until.min(Instant::now() + SECOND_OPINION_TIMEOUT);
+                until = until.min(Instant::now() + REMAINING_PEERS_TIMEOUT);
             }
             Ok(_) | Err(_) => {}
         }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -134,9 +134,9 @@
     /// Notifies the sender of this box's load, which waits for its minimum interval.
     pub load_changed: Arc<Notify>,
     /// Notifies the sender of this box's load to send at once: a long prompt is queued, starts or
-    /// has been prefilled, an engine is slow, a server is faulty, leaves or changes its limit,
-    /// the path to the servers of a service is cut or restored, there are new routes, a hall is evacuated or restored, a run of a suspect request starts or
-    /// ends, or its record changes.
+    /// has been prefilled, an engine is slow, a server is faulty, leaves or changes its limit, the
+    /// path to the servers of a service is cut or restored, there are new routes, a hall is
+    /// evacuated or restored, a run of a suspect request starts or ends, or its record changes.
     pub urgent_changed: Arc<Notify>,
     /// Notifies the sender of the hall's load to other halls: a box of this hall announces one of
     /// the changes of `urgent_changed`.
