relay: a carrier resets the connection to the server when its box closes

Closing a socket leaves its unsent bytes to the system, which delivers them once the carrier's own path is back. The connection is reset now, which drops them.

--- a/daemon/src/relay/carried.rs
+++ b/daemon/src/relay/carried.rs
@@ -130,7 +130,8 @@
 }
 
 /// Passes bytes on until either side ends. The peer never closes only one direction, so its end
-/// closes the connection to the server at once.
+/// resets the connection to the server: a request that is still unsent, because the path of this box
+/// is cut by now, must not arrive after its caller has left.
 async fn pass_on(mut peer: TcpStream, mut server: TcpStream) {
     let has_server_closed = {
         let (mut from_peer, mut to_peer) = peer.split();
@@ -140,9 +141,11 @@
             ended = tokio::io::copy(&mut from_server, &mut to_peer) => ended.is_ok(),
         }
     };
-    drop(server);
     if has_server_closed {
+        drop(server);
         finish(peer).await;
+    } else if let Err(cause) = SockRef::from(&server).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(%cause, "connection to a server can't be reset");
     }
 }
 
