relay: log the prompt parts of calls that are lost with a server

Lines of lost runs named the whole request only, so that nothing told which of many unlike calls had something in common, nor for how long a call had been answered when its server crashed. The parts that callers state are decoded now, without the last one, which belongs to the request itself. 'server crashed during a call' has parts, run_ms and response_ms; 'attempt failed' and 'response unusable' have parts. Malformed and excess parts are counted and logged.

No decision reads them yet.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -235,6 +235,9 @@
         error_response::invalid_request(StatusCode::BAD_REQUEST, cause.0)
     })?;
     let id = head.id.clone().unwrap_or_else(|| "-".to_owned());
+    if head.parts.omitted() > 0 {
+        call_log::prompt_parts_omitted(&id, head.parts.omitted());
+    }
     let routes_wait = head.time_left.map_or(MAX_ROUTES_WAIT, |left| left / 2);
     let Some(routes) = relay.routes_within(routes_wait.min(MAX_ROUTES_WAIT)).await else {
         call_log::rejected(&id, "no_settings");
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -69,6 +69,8 @@
     run: Run,
     /// Time at which the call was sent.
     pub sent_at: Time,
+    /// Time at which the head of a successful response arrived.
+    response_started: Option<Time>,
     /// Whether the response has its own framing, so that its end does not depend on the end of the
     /// connection.
     is_framed: bool,
@@ -86,6 +88,7 @@
             call: Arc::clone(call),
             run,
             sent_at: now,
+            response_started: None,
             is_framed: false,
             selection,
             is_open: true,
@@ -119,8 +122,13 @@
     /// Checks whether the server crashed, and ends the attempt. After a crash the run stays in
     /// progress until the other boxes know of it: the caller may repeat the request at any of them.
     async fn finish_after_crash_check(&mut self, outcome: ServerOutcome) {
-        let check =
-            request_quarantine::detect_crash(&self.call, &self.selection, self.sent_at).await;
+        let check = request_quarantine::detect_crash(
+            &self.call,
+            &self.selection,
+            self.sent_at,
+            self.response_started,
+        )
+        .await;
         match check {
             CrashCheck::PathCut => self.record_end(ServerOutcome::Inconclusive),
             CrashCheck::NoCrash => self.record_end(outcome),
@@ -225,6 +233,9 @@
             .gate
             .record_response(call.id(), target, &head.notice, head.has_proof);
         record_load(call, &attempt, parts.status, &head);
+        if parts.status.is_success() {
+            attempt.response_started = Some(now);
+        }
     }
     let received = Received {
         attempt,
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -31,6 +31,18 @@
     tracing::info!(call = id, why, "call rejected");
 }
 
+/// Parts of the prompt are malformed or too many, and are not considered.
+pub fn prompt_parts_omitted(id: &str, omitted: usize) {
+    counter!("badgerferry_prompt_parts_omitted_total").increment(omitted as u64);
+    if LATE_LINES.allow() {
+        tracing::info!(
+            call = id,
+            omitted,
+            "prompt parts omitted: malformed or too many"
+        );
+    }
+}
+
 /// The call has no route, or no valid key for its route.
 pub fn denied(id: &str, version: u64, host: &str, path: &str, why: Denied) {
     counter!("badgerferry_calls_total", "outcome" => "denied").increment(1);
@@ -142,6 +154,7 @@
         server = %selection.server,
         address = selection.address,
         work = fingerprint.map(tracing::field::display),
+        parts = %call.head.parts,
         %cause,
         "attempt failed"
     );
@@ -188,6 +201,7 @@
         server = %selection.server,
         status = status.as_u16(),
         work = %call.fingerprint(),
+        parts = %call.head.parts,
         why,
         "response unusable"
     );
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -183,7 +183,8 @@
 /// A broken connection alone proves nothing: connections are reset, and responses truncated, for
 /// other reasons too. If new connections are refused, the process has exited. A server that is
 /// leaving, or whose data hall is evacuated, may exit by itself and is
-/// ignored. `run_started` is the time at which the run was sent.
+/// ignored. `run_started` is the time at which the run was sent, `response_started` the time at
+/// which the head of its response arrived.
 ///
 /// If only the path of this box to its servers is cut, connections are refused as well. So a peer
 /// that can connect to the server overrides what this box sees.
@@ -191,6 +192,7 @@
     call: &Arc<Call>,
     selection: &Selection,
     run_started: Time,
+    response_started: Option<Time>,
 ) -> CrashCheck {
     let relay = &call.relay;
     let is_in_service = {
@@ -207,6 +209,7 @@
         server: selection.server.clone(),
         incarnation: selection.target.incarnation,
         run: run_started..relay.clock.now(),
+        response_started,
     };
     let address = selection.address.clone();
     let state = match check_exit(&address, CLOSING_TIMEOUT, RECONNECT_DELAY).await {
@@ -280,6 +283,8 @@
     incarnation: ServerIncarnation,
     /// From the send of the run until its connection broke.
     run: Range<Time>,
+    /// When the head of the response arrived, if it did.
+    response_started: Option<Time>,
 }
 
 impl ServerCrash {
@@ -292,6 +297,10 @@
             work = %fingerprint,
             server = %self.server,
             life = format!("{:016x}", self.incarnation.0),
+            parts = %call.head.parts,
+            run_ms = self.run.end.since(self.run.start).as_millis() as u64,
+            response_ms = (self.response_started)
+                .map(|started| self.run.end.since(started).as_millis() as u64),
             "server crashed during a call"
         );
         call.saw_crash.store(true, Ordering::Relaxed);
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -30,6 +30,7 @@
 pub mod permit_wire;
 pub mod plain_selection;
 pub(crate) mod prefill_selector;
+pub mod prompt_parts;
 pub mod pull_timer;
 pub mod quarantine;
 pub mod quota_owner;
