tests: prompt parts that crash servers, failing

The fleet of servers that crash is a module of its own, which the tests of whole requests use as before.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon in one binary. They start the real programs as processes.
 
+mod crash_fleet;
 mod engines;
 mod fake_peer;
 mod relay_fleet;
@@ -18,6 +19,7 @@
 mod test_relay_evacuation_pulls;
 mod test_relay_leaving;
 mod test_relay_limits;
+mod test_relay_prompt_parts;
 mod test_relay_reservations;
 mod test_relay_server_paths;
 mod test_relay_shedding;
--- a/daemon/tests/test_relay_crashes.rs
+++ b/daemon/tests/test_relay_crashes.rs
@@ -1,6 +1,5 @@
 //! Quarantine of requests that crash the servers which run them.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -10,19 +9,16 @@
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::crashes::NewConnections;
 use badgerferry_standin::relay_box::RelayBox;
-use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Store;
-use serde_json::json;
-use tokio::net::UdpSocket;
+
+use crate::crash_fleet::BOX_ENTRIES;
+use crate::crash_fleet::Fleet;
+use crate::crash_fleet::RESTART_DELAY;
 
 /// Body that makes a server crash.
 const CRASHING_BODY: &str = "a prompt that crashes its server";
-/// Time from a crash of a server to its restart.
-const RESTART_DELAY: Duration = Duration::from_millis(1_500);
-/// Time in which newly started boxes discover each other.
-const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum number of servers that one request may crash.
 const MAX_CRASHES: usize = 3;
 /// How long a crashing server still listens after its connections are closed.
@@ -31,116 +27,27 @@
 const MEDIUM_LINGER_TIME: Duration = Duration::from_millis(80);
 /// The same, for longer than a call waits.
 const LONG_LINGER_TIME: Duration = Duration::from_millis(250);
-/// Delivery time of datagrams between boxes, longer than callers take to repeat a request.
-const DATAGRAM_DELAY: Duration = Duration::from_millis(8);
-/// Port of a box for datagrams.
-const DATAGRAM_PORT: u16 = 7_211;
 /// Maximum number of runs that start between a crash and its detection.
 const MAX_UNCOUNTED: usize = 3;
 /// Minimum interval between crashes that count separately.
 const CRASH_SPACING: Duration = Duration::from_millis(500);
-/// Store prefix of the box entries, by which boxes discover each other.
-const BOX_ENTRIES: &str = "badgerferry/boxes/";
 /// Refusal reason for a quarantined request.
 const REFUSAL_REASON: &str = "ends_servers";
 
-/// Boxes and servers that crash on requests with `CRASHING_BODY`.
-struct Fleet {
-    store: Store,
-    servers: Vec<Server>,
-    boxes: Vec<RelayBox>,
+/// Starts a fleet whose servers crash on `CRASHING_BODY`, as configured.
+async fn start_fleet(
+    boxes: usize,
+    servers: usize,
+    configure: impl Fn(CrashRule) -> CrashRule,
+) -> anyhow::Result<Fleet> {
+    let crash_rule =
+        |store: &Store| configure(CrashRule::on_body(CRASHING_BODY, RESTART_DELAY, store));
+    Fleet::start(boxes, servers, crash_rule).await
 }
 
-impl Fleet {
-    async fn start(boxes: usize, servers: usize) -> anyhow::Result<Self> {
-        Self::start_with(boxes, servers, |crashes| crashes).await
-    }
-
-    /// Starts servers that crash as configured.
-    async fn start_with(
-        boxes: usize,
-        servers: usize,
-        configure: impl Fn(CrashRule) -> CrashRule,
-    ) -> anyhow::Result<Self> {
-        let store = Store::start().await?;
-        store.put_routes(&desired_state(3, &["key-1"]));
-        let mut started = Vec::new();
-        for index in 0..servers {
-            let name = format!("i-{index}");
-            let server = Server::start(&name, "boards", Duration::from_millis(20)).await?;
-            server.set_crash_rule(configure(CrashRule::on_body(
-                CRASHING_BODY,
-                RESTART_DELAY,
-                &store,
-            )));
-            store.put(&server.key(), &server.entry("ready"));
-            started.push(server);
-        }
-        let mut fleet = Self {
-            store,
-            servers: started,
-            boxes: Vec::new(),
-        };
-        for index in 0..boxes {
-            fleet
-                .add_box(&format!("box-{index}"), &fleet.store.clone())
-                .await?;
-        }
-        for index in 1..boxes {
-            let name = format!("box-{index}");
-            fleet.boxes[0]
-                .wait_for_log_line(&["box entry", &name])
-                .await?;
-        }
-        // The other boxes request the list of boxes once they receive a datagram from an unknown one.
-        tokio::time::sleep(DISCOVERY_TIME).await;
-        Ok(fleet)
-    }
-
-    async fn add_box(&mut self, name: &str, store: &Store) -> anyhow::Result<()> {
-        let relay_box = RelayBox::start(name, store.address, &[])?;
-        relay_box.wait_ready().await?;
-        self.boxes.push(relay_box);
-        Ok(())
-    }
-
-    /// Delays the datagrams between the boxes.
-    async fn delay_datagrams(&self) -> anyhow::Result<()> {
-        for (index, relay_box) in self.boxes.iter().enumerate() {
-            let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
-            let (name, ip) = (format!("box-{index}"), relay_box.ip);
-            let entry = json!({"name": name, "hall": "hall-a", "pull": format!("{ip}:7202"),
-                "load": socket.local_addr()?.to_string()});
-            self.store.put(&format!("{BOX_ENTRIES}{name}"), &entry);
-            tokio::spawn(async move {
-                let mut buf = [0; 2_048];
-                while let Ok(len) = socket.recv(&mut buf).await {
-                    let (socket, datagram) = (Arc::clone(&socket), buf[..len].to_vec());
-                    tokio::spawn(async move {
-                        tokio::time::sleep(DATAGRAM_DELAY).await;
-                        socket.send_to(&datagram, (ip, DATAGRAM_PORT)).await
-                    });
-                }
-            });
-        }
-        tokio::time::sleep(DISCOVERY_TIME).await;
-        Ok(())
-    }
-
-    fn crash_count(&self) -> usize {
-        self.servers.iter().map(Server::times_crashed).sum()
-    }
-
-    /// Number of requests with `CRASHING_BODY` that reached a server.
-    fn crashing_sends(&self) -> usize {
-        let seen = self.servers.iter().flat_map(Server::received_calls);
-        seen.filter(|seen| seen.body == CRASHING_BODY.as_bytes())
-            .count()
-    }
-
-    fn logs(&self) -> String {
-        self.boxes.iter().map(RelayBox::log).collect()
-    }
+/// Number of requests with `CRASHING_BODY` that reached a server.
+fn crashing_sends(fleet: &Fleet) -> usize {
+    fleet.count_sends(|call| call.body == CRASHING_BODY.as_bytes())
 }
 
 async fn stream(relay_box: &RelayBox, id: &str, body: &str) -> anyhow::Result<RawResponse> {
@@ -157,7 +64,7 @@
     max_crashes: usize,
     configure: impl Fn(CrashRule) -> CrashRule,
 ) -> anyhow::Result<()> {
-    let fleet = Fleet::start_with(4, 12, configure).await?;
+    let fleet = start_fleet(4, 12, configure).await?;
 
     for round in 0..4 {
         for (index, relay_box) in fleet.boxes.iter().enumerate() {
@@ -246,7 +153,7 @@
 /// later.
 #[tokio::test]
 async fn partitioned_and_newly_started_boxes_refuse_quarantined_requests() -> anyhow::Result<()> {
-    let mut fleet = Fleet::start(2, 12).await?;
+    let mut fleet = start_fleet(2, 12, |crashes| crashes).await?;
     let partitioned_store = fleet.store.listener_without_prefix(BOX_ENTRIES).await?;
     fleet.add_box("box-alone", &partitioned_store).await?;
     for round in 0..4 {
@@ -264,7 +171,7 @@
     fleet.boxes[0].wait_ready().await?;
     // Within this time a box without live peers learns of the quarantine from the store.
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let sends_before = fleet.crashing_sends();
+    let sends_before = crashing_sends(&fleet);
 
     for round in 0..2 {
         for (index, relay_box) in fleet.boxes.iter().enumerate() {
@@ -274,7 +181,7 @@
     }
 
     assert_eq!(
-        fleet.crashing_sends(),
+        crashing_sends(&fleet),
         sends_before,
         "logs:\n{}",
         fleet.logs()
@@ -286,7 +193,7 @@
 /// any crash is known.
 #[tokio::test]
 async fn concurrent_calls_at_all_boxes_crash_few_more_servers() -> anyhow::Result<()> {
-    let fleet = Fleet::start(4, 16).await?;
+    let fleet = start_fleet(4, 16, |crashes| crashes).await?;
 
     for round in 0..6 {
         let calls = fleet
@@ -323,7 +230,7 @@
 /// reasons.
 #[tokio::test]
 async fn equal_calls_are_not_quarantined_for_unrelated_crashes() -> anyhow::Result<()> {
-    let fleet = Fleet::start(2, 12).await?;
+    let fleet = start_fleet(2, 12, |crashes| crashes).await?;
     let boxes = &fleet.boxes;
     let callers = (0..12).map(|caller| async move {
         let mut answers = Vec::new();
@@ -359,7 +266,7 @@
 /// Guards against further crashes by calls that a box never retries, but that callers send again.
 #[tokio::test]
 async fn quarantined_unary_calls_are_refused_as_not_run() -> anyhow::Result<()> {
-    let fleet = Fleet::start(2, 8).await?;
+    let fleet = start_fleet(2, 8, |crashes| crashes).await?;
     for round in 0..6 {
         let request = call(
             "POST",
@@ -370,13 +277,13 @@
         );
         Caller::exchange(fleet.boxes[round % 2].front(), &request).await?;
     }
-    let sends_before = fleet.crashing_sends();
+    let sends_before = crashing_sends(&fleet);
 
     let request = call("POST", "/once/a", "crashing-last", "", CRASHING_BODY);
     let last = Caller::exchange(fleet.boxes[0].front(), &request).await?;
 
     assert_eq!(fleet.crash_count(), MAX_CRASHES, "logs:\n{}", fleet.logs());
-    assert_eq!((last.status, fleet.crashing_sends()), (503, sends_before));
+    assert_eq!((last.status, crashing_sends(&fleet)), (503, sends_before));
     assert!(last.body.contains("\"may_have_run\":false"), "{last:?}");
     Ok(())
 }
@@ -385,7 +292,7 @@
 /// crashed.
 #[tokio::test]
 async fn crashes_during_responses_without_length_count() -> anyhow::Result<()> {
-    let fleet = Fleet::start_with(2, 8, CrashRule::unframed).await?;
+    let fleet = start_fleet(2, 8, CrashRule::unframed).await?;
 
     for round in 0..6 {
         stream(
@@ -405,7 +312,7 @@
 /// Guards against callers that repeat a request at another box before it knows of the crash.
 #[tokio::test]
 async fn caller_is_answered_after_the_other_boxes_know_of_the_crash() -> anyhow::Result<()> {
-    let fleet = Fleet::start_with(2, 8, CrashRule::unframed).await?;
+    let fleet = start_fleet(2, 8, CrashRule::unframed).await?;
     fleet.delay_datagrams().await?;
 
     stream(&fleet.boxes[0], "first", CRASHING_BODY).await?;
@@ -422,7 +329,7 @@
 /// call loses all of them and no run succeeds in between, which would clear the request.
 #[tokio::test]
 async fn crashes_of_leaving_servers_do_not_count() -> anyhow::Result<()> {
-    let fleet = Fleet::start(1, MAX_CRASHES).await?;
+    let fleet = start_fleet(1, MAX_CRASHES, |crashes| crashes).await?;
     let leaving = &fleet.servers;
     for server in leaving {
         server.announce_leaving(Some("1"));
