tests: responses that end with their connection, two failing

A response may come with neither a length nor chunks. If its server crashes between two events, or in the middle of a single response, the caller gets what has arrived as if it were whole: 0 of 5 events with status 200 and a regular end. Whole responses of live servers, and streams that end inside an event, are handled already; tests of these pass.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -25,3 +25,4 @@
 mod test_relay_shedding;
 mod test_relay_slow_engines;
 mod test_relay_slow_readers;
+mod test_relay_unframed;
