relay: a response without framing whose server crashed is not whole

Callers got what had arrived of a response with neither a length nor chunks, with a regular end, when its server crashed: a stream without its last events, or a truncated body with status 200.

Cause: such a response ends with its connection. The server was checked for a crash after it, but only the quarantine was told of the result.

A response that was cut by a crash is now like any other broken one: a stream is resumed after its last event, a single response is tried again if that is allowed, else the caller gets 502. The check took place before the end was passed on already, so whole responses take no longer.

A server that crashes and accepts connections for over 150 ms afterwards still passes for one that ended its response.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -29,6 +29,7 @@
 use crate::relay::call::Call;
 use crate::relay::call_attempt::AttemptGuard;
 use crate::relay::call_attempt::AttemptResult;
+use crate::relay::call_attempt::ResponseEnd;
 use crate::relay::call_log;
 use crate::relay::connection_pool::Connection;
 use crate::relay::connection_pool::Via;
@@ -66,6 +67,9 @@
     pub after: AfterResponse,
 }
 
+/// Why a response of [`ResponseEnd::CutByCrash`] is not used, for logs.
+pub const CUT_BY_CRASH: &str = "ended with its connection, and the server crashed";
+
 /// What to do with a connection after a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AfterResponse {
@@ -258,7 +262,7 @@
 async fn receive_unary(call: &Call, received: Received) -> AttemptResult {
     let after = received.after();
     let Received {
-        attempt,
+        mut attempt,
         connection,
         parts,
         body,
@@ -288,8 +292,13 @@
         attempt.finish(ServerOutcome::Failure);
         AttemptResult::ServerError(response)
     } else {
-        attempt.finish_served().await;
-        AttemptResult::Complete(response)
+        match attempt.finish_served().await {
+            ResponseEnd::Whole => AttemptResult::Complete(response),
+            ResponseEnd::CutByCrash => {
+                call_log::unusable_response(call, &attempt.selection, parts.status, CUT_BY_CRASH);
+                AttemptResult::Ended(AttemptEnd::Lost)
+            }
+        }
     }
 }
 
@@ -444,7 +453,7 @@
 ) -> AttemptResult {
     let after = received.after();
     let Received {
-        attempt,
+        mut attempt,
         connection,
         parts,
         mut body,
@@ -462,7 +471,18 @@
                 Ok(events) => break (events, false),
                 Err(cause) => StreamFailure::InvalidData(cause.to_string()),
             },
-            Ok(None) if !join.is_inside_event() => break (Bytes::new(), true),
+            Ok(None) if !join.is_inside_event() => {
+                if attempt.finish_served().await == ResponseEnd::CutByCrash {
+                    call_log::unusable_response(
+                        call,
+                        &attempt.selection,
+                        parts.status,
+                        CUT_BY_CRASH,
+                    );
+                    return AttemptResult::Ended(AttemptEnd::Lost);
+                }
+                break (Bytes::new(), true);
+            }
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
             Err(failure) if attempts.may_retry() && call.has_retry_budget() => failure,
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -60,6 +60,15 @@
     Ended(AttemptEnd),
 }
 
+/// Whether a response whose end has arrived is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseEnd {
+    /// The server ended it.
+    Whole,
+    /// It has no framing, and its server crashed: more may have been to come.
+    CutByCrash,
+}
+
 /// Registers a sent attempt with the server tracker. If dropped without an outcome, it records
 /// [`ServerOutcome::Inconclusive`].
 #[derive(Debug)]
@@ -78,6 +87,8 @@
     pub selection: Selection,
     /// Whether the outcome has not been recorded yet.
     is_open: bool,
+    /// Result of [`Self::finish_served`], once known.
+    response_end: Option<ResponseEnd>,
 }
 
 impl AttemptGuard {
@@ -92,6 +103,7 @@
             is_framed: false,
             selection,
             is_open: true,
+            response_end: None,
         }
     }
 
@@ -107,21 +119,30 @@
             .await;
     }
 
-    /// Ends a served attempt. A response without framing ends with its connection, as in a server
-    /// crash. So only a framed response shows that the request did not crash the server; otherwise
-    /// the server is checked.
-    pub async fn finish_served(mut self) {
-        if self.is_framed {
+    /// Ends an attempt whose response looks complete; later calls return the first result. A
+    /// response without framing ends with its connection, as in a server crash. So only a framed
+    /// response shows that the request did not crash the server; otherwise the server is checked.
+    pub async fn finish_served(&mut self) -> ResponseEnd {
+        if let Some(end) = self.response_end {
+            return end;
+        }
+        let end = if self.is_framed {
             self.record_success();
-            self.finish(ServerOutcome::Success);
+            self.record_end(ServerOutcome::Success);
+            ResponseEnd::Whole
         } else {
-            self.finish_after_crash_check(ServerOutcome::Success).await;
-        }
+            match self.finish_after_crash_check(ServerOutcome::Success).await {
+                CrashCheck::Crashed => ResponseEnd::CutByCrash,
+                CrashCheck::PathCut | CrashCheck::NoCrash => ResponseEnd::Whole,
+            }
+        };
+        self.response_end = Some(end);
+        end
     }
 
     /// Checks whether the server crashed, and ends the attempt. After a crash the run stays in
     /// progress until the other boxes know of it: the caller may repeat the request at any of them.
-    async fn finish_after_crash_check(&mut self, outcome: ServerOutcome) {
+    async fn finish_after_crash_check(&mut self, outcome: ServerOutcome) -> CrashCheck {
         let check = request_quarantine::detect_crash(
             &self.call,
             &self.selection,
@@ -133,10 +154,14 @@
             CrashCheck::PathCut => self.record_end(ServerOutcome::Inconclusive),
             CrashCheck::NoCrash => self.record_end(outcome),
             CrashCheck::Crashed => {
-                self.record_end(outcome);
+                self.record_end(match outcome {
+                    ServerOutcome::Success => ServerOutcome::Failure,
+                    outcome => outcome,
+                });
                 tokio::time::sleep(quarantine::REPORT_WAIT).await;
             }
         }
+        check
     }
 
     /// Records that the request did not crash its server.
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -13,6 +13,7 @@
 use badgerferry_lib::relay::event_join::EventJoin;
 use badgerferry_lib::relay::reader_patience;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use tokio::sync::mpsc;
@@ -20,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::relay::attempt_response;
+use crate::relay::attempt_response::CUT_BY_CRASH;
 use crate::relay::attempt_response::MAX_UNCOUNTED_BYTES;
 use crate::relay::attempt_response::Silence;
 use crate::relay::attempt_response::StreamFailure;
@@ -27,6 +29,7 @@
 use crate::relay::call::Call;
 use crate::relay::call_attempt;
 use crate::relay::call_attempt::AttemptResult;
+use crate::relay::call_attempt::ResponseEnd;
 use crate::relay::call_log;
 use crate::relay::call_log::StreamTimings;
 use crate::relay::candidates::NO_SERVER_RETRY;
@@ -252,7 +255,7 @@
         mut body,
         mut join,
         connection,
-        attempt,
+        mut attempt,
         after,
         ..
     } = *live;
@@ -340,8 +343,17 @@
         return ForwardEnd::Broken { join, retry_spent };
     }
     attempt_response::return_connection(call, &attempt.selection.server, connection, after);
-    attempt.finish_served().await;
-    ForwardEnd::Complete
+    match attempt.finish_served().await {
+        ResponseEnd::Whole => ForwardEnd::Complete,
+        ResponseEnd::CutByCrash => {
+            let status = StatusCode::OK;
+            call_log::unusable_response(call, &attempt.selection, status, CUT_BY_CRASH);
+            ForwardEnd::Broken {
+                join,
+                retry_spent: false,
+            }
+        }
+    }
 }
 
 /// Longest time for which the caller may be behind while the stream of an attempt waits for it, if
