--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -28,6 +28,7 @@
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
 use crate::relay::call_attempt;
+use crate::relay::call_attempt::AttemptGuard;
 use crate::relay::call_attempt::AttemptResult;
 use crate::relay::call_attempt::ResponseEnd;
 use crate::relay::call_log;
@@ -255,7 +256,7 @@
         mut body,
         mut join,
         connection,
-        mut attempt,
+        attempt,
         after,
         ..
     } = *live;
@@ -343,6 +344,11 @@
         return ForwardEnd::Broken { join, retry_spent };
     }
     attempt_response::return_connection(call, &attempt.selection.server, connection, after);
+    finish_complete(call, attempt, join).await
+}
+
+/// Ends an attempt whose stream looks complete.
+async fn finish_complete(call: &Call, mut attempt: AttemptGuard, join: EventJoin) -> ForwardEnd {
     match attempt.finish_served().await {
         ResponseEnd::Whole => ForwardEnd::Complete,
         ResponseEnd::CutByCrash => {
