quarantine: changes that no datagram has reported go before runs in progress

With more than six records whose key was running, these took all rows of a datagram, also those that had been cleared. A change of another record was never reported then, and was announced again at once: 100 datagrams and more without delay until it was 1.2 s old. Prompt parts made this likely, as many calls share them. Runs of cleared records are not reported any more, since nobody waits for them.

--- a/lib/src/relay/quarantine_report.rs
+++ b/lib/src/relay/quarantine_report.rs
@@ -113,18 +113,19 @@
         })
     }
 
-    /// Rows for the next datagram. First come records that run here, then those that changed
-    /// recently, and then one of the other records that are not cleared, in rotation. Of those that
-    /// changed, the ones that no datagram has reported yet come first, and of these the ones with
-    /// the most crashes.
+    /// Rows for the next datagram. First come records with a change that no datagram has reported
+    /// yet, the ones with the most crashes first, then suspect ones that run here, then others that
+    /// changed recently, and then one of the other records that are not cleared, in rotation.
     pub fn rows(&mut self, now: Time, scope: RunScope) -> Vec<QuarantineRow> {
         if self.records.is_empty() {
             return Vec::new();
         }
         self.drop_expired(now);
         self.update_explained(now);
-        let runs =
-            |key: &SuspectKey, record: &SuspectRecord| self.runs_in(now, scope, *key, record);
+        let runs = |key: &SuspectKey, record: &SuspectRecord| {
+            self.runs_in(now, scope, *key, record)
+                && self.status(now, *key) != SuspectStatus::Cleared
+        };
         let is_recent = |key: &SuspectKey, record: &SuspectRecord| {
             runs(key, record) || now.since(record.changed) < RUN_REPORT_TTL
         };
@@ -133,8 +134,8 @@
         rest.retain(|(key, _)| self.status(now, **key) != SuspectStatus::Cleared);
         recent.sort_by_cached_key(|(key, record)| {
             (
-                !runs(key, record),
                 record.reported[scope as usize],
+                !runs(key, record),
                 Reverse(self.crash_count(now, **key)),
                 Reverse(key.kind()),
                 now.since(record.changed),
--- a/lib/tests/test_relay_quarantine_parts.rs
+++ b/lib/tests/test_relay_quarantine_parts.rs
@@ -276,6 +276,28 @@
     assert!((0..15).all(|call| is_suspect(SHARED + call) && is_suspect(CRASHING + call)));
 }
 
+/// Guards against datagrams without end: many runs of parts with a record that must not keep other
+/// changes from being reported.
+#[test]
+fn runs_in_progress_do_not_keep_changes_from_being_reported() {
+    let mut quarantine = Quarantine::default();
+    for call in 0..20 {
+        let keys = keys(call, &[SHARED + call], "w");
+        quarantine.admit(at(900), &keys, false, |_key| 0);
+        crash(&mut quarantine, 1_000 + call, &keys);
+        quarantine.record_success(at(1_100), &keys);
+    }
+    crash(&mut quarantine, 1_200, &keys(90, &[CRASHING], "w"));
+
+    let mut datagrams = 0;
+    while quarantine.has_unreported(at(1_210), RunScope::Box) && datagrams < 100 {
+        quarantine.rows(at(1_210), RunScope::Box);
+        datagrams += 1;
+    }
+
+    assert!(datagrams <= 42 / 6 + 1, "{datagrams}");
+}
+
 #[test]
 fn started_box_learns_of_quarantined_parts_by_its_first_pull_or_from_the_store() {
     let quarantine = after_three_crashes();
