quarantine: one crash counts once over workspaces, and a success anywhere ends it

Cause: each other workspace counted as one crash, although all of them had lost calls with the same server; workspaces with few calls kept their crash for minutes, which added up against all others; and a call of such a workspace waited until no call of any workspace with the part was in progress, which never came.

Crashes of other workspaces are counted by server and moment now, and only those since the last successful run with the part in any workspace. A quarantine that rests on them ends with such a run as well. Runs of other workspaces are waited for only if their crashes count.

The three tests failed before.

--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -20,7 +20,8 @@
 //! - Once a part is quarantined, crashes that it accounts for don't count against anything else. Of
 //!   several parts with equal crashes, the last one of the prompt is quarantined: fewer requests
 //!   share it.
-//! - The crashes of each other workspace count as one, since a caller may state any part.
+//! - The crashes of each other workspace count as one, and only until a run with the part succeeds in
+//!   any workspace, since a caller may state any part.
 //!
 //! See `docs/design/quarantine.md` for the alternatives considered.
 
@@ -41,6 +42,7 @@
 use crate::relay::suspect_key::PartFingerprint;
 use crate::relay::suspect_key::SuspectKey;
 use crate::relay::suspect_key::SuspectKind;
+use crate::relay::suspect_record;
 use crate::relay::suspect_record::Crash;
 use crate::relay::suspect_record::CrashSpan;
 use crate::relay::suspect_record::ExplainedCrashes;
@@ -257,7 +259,9 @@
     pub fn may_send(&self, now: Time, keys: &CallKeys) -> bool {
         keys.iter().all(|key| match self.status(now, key) {
             SuspectStatus::Cleared => true,
-            SuspectStatus::Suspect => self.runs_here(key) == 1 && !self.runs_elsewhere(now, key),
+            SuspectStatus::Suspect => {
+                self.runs_here(now, key) == 1 && !self.runs_elsewhere(now, key)
+            }
             SuspectStatus::Quarantined => false,
         })
     }
@@ -466,9 +470,14 @@
         let before = (self.status(now, key), self.crash_count(now, key));
         let record = self.record(now, key);
         let was_quarantined = record.quarantined_at(now).is_some();
+        let success_before = record.success;
         f(record);
-        if was_quarantined {
-            // A record that is cleared does not account for its own crashes any more.
+        let has_succeeded = record.success > success_before;
+        if has_succeeded {
+            self.spread_part_success(key);
+        }
+        if was_quarantined || has_succeeded {
+            // A record that is cleared does not account for crashes any more.
             self.update_explained(now);
         }
         let count = self.crash_count(now, key);
@@ -489,6 +498,16 @@
         Some(self.change_of(now, key))
     }
 
+    /// Tells the records of a part in all workspaces of the latest successful run in any.
+    fn spread_part_success(&mut self, key: SuspectKey) {
+        let Some(part) = same_part(key) else { return };
+        let records = self.records.range(part.clone());
+        let success = records.filter_map(|(_, record)| record.success).max();
+        for (_, record) in self.records.range_mut(part) {
+            record.part_success = success;
+        }
+    }
+
     fn change_of(&self, now: Time, key: SuspectKey) -> QuarantineChange {
         let record = self.records.get(&key);
         let crashes = record.into_iter().flat_map(|record| {
@@ -507,8 +526,13 @@
         if !self.records.contains_key(&key) {
             self.make_room(now, key);
         }
+        let part_success = same_part(key).and_then(|part| {
+            let records = self.records.range(part);
+            records.filter_map(|(_, record)| record.success).max()
+        });
         self.records.entry(key).or_insert_with(|| SuspectRecord {
             kind: key.kind(),
+            part_success,
             ..SuspectRecord::default()
         })
     }
@@ -589,34 +613,47 @@
         own + self.other_workspaces(now, key)
     }
 
-    /// Number of other workspaces whose crashes count against a part: those since the last
-    /// successful run with the part in its own workspace.
+    /// Number of crashes in other workspaces that count against a part: one of each workspace, and
+    /// none that another one or the own workspace counts as well.
     fn other_workspaces(&self, now: Time, key: SuspectKey) -> usize {
-        self.last_crashes_elsewhere(now, key).count()
+        let crashes = self.crashes_elsewhere(now, key);
+        if crashes.is_empty() {
+            return 0;
+        }
+        let record = self.records.get(&key).into_iter();
+        let own = record.flat_map(|record| record.counted_crashes(now, &self.explained));
+        let own: Vec<ServerIncarnation> = own.map(|crash| crash.incarnation).collect();
+        let crashes = crashes.into_iter();
+        suspect_record::count_separate(crashes.filter(|it| !own.contains(&it.incarnation)))
     }
 
-    fn last_crashes_elsewhere(
-        &self,
-        now: Time,
-        key: SuspectKey,
-    ) -> impl Iterator<Item = SignedTime> {
-        let success = self.records.get(&key).and_then(|record| record.success);
-        let others = same_part(key)
-            .into_iter()
-            .flat_map(|part| self.records.range(part));
-        let others = others.filter(move |(other, _)| **other != key);
-        let crashes = others.filter_map(move |(_, record)| record.last_crash(now, &self.explained));
-        crashes.filter(move |crash| Some(*crash) > success)
+    /// The last crash of each other workspace, in order of time. Only those count that came after
+    /// the last successful run with the part in any workspace.
+    fn crashes_elsewhere(&self, now: Time, key: SuspectKey) -> Vec<&Crash> {
+        let Some(part) = same_part(key) else {
+            return Vec::new();
+        };
+        let records = self.records.range(part);
+        let success = records
+            .clone()
+            .filter_map(|(_, record)| record.success)
+            .max();
+        let others = records.filter(|(other, _)| **other != key);
+        let last = others.filter_map(|(_, record)| {
+            let crashes = record.counted_crashes(now, &self.explained);
+            crashes.max_by_key(|crash| crash.at)
+        });
+        let mut crashes: Vec<&Crash> = last.filter(|crash| Some(crash.at) > success).collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crashes
     }
 
     /// Time since the last crash that counts.
     pub(super) fn since_last_crash(&self, now: Time, key: SuspectKey) -> Duration {
         let record = self.records.get(&key);
         let own = record.and_then(|record| record.last_crash(now, &self.explained));
-        let last = own
-            .into_iter()
-            .chain(self.last_crashes_elsewhere(now, key))
-            .max();
+        let elsewhere = self.crashes_elsewhere(now, key).into_iter();
+        let last = own.into_iter().chain(elsewhere.map(|crash| crash.at)).max();
         last.map_or(Duration::MAX, |at| at.age(now))
     }
 
@@ -626,23 +663,25 @@
         own.count() + self.other_workspaces(now, key) == 1
     }
 
-    fn runs_here(&self, key: SuspectKey) -> u32 {
-        match same_part(key) {
-            Some(part) => self.runs.range(part).map(|(_, runs)| runs).sum(),
-            None => self.runs.get(&key).copied().unwrap_or_default(),
-        }
+    /// Keys whose runs concern a suspect key: those of the same part in all workspaces if their
+    /// crashes count against it.
+    fn related(&self, now: Time, key: SuspectKey) -> RangeInclusive<SuspectKey> {
+        let part = same_part(key).filter(|_| !self.crashes_elsewhere(now, key).is_empty());
+        part.unwrap_or(key..=key)
+    }
+
+    fn runs_here(&self, now: Time, key: SuspectKey) -> u32 {
+        let runs = self.runs.range(self.related(now, key));
+        runs.map(|(_, runs)| runs).sum()
     }
 
     fn runs_elsewhere(&self, now: Time, key: SuspectKey) -> bool {
-        let runs = |record: &SuspectRecord| record.runs_elsewhere(now);
-        match same_part(key) {
-            Some(part) => self.records.range(part).any(|(_, record)| runs(record)),
-            None => self.records.get(&key).is_some_and(runs),
-        }
+        let mut records = self.records.range(self.related(now, key));
+        records.any(|(_, record)| record.runs_elsewhere(now))
     }
 
     fn runs_anywhere(&self, now: Time, key: SuspectKey) -> bool {
-        self.runs_here(key) > 0 || self.runs_elsewhere(now, key)
+        self.runs_here(now, key) > 0 || self.runs_elsewhere(now, key)
     }
 
     /// Facts observed by this box that the store should hold but does not yet: quarantines, and the
--- a/lib/src/relay/suspect_record.rs
+++ b/lib/src/relay/suspect_record.rs
@@ -178,6 +178,8 @@
     /// Time of the latest successful run: its end, or the time at which it showed that it does not
     /// crash its server.
     pub(super) success: Option<SignedTime>,
+    /// Time of the latest successful run with the part in any workspace.
+    pub(super) part_success: Option<SignedTime>,
     /// When boxes of this hall, or all boxes of a small fleet, last reported a run in progress.
     pub(super) running_boxes: BTreeMap<String, Time>,
     /// When other halls last reported a run in progress.
@@ -214,33 +216,31 @@
         })
     }
 
-    /// The last crash of the latest quarantine, if that still counts.
+    /// The last crash of the latest quarantine, if that still counts. A quarantine for crashes of
+    /// other workspaces ends with a successful run in any workspace.
     pub(super) fn quarantined_at(&self, now: Time) -> Option<SignedTime> {
-        let quarantine = self
-            .quarantine
-            .filter(|quarantine| self.counts(now, quarantine.first));
-        quarantine.map(|quarantine| quarantine.last)
+        let quarantine = self.quarantine?;
+        let counts = self.counts(now, quarantine.first)
+            && (Some(quarantine.first) > self.part_success || self.has_enough_crashes(now));
+        counts.then_some(quarantine.last)
+    }
+
+    /// Whether the crashes of the own workspace alone are enough for a quarantine.
+    fn has_enough_crashes(&self, now: Time) -> bool {
+        let crashes = self.crashes.iter();
+        count_separate(crashes.filter(|crash| self.counts(now, crash.at))) >= QUARANTINE_MIN_CRASHES
     }
 
     /// Number of crashes that count; simultaneous ones count as one.
     pub(super) fn crash_count(&self, now: Time, explained: &ExplainedCrashes) -> usize {
-        let mut last: Option<SignedTime> = None;
         let mut of_requests: BTreeMap<u32, usize> = BTreeMap::new();
-        let mut count = 0;
-        for crash in self.counted_crashes(now, explained) {
-            let is_separate = |last: SignedTime| {
-                crash.run_started > Some(last) || crash.at > last.plus(SIMULTANEOUS_CRASH_WINDOW)
-            };
-            if !last.is_none_or(is_separate) {
-                continue;
-            }
-            last = Some(crash.at);
+        let separate = separate_crashes(self.counted_crashes(now, explained));
+        let counted = separate.filter(|crash| {
             let of_request = of_requests.entry(crash.request_digest).or_default();
             *of_request += 1;
-            let is_repeat = *of_request > MAX_CRASHES_PER_REQUEST && crash.request_digest != 0;
-            count += usize::from(!is_repeat);
-        }
-        count
+            *of_request <= MAX_CRASHES_PER_REQUEST || crash.request_digest == 0
+        });
+        counted.count()
     }
 
     /// Time of the last crash that counts.
@@ -338,6 +338,27 @@
     }
 }
 
+/// Crashes in order of time, of simultaneous ones only the first.
+fn separate_crashes<'a>(
+    crashes: impl Iterator<Item = &'a Crash>,
+) -> impl Iterator<Item = &'a Crash> {
+    let mut last: Option<SignedTime> = None;
+    crashes.filter(move |crash| {
+        let is_separate = last.is_none_or(|last| {
+            crash.run_started > Some(last) || crash.at > last.plus(SIMULTANEOUS_CRASH_WINDOW)
+        });
+        if is_separate {
+            last = Some(crash.at);
+        }
+        is_separate
+    })
+}
+
+/// Number of crashes, given in order of time; simultaneous ones count as one.
+pub(super) fn count_separate<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    separate_crashes(crashes).count()
+}
+
 fn has_fresh_report(now: Time, reports: &BTreeMap<String, Time>) -> bool {
     let mut reports = reports.values();
     reports.any(|at| now.since(*at) < RUN_REPORT_TTL)
--- a/lib/tests/test_relay_quarantine_parts.rs
+++ b/lib/tests/test_relay_quarantine_parts.rs
@@ -235,6 +235,65 @@
     ));
 }
 
+/// Guards against a part that all workspaces use and that one crash gets quarantined.
+#[test]
+fn one_crash_with_calls_of_many_workspaces_counts_once() {
+    let workspaces = ["a", "b", "c", "d", "e", "f"];
+    let mut quarantine = Quarantine::default();
+    for (request, workspace) in workspaces.iter().enumerate() {
+        let call = keys(request as u64, &[SHARED], workspace);
+        quarantine.record_crash(at(1_000), &call, ServerIncarnation(1), crashed_run(1_000));
+    }
+    let status = |quarantine: &Quarantine, workspace: &&str| {
+        quarantine.status(at(2_000), part_key(SHARED, workspace))
+    };
+
+    let users = workspaces.map(|workspace| status(&quarantine, &workspace));
+    let other = status(&quarantine, &"z");
+
+    assert_eq!(users, [SuspectStatus::Suspect; 6]);
+    assert_eq!(other, SuspectStatus::Suspect);
+}
+
+/// Guards against crashes of workspaces with few calls that add up against all others.
+#[test]
+fn success_in_any_workspace_ends_evidence_against_others() {
+    let mut quarantine = Quarantine::default();
+    for (request, workspace) in ["a", "b", "c", "d"].iter().enumerate() {
+        let call = keys(request as u64, &[SHARED], workspace);
+        crash(&mut quarantine, 1_000 * (request as u64 + 1), &call);
+    }
+    let other = keys(9, &[SHARED], "z");
+    let before = is_quarantined(&mut quarantine, 5_000, &other);
+
+    quarantine.record_success(at(5_500), &keys(10, &[SHARED], "b"));
+
+    assert!(before);
+    assert_eq!(
+        admit(&mut quarantine, 6_000, &other),
+        Admission::Run { crashes: 0 }
+    );
+    assert_eq!(
+        quarantine.status(at(6_000), part_key(SHARED, "a")),
+        SuspectStatus::Suspect
+    );
+}
+
+/// Guards against a workspace with few calls that waits for the runs of all others.
+#[test]
+fn suspect_part_does_not_wait_for_runs_of_workspaces_that_cleared_it() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1_000, &keys(1, &[SHARED], "rare"));
+    let usual = keys(2, &[SHARED], "usual");
+    quarantine.admit(at(1_500), &usual, false, |_key| 0);
+    quarantine.record_success(at(2_000), &usual);
+    quarantine.admit(at(2_100), &keys(3, &[SHARED], "usual"), false, |_key| 0);
+
+    let rare = admit(&mut quarantine, 2_200, &keys(4, &[SHARED], "rare"));
+
+    assert_eq!(rare, Admission::Run { crashes: 1 });
+}
+
 /// Guards against three crashes in each of many workspaces.
 #[test]
 fn part_that_crashed_servers_in_three_workspaces_is_quarantined_in_all() {
