quarantine: the end of a run is reported only while somebody waits for it

Each call with a part or request that had a record, also one cleared long ago, sent a datagram at once at its end, for the twenty minutes that a record is kept. With parts that most calls share that is each call. The end of a run of a cleared key is not reported now: nobody waits for it.

Found by reading; the test failed before by construction of the code and was not run on it. Evidence (status, counted crashes, related runs) is a module of its own.

--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -33,6 +33,7 @@
 pub mod prompt_parts;
 pub mod pull_timer;
 pub mod quarantine;
+mod quarantine_evidence;
 mod quarantine_report;
 pub mod quota_owner;
 pub mod reader_patience;
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -17,6 +17,7 @@
 //!
 //! - A crash counts against a part only if a run with the part had begun to respond at most
 //!   [`Quarantine::with_crash_delay`] before. A run that responds for longer clears its parts at once.
+//! - Of the crashes of one request at most two count: it may crash servers by itself.
 //! - Once a part is quarantined, crashes that it accounts for don't count against anything else. Of
 //!   several parts with equal crashes, the last one of the prompt is quarantined: fewer requests
 //!   share it.
@@ -29,11 +30,11 @@
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use rand::Rng;
 
+use crate::relay::quarantine_evidence::same_part;
 pub use crate::relay::quarantine_report::QuarantineRow;
 pub use crate::relay::quarantine_report::RunScope;
 use crate::relay::request_fingerprint::ServerIncarnation;
@@ -42,7 +43,6 @@
 use crate::relay::suspect_key::PartFingerprint;
 use crate::relay::suspect_key::SuspectKey;
 use crate::relay::suspect_key::SuspectKind;
-use crate::relay::suspect_record;
 use crate::relay::suspect_record::Crash;
 use crate::relay::suspect_record::CrashSpan;
 use crate::relay::suspect_record::ExplainedCrashes;
@@ -266,10 +266,10 @@
         })
     }
 
-    /// Records the end of a run admitted by [`Self::admit`]. Returns true if any key has a record,
+    /// Records the end of a run admitted by [`Self::admit`]. Returns true if any key is not cleared,
     /// since then other calls may be waiting for this run.
     pub fn end_run(&mut self, now: Time, keys: &CallKeys) -> bool {
-        let mut has_record = false;
+        let mut is_awaited = false;
         for key in keys.iter() {
             if let Some(runs) = self.runs.get_mut(&key) {
                 *runs -= 1;
@@ -277,14 +277,17 @@
                     self.runs.remove(&key);
                 }
             }
+            if self.status(now, key) == SuspectStatus::Cleared {
+                continue;
+            }
             // The end is reported for RUN_REPORT_TTL, as long as others assume that the run
             // continues.
             if let Some(record) = self.records.get_mut(&key) {
                 record.mark_changed(now);
-                has_record = true;
+                is_awaited = true;
             }
         }
-        has_record
+        is_awaited
     }
 
     /// Records that a server crashed during a run of this box.
@@ -587,103 +590,6 @@
         }
     }
 
-    /// Status of a request or part.
-    pub fn status(&self, now: Time, key: SuspectKey) -> SuspectStatus {
-        let record = self.records.get(&key);
-        let quarantined_at = record.and_then(|record| record.quarantined_at(now));
-        match (record, quarantined_at) {
-            (Some(record), Some(at))
-                if at.age(now) < QUARANTINE_PERIOD && record.released < Some(at) =>
-            {
-                SuspectStatus::Quarantined
-            }
-            (_, Some(_)) => SuspectStatus::Suspect,
-            (_, None) if self.other_workspaces(now, key) >= QUARANTINE_MIN_CRASHES => {
-                SuspectStatus::Quarantined
-            }
-            (_, None) if self.crash_count(now, key) > 0 => SuspectStatus::Suspect,
-            (_, None) => SuspectStatus::Cleared,
-        }
-    }
-
-    /// Number of crashes that count; those of each other workspace count as one.
-    pub(super) fn crash_count(&self, now: Time, key: SuspectKey) -> usize {
-        let record = self.records.get(&key);
-        let own = record.map_or(0, |record| record.crash_count(now, &self.explained));
-        own + self.other_workspaces(now, key)
-    }
-
-    /// Number of crashes in other workspaces that count against a part: one of each workspace, and
-    /// none that another one or the own workspace counts as well.
-    fn other_workspaces(&self, now: Time, key: SuspectKey) -> usize {
-        let crashes = self.crashes_elsewhere(now, key);
-        if crashes.is_empty() {
-            return 0;
-        }
-        let record = self.records.get(&key).into_iter();
-        let own = record.flat_map(|record| record.counted_crashes(now, &self.explained));
-        let own: Vec<ServerIncarnation> = own.map(|crash| crash.incarnation).collect();
-        let crashes = crashes.into_iter();
-        suspect_record::count_separate(crashes.filter(|it| !own.contains(&it.incarnation)))
-    }
-
-    /// The last crash of each other workspace, in order of time. Only those count that came after
-    /// the last successful run with the part in any workspace.
-    fn crashes_elsewhere(&self, now: Time, key: SuspectKey) -> Vec<&Crash> {
-        let Some(part) = same_part(key) else {
-            return Vec::new();
-        };
-        let records = self.records.range(part);
-        let success = records
-            .clone()
-            .filter_map(|(_, record)| record.success)
-            .max();
-        let others = records.filter(|(other, _)| **other != key);
-        let last = others.filter_map(|(_, record)| {
-            let crashes = record.counted_crashes(now, &self.explained);
-            crashes.max_by_key(|crash| crash.at)
-        });
-        let mut crashes: Vec<&Crash> = last.filter(|crash| Some(crash.at) > success).collect();
-        crashes.sort_by_key(|crash| crash.at);
-        crashes
-    }
-
-    /// Time since the last crash that counts.
-    pub(super) fn since_last_crash(&self, now: Time, key: SuspectKey) -> Duration {
-        let record = self.records.get(&key);
-        let own = record.and_then(|record| record.last_crash(now, &self.explained));
-        let elsewhere = self.crashes_elsewhere(now, key).into_iter();
-        let last = own.into_iter().chain(elsewhere.map(|crash| crash.at)).max();
-        last.map_or(Duration::MAX, |at| at.age(now))
-    }
-
-    fn has_one_crash(&self, now: Time, key: SuspectKey) -> bool {
-        let record = self.records.get(&key).into_iter();
-        let own = record.flat_map(|record| record.counted_crashes(now, &self.explained));
-        own.count() + self.other_workspaces(now, key) == 1
-    }
-
-    /// Keys whose runs concern a suspect key: those of the same part in all workspaces if their
-    /// crashes count against it.
-    fn related(&self, now: Time, key: SuspectKey) -> RangeInclusive<SuspectKey> {
-        let part = same_part(key).filter(|_| !self.crashes_elsewhere(now, key).is_empty());
-        part.unwrap_or(key..=key)
-    }
-
-    fn runs_here(&self, now: Time, key: SuspectKey) -> u32 {
-        let runs = self.runs.range(self.related(now, key));
-        runs.map(|(_, runs)| runs).sum()
-    }
-
-    fn runs_elsewhere(&self, now: Time, key: SuspectKey) -> bool {
-        let mut records = self.records.range(self.related(now, key));
-        records.any(|(_, record)| record.runs_elsewhere(now))
-    }
-
-    fn runs_anywhere(&self, now: Time, key: SuspectKey) -> bool {
-        self.runs_here(now, key) > 0 || self.runs_elsewhere(now, key)
-    }
-
     /// Facts observed by this box that the store should hold but does not yet: quarantines, and the
     /// crashes of each request or part that has more than one. If no other box is live
     /// (`is_alone`), single crashes are included too; otherwise they are reported by datagram only,
@@ -740,20 +646,6 @@
     }
 }
 
-/// Keys of a part in all workspaces, or `None` for a request.
-fn same_part(key: SuspectKey) -> Option<RangeInclusive<SuspectKey>> {
-    let SuspectKey::Part(part) = key else {
-        return None;
-    };
-    let in_workspace = |workspace_digest| {
-        SuspectKey::Part(PartFingerprint {
-            workspace_digest,
-            ..part
-        })
-    };
-    Some(in_workspace(u32::MIN)..=in_workspace(u32::MAX))
-}
-
 /// Number of crashes from which on the runs of a request or part are isolated from other calls. One crash
 /// is not enough: it makes all calls of that server suspect for a moment, and these are best placed
 /// like any other call.
--- a/lib/tests/test_relay_quarantine_parts.rs
+++ b/lib/tests/test_relay_quarantine_parts.rs
@@ -357,6 +357,26 @@
     assert!(datagrams <= 42 / 6 + 1, "{datagrams}");
 }
 
+/// Guards against a datagram at the end of each call with a part that was suspect some time ago.
+#[test]
+fn end_of_a_run_is_reported_only_while_its_part_is_suspect() {
+    let mut quarantine = Quarantine::default();
+    let call = keys(1, &[SHARED], "w");
+    crash(&mut quarantine, 1_000, &call);
+    let end_of_run = |quarantine: &mut Quarantine, now: u64| {
+        quarantine.admit(at(now), &call, false, |_key| 0);
+        quarantine.end_run(at(now + 1), &call)
+    };
+
+    let while_suspect = end_of_run(&mut quarantine, 2_000);
+    quarantine.record_success(at(3_000), &call);
+    quarantine.rows(at(3_001), RunScope::Box);
+    let later = end_of_run(&mut quarantine, 20_000);
+
+    assert_eq!((while_suspect, later), (true, false));
+    assert!(!quarantine.has_unreported(at(20_002), RunScope::Box));
+}
+
 #[test]
 fn started_box_learns_of_quarantined_parts_by_its_first_pull_or_from_the_store() {
     let quarantine = after_three_crashes();
