store: a box that follows the store by its rank watches it at once

Traced by its logs: three boxes that start together read the store and register within 10 ms, and each waited a second before its first watch. Until then none knew of another one, so that each counted to three by itself, and one had two calls in flight.

The delay is for boxes that may not have to follow the store at all. One that is among the highest-ranked of its hall has to, whatever peers do, and does not wait now. Others wait as before.

--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -267,12 +267,18 @@
     /// and boxes that receive no datagrams from a peer that follows it.
     pub fn must_follow_store(&self) -> bool {
         let now = self.clock.now();
+        let is_recent = |at: Time| now.since(at) < PEER_FOLLOWER_TIMEOUT;
+        let peer_followed_at = lock(&self.cluster_view).peer_followed_store_at;
+        self.is_follower_by_rank() || !peer_followed_at.is_some_and(is_recent)
+    }
+
+    /// Whether this box is one of the highest-ranked boxes of its hall that it knows.
+    pub fn is_follower_by_rank(&self) -> bool {
         let cluster_view = lock(&self.cluster_view);
         let own = &self.settings;
         let rank =
             gossip_topology::rank_in_hall(&cluster_view.boxes, &own.hall, own.processor, &own.name);
-        let is_recent = |at: Time| now.since(at) < PEER_FOLLOWER_TIMEOUT;
-        rank < FOLLOWERS_PER_HALL || !cluster_view.peer_followed_store_at.is_some_and(is_recent)
+        rank < FOLLOWERS_PER_HALL
     }
 
     /// Versions of the state that this box has.
