quarantine: weigh parts only where a call has one that is not cleared

Each admission looked at all records for parts that have enough crashes by now, also for calls that nothing counts against. No change of decisions: a part that is due is suspect, so that a call with it asks for it.

--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -136,7 +136,7 @@
         let saw_crash = call.saw_crash.load(Ordering::Relaxed);
         let (changes, admission) = {
             let mut quarantine = lock(&relay.quarantine);
-            let changes = quarantine.quarantine_settled_parts(now);
+            let changes = quarantine.quarantine_settled_parts(now, &keys);
             let rank = |key| relay.rank_for(key);
             (changes, quarantine.admit(now, &keys, saw_crash, rank))
         };
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -147,7 +147,9 @@
     pub(super) records: BTreeMap<SuspectKey, SuspectRecord>,
     /// Number of runs of this box in progress.
     pub(super) runs: BTreeMap<SuspectKey, u32>,
+    /// Crashes that the quarantined records account for.
     pub(super) explained: ExplainedCrashes,
+    /// See [`Self::with_crash_delay`].
     crash_delay: Duration,
     /// Last record sent in rotation; the next datagram continues after it.
     pub(super) rotation_cursor: Option<SuspectKey>,
@@ -342,8 +344,17 @@
         changes
     }
 
-    /// Quarantines parts with enough crashes once all boxes have had time to report theirs.
-    pub fn quarantine_settled_parts(&mut self, now: Time) -> Vec<QuarantineChange> {
+    /// Quarantines parts with enough crashes once all boxes have had time to report theirs, if any
+    /// key of a call that is about to be admitted is not cleared.
+    pub fn quarantine_settled_parts(
+        &mut self,
+        now: Time,
+        keys: &CallKeys,
+    ) -> Vec<QuarantineChange> {
+        let mut keys = keys.iter();
+        if keys.all(|key| self.status(now, key) == SuspectStatus::Cleared) {
+            return Vec::new();
+        }
         self.quarantine_parts(now, REPORT_WAIT)
     }
 
@@ -397,12 +408,12 @@
         keys: &CallKeys,
         responding: Duration,
     ) -> Vec<QuarantineChange> {
-        let is_cleared = |part: &&PartFingerprint| {
+        let proves = |part: &&PartFingerprint| {
             let key = SuspectKey::Part(**part);
             let is_suspect = self.status(now, key) != SuspectStatus::Cleared;
             is_suspect && responding >= self.proof_time(now, key)
         };
-        let parts = keys.parts().iter().filter(is_cleared).copied();
+        let parts = keys.parts().iter().filter(proves).copied();
         let cleared: Vec<SuspectKey> = parts.map(SuspectKey::Part).collect();
         let succeed = |record: &mut SuspectRecord| record.success = Some(SignedTime::of(now));
         let changes = cleared
--- a/lib/tests/test_relay_quarantine_parts.rs
+++ b/lib/tests/test_relay_quarantine_parts.rs
@@ -64,7 +64,7 @@
 }
 
 fn admit(quarantine: &mut Quarantine, now: u64, keys: &CallKeys) -> Admission {
-    quarantine.quarantine_settled_parts(at(now));
+    quarantine.quarantine_settled_parts(at(now), keys);
     let admission = quarantine.admit(at(now), keys, false, |_key| 0);
     if matches!(admission, Admission::Run { .. }) {
         quarantine.end_run(at(now), keys);
--- a/testutils/src/crash_model.rs
+++ b/testutils/src/crash_model.rs
@@ -407,7 +407,7 @@
         let ranks = &self.ranks;
         let rank = |key| ranks.rank(key, at);
         let of = &mut self.boxes[at];
-        of.known.quarantine_settled_parts(now);
+        of.known.quarantine_settled_parts(now, keys);
         let plain = Admission::Run { crashes: 0 };
         match self.bound {
             Bound::None => plain,
