tests: retries that boxes of a large fleet need, failing

The slack of the retry budget is divided among all boxes. With a slack of 1,040 and 985 boxes that is 0.53 retries a box and window, which rounds to nothing: boxes may not retry although most of the budget is unused. The test plays the library's decisions in virtual time at 59 to 2,000 boxes, 136 calls a second, and needs 0.95 of the retries allowed.

--- /dev/null
+++ b/lib/tests/test_relay_retry_model.rs
@@ -0,0 +1,46 @@
+//! The retry budget of fleets of several sizes: retries that are needed are allowed, and the sum
+//! stays within the budget.
+
+use std::time::Duration;
+
+use badgerferry_lib::relay::retry_window::RetryBudgetRule;
+use badgerferry_testutils::retry_model;
+use badgerferry_testutils::retry_model::RetryCounts;
+use badgerferry_testutils::retry_model::RetryPlan;
+use badgerferry_testutils::seeds::run_seeds;
+
+const SIZES: [usize; 5] = [59, 295, 520, 985, 2_000];
+
+fn plan(boxes: usize) -> RetryPlan {
+    RetryPlan {
+        boxes,
+        budget: RetryBudgetRule {
+            window: Duration::from_secs(10),
+            ratio: 0.2,
+            slack: 1_040.0,
+        },
+        calls_per_s: 136.0,
+        failing: (0.01, 0.1),
+        restarts: None,
+        lasts: Duration::from_mins(2),
+    }
+}
+
+/// Fraction of the needed retries that is allowed, and the largest part of the budget that is used.
+fn play(plan: &RetryPlan) -> (f64, f64) {
+    let (results, broken) = run_seeds(0..4, |seed| retry_model::run(plan, seed));
+    assert!(broken.is_empty(), "{broken:?}");
+    let allowed = results.iter().map(RetryCounts::allowed_fraction);
+    let used = results.iter().map(|counts| counts.worst_use);
+    (allowed.fold(f64::MAX, f64::min), used.fold(0.0, f64::max))
+}
+
+#[test]
+fn needed_retries_are_allowed_at_any_number_of_boxes() {
+    for boxes in SIZES {
+        let (allowed, used) = play(&plan(boxes));
+
+        assert!(allowed >= 0.95, "{boxes} boxes: {allowed} allowed");
+        assert!(used <= 1.0, "{boxes} boxes: {used} of the budget used");
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod processes;
 pub mod relay_model;
+pub mod retry_model;
 pub mod seeded_leases;
 pub mod seeded_requests;
 pub mod seeded_settings;
