retries: in a large fleet, boxes take retries from a pool of their hall

Where a box's share of the slack is under two retries a window, the slack belongs to pools, one for each hall by its number of boxes. The first live box of the hall grants retries from it; a box keeps what its own first sends earn. Half of the slack is divided among the pools, and a new owner's pool fills over one window, so the budget holds while owners change, boxes restart or a hall is cut in two.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -20,6 +20,7 @@
 use badgerferry_lib::relay::reader_patience::CallerPatience;
 use badgerferry_lib::relay::request_fingerprint::FingerprintInput;
 use badgerferry_lib::relay::request_fingerprint::RequestFingerprint;
+use badgerferry_lib::relay::retry_pool;
 use badgerferry_lib::relay::retry_window::RetryBudgetRule;
 use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::relay::route_table::Route;
@@ -94,6 +95,8 @@
     /// Whether the caller has received the response head. From then on the response can only be
     /// continued or aborted.
     pub response_started: AtomicBool,
+    /// Whether the pool of the hall granted a retry that is not spent yet.
+    pooled_retry: AtomicBool,
     /// Host of the URI, or else of the Host header.
     pub host: String,
     /// Request method.
@@ -183,16 +186,34 @@
         max_wait.min(MAX_ADMISSION_WAIT)
     }
 
-    /// Whether the box's share of the retry budget has a retry left.
+    /// Whether the retry budget may have a retry left for this call.
     pub fn has_retry_budget(&self) -> bool {
         let (now, boxes) = (self.relay.clock.now(), self.relay.box_count());
-        self.with_retry_window(|window, rule| window.has_retry_left(now, rule, boxes))
+        retry_pool::is_used(&self.relay.settings.retries, boxes)
+            || self.with_retry_window(|window, rule| window.has_retry_left(now, rule, boxes))
     }
 
-    /// Takes one retry from the box's share of the retry budget, if one is left.
+    /// Requests a retry from the pool of the hall, if the next attempt needs one that the box has
+    /// not earned itself and the fleet is so large that the slack is pooled.
+    pub async fn prepare_retry(&self, attempts: &Attempts, end: AttemptEnd) {
+        let (now, boxes) = (self.relay.clock.now(), self.relay.box_count());
+        if !attempts.may_need_budget(end)
+            || !retry_pool::is_used(&self.relay.settings.retries, boxes)
+            || self.with_retry_window(|window, rule| window.has_retry_left(now, rule, boxes))
+        {
+            return;
+        }
+        if self.relay.gate.request_retry(&self.service).await {
+            self.pooled_retry.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes one retry from the box's share of the retry budget or from what the pool of the hall
+    /// granted, if one is left.
     pub fn try_spend_retry(&self) -> bool {
         let (now, boxes) = (self.relay.clock.now(), self.relay.box_count());
-        let allowed = self.with_retry_window(|window, rule| window.try_spend(now, rule, boxes));
+        let allowed = self.with_retry_window(|window, rule| window.try_spend(now, rule, boxes))
+            || self.pooled_retry.swap(false, Ordering::Relaxed);
         if !allowed {
             tracing::info!(
                 call = self.id(),
@@ -310,6 +331,7 @@
         fingerprint: OnceLock::new(),
         saw_crash: AtomicBool::new(false),
         response_started: AtomicBool::new(false),
+        pooled_retry: AtomicBool::new(false),
         host,
         method: parts.method,
         uri: parts
@@ -419,6 +441,7 @@
             AttemptResult::ServerError(response) => (AttemptEnd::ServerError, Some(response)),
             AttemptResult::Ended(end) => (end, None),
         };
+        call.prepare_retry(&attempts, end).await;
         match attempts.on_attempt_end(end, NO_SERVER_RETRY, || call.try_spend_retry()) {
             NextStep::TryElsewhere => {}
             NextStep::PassOn => {
--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -93,6 +93,7 @@
         let now = relay.clock.now();
         expire_held_entries(relay);
         relay.gate.expire_cold();
+        relay.gate.pool_owner();
         log_reachability(relay);
         log_scope(relay, &mut scope);
         let rows = lock(&relay.loads).own_table(now);
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -30,6 +30,7 @@
 mod notice_log;
 mod peer_connections;
 mod permit_transport;
+mod pooled_retries;
 mod pulls;
 mod request_body;
 mod request_quarantine;
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -34,6 +34,8 @@
 use badgerferry_lib::relay::quota_owner::OwnedQuotas;
 use badgerferry_lib::relay::quota_owner::QuotaOwner;
 use badgerferry_lib::relay::request_fingerprint::ServerIncarnation;
+use badgerferry_lib::relay::retry_pool::RetryPool;
+use badgerferry_lib::relay::retry_window::RetryBudgetRule;
 use badgerferry_lib::relay::server_notices::Notice;
 use badgerferry_lib::relay::server_notices::NoticeChanges;
 use badgerferry_lib::relay::server_notices::NoticeRows;
@@ -117,16 +119,22 @@
     pub urgent_changed: Arc<Notify>,
     /// Notifies the sender of the hall's load to other halls.
     pub hall_changed: Arc<Notify>,
+    /// Data hall of this box.
+    pub hall: HallName,
+    /// Retry budget of the fleet.
+    pub retries: RetryBudgetRule,
 }
 
 /// Gate that admits requests to servers.
 #[derive(Debug)]
 pub struct ServerGate {
-    context: GateContext,
+    pub(super) context: GateContext,
     /// Notices from server responses and from gossip.
     pub notices: Mutex<ServerNotices>,
     /// Quotas owned by this box.
-    quotas: Mutex<OwnedQuotas>,
+    pub(super) quotas: Mutex<OwnedQuotas>,
+    /// Retries granted to boxes of this hall.
+    pub(super) retry_pool: Mutex<RetryPool>,
     /// Sends permit requests and responses, and delivers the responses of other boxes.
     pub permits: PermitTransport,
 }
@@ -138,6 +146,7 @@
             context,
             notices: Mutex::default(),
             quotas: Mutex::default(),
+            retry_pool: Mutex::default(),
             permits: PermitTransport::default(),
         }
     }
@@ -294,7 +303,7 @@
         self.availability_in([&target.hall], announced)
     }
 
-    fn now(&self) -> Time {
+    pub(super) fn now(&self) -> Time {
         self.context.clock.now()
     }
 
@@ -323,7 +332,9 @@
                 self.decide(&target.hall, target.incarnation, shares, max_wait)
             }
             QuotaOwner::Remote(address) => {
-                self.request_from_owner(address, permit_request(target, rows, max_wait))
+                let request = permit_request(target, rows, max_wait);
+                let id = request.id;
+                self.request_from_owner(address, id, PermitFrame::Request(request))
                     .await
             }
             QuotaOwner::Unknown => PermitDecision::NotOwner,
@@ -339,13 +350,12 @@
         Err(retry_in)
     }
 
-    async fn request_from_owner(
+    pub(super) async fn request_from_owner(
         &self,
         address: SocketAddr,
-        request: PermitRequest,
+        id: u64,
+        frame: PermitFrame,
     ) -> PermitDecision {
-        let id = request.id;
-        let frame = PermitFrame::Request(request);
         for response_timeout in RESPONSE_TIMEOUTS {
             let response = self.permits.register(id);
             self.permits.send(address, &frame);
@@ -390,6 +400,9 @@
             Ok(PermitFrame::Request(request)) => {
                 Some(PermitFrame::Response(self.respond(&request)))
             }
+            Ok(PermitFrame::Retry(request)) => {
+                Some(PermitFrame::Response(self.respond_to_retry(request)))
+            }
             Ok(PermitFrame::Charge(request)) => {
                 self.apply_charge(&request);
                 None
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -175,6 +175,8 @@
             load_changed: Arc::clone(&load_changed),
             urgent_changed: Arc::clone(&urgent_changed),
             hall_changed: Arc::clone(&hall_changed),
+            hall: settings.hall.clone(),
+            retries: settings.retries,
         });
         let held_bytes = HeldByteAccount::new(clock, settings.memory);
         let body_bound = held_bytes.limits().map(|limits| limits.side);
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -210,6 +210,9 @@
         let is_paused = end == AttemptEnd::LeftUnread;
         live = loop {
             let already_spent = std::mem::take(&mut retry_spent);
+            if !is_paused && !already_spent {
+                call.prepare_retry(attempts, end).await;
+            }
             let may_retry = || {
                 if is_paused {
                     call.try_spend_retry_on_pause()
@@ -325,6 +328,7 @@
             Err(failure) => {
                 // Silence alone does not end a stream: if it may not be resumed on another server,
                 // the attempt goes on until the deadline of the call.
+                call.prepare_retry(attempts, AttemptEnd::Lost).await;
                 retry_spent = attempts.may_retry() && call.try_spend_retry();
                 if !retry_spent {
                     silence = Silence::TOLERATED;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_relay_limits;
 mod test_relay_prompt_parts;
 mod test_relay_reservations;
+mod test_relay_retry_pool;
 mod test_relay_server_paths;
 mod test_relay_shedding;
 mod test_relay_slow_engines;
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -113,6 +113,18 @@
         self.repeatable && self.has_attempt_left()
     }
 
+    /// Whether the next attempt, after one that ended like this, takes a retry from the budget.
+    pub const fn may_need_budget(&self, end: AttemptEnd) -> bool {
+        let (has_not_run, sent) = match end {
+            AttemptEnd::NoConnection => (true, self.sent.saturating_sub(1)),
+            AttemptEnd::Declined | AttemptEnd::Shed | AttemptEnd::Full { .. } => (true, self.sent),
+            AttemptEnd::Lost | AttemptEnd::LeftUnread | AttemptEnd::ServerError => {
+                (false, self.sent)
+            }
+        };
+        sent > 0 && (self.repeatable || has_not_run) && sent - self.times_shed <= self.max_sent
+    }
+
     /// Whether a stream that its caller left unread may be resumed once the caller reads again. The
     /// retry budget is not considered.
     pub const fn may_resume_pause(&self) -> bool {
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -38,6 +38,7 @@
 pub mod quota_owner;
 pub mod reader_patience;
 pub mod request_fingerprint;
+pub mod retry_pool;
 pub mod retry_window;
 pub(crate) mod round_robin;
 pub mod route_table;
--- a/lib/src/relay/permit_wire.rs
+++ b/lib/src/relay/permit_wire.rs
@@ -1,5 +1,5 @@
 //! Datagrams with which a box requests a permit for a call to a limited server from the box that
-//! owns the server's quota.
+//! owns the server's quota, or a retry from the owner of its hall's pool.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -7,10 +7,11 @@
 use crate::ids::HallName;
 use crate::relay::request_fingerprint::ServerIncarnation;
 use crate::relay::server_notices::NoticeRows;
+use crate::relay::server_paths::ServiceKey;
 
 /// First byte of a permit datagram: the protocol version, which also distinguishes it from load
 /// datagrams, whose first byte differs.
-const PERMIT_VERSION: u8 = 0x82;
+const PERMIT_VERSION: u8 = 0x83;
 
 /// Message between a box and a quota owner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +22,17 @@
     Charge(PermitRequest),
     /// Response to a request.
     Response(PermitResponse),
+    /// Requests a retry from the pool of the sender's hall.
+    Retry(RetryRequest),
+}
+
+/// Request for a retry of a call to a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetryRequest {
+    /// Random request ID, the same if the request is repeated.
+    pub id: u64,
+    /// Service of the call.
+    pub service: ServiceKey,
 }
 
 /// Request for a permit for one call.
--- a/lib/src/relay/retry_window.rs
+++ b/lib/src/relay/retry_window.rs
@@ -3,11 +3,13 @@
 //! The budget applies to the sum over all boxes in every sliding window, without coordination. Each
 //! box earns retries in proportion to its own first sends within the window, and in addition gets
 //! the slack divided by twice the number of boxes that it knows. So the sum stays within the budget
-//! while boxes restart, are partitioned, or do not know of each other.
+//! while boxes restart, are partitioned, or do not know of each other. In a fleet of so many boxes
+//! that this is too little to be of use, the slack belongs to [`crate::relay::retry_pool`] instead.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::relay::retry_pool;
 use crate::time::Time;
 
 /// Number of slices in which sends are counted within the window. The slice that is only partly
@@ -33,6 +35,13 @@
     pub slack: f64,
 }
 
+impl RetryBudgetRule {
+    /// One box's share of the slack, in retries per window.
+    pub(crate) fn own_slack(&self, boxes: usize) -> f64 {
+        self.slack / (ASSUMED_BOXES_PER_KNOWN * boxes.max(1) as f64)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Slice {
     number: u64,
@@ -89,7 +98,11 @@
             .map(|slice| slice.first_sends)
             .sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        let share = budget.slack / (ASSUMED_BOXES_PER_KNOWN * boxes.max(1) as f64);
+        let share = if retry_pool::is_used(budget, boxes) {
+            0.0
+        } else {
+            budget.own_slack(boxes)
+        };
         let allowed = budget.ratio * SPENDABLE_FRACTION * f64::from(first_sends) + share;
         f64::from(retries) + 1.0 <= allowed * fraction
     }
--- a/lib/tests/test_relay_retry_model.rs
+++ b/lib/tests/test_relay_retry_model.rs
@@ -14,6 +14,7 @@
 fn plan(boxes: usize) -> RetryPlan {
     RetryPlan {
         boxes,
+        halls: 5,
         budget: RetryBudgetRule {
             window: Duration::from_secs(10),
             ratio: 0.2,
@@ -21,7 +22,9 @@
         },
         calls_per_s: 136.0,
         failing: (0.01, 0.1),
+        owner_changes: None,
         restarts: None,
+        halls_cut: false,
         lasts: Duration::from_mins(2),
     }
 }
@@ -44,3 +47,38 @@
         assert!(used <= 1.0, "{boxes} boxes: {used} of the budget used");
     }
 }
+
+#[test]
+fn budget_holds_while_every_call_fails_and_owners_change() {
+    for boxes in SIZES {
+        for owner_changes in [1, 3, 9] {
+            let plan = RetryPlan {
+                calls_per_s: 600.0,
+                failing: (0.0, 1.0),
+                owner_changes: Some(Duration::from_secs(owner_changes)),
+                restarts: Some(Duration::from_secs(30)),
+                ..plan(boxes)
+            };
+
+            let (_, used) = play(&plan);
+
+            assert!(used <= 1.0, "{boxes} boxes: {used} of the budget used");
+        }
+    }
+}
+
+#[test]
+fn budget_holds_while_halls_are_cut_in_two() {
+    for boxes in SIZES {
+        let plan = RetryPlan {
+            calls_per_s: 600.0,
+            failing: (0.0, 1.0),
+            halls_cut: true,
+            ..plan(boxes)
+        };
+
+        let (_, used) = play(&plan);
+
+        assert!(used <= 1.0, "{boxes} boxes: {used} of the budget used");
+    }
+}
--- a/lib/tests/test_relay_retry_window.rs
+++ b/lib/tests/test_relay_retry_window.rs
@@ -46,16 +46,18 @@
 
 #[test]
 fn first_sends_earn_retries() {
-    let mut window = RetryWindow::default();
     let now = Time::from_millis(500);
-    for _ in 0..100 {
-        window.record_first_send(now, &BUDGET);
-    }
-
-    let spent = spend_retries(&mut window, now, 1_000, 50);
+    let spent = [10, 25, 50].map(|boxes| {
+        let mut window = RetryWindow::default();
+        for _ in 0..100 {
+            window.record_first_send(now, &BUDGET);
+        }
+        spend_retries(&mut window, now, 1_000, boxes)
+    });
 
-    // 0.8 * 0.2 * 100 earned retries, and an equal share of the slack for 100 assumed boxes.
-    assert_eq!(spent, 17);
+    // 0.8 * 0.2 * 100 earned retries, and an equal share of the slack for twice as many boxes, unless
+    // that is too small and belongs to the pools.
+    assert_eq!(spent, [16 + 5, 16 + 2, 16]);
 }
 
 #[test]
--- a/testutils/src/retry_model.rs
+++ b/testutils/src/retry_model.rs
@@ -4,8 +4,13 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use badgerferry_lib::relay::retry_pool;
+use badgerferry_lib::relay::retry_pool::PoolScope;
+use badgerferry_lib::relay::retry_pool::RetryPool;
 use badgerferry_lib::relay::retry_window::RetryBudgetRule;
 use badgerferry_lib::relay::retry_window::RetryWindow;
+use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::relay::server_paths::ServiceKey;
 use badgerferry_lib::time::Time;
 use rand::Rng;
 use rand::SeedableRng;
@@ -18,16 +23,22 @@
 /// What is played.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryPlan {
-    /// Number of boxes.
+    /// Boxes, evenly divided among the halls.
     pub boxes: usize,
+    /// Data halls.
+    pub halls: usize,
     /// Retry budget of the fleet.
     pub budget: RetryBudgetRule,
     /// Calls a second.
     pub calls_per_s: f64,
     /// Fraction of the calls that need a retry: usually, and while servers crash.
     pub failing: (f64, f64),
+    /// Time after which the owner of a pool is replaced by one that knows nothing.
+    pub owner_changes: Option<Duration>,
     /// Time in which each box restarts once.
     pub restarts: Option<Duration>,
+    /// Whether each hall is cut in two from the middle on.
+    pub halls_cut: bool,
     /// How long it is played.
     pub lasts: Duration,
 }
@@ -50,11 +61,21 @@
     }
 }
 
+/// Pool of a hall, or of half of one.
+#[derive(Default)]
+struct Owner {
+    pool: RetryPool,
+    since: Time,
+}
+
 /// Plays a budget.
 pub fn run(plan: &RetryPlan, seed: u64) -> RetryCounts {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let service = ServiceKey::of(&ServiceName::new("engines"));
     let mut windows: Vec<RetryWindow> = Vec::new();
     windows.resize_with(plan.boxes, RetryWindow::default);
+    let mut owners: Vec<Owner> = Vec::new();
+    owners.resize_with(2 * plan.halls, Owner::default);
     let mut sums = Sums::default();
     let mut counts = RetryCounts::default();
     let mut now = Time::ZERO;
@@ -71,7 +92,18 @@
         if rng.random::<f64>() >= failing(plan, now) {
             continue;
         }
-        let is_allowed = windows[at].try_spend(now, &plan.budget, plan.boxes);
+        let is_cut = plan.halls_cut && now >= Time::ZERO + plan.lasts / 2;
+        let half = usize::from(is_cut && at % 2 == 1);
+        let owner = &mut owners[2 * (at / 2 % plan.halls) + half];
+        keep_owner(plan, now, owner);
+        let scope = PoolScope {
+            boxes: plan.boxes,
+            hall_boxes: plan.boxes / plan.halls,
+            owners: 1 + usize::from(is_cut),
+        };
+        let is_allowed = windows[at].try_spend(now, &plan.budget, plan.boxes)
+            || (retry_pool::is_used(&plan.budget, plan.boxes)
+                && owner.pool.try_grant(now, service, &plan.budget, scope));
         if now >= Time::ZERO + plan.budget.window {
             counts.needed += 1;
             counts.allowed += u64::from(is_allowed);
@@ -106,6 +138,18 @@
     }
 }
 
+fn keep_owner(plan: &RetryPlan, now: Time, owner: &mut Owner) {
+    if plan
+        .owner_changes
+        .is_some_and(|period| now.since(owner.since) >= period)
+    {
+        *owner = Owner {
+            since: now,
+            ..Owner::default()
+        };
+    }
+}
+
 #[derive(Default)]
 struct Sums {
     first_sends: VecDeque<Time>,
