gossip: hubs distribute the datagrams of a data hall of many boxes

Each box told all others of its hall. The interval between two datagrams grew by a millisecond with each box while the liveness time-out stayed at 1,200 ms, so one lost datagram made a box of a hall of 217 seem dead.

In a hall of over 101 boxes the highest-ranked ones, as many as the square root of the hall, are hubs. Other boxes send their datagrams to one hub; hubs exchange and distribute what others act on, at once if urgent, else every 40 ms or one millisecond for each receiver. Boxes announce how many boxes they know, and those that know fewer request the list from them; before, any peer was asked.

--- a/daemon/src/relay/cluster_view.rs
+++ b/daemon/src/relay/cluster_view.rs
@@ -4,6 +4,7 @@
 use badgerferry_lib::relay::carriers::PeerPaths;
 use badgerferry_lib::relay::gossip_topology::Boxes;
 use badgerferry_lib::relay::gossip_topology::GossipScope;
+use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::peer_liveness::PeerLiveness;
 use badgerferry_lib::relay::quota_owner::QuotaOwner;
 use badgerferry_lib::relay::server_list::ServerList;
@@ -24,8 +25,8 @@
     pub store_answered_at: Option<Time>,
     /// When a peer last announced that it follows the store.
     pub peer_followed_store_at: Option<Time>,
-    /// Whether a datagram came from a box that is not in `boxes`, since `boxes_requested_at`.
-    pub has_unknown_peer: bool,
+    /// Whether a datagram showed that `boxes` is incomplete, since `boxes_requested_at`.
+    pub lacks_boxes: bool,
     /// When a pull last requested the list of boxes.
     pub boxes_requested_at: Option<Time>,
 }
@@ -42,6 +43,11 @@
         }
     }
 
+    /// Whether the sender of a datagram is unknown or knows more boxes.
+    pub fn lacks_boxes_of(&self, datagram: &LoadDatagram) -> bool {
+        datagram.known_boxes as usize > self.boxes.len() || !self.boxes.contains_key(&datagram.from)
+    }
+
     /// Which boxes this one sends its load to and shares its preferred engines with.
     pub fn scope(&self) -> GossipScope {
         GossipScope::of(&self.boxes)
--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -3,52 +3,37 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use anyhow::Context;
-use badgerferry_lib::ids::HallName;
 use badgerferry_lib::relay::engine_load::EngineKey;
 use badgerferry_lib::relay::engine_load::EngineLoad;
 use badgerferry_lib::relay::gossip_topology;
 use badgerferry_lib::relay::gossip_topology::DelegateRole;
-use badgerferry_lib::relay::gossip_topology::GOSSIP_INTERVAL_PER_BOX;
 use badgerferry_lib::relay::gossip_topology::GossipScope;
 use badgerferry_lib::relay::gossip_topology::MAX_HALL_GOSSIP_INTERVAL;
 use badgerferry_lib::relay::gossip_topology::MIN_HALL_GOSSIP_INTERVAL;
-use badgerferry_lib::relay::gossip_topology::QUEUED_PROMPT_HEARTBEAT;
-use badgerferry_lib::relay::hall_reachability::HEARTBEAT_INTERVAL;
+use badgerferry_lib::relay::hall_hubs::HallRole;
 use badgerferry_lib::relay::load_datagram::LoadDatagram;
 use badgerferry_lib::relay::load_datagram::LoadSource;
-use badgerferry_lib::relay::load_datagram::MAX_DATAGRAM_BYTES;
-use badgerferry_lib::relay::permit_wire::PermitFrame;
-use badgerferry_lib::relay::pull_timer::Missing;
-use badgerferry_lib::relay::pull_timer::PullTimer;
 use badgerferry_lib::relay::quarantine::RunScope;
 use badgerferry_lib::relay::server_paths::ServiceKey;
-use badgerferry_lib::relay::slow_engine_tracker::ReportOrigin;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
-use badgerferry_lib::relay::state_pull::KnownState;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use metrics::counter;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::relay::datagram_receiver;
+use crate::relay::hub_gossip;
 use crate::relay::listener;
 use crate::relay::permit_transport::OutgoingDatagram;
 use crate::relay::pulls;
-use crate::relay::request_quarantine;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
-/// Minimum interval between forwarded datagrams of the same other hall.
-const MIN_FORWARD_INTERVAL: Duration = Duration::from_millis(10);
-/// Minimum interval between pulls, so that one pull fetches changes made in quick succession.
-const MIN_PULL_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Sockets for datagrams (UDP) and pulls (TCP) between boxes.
 #[derive(Debug)]
 pub struct PeerSockets {
@@ -74,8 +59,9 @@
     let PeerSockets { load, pull } = sockets;
     tokio::join!(
         send_own_load(relay, &load),
-        receive_datagrams(relay, &load),
+        datagram_receiver::receive(relay, &load),
         send_hall_load(relay, &load),
+        hub_gossip::send_batches(relay, &load),
         send_permits(relay, &load),
         pulls::serve_pulls(relay, pull),
         pulls::bootstrap(relay),
@@ -104,21 +90,28 @@
             ..build_datagram(relay, now, sequence, LoadSource::Box, rows)
         };
         let queue_head = datagram.queue_head;
-        let peers = peers(relay);
-        send_to_all(socket, &mut datagram, &peers).await;
+        let role = hub_gossip::role(relay, now);
+        let peers = match &role {
+            HallRole::Mesh => peers(relay),
+            HallRole::Hub => Vec::new(),
+            HallRole::Member(hubs) => hubs.iter().map(|hub| hub.load).collect(),
+        };
+        match &role {
+            HallRole::Hub => {
+                hub_gossip::introduce(relay, socket, now, &mut datagram).await;
+                hub_gossip::distribute(relay, &mut datagram);
+            }
+            HallRole::Mesh | HallRole::Member(_) => {
+                datagram.is_for_hub = role != HallRole::Mesh;
+                send_to_all(socket, &mut datagram, &peers).await;
+            }
+        }
         if lock(&relay.quarantine).has_unreported(now, RunScope::Box) {
             relay.urgent_changed.notify_one();
         }
-        let heartbeat = match queue_head {
-            Some(_) => QUEUED_PROMPT_HEARTBEAT,
-            None => HEARTBEAT_INTERVAL,
-        };
-        is_urgent = wait_for_change(
-            relay,
-            GOSSIP_INTERVAL_PER_BOX * peers.len() as u32,
-            heartbeat,
-        )
-        .await;
+        let min_interval = role.min_interval(peers.len());
+        let heartbeat = role.heartbeat(queue_head.is_some());
+        is_urgent = wait_for_change(relay, min_interval, heartbeat).await;
         if is_urgent {
             relay.hall_changed.notify_one();
         }
@@ -227,7 +220,11 @@
     };
     let suspects = lock(&relay.quarantine).rows(now, run_scope);
     let notices = lock(&relay.gate.notices).rows(now);
-    let unconfirmed = lock(&relay.cluster_view).servers.unconfirmed_digest();
+    let (unconfirmed, known_boxes) = {
+        let cluster_view = lock(&relay.cluster_view);
+        let unconfirmed = cluster_view.servers.unconfirmed_digest();
+        (unconfirmed, cluster_view.boxes.len() as u32)
+    };
     LoadDatagram {
         version: FRAME_VERSION,
         from: relay.settings.name.clone(),
@@ -235,7 +232,9 @@
         sequence,
         source,
         is_urgent: false,
+        is_for_hub: false,
         known_state: relay.known_state(),
+        known_boxes,
         unconfirmed,
         follows_store: relay.follows_store(),
         queue_head: None,
@@ -255,12 +254,22 @@
     paths.cut_off().map(ServiceKey::of).collect()
 }
 
-async fn send_to_all(socket: &UdpSocket, datagram: &mut LoadDatagram, to: &[SocketAddr]) {
+/// Encodes a datagram and sends it to several boxes.
+pub async fn send_to_all(socket: &UdpSocket, datagram: &mut LoadDatagram, to: &[SocketAddr]) {
+    send_bytes(socket, &encode(datagram), to).await;
+}
+
+/// Encodes a datagram, without the rows that do not fit.
+pub fn encode(datagram: &mut LoadDatagram) -> Vec<u8> {
     let omitted = datagram.truncate_rows();
     counter!("badgerferry_load_rows_left_out_total").increment(omitted as u64);
-    let bytes = datagram.encode();
+    datagram.encode()
+}
+
+/// Sends a datagram to several boxes.
+pub async fn send_bytes(socket: &UdpSocket, bytes: &[u8], to: &[SocketAddr]) {
     for address in to {
-        if let Err(cause) = socket.send_to(&bytes, address).await {
+        if let Err(cause) = socket.send_to(bytes, address).await {
             counter!("badgerferry_datagrams_dropped_total", "why" => "not_sent").increment(1);
             tracing::debug!(%address, %cause, "datagram not sent");
         }
@@ -317,7 +326,7 @@
 }
 
 /// Addresses of the boxes that this one sends its load to.
-fn peers(relay: &Relay) -> Vec<SocketAddr> {
+pub fn peers(relay: &Relay) -> Vec<SocketAddr> {
     let cluster_view = lock(&relay.cluster_view);
     let scope = cluster_view.scope();
     let own = &relay.settings;
@@ -330,196 +339,3 @@
         .filter_map(|peer| peer.load.parse().ok())
         .collect()
 }
-
-async fn receive_datagrams(relay: &Arc<Relay>, socket: &UdpSocket) {
-    let mut buf = vec![0; MAX_DATAGRAM_BYTES * 2];
-    let pull_timer = Arc::new(Mutex::new(PullTimer::default()));
-    let pull_spread = rand::random_range(0.0..1.0);
-    let mut pull_task: Option<JoinHandle<()>> = None;
-    let mut forward_times = ForwardTimes::default();
-    loop {
-        let datagram = match socket.recv_from(&mut buf).await {
-            Ok((len, from)) if PermitFrame::has_version_byte(&buf[..len]) => {
-                if let Some(response) = relay.gate.handle_datagram(&buf[..len]) {
-                    relay.gate.permits.send(from, &response);
-                }
-                continue;
-            }
-            Ok((len, _from)) => LoadDatagram::decode(&buf[..len]),
-            Err(cause) => {
-                tracing::debug!(%cause, "receiving a datagram failed");
-                tokio::time::sleep(GOSSIP_INTERVAL_PER_BOX).await;
-                continue;
-            }
-        };
-        let mut datagram = match datagram {
-            Ok(datagram) => datagram,
-            Err(cause) => {
-                counter!("badgerferry_datagrams_dropped_total", "why" => "malformed").increment(1);
-                tracing::debug!(%cause, "datagram dropped: malformed");
-                continue;
-            }
-        };
-        let now = relay.clock.now();
-        merge_rows(relay, now, &mut datagram);
-        record_peer(relay, now, &datagram);
-        request_quarantine::merge_reports(relay, now, &datagram);
-        let source = source_name(&datagram);
-        let has_cold_news = relay.gate.merge_rows(&datagram.notices, source);
-        if forward_times.is_due(relay, now, &datagram, has_cold_news) {
-            forward(relay, socket, &datagram).await;
-        }
-        let known_state = relay.known_state();
-        let delay = missing(relay, now, known_state, &datagram).pull_delay(
-            was_forwarded(&datagram),
-            relay.must_follow_store(),
-            pull_spread,
-        );
-        let is_pulling = pull_task.as_ref().is_some_and(|task| !task.is_finished());
-        let is_due = lock(&pull_timer).is_due(now, known_state, &datagram.from, delay);
-        if is_due && !is_pulling {
-            lock(&pull_timer).pull_started();
-            // A pull that hangs must not block the reception of datagrams.
-            let (relay, pull_timer) = (Arc::clone(relay), Arc::clone(&pull_timer));
-            pull_task = Some(tokio::spawn(async move {
-                pulls::catch_up(&relay, &pull_timer, datagram.from, datagram.unconfirmed).await;
-                tokio::time::sleep(MIN_PULL_INTERVAL).await;
-            }));
-        }
-    }
-}
-
-/// What this box lacks of what a datagram announces.
-fn missing(relay: &Relay, now: Time, known_state: KnownState, datagram: &LoadDatagram) -> Missing {
-    let wants_boxes = pulls::wants_boxes(relay);
-    let position = datagram.known_state.servers;
-    let servers = &lock(&relay.cluster_view).servers;
-    Missing {
-        state: known_state.is_behind(datagram.known_state),
-        unconfirmed: servers.lacks_unconfirmed(now, position, datagram.unconfirmed),
-        boxes: wants_boxes,
-    }
-}
-
-/// When the load of each other hall was last forwarded to the boxes of this one.
-#[derive(Default)]
-struct ForwardTimes {
-    last: HashMap<HallName, Time>,
-}
-
-impl ForwardTimes {
-    /// Whether to forward a datagram now. If so, records that it was forwarded. One that tells of
-    /// a cold server is forwarded in any case: the next one of its hall may come much later.
-    fn is_due(
-        &mut self,
-        relay: &Relay,
-        now: Time,
-        datagram: &LoadDatagram,
-        has_cold_news: bool,
-    ) -> bool {
-        let LoadSource::Hall { hall, is_forwarded } = &datagram.source else {
-            return false;
-        };
-        let last = self.last.get(hall);
-        let is_due = !is_forwarded
-            && *hall != relay.settings.hall
-            && (has_cold_news || last.is_none_or(|last| now.since(*last) >= MIN_FORWARD_INTERVAL));
-        if is_due {
-            self.last.insert(hall.clone(), now);
-        }
-        is_due
-    }
-}
-
-/// Name of the box or hall whose load a datagram contains.
-pub fn source_name(datagram: &LoadDatagram) -> &str {
-    match &datagram.source {
-        LoadSource::Box => &datagram.from,
-        LoadSource::Hall { hall, .. } => hall.as_str(),
-    }
-}
-
-const fn was_forwarded(datagram: &LoadDatagram) -> bool {
-    matches!(
-        datagram.source,
-        LoadSource::Hall {
-            is_forwarded: true,
-            ..
-        }
-    )
-}
-
-/// Forwards a datagram of another hall to the boxes of this one.
-async fn forward(relay: &Relay, socket: &UdpSocket, datagram: &LoadDatagram) {
-    let mut datagram = datagram.clone();
-    if let LoadSource::Hall { is_forwarded, .. } = &mut datagram.source {
-        *is_forwarded = true;
-    }
-    send_to_all(socket, &mut datagram, &peers(relay)).await;
-}
-
-fn merge_rows(relay: &Relay, now: Time, datagram: &mut LoadDatagram) {
-    let (incarnation, sequence) = (datagram.incarnation, datagram.sequence);
-    let from = &datagram.from;
-    match &datagram.source {
-        LoadSource::Box => {
-            let rows = std::mem::take(&mut datagram.rows);
-            let is_newer =
-                lock(&relay.loads).update_peer_table(now, from, incarnation, sequence, rows);
-            if is_newer {
-                lock(&relay.long_prompt_queue).record_box_head(now, from, datagram.queue_head);
-            }
-            if datagram.is_urgent {
-                relay.hall_changed.notify_one();
-            }
-        }
-        // Ignored: the boxes of the own hall send their load to this box directly.
-        LoadSource::Hall { hall, .. } if *hall == relay.settings.hall => {}
-        LoadSource::Hall { hall, .. } => {
-            let rows = datagram.rows.clone();
-            if lock(&relay.loads).update_hall_table(now, hall, incarnation, sequence, rows) {
-                lock(&relay.long_prompt_queue).record_hall_head(now, hall, datagram.queue_head);
-            }
-        }
-    }
-}
-
-/// Records that a peer is live, and applies its reports on servers.
-fn record_peer(relay: &Relay, now: Time, datagram: &LoadDatagram) {
-    let hall = {
-        let mut cluster_view = lock(&relay.cluster_view);
-        if datagram.follows_store {
-            cluster_view.peer_followed_store_at = Some(now);
-        }
-        cluster_view
-            .peer_liveness
-            .record(now, &datagram.from, datagram.known_state);
-        if datagram.source == LoadSource::Box {
-            cluster_view
-                .peer_paths
-                .record(&datagram.from, &datagram.cut_off);
-        }
-        let hall = cluster_view.boxes.get(&datagram.from);
-        let hall = hall.map(|peer| HallName::new(&peer.hall));
-        cluster_view.has_unknown_peer |= hall.is_none();
-        hall
-    };
-    let Some(hall) = hall else {
-        return;
-    };
-    let own_hall = &relay.settings.hall;
-    let origin = if hall == *own_hall {
-        ReportOrigin::OwnHall
-    } else {
-        ReportOrigin::OtherHall
-    };
-    lock(&relay.slow_engine_tracker).record_gossip(now, origin, &datagram.slow_engines);
-    let mut tracker = lock(&relay.tracker);
-    tracker.datagram_received(now, own_hall, &hall, &datagram.from);
-    tracker.apply_departures(now, &datagram.departures);
-    let excluded = tracker.apply_faults(now, own_hall, &hall, &datagram.faults);
-    drop(tracker);
-    for server in excluded {
-        tracing::info!(%server, from = datagram.from, "server excluded: reported by a peer");
-    }
-}
--- a/daemon/src/relay/pulls.rs
+++ b/daemon/src/relay/pulls.rs
@@ -73,14 +73,20 @@
 /// Both frames of a response. The second one is the route table, and is sent only if that is newer.
 type ResponseFrames = (PullResponse, Option<RouteTable>);
 
-/// Whether this box lacks addresses of others and has not requested them recently.
-pub fn wants_boxes(relay: &Relay) -> bool {
+/// Whether this box has not requested the list of boxes recently.
+pub fn may_request_boxes(relay: &Relay) -> bool {
     let now = relay.clock.now();
-    let cluster_view = lock(&relay.cluster_view);
-    let requested_recently = cluster_view
-        .boxes_requested_at
-        .is_some_and(|at| now.since(at) < MIN_BOXES_REQUEST_INTERVAL);
-    (cluster_view.has_unknown_peer || cluster_view.boxes.len() < 2) && !requested_recently
+    let requested_at = lock(&relay.cluster_view).boxes_requested_at;
+    requested_at.is_none_or(|at| now.since(at) >= MIN_BOXES_REQUEST_INTERVAL)
+}
+
+/// Whether this box lacks addresses of others and has not requested them recently.
+fn wants_boxes(relay: &Relay) -> bool {
+    let lacks_boxes = {
+        let cluster_view = lock(&relay.cluster_view);
+        cluster_view.lacks_boxes || cluster_view.boxes.len() < 2
+    };
+    lacks_boxes && may_request_boxes(relay)
 }
 
 /// Pulls from the box `first`, which announced newer state. If it is busy or does not respond, tries
@@ -201,7 +207,7 @@
     if request.wants_boxes {
         let mut cluster_view = lock(&relay.cluster_view);
         cluster_view.boxes_requested_at = Some(relay.clock.now());
-        cluster_view.has_unknown_peer = false;
+        cluster_view.lacks_boxes = false;
     }
     let (response, table) = match timeout(PULL_TIMEOUT, request_state(address, &request)).await {
         Ok(Ok(response)) => response,
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -35,7 +35,7 @@
 use tokio::time::timeout;
 
 use crate::relay::call::Call;
-use crate::relay::gossip::source_name;
+use crate::relay::datagram_receiver::source_name;
 use crate::relay::peer_connections;
 use crate::relay::peer_connections::PeerVerdict;
 use crate::relay::server_path::Destination;
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -22,6 +22,7 @@
 use badgerferry_lib::relay::gossip_topology;
 use badgerferry_lib::relay::gossip_topology::Boxes;
 use badgerferry_lib::relay::gossip_topology::GossipScope;
+use badgerferry_lib::relay::hall_hubs::HallHubs;
 use badgerferry_lib::relay::long_prompt_queue::LongPromptQueue;
 use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::Quarantine;
@@ -89,6 +90,8 @@
     pub settings: BoxSettings,
     /// Random number that distinguishes this run of the process from others.
     pub incarnation: u64,
+    /// Random number from 0 to 1, by which boxes act at different times.
+    pub spread: f64,
     /// Clock of the process.
     pub clock: Clock,
     /// Current route table, if one is known yet.
@@ -129,6 +132,10 @@
     pub connection_pool: ConnectionPool,
     /// Servers, boxes and contact with the store.
     pub cluster_view: Arc<Mutex<ClusterView>>,
+    /// Gossip through hubs, if the own hall is large. Locked after `cluster_view`.
+    pub hubs: Mutex<HallHubs>,
+    /// Notifies the task that sends batches as a hub.
+    pub hub_batch_changed: Notify,
     /// Current route table as sent to other boxes.
     encoded_table: Mutex<Option<EncodedTable>>,
     /// Notifies the sender of this box's load, which waits for its minimum interval.
@@ -182,9 +189,11 @@
         let body_bound = held_bytes.limits().map(|limits| limits.side);
         let quarantine = Mutex::new(Quarantine::with_crash_delay(settings.crash_delay));
         let server_paths = Mutex::new(ServerPaths::new(settings.hall.clone()));
+        let hubs = Mutex::new(HallHubs::new(&settings.name));
         Self {
             settings,
             incarnation: rand::random(),
+            spread: rand::random_range(0.0..1.0),
             clock,
             routes: ArcSwapOption::empty(),
             routes_known: Notify::new(),
@@ -205,6 +214,8 @@
             carried: AtomicUsize::new(0),
             connection_pool: ConnectionPool::new(body_bound),
             cluster_view,
+            hubs,
+            hub_batch_changed: Notify::new(),
             encoded_table: Mutex::default(),
             load_changed,
             urgent_changed,
--- a/daemon/tests/fake_peer.rs
+++ b/daemon/tests/fake_peer.rs
@@ -71,6 +71,8 @@
         sequence,
         source: LoadSource::Box,
         is_urgent: false,
+        is_for_hub: false,
+        known_boxes: 0,
         known_state,
         unconfirmed: None,
         follows_store: false,
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -47,8 +47,12 @@
     /// Whether it carries an urgent change, such as one by a long prompt; it is then also sent to
     /// other halls at once.
     pub is_urgent: bool,
+    /// Whether the receiver is the sender's hub, see [`crate::relay::hall_hubs`].
+    pub is_for_hub: bool,
     /// Which state of the store the sender has.
     pub known_state: KnownState,
+    /// Number of boxes that the sender knows; boxes that know fewer request the list.
+    pub known_boxes: u32,
     /// Digest of the evacuations that the sender holds although the store does not list them.
     pub unconfirmed: Option<UnconfirmedDigest>,
     /// Whether the store answered the sender recently, so that others may follow it instead of the
@@ -85,6 +89,20 @@
 }
 
 impl LoadDatagram {
+    /// Whether other boxes act on anything that it contains. The sender's version of the state and
+    /// notices and crashes that it learned from others are no content: hubs announce these too.
+    pub fn has_content(&self) -> bool {
+        self.is_urgent
+            || self.queue_head.is_some()
+            || !self.rows.is_empty()
+            || !self.faults.is_empty()
+            || !self.departures.is_empty()
+            || !self.cut_off.is_empty()
+            || !self.slow_engines.is_empty()
+            || !self.notices.shedding.is_empty()
+            || self.suspects.iter().any(|row| row.running)
+    }
+
     /// Serializes the datagram.
     ///
     /// # Panics
--- a/lib/src/relay/peer_liveness.rs
+++ b/lib/src/relay/peer_liveness.rs
@@ -41,6 +41,12 @@
 }
 
 impl PeerLiveness {
+    /// Records that another box heard a box, which announces no newer state by that.
+    pub fn record_heard(&mut self, heard_at: Time, name: &str) {
+        let known_state = self.peers.get(name).map(|peer| peer.known_state);
+        self.record(heard_at, name, known_state.unwrap_or_default());
+    }
+
     /// Records a datagram of a box, with the state that it announces.
     pub fn record(&mut self, heard_at: Time, name: &str, known_state: KnownState) {
         let known = self.peers.get(name);
--- a/lib/src/relay/pull_timer.rs
+++ b/lib/src/relay/pull_timer.rs
@@ -26,11 +26,28 @@
 /// in force within 3 s of a change. Evacuations have 5 s.
 const FORWARDED_DELAY_SPREAD: Duration = Duration::from_millis(500);
 
+/// Minimum delay after a datagram that came through a hub of the same hall from another box than
+/// that hub. The hub has pulled the state by then, and pulls from hubs are few for each.
+const OTHER_HUB_DELAY: Duration = Duration::from_millis(300);
+/// By how much that delay differs between boxes.
+const OTHER_HUB_DELAY_SPREAD: Duration = Duration::from_millis(300);
+
 /// How long a peer is skipped after a failed pull. Longer than a pull may take (0.7 s), so that
 /// another peer gets its turn in between, and short against the bound of 5 s for an evacuation, since
 /// it may be the only peer that is ahead.
 const FAILED_PEER_PAUSE: Duration = Duration::from_secs(1);
 
+/// How a datagram arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// From its sender.
+    Direct,
+    /// Through a hub of the own hall, from another box than that hub.
+    OtherHub,
+    /// From another hall, forwarded by a box of the own hall.
+    OtherHall,
+}
+
 /// What a datagram announces that the receiving box lacks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Missing {
@@ -45,21 +62,21 @@
 impl Missing {
     /// How long to wait before a pull; `None` if nothing is missing. `spread` is from 0 to 1, differs
     /// between boxes and stays the same at each.
-    pub fn pull_delay(
-        self,
-        is_forwarded: bool,
-        follows_store: bool,
-        spread: f64,
-    ) -> Option<Duration> {
-        let own_delay = if follows_store {
-            FOLLOWER_DELAY
-        } else {
-            Duration::ZERO
+    pub fn pull_delay(self, path: Path, follows_store: bool, spread: f64) -> Option<Duration> {
+        let spread = spread.clamp(0.0, 1.0);
+        let own_delay = match path {
+            _ if follows_store => FOLLOWER_DELAY,
+            Path::Direct | Path::OtherHall => Duration::ZERO,
+            Path::OtherHub => OTHER_HUB_DELAY + OTHER_HUB_DELAY_SPREAD.mul_f64(spread),
         };
+        let is_forwarded = path == Path::OtherHall;
         match self {
             Self {
                 unconfirmed: true, ..
-            } if !is_forwarded => Some(Duration::ZERO),
+            } if !is_forwarded => Some(match path {
+                Path::OtherHub => own_delay,
+                Path::Direct | Path::OtherHall => Duration::ZERO,
+            }),
             Self { boxes: true, .. } => Some(own_delay),
             Self { state: true, .. } if !is_forwarded => Some(own_delay),
             Self {
@@ -67,9 +84,7 @@
                 unconfirmed: false,
                 boxes: false,
             } => None,
-            Self { .. } => {
-                Some(FORWARDED_DELAY + FORWARDED_DELAY_SPREAD.mul_f64(spread.clamp(0.0, 1.0)))
-            }
+            Self { .. } => Some(FORWARDED_DELAY + FORWARDED_DELAY_SPREAD.mul_f64(spread)),
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_relay_evacuated_halls;
 mod test_relay_event_join;
 mod test_relay_gossip_topology;
+mod test_relay_hall_hubs;
 mod test_relay_hall_planner;
 mod test_relay_hall_reachability;
 mod test_relay_held_bytes;
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -196,6 +196,8 @@
         sequence: 12,
         source: LoadSource::Box,
         is_urgent: false,
+        is_for_hub: false,
+        known_boxes: 0,
         known_state: KnownState {
             routes: Some(3),
             servers: StorePosition {
--- a/lib/tests/test_relay_pull_timer.rs
+++ b/lib/tests/test_relay_pull_timer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use badgerferry_lib::relay::pull_timer::Missing;
+use badgerferry_lib::relay::pull_timer::Path;
 use badgerferry_lib::relay::pull_timer::PullTimer;
 use badgerferry_lib::relay::state_pull::KnownState;
 use badgerferry_lib::relay::store_position::StorePosition;
@@ -93,16 +94,22 @@
 
 #[test]
 fn box_that_follows_the_store_waits_for_its_own_watch() {
-    assert_eq!(STATE.pull_delay(false, false, 1.0), Some(Duration::ZERO));
-    assert_eq!(STATE.pull_delay(false, true, 1.0), DELAY);
-    assert_eq!(Missing::default().pull_delay(false, false, 1.0), None);
+    assert_eq!(
+        STATE.pull_delay(Path::Direct, false, 1.0),
+        Some(Duration::ZERO)
+    );
+    assert_eq!(STATE.pull_delay(Path::Direct, true, 1.0), DELAY);
+    assert_eq!(
+        Missing::default().pull_delay(Path::Direct, false, 1.0),
+        None
+    );
 }
 
 /// The box that forwards a datagram may be unable to pull from the other hall.
 #[test]
 fn forwarded_datagram_causes_a_pull_after_the_forwarding_box_had_time() {
-    let direct = STATE.pull_delay(false, true, 1.0);
-    let forwarded = [0.0, 0.5, 0.99].map(|spread| STATE.pull_delay(true, false, spread));
+    let direct = STATE.pull_delay(Path::Direct, true, 1.0);
+    let forwarded = [0.0, 0.5, 0.99].map(|spread| STATE.pull_delay(Path::OtherHall, false, spread));
 
     assert!(forwarded[0] > direct);
     assert!(forwarded.is_sorted_by(|a, b| a < b), "{forwarded:?}");
@@ -116,9 +123,12 @@
         ..Missing::default()
     };
 
-    assert_eq!(missing.pull_delay(false, true, 1.0), Some(Duration::ZERO));
     assert_eq!(
-        missing.pull_delay(true, true, 1.0),
-        STATE.pull_delay(true, true, 1.0)
+        missing.pull_delay(Path::Direct, true, 1.0),
+        Some(Duration::ZERO)
+    );
+    assert_eq!(
+        missing.pull_delay(Path::OtherHall, true, 1.0),
+        STATE.pull_delay(Path::OtherHall, true, 1.0)
     );
 }
--- a/testutils/src/bin/emulate/main.rs
+++ b/testutils/src/bin/emulate/main.rs
@@ -1,6 +1,7 @@
 //! Runs the library's decisions in virtual time: seeded runs with faults, and load.
 
 mod crashes;
+mod gossip;
 mod limits;
 mod relay;
 mod shedding;
@@ -39,6 +40,7 @@
     Relay(relay::RelayArgs),
     Compare(relay::CompareArgs),
     Crashes(crashes::CrashArgs),
+    Gossip(gossip::GossipArgs),
     Limits(limits::LimitArgs),
     Shedding(shedding::ShedArgs),
 }
@@ -261,6 +263,10 @@
             crashes::play(&args);
             return Ok(());
         }
+        Command::Gossip(args) => {
+            gossip::play(&args);
+            return Ok(());
+        }
         Command::Limits(args) => {
             limits::play(&args);
             return Ok(());
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fake_platform;
 pub mod fixtures;
 pub mod fleet;
+pub mod gossip_model;
 pub mod http;
 pub mod limit_model;
 pub mod load;
