store: first reads may be old, and boxes take over from followers in turn

At its start each box read the whole store at the full price. Then most boxes of a new fleet watched it: each knew few others and took itself for one of the first two of its hall, and a box counted as a follower once it had read. If both followers of a hall were turned away, all boxes of the hall called the store at the same time.

The first read may now be seconds old; the first watch or a peer brings what is newer. A new box that knows few of the boxes that others know waits for a follower. Boxes take over by rank, 300 ms apart, with a short first watch, and announce that they reach the store.

--- a/cli/src/commands/suspects.rs
+++ b/cli/src/commands/suspects.rs
@@ -7,6 +7,7 @@
 use argh::FromArgs;
 use badgerferry_lib::relay::quarantine::StoredFact;
 use badgerferry_lib::relay::suspect_key::SuspectKey;
+use badgerferry_platform::store::Freshness;
 use badgerferry_platform::store::Store;
 use badgerferry_platform::store::StoreError;
 use badgerferry_platform::store_change::Change;
@@ -60,7 +61,7 @@
         println!("{key} released: one run of it decides");
         return Ok(());
     }
-    let all = store.read_all().await;
+    let all = store.read_all(Freshness::Latest).await;
     let all = all.map_err(|cause| store_error("read the store", &cause))?;
     let rows = rows(&all.items);
     Format::from_switch(args.json).print(&rows, || render_text(&rows));
--- a/daemon/src/relay/cluster_view.rs
+++ b/daemon/src/relay/cluster_view.rs
@@ -27,6 +27,11 @@
     pub peer_followed_store_at: Option<Time>,
     /// Whether a datagram showed that `boxes` is incomplete, since `boxes_requested_at`.
     pub lacks_boxes: bool,
+    /// Largest number of boxes that another box announced to know.
+    pub announced_boxes: usize,
+    /// Whether the store did not list this box at its start. Then the other boxes are probably
+    /// starting for the first time as well, and do not know each other yet.
+    pub is_new_box: bool,
     /// When a pull last requested the list of boxes.
     pub boxes_requested_at: Option<Time>,
 }
@@ -48,6 +53,12 @@
         datagram.known_boxes as usize > self.boxes.len() || !self.boxes.contains_key(&datagram.from)
     }
 
+    /// Whether this box knows few of the boxes that another one knows, so that its own rank may be
+    /// wrong, and can request the others.
+    pub fn knows_few_boxes(&self) -> bool {
+        self.boxes.len() > 1 && 2 * self.boxes.len() < self.announced_boxes
+    }
+
     /// Which boxes this one sends its load to and shares its preferred engines with.
     pub fn scope(&self) -> GossipScope {
         GossipScope::of(&self.boxes)
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -21,6 +21,7 @@
 use badgerferry_lib::relay::evacuated_halls::HallSet;
 use badgerferry_lib::relay::gossip_topology;
 use badgerferry_lib::relay::gossip_topology::Boxes;
+use badgerferry_lib::relay::gossip_topology::FOLLOWERS_PER_HALL;
 use badgerferry_lib::relay::gossip_topology::GossipScope;
 use badgerferry_lib::relay::hall_hubs::HallHubs;
 use badgerferry_lib::relay::long_prompt_queue::LongPromptQueue;
@@ -62,8 +63,15 @@
 const STORE_CONTACT_TIMEOUT: Duration = Duration::from_secs(4);
 /// A box follows the store itself if no datagram of a peer that does so has arrived for this long.
 const PEER_FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Number of boxes of each hall that always follow the store.
-const FOLLOWERS_PER_HALL: usize = 2;
+/// Time from its start in which a box waits for a datagram of a peer that follows the store.
+const FIRST_FOLLOWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a box that is new to the fleet. When all boxes start for the first time, it takes
+/// some rounds until they have found each other.
+const NEW_BOX_FOLLOWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// The same for a new box that ranks among the followers of its hall, but knows few of the other
+/// boxes: from the first to the second duration, different for each box. So a few begin, and
+/// the others hear of them.
+const UNSURE_FOLLOWER_TIMEOUTS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(5)];
 
 /// Addresses and rank under which this box registers.
 pub fn own_addresses(settings: &BoxSettings) -> BoxAddresses {
@@ -280,18 +288,46 @@
     /// and boxes that receive no datagrams from a peer that follows it.
     pub fn must_follow_store(&self) -> bool {
         let now = self.clock.now();
-        let is_recent = |at: Time| now.since(at) < PEER_FOLLOWER_TIMEOUT;
-        let peer_followed_at = lock(&self.cluster_view).peer_followed_store_at;
-        self.is_follower_by_rank() || !peer_followed_at.is_some_and(is_recent)
+        let rank = self.rank_in_hall();
+        let cluster_view = lock(&self.cluster_view);
+        let uptime = now.since(Time::ZERO);
+        let is_new_box = cluster_view.is_new_box && uptime < NEW_BOX_FOLLOWER_TIMEOUT;
+        let is_first = rank < FOLLOWERS_PER_HALL;
+        let is_unsure = is_new_box && cluster_view.knows_few_boxes();
+        if is_first && !is_unsure {
+            return true;
+        }
+        let heard_at = cluster_view.peer_followed_store_at;
+        let max_silence = match heard_at {
+            _ if is_first => {
+                let [earliest, latest] = UNSURE_FOLLOWER_TIMEOUTS;
+                earliest + latest.saturating_sub(earliest).mul_f64(self.spread)
+            }
+            _ if is_new_box => NEW_BOX_FOLLOWER_TIMEOUT,
+            Some(_) => PEER_FOLLOWER_TIMEOUT,
+            None => FIRST_FOLLOWER_TIMEOUT,
+        };
+        let silent_for = heard_at.map_or(uptime, |at| now.since(at));
+        if cluster_view.peer_liveness.has_live_peer(now) {
+            silent_for >= gossip_topology::takeover_timeout(rank, max_silence)
+        } else {
+            silent_for >= max_silence
+        }
+    }
+
+    /// Whether this box can expect to learn soon from others which of them follow the store.
+    pub fn awaits_followers(&self) -> bool {
+        let is_new_box = lock(&self.cluster_view).is_new_box;
+        let seeds = self.settings.seeds.iter();
+        let has_seeds = seeds.filter(|seed| **seed != self.settings.pull).count() > 0;
+        self.rank_in_hall() >= FOLLOWERS_PER_HALL || (is_new_box && has_seeds)
     }
 
-    /// Whether this box is one of the highest-ranked boxes of its hall that it knows.
-    pub fn is_follower_by_rank(&self) -> bool {
+    /// Number of boxes of its hall that this box knows and that rank before it.
+    fn rank_in_hall(&self) -> usize {
         let cluster_view = lock(&self.cluster_view);
         let own = &self.settings;
-        let rank =
-            gossip_topology::rank_in_hall(&cluster_view.boxes, &own.hall, own.processor, &own.name);
-        rank < FOLLOWERS_PER_HALL
+        gossip_topology::rank_in_hall(&cluster_view.boxes, &own.hall, own.processor, &own.name)
     }
 
     /// Versions of the state that this box has.
--- a/daemon/src/relay/store_follower.rs
+++ b/daemon/src/relay/store_follower.rs
@@ -17,6 +17,7 @@
 use badgerferry_lib::relay::store_cursor::StoreCursor;
 use badgerferry_lib::relay::store_cursor::StoreRead;
 use badgerferry_lib::relay::store_position::StorePosition;
+use badgerferry_platform::store::Freshness;
 use badgerferry_platform::store::Store;
 use badgerferry_platform::store::StoreError;
 use badgerferry_platform::store_change::Change;
@@ -40,12 +41,12 @@
 ];
 /// Duration of a watch. A silently lost connection is detected after this plus the call time-out.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
-/// Duration of a watch while the store is unavailable.
+/// Duration of a watch while the store is unavailable, and of the first one.
 const OUTAGE_WATCH_WAIT: Duration = Duration::from_millis(50);
 /// Delay after a response, so that one call fetches changes made in quick succession.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
-/// Delay between the first full read and the first watch of a box that does not follow the store by
-/// its rank. In this time it learns whether peers do, so most boxes never start a watch.
+/// Delay between the first full read and the first watch of a box that expects others to follow the
+/// store. In this time it learns whether they do, so most boxes never start a watch.
 const FIRST_WATCH_DELAY: Duration = Duration::from_secs(1);
 /// Interval at which a box that relies on its peers checks that they still follow the store.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -76,7 +77,7 @@
         let pause = match follower.step(&mut store).await {
             Ok(()) => {
                 follower.record_success();
-                if is_first && !relay.is_follower_by_rank() {
+                if is_first && relay.awaits_followers() {
                     FIRST_WATCH_DELAY
                 } else {
                     BATCH_DELAY
@@ -91,6 +92,10 @@
 struct StoreFollower<'a> {
     relay: &'a Arc<Relay>,
     cursor: StoreCursor,
+    /// Whether a watch succeeded since this box last relied on its peers.
+    is_following: bool,
+    /// Whether the store was read since the start of the process.
+    has_read: bool,
     unavailable_since: Option<Instant>,
     failures: usize,
     backoff: Backoff,
@@ -110,6 +115,8 @@
         Self {
             relay,
             cursor: StoreCursor::default(),
+            is_following: false,
+            has_read: false,
             unavailable_since: None,
             failures: 0,
             backoff: Backoff::default(),
@@ -130,20 +137,32 @@
         let after = match self.cursor.next() {
             StoreRead::ChangesSince(position) => position,
             StoreRead::Full => {
-                let all = store.read_all().await?;
+                // The first watch, or a peer that follows the store, supplies what is newer.
+                let freshness = if self.has_read {
+                    Freshness::Latest
+                } else {
+                    Freshness::SecondsOld
+                };
+                let all = store.read_all(freshness).await?;
                 self.store_available();
-                self.apply_full_read(all.position, all.items);
+                let is_first = !std::mem::replace(&mut self.has_read, true);
+                self.apply_full_read(all.position, all.items, is_first);
                 self.cursor.advance_to(all.position);
                 return self.register(store, all.position.era).await;
             }
         };
         self.register(store, after.era).await?;
-        let wait = match self.unavailable_since {
-            Some(_) => OUTAGE_WATCH_WAIT,
-            None => WATCH_WAIT,
+        // The first one is short, so that others soon hear that this box reaches the store.
+        let wait = if self.unavailable_since.is_some() || !self.is_following {
+            OUTAGE_WATCH_WAIT
+        } else {
+            WATCH_WAIT
         };
         let watched = store.watch(after, wait).await?;
         self.store_available();
+        if !std::mem::replace(&mut self.is_following, true) {
+            self.relay.load_changed.notify_one();
+        }
         let mut servers_changed = false;
         for change in watched.changes {
             servers_changed |= matches!(
@@ -231,7 +250,10 @@
         let now = self.relay.clock.now();
         let mut cluster_view = lock(&self.relay.cluster_view);
         cluster_view.servers.store_available(now);
-        cluster_view.store_answered_at = Some(now);
+        // The first read may be old, so that others can't rely on this box yet.
+        if self.has_read {
+            cluster_view.store_answered_at = Some(now);
+        }
     }
 
     /// Advances the cursor to the state known from peers, from which this box continues if it has
@@ -244,6 +266,7 @@
         lock(&self.relay.cluster_view).servers.store_available(now);
         self.unavailable_since = None;
         self.failures = 0;
+        self.is_following = false;
     }
 
     fn record_success(&mut self) {
@@ -286,7 +309,7 @@
         self.backoff.next(&mut rand::rng()).min(MAX_RETRY_DELAY)
     }
 
-    fn apply_full_read(&mut self, position: StorePosition, items: Vec<Change>) {
+    fn apply_full_read(&mut self, position: StorePosition, items: Vec<Change>, is_first: bool) {
         let mut entries = ServerSnapshot {
             position,
             ..ServerSnapshot::default()
@@ -331,6 +354,7 @@
         let now = self.relay.clock.now();
         {
             let mut cluster_view = lock(&self.relay.cluster_view);
+            cluster_view.is_new_box = is_first && !is_registered;
             cluster_view.merge_boxes(now, boxes);
             cluster_view.servers.replace(now, entries);
         }
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -5,6 +5,7 @@
 
 use badgerferry_lib::relay::state_pull::BoxAddresses;
 use badgerferry_lib::relay::store_position::StorePosition;
+use badgerferry_platform::store::Freshness;
 use badgerferry_platform::store::Store as Client;
 use badgerferry_platform::store::StoreError;
 use badgerferry_standin::caller::Caller;
@@ -105,6 +106,24 @@
     Ok(())
 }
 
+/// Guards against a box that keeps the old state that its first read may return.
+#[tokio::test]
+async fn box_whose_first_read_is_old_follows_the_changes_since() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    store.put_routes(&desired_state(3, &["key-1"]));
+    let server = Server::start("i-0", "boards", Duration::from_millis(20)).await?;
+    store.put(&server.key(), &server.entry("ready"));
+    store.hold_old_reads();
+    store.put_routes(&desired_state(9, &["key-2"]));
+
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_ready().await?;
+
+    wait_status(&relay, "key-2", 200).await?;
+    assert_eq!(status(&relay, "key-1").await?, 401);
+    Ok(())
+}
+
 #[tokio::test]
 async fn older_route_table_version_is_ignored() -> anyhow::Result<()> {
     let world = TestCluster::start(1).await?;
@@ -516,7 +535,7 @@
     let mut client = Client::new(listener.local_addr()?, timeout);
     let response = tokio::spawn(respond_in_pieces(listener, timeout / 4));
 
-    let all = client.read_all().await?;
+    let all = client.read_all(Freshness::Latest).await?;
 
     assert_eq!(all.position.revision, 7);
     response.await?
--- a/lib/src/relay/gossip_topology.rs
+++ b/lib/src/relay/gossip_topology.rs
@@ -37,6 +37,14 @@
 /// its whole hall, so they share that work, and the hall is reached as long as one of them is live.
 const TARGETS_PER_HALL: usize = 4;
 
+/// Number of boxes of each hall that always follow the store.
+pub const FOLLOWERS_PER_HALL: usize = 2;
+/// Time between two boxes of a hall that begin to follow the store, in which the others hear that the
+/// first one reaches it.
+const TAKEOVER_INTERVAL: Duration = Duration::from_millis(300);
+/// Delay of the last boxes of a hall, which follow the store together.
+const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(4_800);
+
 /// Silence after which a box's entry is removed. A machine that is frozen, cut off or under repair
 /// usually returns earlier; until then it costs its peers an occasional datagram.
 const BOX_EXPIRY: Duration = Duration::from_mins(10);
@@ -89,6 +97,16 @@
     ranked.iter().filter(before).count()
 }
 
+/// Time without a datagram of a peer that follows the store after which the box of this rank in its
+/// hall follows the store itself, if it hears other peers.
+///
+/// Boxes begin one after the other, so that the others hear of the first one that reaches the store.
+/// In a large hall most boxes would otherwise call the store at the same time.
+pub fn takeover_timeout(rank: usize, silence: Duration) -> Duration {
+    let boxes_before = rank.saturating_sub(FOLLOWERS_PER_HALL);
+    silence + (TAKEOVER_INTERVAL * boxes_before as u32).min(MAX_TAKEOVER_DELAY)
+}
+
 /// Role of a box that sends its hall's load to other halls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DelegateRole {
--- a/lib/tests/test_relay_gossip_topology.rs
+++ b/lib/tests/test_relay_gossip_topology.rs
@@ -180,3 +180,37 @@
 
     assert!(expired.is_empty());
 }
+
+/// Number of boxes that call the store once its followers are turned away, if a box hears of one
+/// that reaches it after `ANNOUNCEMENT`.
+fn boxes_that_take_over(boxes: usize, reaches_store: impl Fn(usize) -> bool) -> usize {
+    const ANNOUNCEMENT: Duration = Duration::from_millis(250);
+    let starts_at = |rank| gossip_topology::takeover_timeout(rank, Duration::from_millis(1_500));
+    let reaching = (0..boxes).filter(|rank| reaches_store(*rank));
+    let heard_at = reaching.map(|rank| starts_at(rank) + ANNOUNCEMENT).min();
+    let others = gossip_topology::FOLLOWERS_PER_HALL..boxes;
+    others
+        .filter(|rank| heard_at.is_none_or(|heard_at| starts_at(*rank) < heard_at))
+        .count()
+}
+
+/// Guards against all boxes of a hall that call the store because its followers are turned away.
+#[test]
+fn few_boxes_take_over_from_followers_that_are_turned_away() {
+    for boxes in [217, 440] {
+        let turned_away = |from: usize| move |rank: usize| rank >= from;
+
+        let taking_over = [2, 3, 6].map(|from| boxes_that_take_over(boxes, turned_away(from)));
+
+        assert_eq!(taking_over, [1, 2, 5], "{boxes} boxes");
+    }
+}
+
+#[test]
+fn boxes_of_all_ranks_take_over_within_seven_seconds() {
+    let silence = Duration::from_millis(1_500);
+
+    let last = gossip_topology::takeover_timeout(10_000, silence);
+
+    assert!(last < Duration::from_secs(7), "{last:?}");
+}
