gossip: fewer wake-ups of an idle box

An idle box woke 18 to 24 times a second on its control thread (measured on three boxes of the debug build), and a member of a hub for each batch that held nothing but the sums of other halls, up to 25 a second. A box that is no delegate checks for that once a second, one that relies on followers of the store when it would be due to follow it itself, and the sender of loads has one timer in place of two. Sums of other halls are sent with the next batch. Neither changes what others learn by more than a heartbeat of a hub (200 ms).

--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -24,6 +24,7 @@
 use metrics::counter;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::relay::datagram_receiver;
@@ -34,6 +35,10 @@
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
+/// Interval at which a box that is no delegate checks whether it has become one. The primary
+/// delegate has a backup meanwhile.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Sockets for datagrams (UDP) and pulls (TCP) between boxes.
 #[derive(Debug)]
 pub struct PeerSockets {
@@ -152,8 +157,10 @@
                 let _ = timeout(max_wait, relay.hall_changed.notified()).await;
                 continue;
             }
+            tokio::time::sleep(MAX_HALL_GOSSIP_INTERVAL).await;
+        } else {
+            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
         }
-        tokio::time::sleep(MAX_HALL_GOSSIP_INTERVAL).await;
     }
 }
 
@@ -279,9 +286,11 @@
 /// Waits for a change or the next heartbeat, for at least `min_interval`. A change within that
 /// interval is sent at its end. An urgent change ends the wait at once, and true is returned.
 async fn wait_for_change(relay: &Relay, min_interval: Duration, heartbeat: Duration) -> bool {
+    let sent_at = Instant::now();
     let changed = async {
-        tokio::time::sleep(min_interval).await;
-        let _ = timeout(heartbeat, relay.load_changed.notified()).await;
+        // A time-out means that the heartbeat is due.
+        let _ = timeout(min_interval + heartbeat, relay.load_changed.notified()).await;
+        tokio::time::sleep_until(sent_at + min_interval).await;
     };
     tokio::select! {
         () = changed => false,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -287,6 +287,11 @@
     /// Each call to the store is billed, so only the highest-ranked boxes of each hall follow it,
     /// and boxes that receive no datagrams from a peer that follows it.
     pub fn must_follow_store(&self) -> bool {
+        self.follows_store_in().is_zero()
+    }
+
+    /// Time until this box follows the store itself, unless it hears a peer that does before.
+    pub fn follows_store_in(&self) -> Duration {
         let now = self.clock.now();
         let rank = self.rank_in_hall();
         let cluster_view = lock(&self.cluster_view);
@@ -295,7 +300,7 @@
         let is_first = rank < FOLLOWERS_PER_HALL;
         let is_unsure = is_new_box && cluster_view.knows_few_boxes();
         if is_first && !is_unsure {
-            return true;
+            return Duration::ZERO;
         }
         let heard_at = cluster_view.peer_followed_store_at;
         let max_silence = match heard_at {
@@ -307,12 +312,12 @@
             Some(_) => PEER_FOLLOWER_TIMEOUT,
             None => FIRST_FOLLOWER_TIMEOUT,
         };
-        let silent_for = heard_at.map_or(uptime, |at| now.since(at));
-        if cluster_view.peer_liveness.has_live_peer(now) {
-            silent_for >= gossip_topology::takeover_timeout(rank, max_silence)
+        let max_silence = if cluster_view.peer_liveness.has_live_peer(now) {
+            gossip_topology::takeover_timeout(rank, max_silence)
         } else {
-            silent_for >= max_silence
-        }
+            max_silence
+        };
+        now.until(heard_at.unwrap_or(Time::ZERO) + max_silence)
     }
 
     /// Whether this box can expect to learn soon from others which of them follow the store.
--- a/daemon/src/relay/store_follower.rs
+++ b/daemon/src/relay/store_follower.rs
@@ -48,8 +48,10 @@
 /// Delay between the first full read and the first watch of a box that expects others to follow the
 /// store. In this time it learns whether they do, so most boxes never start a watch.
 const FIRST_WATCH_DELAY: Duration = Duration::from_secs(1);
-/// Interval at which a box that relies on its peers checks that they still follow the store.
+/// Minimum and maximum interval at which a box that relies on its peers checks that they still follow
+/// the store.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const MAX_PEER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum delay after a failed call. Changes have to take effect within four seconds of the
 /// store's recovery.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -66,10 +68,12 @@
     let mut store = Store::new(relay.settings.store, STORE_CALL_TIMEOUT);
     let mut follower = StoreFollower::new(relay);
     loop {
-        if follower.registered_in.is_some() && !relay.must_follow_store() {
+        let follows_in = relay.follows_store_in();
+        if follower.registered_in.is_some() && !follows_in.is_zero() {
             follower.follow_peers();
             follower.reregister(&mut store).await;
-            tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+            let pause = follows_in.clamp(PEER_CHECK_INTERVAL, MAX_PEER_CHECK_INTERVAL);
+            tokio::time::sleep(pause).await;
             continue;
         }
         let is_first =
--- a/lib/src/relay/hall_hubs.rs
+++ b/lib/src/relay/hall_hubs.rs
@@ -412,12 +412,13 @@
         }
     }
 
-    /// Distributes a datagram of this box, or one of another hall that this box received.
+    /// Distributes a datagram of this box or of a member, or one of another hall, which is sent with
+    /// the next batch of these.
     pub fn distribute(&mut self, datagram: &LoadDatagram, bytes: Vec<u8>) {
         let pending = Pending {
             source: SourceKey::of(datagram),
             is_urgent: datagram.is_urgent,
-            is_lazy: false,
+            is_lazy: datagram.source != LoadSource::Box,
             bytes,
         };
         self.is_urgent |= datagram.is_urgent;
@@ -469,7 +470,8 @@
                 self.for_members.push(Pending {
                     source: SourceKey::of(&datagram),
                     is_urgent: datagram.is_urgent,
-                    is_lazy: datagram.from == hub && !datagram.has_content(),
+                    is_lazy: datagram.source != LoadSource::Box
+                        || (datagram.from == hub && !datagram.has_content()),
                     bytes,
                 });
             }
