--- a/lib/src/relay/hall_hubs.rs
+++ b/lib/src/relay/hall_hubs.rs
@@ -49,8 +49,8 @@
 const HUB_TIMEOUT: Duration = Duration::from_millis(650);
 /// How long a member avoids a hub that was silent, unless no other is left.
 const SILENT_HUB_PAUSE: Duration = Duration::from_secs(3);
-/// Number of hubs that a member tries at the same time when its hub is silent; doubled with each
-/// attempt, up to the second number.
+/// Number of hubs that a member tries at the same time when its hub is silent. Doubled with each
+/// attempt, up to [`MAX_HUBS_TRIED`].
 const HUBS_TRIED_FIRST: usize = 3;
 const MAX_HUBS_TRIED: usize = 48;
 /// Maximum number of boxes to which a hub introduces itself with each heartbeat.
