store: a new box that knows no others watches the store at once

Boxes that started together waited a second before their first watch if they had seeds, and knew nobody until then.

--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -320,12 +320,9 @@
         now.until(heard_at.unwrap_or(Time::ZERO) + max_silence)
     }
 
-    /// Whether this box can expect to learn soon from others which of them follow the store.
-    pub fn awaits_followers(&self) -> bool {
-        let is_new_box = lock(&self.cluster_view).is_new_box;
-        let seeds = self.settings.seeds.iter();
-        let has_seeds = seeds.filter(|seed| **seed != self.settings.pull).count() > 0;
-        self.rank_in_hall() >= FOLLOWERS_PER_HALL || (is_new_box && has_seeds)
+    /// Whether this box is one of the highest-ranked boxes of its hall that it knows.
+    pub fn is_follower_by_rank(&self) -> bool {
+        self.rank_in_hall() < FOLLOWERS_PER_HALL
     }
 
     /// Number of boxes of its hall that this box knows and that rank before it.
--- a/daemon/src/relay/store_follower.rs
+++ b/daemon/src/relay/store_follower.rs
@@ -45,8 +45,9 @@
 const OUTAGE_WATCH_WAIT: Duration = Duration::from_millis(50);
 /// Delay after a response, so that one call fetches changes made in quick succession.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
-/// Delay between the first full read and the first watch of a box that expects others to follow the
-/// store. In this time it learns whether they do, so most boxes never start a watch.
+/// Delay between the first full read and the first watch of a box that does not follow the store by
+/// its rank. In this time it learns whether peers do, so most boxes never start a watch. A box that
+/// knows no others learns of them by its watch.
 const FIRST_WATCH_DELAY: Duration = Duration::from_secs(1);
 /// Minimum and maximum interval at which a box that relies on its peers checks that they still follow
 /// the store.
@@ -81,7 +82,7 @@
         let pause = match follower.step(&mut store).await {
             Ok(()) => {
                 follower.record_success();
-                if is_first && relay.awaits_followers() {
+                if is_first && !relay.is_follower_by_rank() {
                     FIRST_WATCH_DELAY
                 } else {
                     BATCH_DELAY
