review: boxes that start after a series of large versions stay behind

Cause: a box's first read may be old, and one watch then answers with every version since. Above 4 MiB the store's client refuses the answer, takes that for an outage and asks for the same again, until the store forgets its history.

Done: case 2, which kills all boxes right after 25 versions of 1,041 routes and more. The case of a leaving server that gets waiting calls is the lesser one and gives way to it; its runner stays (standin case late-body).

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -22,6 +22,7 @@
 mod half_answer;
 mod late_body;
 mod slow_reader;
+mod stale_start;
 
 /// Time after which a case that hangs is given up.
 const TIME_LIMIT: Duration = Duration::from_secs(100);
@@ -45,6 +46,7 @@
         "half-answer" => half_answer::run,
         "slow-reader" => slow_reader::run,
         "late-body" => late_body::run,
+        "stale-start" => stale_start::run,
         _ => return COULD_NOT_RUN,
     };
     let (done_tx, done_rx) = std::sync::mpsc::channel();
--- a/review/standin/cases/half_answer.rs
+++ b/review/standin/cases/half_answer.rs
@@ -14,8 +14,8 @@
 const CALLS: usize = 8;
 
 pub fn run(record: &Record, has_trouble: bool) -> std::io::Result<Findings> {
-    let route = |prefix, kind, gap_goal_ms| Route {
-        prefix,
+    let route = |prefix: &str, kind, gap_goal_ms| Route {
+        prefix: prefix.to_owned(),
         kind,
         timeout_ms: 10_000,
         goal_ms: 300,
--- a/review/standin/cases/late_body.rs
+++ b/review/standin/cases/late_body.rs
@@ -17,7 +17,7 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> std::io::Result<Findings> {
     let routes = [Route {
-        prefix: "/stream/",
+        prefix: "/stream/".to_owned(),
         kind: "streaming",
         timeout_ms: 15_000,
         goal_ms: 4_000,
--- a/review/standin/cases/slow_reader.rs
+++ b/review/standin/cases/slow_reader.rs
@@ -12,8 +12,8 @@
 const GRACE: Duration = Duration::from_secs(8);
 
 pub fn run(record: &Record, has_trouble: bool) -> std::io::Result<Findings> {
-    let route = |prefix, kind| Route {
-        prefix,
+    let route = |prefix: &str, kind| Route {
+        prefix: prefix.to_owned(),
         kind,
         timeout_ms: 15_000,
         goal_ms: 3_000,
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::client::KEY;
 use crate::http::Connection;
 use crate::server::Options;
 use crate::store::Store;
@@ -195,14 +196,16 @@
     pub boxes: Vec<RelayBox>,
     pub servers: Vec<Server>,
     site: &'static Site,
+    has_started: bool,
     folder: PathBuf,
     /// Last three bytes of the first box's address.
     base: [u8; 3],
 }
 
 /// Routes of the deployment as JSON, see the cases.
+#[derive(Clone)]
 pub struct Route {
-    pub prefix: &'static str,
+    pub prefix: String,
     pub kind: &'static str,
     pub timeout_ms: u64,
     pub goal_ms: u64,
@@ -216,7 +219,7 @@
     /// Starts a store with these routes.
     pub fn start(record: Record, site: &'static Site, routes: &[Route]) -> std::io::Result<Self> {
         let store = Store::start()?;
-        store.put("op/config", &desired_state(routes));
+        store.put("op/config", &desired_state(FIRST_VERSION, routes, &[KEY]));
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("badgerferry-review-{pid}"));
         std::fs::create_dir_all(&folder)?;
@@ -227,6 +230,7 @@
             boxes: Vec::new(),
             servers: Vec::new(),
             site,
+            has_started: false,
             folder,
             base,
         })
@@ -237,8 +241,20 @@
         format!("127.{a}.{b}.{}", usize::from(c) + index)
     }
 
+    /// Kills all boxes at the same moment.
+    pub fn kill_boxes(&mut self) {
+        for relay in &self.boxes {
+            relay.process.signal("KILL");
+        }
+        self.record
+            .add(format!("all {} boxes are killed", self.boxes.len()));
+        self.boxes.clear();
+    }
+
     /// Starts boxes, the same number in each zone, and waits until they are ready.
     pub fn start_boxes(&mut self, per_zone: usize) -> std::io::Result<()> {
+        let is_first = !self.has_started;
+        self.has_started = true;
         let count = per_zone * self.site.zones.len();
         let seeds = (0..count.min(3)).map(|at| format!("\"{}:8229\"", self.ip(at)));
         let seeds: Vec<String> = seeds.collect();
@@ -255,7 +271,7 @@
                 "node = \"{name}\"\nrole = \"edge\"\nclass = \"edge\"\n\
                  serves = [\"edge\", \"control\"]\nip = \"{ip}\"\nzone = \"{zone}\"\n\
                  region = \"{region}\"\nport_range = [7340, 7355]\nseed_nodes = [{}]\n\
-                 bootstrap = true\ndiscovery = \"platform\"\nentry = \"vip\"\n\
+                 bootstrap = {is_first}\ndiscovery = \"platform\"\nentry = \"vip\"\n\
                  heartbeat_ms = 1200\n[listen]\nfront = \"{ip}:8227\"\nready = \"{ip}:8220\"\n\
                  control = \"{ip}:8229\"\n[limits]\ncpu_share = 0.25\ncores = 1\n\
                  memory_mb = {memory_mb}\nmax_fds = 4200\nlink_mbps = 1000.0\n[bounds]\n{BOUNDS}{bounds}\
@@ -384,7 +400,12 @@
     head.is_ok_and(|head| head.is_some_and(|head| head.second_word() == "200"))
 }
 
-fn desired_state(routes: &[Route]) -> String {
+/// Version of the desired state with which a deployment starts.
+pub const FIRST_VERSION: u64 = 7;
+
+/// A desired state, as the operator writes it.
+pub fn desired_state(version: u64, routes: &[Route], keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     let mut services: Vec<&str> = routes.iter().map(|route| route.service).collect();
     services.sort_unstable();
     services.dedup();
@@ -413,10 +434,11 @@
     });
     let routes: Vec<String> = routes.collect();
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":1}}]}}",
+         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{}],\"priority\":1}}]}}",
         routes.join(","),
-        services.join(",")
+        services.join(","),
+        keys.join(",")
     )
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,4 +1,5 @@
-//! The platform's store: revisions, watches, transactions without leases that run out.
+//! The platform's store: revisions, watches with a bounded history, reads that may be old, and
+//! transactions without leases that run out.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -17,44 +18,83 @@
 
 /// Items of one page at most.
 const PAGE_ITEMS: usize = 500;
+/// For how long events are kept.
+const HISTORY: Duration = Duration::from_secs(20);
 
 #[derive(Clone)]
 struct Item {
-    value: String,
+    value: Arc<str>,
     rev: u64,
     created: u64,
 }
 
+type Items = BTreeMap<String, Item>;
+
 #[derive(Default)]
 struct Content {
     revision: u64,
-    items: BTreeMap<String, Item>,
-    /// Revision and text of each event.
-    events: Vec<(u64, String)>,
+    items: Items,
+    /// Events of the last [`HISTORY`], oldest first.
+    events: Vec<Event>,
+    /// Revision up to which events were forgotten.
+    forgotten: u64,
+    /// Content after each change, oldest first, for reads that may be old.
+    versions: Vec<(Instant, u64, Items)>,
+    /// How old the content of such reads is.
+    staleness: Duration,
+}
+
+struct Event {
+    at: Instant,
+    rev: u64,
+    text: String,
 }
 
 impl Content {
     fn write(&mut self, key: &str, value: Option<String>) {
         self.revision += 1;
         let rev = self.revision;
-        let event = match value {
+        let text = match value {
             Some(value) => {
                 let created = self.items.get(key).map_or(rev, |item| item.created);
+                let value = value.into();
                 let item = Item {
                     value,
                     rev,
                     created,
                 };
-                let event = item_json(key, &item);
+                let text = item_json(key, &item);
                 self.items.insert(key.to_owned(), item);
-                event
+                text
             }
             None => {
                 self.items.remove(key);
                 format!("{{\"tls_key\":\"{key}\",\"rev\":{rev},\"deleted\":true}}")
             }
         };
-        self.events.push((rev, event));
+        let at = Instant::now();
+        self.events.push(Event { at, rev, text });
+        self.versions.push((at, rev, self.items.clone()));
+    }
+
+    /// Forgets events that are older than the history.
+    fn forget(&mut self) {
+        let old = self
+            .events
+            .partition_point(|event| event.at.elapsed() > HISTORY);
+        if let Some(last) = self.events.drain(..old).last() {
+            self.forgotten = last.rev;
+        }
+    }
+
+    /// Revision and items for a read that may be old.
+    fn old(&self) -> (u64, &Items) {
+        let is_old = |at: &Instant| at.elapsed() >= self.staleness;
+        let known = self.versions.partition_point(|(at, ..)| is_old(at));
+        match known.checked_sub(1) {
+            Some(last) => (self.versions[last].1, &self.versions[last].2),
+            None => (self.revision, &self.items),
+        }
     }
 }
 
@@ -104,6 +144,11 @@
         self.change(|content| content.write(key, None));
     }
 
+    /// Reads that may be old return the content of this long ago from now on.
+    pub fn set_staleness(&self, staleness: Duration) {
+        self.shared.0.lock().unwrap().staleness = staleness;
+    }
+
     fn change(&self, f: impl FnOnce(&mut Content)) {
         f(&mut self.shared.0.lock().unwrap());
         self.shared.1.notify_all();
@@ -126,7 +171,7 @@
             let query = parse_query(query);
             let (status, answer) = match path {
                 "/api/kv-range" => ("200 OK", self.range(&query)),
-                "/api/kv-watch" => ("200 OK", self.watch(&query)),
+                "/api/kv-watch" => self.watch(&query),
                 "/api/kv-txn" => self.transact(&String::from_utf8_lossy(&body)),
                 "/api/kv-lease" => ("200 OK", "{\"lease\":7,\"ttl_ms\":600000}".to_owned()),
                 _ => ("404 Not Found", "{}".to_owned()),
@@ -143,7 +188,11 @@
         let prefix = query.get("path_prefix").map_or("", String::as_str);
         let after = query.get("after_rev").map_or("", String::as_str);
         let content = self.shared.0.lock().unwrap();
-        let matching = content.items.iter();
+        let (revision, items) = match query.contains_key("stale_ok") {
+            true => content.old(),
+            false => (content.revision, &content.items),
+        };
+        let matching = items.iter();
         let mut matching: Vec<_> = matching
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
             .collect();
@@ -154,27 +203,28 @@
             .map(|(key, item)| item_json(key, item))
             .collect();
         format!(
-            "{{\"items\":[{}],\"has_more\":{has_more},\"timestamp\":{}}}",
-            items.join(","),
-            content.revision
+            "{{\"items\":[{}],\"has_more\":{has_more},\"timestamp\":{revision}}}",
+            items.join(",")
         )
     }
 
-    fn watch(&self, query: &HashMap<String, String>) -> String {
+    fn watch(&self, query: &HashMap<String, String>) -> (&'static str, String) {
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
         let after = number("after_rev").unwrap_or_default();
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or_default());
         let mut content = self.shared.0.lock().unwrap();
         loop {
+            content.forget();
+            if after < content.forgotten || after > content.revision {
+                return ("410 Gone", "{}".to_owned());
+            }
             let left = until.saturating_duration_since(Instant::now());
-            let events = content.events.iter().filter(|(rev, _)| *rev > after);
-            let events: Vec<&str> = events.map(|(_, event)| event.as_str()).collect();
+            let events = content.events.iter().filter(|event| event.rev > after);
+            let events: Vec<&str> = events.map(|event| event.text.as_str()).collect();
             if !events.is_empty() || left.is_zero() {
-                let events = events.join(",");
-                return format!(
-                    "{{\"events\":[{events}],\"timestamp\":{}}}",
-                    content.revision
-                );
+                let (events, revision) = (events.join(","), content.revision);
+                let answer = format!("{{\"events\":[{events}],\"timestamp\":{revision}}}");
+                return ("200 OK", answer);
             }
             content = self.shared.1.wait_timeout(content, left).unwrap().0;
         }
