--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -19,6 +19,7 @@
 use crate::server::Options;
 use crate::server::answer_parts;
 
+mod foreign_entry;
 mod half_answer;
 mod late_body;
 mod slow_reader;
@@ -43,6 +44,7 @@
         if has_trouble { "yes" } else { "no" }
     ));
     let case = match name {
+        "foreign-entry" => foreign_entry::run,
         "half-answer" => half_answer::run,
         "slow-reader" => slow_reader::run,
         "late-body" => late_body::run,
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -369,6 +369,26 @@
         ));
     }
 
+    /// Writes the entry of a server as another writer does, with fields missing: `version`,
+    /// `cold_left_ms`, `call_seq` and `born`.
+    pub fn write_foreign_entry(&self, index: usize) {
+        let Server {
+            options,
+            service,
+            zone,
+            ..
+        } = &self.servers[index];
+        let (name, address) = (&options.name, &options.address);
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
+             \"slots\":16,\"state\":\"ready\"}}"
+        );
+        self.store.put(&format!("servers/{name}"), &entry);
+        self.record.add(format!(
+            "another writer has written the entry of server {name}: {entry}"
+        ));
+    }
+
     /// Ends a server at once, as its machine goes: the process is killed, and its entry goes.
     pub fn end_server(&mut self, index: usize) {
         let server = &mut self.servers[index];
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -30,6 +30,8 @@
     pub part_bytes: usize,
     /// Whether its answers lack a length and end with their connection.
     pub unframed: bool,
+    /// Whether it says in its answers that it leaves.
+    pub says_leaving: bool,
     /// Bytes a second at which it reads request bodies; 0 for no limit.
     pub body_rate: u64,
     /// Receive buffer of its sockets; 0 for that of the system.
@@ -46,6 +48,7 @@
             gap_ms,
             part_bytes,
             unframed,
+            says_leaving,
             body_rate,
             receive_buffer,
         } = self;
@@ -57,6 +60,7 @@
             format!("gap_ms={gap_ms}"),
             format!("part_bytes={part_bytes}"),
             format!("unframed={}", u8::from(*unframed)),
+            format!("says_leaving={}", u8::from(*says_leaving)),
             format!("body_rate={body_rate}"),
             format!("receive_buffer={receive_buffer}"),
         ]
@@ -77,6 +81,7 @@
             gap_ms: number("gap_ms"),
             part_bytes: number("part_bytes") as usize,
             unframed: value("unframed") == "1",
+            says_leaving: value("says_leaving") == "1",
             body_rate: number("body_rate"),
             receive_buffer: number("receive_buffer") as i32,
         }
@@ -200,8 +205,12 @@
         .header("last-event-id")
         .and_then(|text| text.parse().ok());
     let first: usize = if is_stream { first.unwrap_or(0) } else { 0 };
+    let leaving = match options.says_leaving {
+        true => "Server-Leaving: 1\r\n",
+        false => "",
+    };
     let text = format!(
-        "HTTP/1.1 200 OK\r\nBadgerferry-Attempt-Id: {id}\r\n\
+        "HTTP/1.1 200 OK\r\nBadgerferry-Attempt-Id: {id}\r\n{leaving}\
          Badgerferry-Response-Seal: {}.{len}\r\nContent-Type: {kind}\r\n{framing}\r\n",
         options.name
     );
