--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -11,11 +11,10 @@
 use crate::client::Answer;
 use crate::client::Call;
 use crate::cluster;
-use crate::cluster::ACCRA;
 use crate::cluster::Cluster;
 use crate::cluster::Record;
 use crate::cluster::Route;
-use crate::cluster::STACKTRAIL;
+use crate::cluster::Signal;
 use crate::server::Options;
 use crate::server::answer_parts;
 
--- a/review/standin/cases/late_body.rs
+++ b/review/standin/cases/late_body.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-const SERVICE: &str = "assistant-llm";
+const SERVICE: &str = "booking-app";
 const SERVERS: u64 = 3;
 /// Size of a request, and the rate at which a server reads it: 4.2 s.
 const BODY_BYTES: usize = 1 << 20;
@@ -26,7 +26,7 @@
         resumable: false,
         gap_goal_ms: 1_000,
     }];
-    let mut cluster = Cluster::start(record.clone(), &ACCRA, &routes)?;
+    let mut cluster = Cluster::start(record.clone(), &routes)?;
     let options = Options {
         parts: 16,
         gap_ms: 50,
--- a/review/standin/cases/slow_reader.rs
+++ b/review/standin/cases/slow_reader.rs
@@ -26,7 +26,7 @@
         route("/lookup/", "idempotent"),
         route("/submit/", "non_idempotent"),
     ];
-    let mut cluster = Cluster::start(record.clone(), &ACCRA, &routes)?;
+    let mut cluster = Cluster::start(record.clone(), &routes)?;
     let options = Options {
         parts: 1,
         gap_ms: 20,
@@ -64,7 +64,7 @@
     }
     std::thread::sleep(Duration::from_millis(700));
     if has_trouble {
-        cluster.boxes[0].process.signal("TERM");
+        cluster.boxes[0].process.signal(Signal::Term);
         let name = cluster.boxes[0].name.clone();
         record.add(format!("{name} gets SIGTERM"));
         let killed_at = Instant::now() + GRACE;
@@ -74,7 +74,7 @@
         if cluster.boxes[0].process.has_ended() {
             record.add(format!("{name} has ended by itself"));
         } else {
-            cluster.boxes[0].process.signal("KILL");
+            cluster.boxes[0].process.signal(Signal::Kill);
             record.add(format!("{name} is killed at the end of the grace"));
         }
     }
--- a/review/standin/cases/stale_start.rs
+++ b/review/standin/cases/stale_start.rs
@@ -43,7 +43,7 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> std::io::Result<Findings> {
     let mut routes = vec![route("/lookup/".to_owned())];
-    let mut cluster = Cluster::start(record.clone(), &ACCRA, &routes)?;
+    let mut cluster = Cluster::start(record.clone(), &routes)?;
     cluster.store.set_staleness(STALENESS);
     for at in 0..SERVERS {
         let options = Options {
