logs: tell how a response without framing ended

A response without a length or chunks ends with its connection. The box then checks its server, or doesn't, and passes the response on as whole or not. No line and no metric said which, so a cut response that reached its caller could not be traced to one of: the server was not checked; it was checked and still accepted connections; the check itself failed.

Each such end now has a line ("response without framing ended", sampled like those of late calls) and a counter with the result of the check.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -131,9 +131,13 @@
             self.record_end(ServerOutcome::Success);
             ResponseEnd::Whole
         } else {
-            match self.finish_after_crash_check(ServerOutcome::Success).await {
+            let check = self.finish_after_crash_check(ServerOutcome::Success).await;
+            call_log::unframed_response_ended(&self.call, &self.selection, check);
+            match check {
                 CrashCheck::Crashed => ResponseEnd::CutByCrash,
-                CrashCheck::PathCut | CrashCheck::NoCrash => ResponseEnd::Whole,
+                CrashCheck::PathCut | CrashCheck::NotChecked | CrashCheck::NoCrash => {
+                    ResponseEnd::Whole
+                }
             }
         };
         self.response_end = Some(end);
@@ -152,7 +156,7 @@
         .await;
         match check {
             CrashCheck::PathCut => self.record_end(ServerOutcome::Inconclusive),
-            CrashCheck::NoCrash => self.record_end(outcome),
+            CrashCheck::NotChecked | CrashCheck::NoCrash => self.record_end(outcome),
             CrashCheck::Crashed => {
                 self.record_end(match outcome {
                     ServerOutcome::Success => ServerOutcome::Failure,
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -23,6 +23,7 @@
 use crate::relay::connection_pool::SendError;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
+use crate::relay::request_quarantine::CrashCheck;
 use crate::relay::server_selection::Selection;
 
 /// The call was rejected before it was sent to any server.
@@ -207,6 +208,20 @@
     );
 }
 
+/// A response without framing ended with its connection.
+pub fn unframed_response_ended(call: &Call, selection: &Selection, check: CrashCheck) {
+    counter!("badgerferry_unframed_responses_total", "server" => check.code()).increment(1);
+    if !LATE_LINES.allow() {
+        return;
+    }
+    tracing::info!(
+        call = call.id(),
+        server = %selection.server,
+        check = check.code(),
+        "response without framing ended"
+    );
+}
+
 /// The first event of a stream is being forwarded to the caller.
 pub fn stream_started(call: &Call, live: &StreamingResponse) {
     let elapsed = call.relay.clock.now().since(call.arrived);
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -204,10 +204,24 @@
     Crashed,
     /// The server is up, and the path of this box to it is cut.
     PathCut,
+    /// The server may exit by itself, so it was not checked.
+    NotChecked,
     /// No crash is known. One may be recorded later, if the server is still closing connections.
     NoCrash,
 }
 
+impl CrashCheck {
+    /// Label for logs and metrics.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Crashed => "crashed",
+            Self::PathCut => "path_cut",
+            Self::NotChecked => "not_checked",
+            Self::NoCrash => "no_crash",
+        }
+    }
+}
+
 /// Checks whether the server crashed during a run whose connection broke, and records the crash.
 ///
 /// A broken connection alone proves nothing: connections are reset, and responses truncated, for
@@ -233,7 +247,7 @@
         })
     };
     if !is_in_service || relay.gate.may_exit(&selection.target) {
-        return CrashCheck::NoCrash;
+        return CrashCheck::NotChecked;
     }
     let crash = ServerCrash {
         server: selection.server.clone(),
