--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -3,7 +3,6 @@
 //!
 //! The state and its rules are in [`badgerferry_lib::relay::quarantine`].
 
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,15 +28,14 @@
 use badgerferry_lib::time::Time;
 use badgerferry_platform::store::Store;
 use metrics::counter;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
-use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::relay::call::Call;
 use crate::relay::datagram_receiver::source_name;
 use crate::relay::peer_connections;
 use crate::relay::peer_connections::PeerVerdict;
+use crate::relay::process_probe;
+use crate::relay::process_probe::ProcessState;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection::Selection;
 use crate::relay::state::Relay;
@@ -53,21 +51,6 @@
 /// Maximum size of a body that is fingerprinted for each call. Larger bodies are fingerprinted only
 /// while any request has a quarantine record.
 const MAX_ALWAYS_HASHED_BODY: usize = 16 << 10;
-/// Maximum wait for a server's machine to accept or refuse a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long a call whose connection broke watches a new connection to the server. The call is not
-/// sent to another server in this time, since it may crash that one as well.
-const EXIT_TIMEOUT: Duration = Duration::from_millis(50);
-/// The same, in total, while the server closes each new connection: it is exiting, or can't serve
-/// the call either. Less than the gap between events that a resumed stream may have.
-const CLOSING_TIMEOUT: Duration = Duration::from_millis(150);
-/// How long the process is watched in the background after that. A crash in this time counts as
-/// well.
-const EXIT_WATCH_TIME: Duration = Duration::from_secs(1);
-/// Delay between connection attempts to a server that closes each connection at once.
-const RECONNECT_DELAY: Duration = Duration::from_millis(2);
-/// The same, while the server is watched in the background.
-const WATCH_RECONNECT_DELAY: Duration = Duration::from_millis(20);
 /// Response time-out of the store for writes.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a failed write is retried.
@@ -259,7 +242,7 @@
         },
     };
     let address = selection.address.clone();
-    let state = match check_exit(&address, CLOSING_TIMEOUT, RECONNECT_DELAY).await {
+    let state = match process_probe::check_exit(&address).await {
         ProcessState::Exited => {
             if !is_exit_confirmed(call, &crash.server, &address).await {
                 return CrashCheck::PathCut;
@@ -267,12 +250,12 @@
             crash.record(call);
             return CrashCheck::Crashed;
         }
-        ProcessState::Running => return CrashCheck::NoCrash,
+        ProcessState::Unreachable => return CrashCheck::NoCrash,
         state @ (ProcessState::Closing | ProcessState::Open(_)) => state,
     };
     let call = Arc::clone(call);
     tokio::spawn(async move {
-        if exits_later(&address, state).await
+        if process_probe::exits_later(&address, state).await
             && is_exit_confirmed(&call, &crash.server, &address).await
         {
             crash.record(&call);
@@ -281,23 +264,6 @@
     CrashCheck::NoCrash
 }
 
-/// Whether a process that was still there at the end of [`check_exit`] exits within
-/// [`EXIT_WATCH_TIME`].
-async fn exits_later(address: &str, state: ProcessState) -> bool {
-    let state = match state {
-        ProcessState::Open(mut stream) => {
-            let closed = timeout(EXIT_WATCH_TIME, stream.read(&mut [0])).await;
-            if closed.is_err() {
-                return false;
-            }
-            check_exit(address, CLOSING_TIMEOUT, RECONNECT_DELAY).await
-        }
-        ProcessState::Closing => check_exit(address, EXIT_WATCH_TIME, WATCH_RECONNECT_DELAY).await,
-        state => state,
-    };
-    matches!(state, ProcessState::Exited)
-}
-
 /// Whether a server that refuses this box has exited. Peers that connect to it show that it has not.
 /// If no peer can tell, it has unless other servers of the service are out of reach too.
 async fn is_exit_confirmed(call: &Call, server: &ServerName, address: &str) -> bool {
@@ -357,73 +323,6 @@
     }
 }
 
-/// Whether a server process has exited.
-enum ProcessState {
-    Exited,
-    Running,
-    /// Closed or reset every connection within the given time, but still listens.
-    Closing,
-    /// Accepted a connection and has not closed it within [`EXIT_TIMEOUT`].
-    Open(TcpStream),
-}
-
-/// Checks whether a process that closes its connections exits within the given time.
-///
-/// An exiting process closes its connections one by one, some before it stops listening. It may
-/// still accept and close new connections until it is gone, so connecting is repeated until one is
-/// refused. A connection made while the listener closes may stay open although its other end is
-/// gone, so an open connection is confirmed by a second one.
-async fn check_exit(address: &str, within: Duration, reconnect_delay: Duration) -> ProcessState {
-    let until = Instant::now() + within;
-    loop {
-        match try_connect(address).await {
-            ConnectResult::Refused => return ProcessState::Exited,
-            ConnectResult::NoAnswer => return ProcessState::Running,
-            ConnectResult::Reset => {}
-            ConnectResult::Connected(mut stream) => {
-                // An error means that the connection was reset, which counts as closed too.
-                let closed = timeout(EXIT_TIMEOUT, stream.read(&mut [0])).await;
-                if closed.is_err() {
-                    return match try_connect(address).await {
-                        ConnectResult::Refused => ProcessState::Exited,
-                        ConnectResult::Connected(newer) => ProcessState::Open(newer),
-                        ConnectResult::Reset | ConnectResult::NoAnswer => {
-                            ProcessState::Open(stream)
-                        }
-                    };
-                }
-            }
-        }
-        if Instant::now() >= until {
-            return ProcessState::Closing;
-        }
-        tokio::time::sleep(reconnect_delay).await;
-    }
-}
-
-/// Result of a connection attempt to a server.
-enum ConnectResult {
-    Refused,
-    /// Reset during connection setup. The process may or may not still be listening.
-    Reset,
-    Connected(TcpStream),
-    /// Time-out, or an error that doesn't show whether the process is running.
-    NoAnswer,
-}
-
-async fn try_connect(address: &str) -> ConnectResult {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => ConnectResult::Connected(stream),
-        Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused => ConnectResult::Refused,
-        Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionReset => ConnectResult::Reset,
-        Ok(Err(cause)) => {
-            tracing::info!(address, %cause, "server crash check failed: cannot connect");
-            ConnectResult::NoAnswer
-        }
-        Err(_elapsed) => ConnectResult::NoAnswer,
-    }
-}
-
 /// Merges the quarantine rows reported by another box or hall. Changes are announced only to other
 /// halls, if this box is a delegate of its hall: the boxes that it gossips to receive the rows from
 /// the same sender.
