responses: cut ones of departing servers no longer look whole

Cause: one function told whether the request may be blamed for the end of its server, and whether a response that ended with its connection is whole. A server that is leaving, not listed any more, restarted, or in an evacuated hall is not to blame for its exit, so it was not checked at all, and "no crash" was taken for "whole".

Change: the two conclusions are drawn apart, from the same evidence, in lib/relay/connection_end.rs. A response is whole only if the process outlived its connection; a crash also needs a server in service. Departing servers are connected to like others. A server whose name or address another process has by now has ended. A response that is not known to be whole is repeated or resumed where that is allowed; otherwise the call fails with 502 or its stream is aborted, and nothing is sent twice.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -67,8 +67,8 @@
     pub after: AfterResponse,
 }
 
-/// Why a response of [`ResponseEnd::CutByCrash`] is not used, for logs.
-pub const CUT_BY_CRASH: &str = "ended with its connection, and the server crashed";
+/// Why a response of [`ResponseEnd::MaybeCut`] is not used, for logs.
+pub const MAYBE_CUT: &str = "ended with its connection, and may be cut";
 
 /// What to do with a connection after a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -294,8 +294,8 @@
     } else {
         match attempt.finish_served().await {
             ResponseEnd::Whole => AttemptResult::Complete(response),
-            ResponseEnd::CutByCrash => {
-                call_log::unusable_response(call, &attempt.selection, parts.status, CUT_BY_CRASH);
+            ResponseEnd::MaybeCut => {
+                call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
                 AttemptResult::Ended(AttemptEnd::Lost)
             }
         }
@@ -472,13 +472,8 @@
                 Err(cause) => StreamFailure::InvalidData(cause.to_string()),
             },
             Ok(None) if !join.is_inside_event() => {
-                if attempt.finish_served().await == ResponseEnd::CutByCrash {
-                    call_log::unusable_response(
-                        call,
-                        &attempt.selection,
-                        parts.status,
-                        CUT_BY_CRASH,
-                    );
+                if attempt.finish_served().await == ResponseEnd::MaybeCut {
+                    call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
                     return AttemptResult::Ended(AttemptEnd::Lost);
                 }
                 break (Bytes::new(), true);
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -7,8 +7,10 @@
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::attempts::AttemptEnd;
 use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::connection_end::ConnectionEnd;
 use badgerferry_lib::relay::event_join::EventJoin;
 use badgerferry_lib::relay::quarantine;
+use badgerferry_lib::relay::quarantine::CrashedRun;
 use badgerferry_lib::relay::reader_patience;
 use badgerferry_lib::relay::server_tracker::ServerOutcome;
 use badgerferry_lib::time::Time;
@@ -25,11 +27,11 @@
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
 use crate::relay::call_log;
+use crate::relay::connection_end;
 use crate::relay::connection_pool::Reuse;
 use crate::relay::connection_pool::SendError;
 use crate::relay::request_body::RequestBody;
 use crate::relay::request_quarantine;
-use crate::relay::request_quarantine::CrashCheck;
 use crate::relay::request_quarantine::Run;
 use crate::relay::response_body::ResponseBody;
 use crate::relay::server_gate::Admitted;
@@ -65,8 +67,8 @@
 pub enum ResponseEnd {
     /// The server ended it.
     Whole,
-    /// It has no framing, and its server crashed: more may have been to come.
-    CutByCrash,
+    /// It has no framing, and its server has not outlived the connection: more may have been to come.
+    MaybeCut,
 }
 
 /// Registers a sent attempt with the server tracker. If dropped without an outcome, it records
@@ -109,19 +111,18 @@
 
     /// Ends an attempt whose connection was lost, and checks whether the server crashed.
     pub async fn finish_broken(mut self) {
-        self.finish_after_crash_check(ServerOutcome::Failure).await;
+        self.finish_after_break(ServerOutcome::Failure).await;
     }
 
     /// Ends an attempt whose response broke off after the box had left it unread. The server may have
     /// cut it for that, or may have crashed.
     pub async fn finish_unread(mut self) {
-        self.finish_after_crash_check(ServerOutcome::Inconclusive)
-            .await;
+        self.finish_after_break(ServerOutcome::Inconclusive).await;
     }
 
     /// Ends an attempt whose response looks complete; later calls return the first result. A
-    /// response without framing ends with its connection, as in a server crash. So only a framed
-    /// response shows that the request did not crash the server; otherwise the server is checked.
+    /// response without framing ends with its connection, as when the server exits. So only a framed
+    /// response shows that the request did not crash the server; otherwise the server is examined.
     pub async fn finish_served(&mut self) -> ResponseEnd {
         if let Some(end) = self.response_end {
             return end;
@@ -131,41 +132,43 @@
             self.record_end(ServerOutcome::Success);
             ResponseEnd::Whole
         } else {
-            let check = self.finish_after_crash_check(ServerOutcome::Success).await;
-            call_log::unframed_response_ended(&self.call, &self.selection, check);
-            match check {
-                CrashCheck::Crashed => ResponseEnd::CutByCrash,
-                CrashCheck::PathCut | CrashCheck::NotChecked | CrashCheck::NoCrash => {
-                    ResponseEnd::Whole
-                }
+            let end =
+                connection_end::examine_unframed(&self.call, &self.selection, self.run_ended())
+                    .await;
+            self.finish_examined(end, ServerOutcome::Success).await;
+            call_log::unframed_response_ended(&self.call, &self.selection, end);
+            if end.is_response_whole() {
+                ResponseEnd::Whole
+            } else {
+                ResponseEnd::MaybeCut
             }
         };
         self.response_end = Some(end);
         end
     }
 
-    /// Checks whether the server crashed, and ends the attempt. After a crash the run stays in
-    /// progress until the other boxes know of it: the caller may repeat the request at any of them.
-    async fn finish_after_crash_check(&mut self, outcome: ServerOutcome) -> CrashCheck {
-        let check = request_quarantine::detect_crash(
-            &self.call,
-            &self.selection,
-            self.sent_at,
-            self.response_started,
-        )
-        .await;
-        match check {
-            CrashCheck::PathCut => self.record_end(ServerOutcome::Inconclusive),
-            CrashCheck::NotChecked | CrashCheck::NoCrash => self.record_end(outcome),
-            CrashCheck::Crashed => {
-                self.record_end(match outcome {
-                    ServerOutcome::Success => ServerOutcome::Failure,
-                    outcome => outcome,
-                });
-                tokio::time::sleep(quarantine::REPORT_WAIT).await;
-            }
+    async fn finish_after_break(&mut self, outcome: ServerOutcome) {
+        let run = self.run_ended();
+        let end = connection_end::examine_broken(&self.call, &self.selection, run).await;
+        self.finish_examined(end, outcome).await;
+    }
+
+    /// The run, which ends now.
+    fn run_ended(&self) -> CrashedRun {
+        CrashedRun {
+            started: self.sent_at,
+            response_started: self.response_started,
+            ended: self.call.relay.clock.now(),
+        }
+    }
+
+    /// Ends the attempt. After a crash the run stays in progress until the other boxes know of it: the
+    /// caller may repeat the request at any of them.
+    async fn finish_examined(&mut self, end: ConnectionEnd, outcome: ServerOutcome) {
+        self.record_end(end.server_outcome(outcome));
+        if end == ConnectionEnd::Crashed {
+            tokio::time::sleep(quarantine::REPORT_WAIT).await;
         }
-        check
     }
 
     /// Records that the request did not crash its server.
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -9,6 +9,7 @@
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::call::PromptSize;
+use badgerferry_lib::relay::connection_end::ConnectionEnd;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::held_bytes::Side;
 use badgerferry_lib::relay::long_prompt_queue::BlockedPolls;
@@ -23,7 +24,6 @@
 use crate::relay::connection_pool::SendError;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
-use crate::relay::request_quarantine::CrashCheck;
 use crate::relay::server_selection::Selection;
 
 /// The call was rejected before it was sent to any server.
@@ -209,15 +209,16 @@
 }
 
 /// A response without framing ended with its connection.
-pub fn unframed_response_ended(call: &Call, selection: &Selection, check: CrashCheck) {
-    counter!("badgerferry_unframed_responses_total", "server" => check.code()).increment(1);
+pub fn unframed_response_ended(call: &Call, selection: &Selection, end: ConnectionEnd) {
+    counter!("badgerferry_unframed_responses_total", "end" => end.code()).increment(1);
     if !LATE_LINES.allow() {
         return;
     }
     tracing::info!(
         call = call.id(),
         server = %selection.server,
-        check = check.code(),
+        end = end.code(),
+        is_whole = end.is_response_whole(),
         "response without framing ended"
     );
 }
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod candidates;
 mod carried;
 mod cluster_view;
+mod connection_end;
 mod connection_pool;
 mod datagram_receiver;
 mod engine_call;
--- a/daemon/src/relay/peer_connections.rs
+++ b/daemon/src/relay/peer_connections.rs
@@ -10,6 +10,7 @@
 use badgerferry_lib::relay::carriers::CarrierQuery;
 use badgerferry_lib::relay::carriers::CarryRequest;
 use badgerferry_lib::relay::carriers::CarryResponse;
+use badgerferry_lib::relay::connection_end::PeerVerdict;
 use badgerferry_lib::relay::server_paths::PeerConnectResult;
 use badgerferry_lib::relay::server_paths::ServiceKey;
 use badgerferry_lib::relay::state_pull::FRAME_VERSION;
@@ -146,19 +147,6 @@
     Ok((postcard::from_bytes(&response)?, stream))
 }
 
-/// Whether a server is up that refuses this box.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PeerVerdict {
-    /// A peer connects to it, so the path of this box is at fault.
-    Up,
-    /// It refuses a peer as well.
-    Down,
-    /// No peer could tell.
-    Unknown,
-    /// There is no peer.
-    Alone,
-}
-
 /// Asks peers whether a server that refuses this box is up. If so, that is evidence about the path.
 pub async fn ask_peers(destination: &Destination<'_>) -> PeerVerdict {
     let Some(known) = server_path::known_server(destination.relay, destination.server) else {
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -1,7 +1,8 @@
-//! Applies the quarantine of requests and prompt parts to calls: admits their runs, detects server
+//! Applies the quarantine of requests and prompt parts to calls: admits their runs, records server
 //! crashes during them, and replicates the results to other boxes and to the store.
 //!
-//! The state and its rules are in [`badgerferry_lib::relay::quarantine`].
+//! The state and its rules are in [`badgerferry_lib::relay::quarantine`], the detection of crashes
+//! in [`super::connection_end`].
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -20,7 +21,6 @@
 use badgerferry_lib::relay::quarantine::RunScope;
 use badgerferry_lib::relay::quarantine::StoredFact;
 use badgerferry_lib::relay::request_fingerprint::ServerIncarnation;
-use badgerferry_lib::relay::server_paths::ServerPath;
 use badgerferry_lib::relay::suspect_key::CallKeys;
 use badgerferry_lib::relay::suspect_key::SuspectKey;
 use badgerferry_lib::relay::suspect_key::SuspectKind;
@@ -32,12 +32,6 @@
 
 use crate::relay::call::Call;
 use crate::relay::datagram_receiver::source_name;
-use crate::relay::peer_connections;
-use crate::relay::peer_connections::PeerVerdict;
-use crate::relay::process_probe;
-use crate::relay::process_probe::ProcessState;
-use crate::relay::server_path::Destination;
-use crate::relay::server_selection::Selection;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -180,147 +174,40 @@
     }
 }
 
-/// Result of [`detect_crash`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashCheck {
-    /// The server crashed, and the crash is recorded.
-    Crashed,
-    /// The server is up, and the path of this box to it is cut.
-    PathCut,
-    /// The server may exit by itself, so it was not checked.
-    NotChecked,
-    /// No crash is known. One may be recorded later, if the server is still closing connections.
-    NoCrash,
-}
-
-impl CrashCheck {
-    /// Label for logs and metrics.
-    pub const fn code(self) -> &'static str {
-        match self {
-            Self::Crashed => "crashed",
-            Self::PathCut => "path_cut",
-            Self::NotChecked => "not_checked",
-            Self::NoCrash => "no_crash",
-        }
-    }
-}
-
-/// Checks whether the server crashed during a run whose connection broke, and records the crash.
-///
-/// A broken connection alone proves nothing: connections are reset, and responses truncated, for
-/// other reasons too. If new connections are refused, the process has exited. A server that is
-/// leaving, or whose data hall is evacuated, may exit by itself and is
-/// ignored. `run_started` is the time at which the run was sent, `response_started` the time at
-/// which the head of its response arrived.
-///
-/// If only the path of this box to its servers is cut, connections are refused as well. So a peer
-/// that can connect to the server overrides what this box sees.
-pub async fn detect_crash(
-    call: &Arc<Call>,
-    selection: &Selection,
-    run_started: Time,
-    response_started: Option<Time>,
-) -> CrashCheck {
-    let relay = &call.relay;
-    let is_in_service = {
-        let tracker = lock(&relay.tracker);
-        let record = tracker.get(&selection.server);
-        record.is_some_and(|record| {
-            !record.info.leaving && record.incarnation == selection.target.incarnation
-        })
-    };
-    if !is_in_service || relay.gate.may_exit(&selection.target) {
-        return CrashCheck::NotChecked;
-    }
-    let crash = ServerCrash {
-        server: selection.server.clone(),
-        incarnation: selection.target.incarnation,
-        run: CrashedRun {
-            started: run_started,
-            response_started,
-            ended: relay.clock.now(),
-        },
-    };
-    let address = selection.address.clone();
-    let state = match process_probe::check_exit(&address).await {
-        ProcessState::Exited => {
-            if !is_exit_confirmed(call, &crash.server, &address).await {
-                return CrashCheck::PathCut;
-            }
-            crash.record(call);
-            return CrashCheck::Crashed;
-        }
-        ProcessState::Unreachable => return CrashCheck::NoCrash,
-        state @ (ProcessState::Closing | ProcessState::Open(_)) => state,
-    };
-    let call = Arc::clone(call);
-    tokio::spawn(async move {
-        if process_probe::exits_later(&address, state).await
-            && is_exit_confirmed(&call, &crash.server, &address).await
-        {
-            crash.record(&call);
-        }
-    });
-    CrashCheck::NoCrash
-}
-
-/// Whether a server that refuses this box has exited. Peers that connect to it show that it has not.
-/// If no peer can tell, it has unless other servers of the service are out of reach too.
-async fn is_exit_confirmed(call: &Call, server: &ServerName, address: &str) -> bool {
-    let relay = &call.relay;
-    let destination = Destination {
-        relay,
-        server,
-        address,
-        call: call.id(),
-    };
-    let is_up = match peer_connections::ask_peers(&destination).await {
-        PeerVerdict::Up => true,
-        PeerVerdict::Down | PeerVerdict::Alone => false,
-        PeerVerdict::Unknown => lock(&relay.server_paths).path(&call.service) != ServerPath::Direct,
-    };
-    if is_up {
-        counter!("badgerferry_server_exits_refuted_total").increment(1);
-        tracing::info!(
-            call = call.id(),
-            %server,
-            "server refuses this box but has not exited: its path is cut"
-        );
-    }
-    !is_up
-}
-
 /// Crash of a server during a run.
-struct ServerCrash {
-    server: ServerName,
-    incarnation: ServerIncarnation,
-    run: CrashedRun,
+#[derive(Debug, Clone)]
+pub struct ServerCrash {
+    /// Server.
+    pub server: ServerName,
+    /// Incarnation that crashed.
+    pub incarnation: ServerIncarnation,
+    /// Run that may have caused the crash.
+    pub run: CrashedRun,
 }
 
-impl ServerCrash {
-    fn record(&self, call: &Call) {
-        let relay = &call.relay;
-        let CrashedRun {
-            started,
-            response_started,
-            ended,
-        } = self.run;
-        counter!("badgerferry_servers_ended_total").increment(1);
-        tracing::warn!(
-            call = call.id(),
-            work = %call.fingerprint(),
-            server = %self.server,
-            life = format!("{:016x}", self.incarnation.0),
-            parts = %call.head.parts,
-            run_ms = ended.since(started).as_millis() as u64,
-            response_ms = response_started.map(|started| ended.since(started).as_millis() as u64),
-            "server crashed during a call"
-        );
-        call.saw_crash.store(true, Ordering::Relaxed);
-        let (now, keys) = (relay.clock.now(), call.keys(true));
-        let changes = lock(&relay.quarantine).record_crash(now, &keys, self.incarnation, self.run);
-        announce(relay, changes, "a run here");
-    }
+/// Records a crash during a run of the call, and announces the changes.
+pub fn record_crash(call: &Call, crash: &ServerCrash) {
+    let relay = &call.relay;
+    let CrashedRun {
+        started,
+        response_started,
+        ended,
+    } = crash.run;
+    counter!("badgerferry_servers_ended_total").increment(1);
+    tracing::warn!(
+        call = call.id(),
+        work = %call.fingerprint(),
+        server = %crash.server,
+        life = format!("{:016x}", crash.incarnation.0),
+        parts = %call.head.parts,
+        run_ms = ended.since(started).as_millis() as u64,
+        response_ms = response_started.map(|started| ended.since(started).as_millis() as u64),
+        "server crashed during a call"
+    );
+    call.saw_crash.store(true, Ordering::Relaxed);
+    let (now, keys) = (relay.clock.now(), call.keys(true));
+    let changes = lock(&relay.quarantine).record_crash(now, &keys, crash.incarnation, crash.run);
+    announce(relay, changes, "a run here");
 }
 
 /// Merges the quarantine rows reported by another box or hall. Changes are announced only to other
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -21,8 +21,8 @@
 use tokio::time::timeout;
 
 use crate::relay::attempt_response;
-use crate::relay::attempt_response::CUT_BY_CRASH;
 use crate::relay::attempt_response::MAX_UNCOUNTED_BYTES;
+use crate::relay::attempt_response::MAYBE_CUT;
 use crate::relay::attempt_response::Silence;
 use crate::relay::attempt_response::StreamFailure;
 use crate::relay::attempt_response::StreamingResponse;
@@ -355,9 +355,9 @@
 async fn finish_complete(call: &Call, mut attempt: AttemptGuard, join: EventJoin) -> ForwardEnd {
     match attempt.finish_served().await {
         ResponseEnd::Whole => ForwardEnd::Complete,
-        ResponseEnd::CutByCrash => {
+        ResponseEnd::MaybeCut => {
             let status = StatusCode::OK;
-            call_log::unusable_response(call, &attempt.selection, status, CUT_BY_CRASH);
+            call_log::unusable_response(call, &attempt.selection, status, MAYBE_CUT);
             ForwardEnd::Broken {
                 join,
                 retry_spent: false,
--- a/daemon/tests/test_relay_unframed.rs
+++ b/daemon/tests/test_relay_unframed.rs
@@ -7,10 +7,17 @@
 use badgerferry_standin::caller::call;
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::relay_box::TestCluster;
+use badgerferry_standin::relay_box::wait_until;
 use badgerferry_standin::server::Behaviour;
+use badgerferry_standin::server::Server;
+use serde_json::json;
 
 /// Time from a crash of a server to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// Longer than any call.
+const LONG_DOWNTIME: Duration = Duration::from_secs(30);
+/// Exceeds the time in which a server sends the first events of a stream.
+const PART_TIME: Duration = Duration::from_millis(200);
 /// Number of servers.
 const SERVERS: usize = 4;
 
@@ -46,6 +53,93 @@
     }
 }
 
+/// Why a server may exit without having crashed.
+#[derive(Debug, Clone, Copy)]
+enum Departure {
+    /// Its entry says that it leaves.
+    Leaving,
+    /// Its entry is removed.
+    Unlisted,
+    /// Its data hall is evacuated.
+    Evacuated,
+}
+
+const DEPARTURES: [Departure; 3] = [
+    Departure::Leaving,
+    Departure::Unlisted,
+    Departure::Evacuated,
+];
+
+/// A call whose server has sent a part of an unframed response, and departs.
+struct HeldCall {
+    cluster: TestCluster,
+    server: Server,
+    caller: Caller,
+}
+
+impl HeldCall {
+    /// Sends a call to a cluster whose servers are in halls of their own. The server departs before
+    /// it sends the rest; the others serve.
+    async fn start(method: &str, path: &str, departure: Departure) -> anyhow::Result<Self> {
+        let cluster = start(Behaviour::HoldUnframed(3)).await?;
+        for server in &cluster.servers {
+            let mut entry = server.entry("ready");
+            entry["zone"] = json!(format!("hall-{}", server.name));
+            cluster.store.put(&server.key(), &entry);
+            let hall = [server.name.as_str(), "server entry"];
+            cluster.relay.wait_for_log_line(&hall).await?;
+            server.set_crash_rule(CrashRule {
+                downtime: LONG_DOWNTIME,
+                ..CrashRule::default()
+            });
+        }
+        let mut caller = Caller::connect(cluster.relay.front()).await?;
+        caller
+            .send(&call(method, path, "call-1", "", "prompt"))
+            .await?;
+        wait_until(|| cluster.received_calls() == 1).await?;
+        let mut servers = cluster.servers.iter();
+        let server = servers.find(|server| !server.received_calls().is_empty());
+        let server = server.expect("a server received the call").clone();
+        for other in &cluster.servers {
+            other.set_default_behaviour(Behaviour::Serve);
+        }
+        let held = Self {
+            cluster,
+            server,
+            caller,
+        };
+        held.depart(departure).await?;
+        Ok(held)
+    }
+
+    async fn depart(&self, departure: Departure) -> anyhow::Result<()> {
+        let (store, name) = (&self.cluster.store, self.server.name.as_str());
+        let line = match departure {
+            Departure::Leaving => {
+                store.put(&self.server.key(), &self.server.entry("draining"));
+                vec!["server entry", name, "\"leaving\":true"]
+            }
+            Departure::Unlisted => {
+                store.remove(&self.server.key());
+                vec!["server entry removed", name]
+            }
+            Departure::Evacuated => {
+                store.put(&format!("op/evacuate/hall-{name}"), &json!({}));
+                vec!["evacuat", name]
+            }
+        };
+        self.cluster.relay.wait_for_log_line(&line).await?;
+        // The first part of the response has reached the box by then.
+        tokio::time::sleep(PART_TIME).await;
+        Ok(())
+    }
+
+    fn log(&self) -> String {
+        self.cluster.relay.log()
+    }
+}
+
 fn event_ids(answer: &RawResponse) -> Vec<&str> {
     let lines = answer.body.lines();
     lines.filter_map(|line| line.strip_prefix("id: ")).collect()
@@ -108,3 +202,94 @@
     assert_whole_stream(&answer, &cluster);
     Ok(())
 }
+
+/// Guards against a response that looks whole because its server, which was departing, exited.
+#[tokio::test]
+async fn unframed_response_cut_by_the_exit_of_a_departing_server_is_repeated() -> anyhow::Result<()>
+{
+    for departure in DEPARTURES {
+        let mut held = HeldCall::start("GET", "/again/a", departure).await?;
+
+        held.server.crash();
+        let answer = held.caller.read_response().await?;
+
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        assert!(
+            answer.body.ends_with("served call-1"),
+            "{departure:?}: {answer:?}; {}",
+            held.log()
+        );
+    }
+    Ok(())
+}
+
+/// Guards against a stream that looks whole because its server, which was departing, exited.
+#[tokio::test]
+async fn unframed_stream_cut_by_the_exit_of_a_departing_server_is_resumed() -> anyhow::Result<()> {
+    for departure in DEPARTURES {
+        let mut held = HeldCall::start("POST", "/stream/a", departure).await?;
+
+        held.server.crash();
+        let answer = held.caller.read_response().await?;
+
+        assert_whole_stream(&answer, &held.cluster);
+    }
+    Ok(())
+}
+
+/// Guards against a call that may run once and is sent again, or looks served, after its departing
+/// server exited.
+#[tokio::test]
+async fn unframed_response_to_a_call_that_may_run_once_fails_if_its_departing_server_exits()
+-> anyhow::Result<()> {
+    for departure in DEPARTURES {
+        let mut held = HeldCall::start("POST", "/once/a", departure).await?;
+
+        held.server.crash();
+        let answer = held.caller.read_response().await?;
+
+        assert_eq!(answer.status, 502, "{departure:?}: {answer:?}");
+        assert_eq!(held.cluster.received_calls(), 1, "{}", held.log());
+    }
+    Ok(())
+}
+
+/// Guards against crash records of servers that exit as announced.
+#[tokio::test]
+async fn exit_of_a_departing_server_is_no_crash() -> anyhow::Result<()> {
+    for departure in DEPARTURES {
+        let mut held = HeldCall::start("POST", "/stream/a", departure).await?;
+
+        held.server.crash();
+        held.caller.read_response().await?;
+
+        let log = held.log();
+        assert!(!log.contains("server crashed"), "{departure:?}: {log}");
+        assert!(!log.contains("suspect"), "{departure:?}: {log}");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn unframed_response_of_a_departing_server_that_runs_on_is_forwarded() -> anyhow::Result<()> {
+    for departure in DEPARTURES {
+        for (method, path) in [("GET", "/again/a"), ("POST", "/once/a")] {
+            let mut held = HeldCall::start(method, path, departure).await?;
+
+            held.server.release_responses();
+            let answer = held.caller.read_response().await?;
+
+            assert_eq!((answer.status, answer.is_complete), (200, true));
+            assert!(answer.body.ends_with("served call-1"), "{answer:?}");
+            assert_eq!(held.cluster.received_calls(), 1, "{}", held.log());
+        }
+        let mut held = HeldCall::start("POST", "/stream/a", departure).await?;
+
+        held.server.release_responses();
+        let answer = held.caller.read_response().await?;
+
+        assert_whole_stream(&answer, &held.cluster);
+        assert_eq!(held.cluster.received_calls(), 1, "{}", held.log());
+    }
+    Ok(())
+}
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod call_rate;
 pub mod carriers;
 pub mod cold_servers;
+pub mod connection_end;
 pub mod engine_load;
 pub mod engine_plan;
 pub mod engine_utilization;
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -228,6 +228,12 @@
         found.map(|record| record.info.name.clone())
     }
 
+    /// Whether a listed server has this address.
+    pub fn has_address(&self, address: &str) -> bool {
+        let mut records = self.records.values();
+        records.any(|record| record.info.address == address)
+    }
+
     /// Servers of a service, sorted by key: all boxes use the same order.
     pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &ServerRecord> {
         let names = self.by_service.get(service).into_iter().flatten();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_relay_call_rate;
 mod test_relay_cold_hall;
 mod test_relay_cold_servers;
+mod test_relay_connection_end;
 mod test_relay_crash_model;
 mod test_relay_engine_load;
 mod test_relay_engine_plan;
