responses: cut ones of servers out of reach no longer look whole

What a caller would see: its box is cut off from the servers and a peer carries the call; the server exits in the middle of an answer without a length or chunks; the caller gets a complete 200 with what had arrived.

Cause: the box examines the server over its own path, which is cut, and a connection without an answer was taken for a running server. So was a refused one that no peer could tell about while the path was under suspicion, and a peer's connection that the server closed at once.

Change: a response is whole only if this box, or a peer for it, holds a connection to the server that stays open. Peers are asked after a time-out too, for responses that look complete only. A peer's connection that is closed still refutes a crash, so nobody is blamed for more than before.

Measured: carried_unframed_response_cut_by_the_exit_of_its_server_is_not_whole failed before (2 of 5 events, answered; end=unclear) and passes for paths that hang and that refuse, for streams and for calls that may run once. carried_unframed_response_of_a_running_server_is_whole passed before and passes. 42 tests of unframed responses, paths and crashes passed.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -149,8 +149,10 @@
 
     async fn finish_after_break(&mut self, outcome: ServerOutcome) {
         let run = self.run_ended();
-        let end = connection_end::examine_broken(&self.call, &self.selection, run).await;
-        self.finish_examined(end, outcome).await;
+        match connection_end::examine_broken(&self.call, &self.selection, run).await {
+            Some(end) => self.finish_examined(end, outcome).await,
+            None => self.record_end(outcome),
+        }
     }
 
     /// The run, which ends now.
--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -26,17 +26,28 @@
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
 
+/// What has to be known about a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Question {
+    /// Whether it crashed.
+    HasCrashed,
+    /// Whether it is still running.
+    IsRunning,
+}
+
 /// Examines the end of a connection that broke during `run`, and records a crash. A server that may
 /// exit is not examined, since its exit would be no crash.
 pub async fn examine_broken(
     call: &Arc<Call>,
     selection: &Selection,
     run: CrashedRun,
-) -> ConnectionEnd {
-    match standing(call, selection) {
-        ServerStanding::InService => examine(call, selection, ServerStanding::InService, run).await,
-        ServerStanding::MayExit | ServerStanding::Replaced => ConnectionEnd::Unclear,
+) -> Option<ConnectionEnd> {
+    let standing = standing(call, selection);
+    if standing != ServerStanding::InService {
+        return None;
     }
+    let end = examine(call, selection, standing, Question::HasCrashed, run);
+    Some(end.await)
 }
 
 /// Examines the end of a connection that ended a response without framing, and records a crash.
@@ -47,7 +58,7 @@
 ) -> ConnectionEnd {
     match standing(call, selection) {
         ServerStanding::Replaced => ConnectionEnd::Exited,
-        standing => examine(call, selection, standing, run).await,
+        standing => examine(call, selection, standing, Question::IsRunning, run).await,
     }
 }
 
@@ -68,6 +79,7 @@
     call: &Arc<Call>,
     selection: &Selection,
     standing: ServerStanding,
+    question: Question,
     run: CrashedRun,
 ) -> ConnectionEnd {
     let address = selection.address.clone();
@@ -77,7 +89,8 @@
         run,
     };
     let state = process_probe::check_exit(&address).await;
-    let end = conclude(call, &crash.server, &address, standing, &state).await;
+    let evidence = gather_evidence(call, &crash.server, &address, question, &state).await;
+    let end = ConnectionEnd::conclude(standing, evidence);
     match (end, state) {
         (ConnectionEnd::Crashed, _) => request_quarantine::record_crash(call, &crash),
         (_, state @ (ProcessState::Closing | ProcessState::Open(_)))
@@ -95,49 +108,43 @@
     if !process_probe::exits_later(&address, state).await {
         return;
     }
-    let (standing, state) = (ServerStanding::InService, ProcessState::Exited);
-    let end = conclude(&call, &crash.server, &address, standing, &state).await;
-    if end == ConnectionEnd::Crashed {
+    let (question, state) = (Question::HasCrashed, ProcessState::Exited);
+    let evidence = gather_evidence(&call, &crash.server, &address, question, &state).await;
+    if ConnectionEnd::conclude(ServerStanding::InService, evidence) == ConnectionEnd::Crashed {
         request_quarantine::record_crash(&call, &crash);
     }
 }
 
-async fn conclude(
+async fn gather_evidence(
     call: &Call,
     server: &ServerName,
     address: &str,
-    standing: ServerStanding,
+    question: Question,
     state: &ProcessState,
-) -> ConnectionEnd {
+) -> ProcessEvidence {
     let probe = match state {
         ProcessState::Exited => ProbeResult::Refused,
         ProcessState::Open(_) => ProbeResult::Open,
         ProcessState::Closing => ProbeResult::Closed,
         ProcessState::Unreachable => ProbeResult::NoAnswer,
     };
-    let peers = match probe {
-        ProbeResult::Refused => ask_peers(call, server, address).await,
-        ProbeResult::Open | ProbeResult::Closed | ProbeResult::NoAnswer => PeerVerdict::Unknown,
+    let peers = match (probe, question) {
+        (ProbeResult::Refused, _) | (ProbeResult::NoAnswer, Question::IsRunning) => {
+            ask_peers(call, server, address).await
+        }
+        (ProbeResult::Open | ProbeResult::Closed | ProbeResult::NoAnswer, _) => {
+            PeerVerdict::Unknown
+        }
     };
     let path = lock(&call.relay.server_paths).path(&call.service);
-    let evidence = ProcessEvidence {
+    ProcessEvidence {
         probe,
         peers,
         is_path_suspected: path != ServerPath::Direct,
-    };
-    let end = ConnectionEnd::conclude(standing, evidence);
-    if matches!(end, ConnectionEnd::PathCut | ConnectionEnd::PathSuspected) {
-        counter!("badgerferry_server_exits_refuted_total").increment(1);
-        tracing::info!(
-            call = call.id(),
-            %server,
-            end = end.code(),
-            "server refuses this box but has not exited: its path is cut"
-        );
     }
-    end
 }
 
+/// Asks peers whether the server is up.
 async fn ask_peers(call: &Call, server: &ServerName, address: &str) -> PeerVerdict {
     let destination = Destination {
         relay: &call.relay,
@@ -145,5 +152,14 @@
         address,
         call: call.id(),
     };
-    peer_connections::ask_peers(&destination).await
+    let verdict = peer_connections::ask_peers(&destination).await;
+    if verdict == PeerVerdict::Up {
+        counter!("badgerferry_server_exits_refuted_total").increment(1);
+        tracing::info!(
+            call = call.id(),
+            %server,
+            "server refuses this box but has not exited: its path is cut"
+        );
+    }
+    verdict
 }
--- a/daemon/src/relay/peer_connections.rs
+++ b/daemon/src/relay/peer_connections.rs
@@ -17,6 +17,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use metrics::counter;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -38,6 +39,8 @@
 /// Peers that fail to connect to a server before it counts as unreachable for them. One alone may
 /// have been cut off at the same time and not know it yet.
 const MAX_FAILED_CARRIERS: usize = 2;
+/// How long a connection that a peer makes must stay open to show that the server is up.
+const OPEN_TIME: Duration = Duration::from_millis(50);
 /// Longest wait for the remaining peers once a server has refused one as well. Until an exit is
 /// recorded, the request that caused it may be sent to other servers.
 const REMAINING_PEERS_TIMEOUT: Duration = Duration::from_millis(60);
@@ -147,7 +150,8 @@
     Ok((postcard::from_bytes(&response)?, stream))
 }
 
-/// Asks peers whether a server that refuses this box is up. If so, that is evidence about the path.
+/// Asks peers whether a server that this box can't connect to is up. If so, that is evidence about
+/// the path.
 pub async fn ask_peers(destination: &Destination<'_>) -> PeerVerdict {
     let Some(known) = server_path::known_server(destination.relay, destination.server) else {
         return PeerVerdict::Unknown;
@@ -168,26 +172,43 @@
     }
     let mut responses: FuturesUnordered<_> = peers
         .into_iter()
-        .map(async |(_peer, address)| request(destination, address).await)
+        .map(async |(_peer, address)| probe(destination, address).await)
         .collect();
-    let mut until = Instant::now() + CARRIER_TIMEOUT;
+    let mut until = Instant::now() + CARRIER_TIMEOUT + OPEN_TIME;
     let mut verdict = PeerVerdict::Unknown;
     while let Ok(Some(response)) = timeout_at(until, responses.next()).await {
-        match response.map(|(response, _stream)| response) {
-            Ok(CarryResponse::Connected) => {
+        match response {
+            Ok((CarryResponse::Connected, stays_open)) => {
                 let Destination { relay, server, .. } = *destination;
                 server_path::record_direct(relay, server, false);
                 server_path::record_at_peer(relay, server, PeerConnectResult::Connected);
-                return PeerVerdict::Up;
+                if stays_open {
+                    return PeerVerdict::Up;
+                }
+                verdict = PeerVerdict::Closes;
             }
             // Waits for the others: this one may have been cut off at the same time and not know it
             // yet.
-            Ok(CarryResponse::Refused) => {
-                verdict = PeerVerdict::Down;
-                until = until.min(Instant::now() + REMAINING_PEERS_TIMEOUT);
+            Ok((CarryResponse::Refused, _)) => {
+                if verdict == PeerVerdict::Unknown {
+                    verdict = PeerVerdict::Down;
+                }
+                until = until.min(Instant::now() + REMAINING_PEERS_TIMEOUT + OPEN_TIME);
             }
             Ok(_) | Err(_) => {}
         }
     }
     verdict
 }
+
+/// Asks the peer at this address to connect to the server. Also returns whether the connection stays
+/// open.
+async fn probe(
+    destination: &Destination<'_>,
+    address: SocketAddr,
+) -> anyhow::Result<(CarryResponse, bool)> {
+    let (response, mut stream) = request(destination, address).await?;
+    let stays_open = response == CarryResponse::Connected
+        && timeout(OPEN_TIME, stream.read(&mut [0])).await.is_err();
+    Ok((response, stays_open))
+}
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -7,9 +7,12 @@
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::RawResponse;
 use badgerferry_standin::caller::call;
+use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::proxy::Link;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
+use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::server_links::ServerLinks;
 use badgerferry_standin::store::Store;
@@ -110,6 +113,22 @@
         );
     }
 
+    /// Cuts the first box off from all servers and waits until it connects through a peer. Servers
+    /// handle calls in this way from then on.
+    async fn cut_off_first_box(&self, link: Link, behaviour: Behaviour) {
+        self.links[0].set(link);
+        self.check_served(0, "GET", "/again/a").await;
+        for server in &self.servers {
+            server.set_default_behaviour(behaviour);
+        }
+    }
+
+    /// Servers and ids of the calls that they received with this id.
+    fn received(&self, id: &str) -> usize {
+        let calls = self.servers.iter().flat_map(Server::received_calls);
+        calls.filter(|seen| seen.id() == id).count()
+    }
+
     fn logs(&self) -> String {
         self.boxes.iter().map(RelayBox::log).collect()
     }
@@ -321,3 +340,69 @@
     );
     Ok(())
 }
+
+/// Guards against a carried response that looks whole because its server, which the box itself can't
+/// reach, exited.
+#[tokio::test]
+async fn carried_unframed_response_cut_by_the_exit_of_its_server_is_not_whole() -> anyhow::Result<()>
+{
+    for link in [Link::Dropped, Link::Refused] {
+        for (path, status) in [("/stream/a", 200), ("/once/a", 502)] {
+            let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+            fleet
+                .cut_off_first_box(link, Behaviour::HoldUnframed(2))
+                .await;
+            let mut caller = Caller::connect(fleet.boxes[0].front()).await?;
+            caller
+                .send(&call("POST", path, "call-1", "", "a prompt"))
+                .await?;
+            wait_until(|| fleet.received("call-1") == 1).await?;
+            for server in &fleet.servers {
+                server.set_default_behaviour(Behaviour::Serve);
+                server.set_crash_rule(CrashRule {
+                    downtime: Duration::from_secs(30),
+                    ..CrashRule::default()
+                });
+            }
+            tokio::time::sleep(EVENT_INTERVAL * 5).await;
+
+            let mut servers = fleet.servers.iter();
+            let server = servers.find(|server| {
+                let calls = server.received_calls();
+                calls.iter().any(|seen| seen.id() == "call-1")
+            });
+            server.expect("a server received the call").crash();
+            let response = caller.read_response().await?;
+
+            let context = format!("{link:?}, {path}: {response:?}; {}", fleet.logs());
+            assert_eq!(response.status, status, "{context}");
+            if status == 200 {
+                assert!(response.is_complete, "{context}");
+                let events = response.body.matches("id: ").count();
+                assert_eq!(events, 5, "{context}");
+            } else {
+                assert_eq!(fleet.received("call-1"), 1, "{context}");
+            }
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn carried_unframed_response_of_a_running_server_is_whole() -> anyhow::Result<()> {
+    for link in [Link::Dropped, Link::Refused] {
+        let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+        fleet.cut_off_first_box(link, Behaviour::Unframed).await;
+
+        for (index, path) in ["/once/a", "/again/a", "/stream/a"].into_iter().enumerate() {
+            let id = format!("call-{index}");
+            let request = call("POST", path, &id, "", "a prompt");
+            let response = Caller::exchange(fleet.boxes[0].front(), &request).await?;
+
+            let is_served = (response.status, response.is_complete) == (200, true);
+            assert!(is_served, "{link:?}: {response:?}; {}", fleet.logs());
+            assert_eq!(fleet.received(&id), 1, "{link:?}; {}", fleet.logs());
+        }
+    }
+    Ok(())
+}
--- a/lib/src/relay/connection_end.rs
+++ b/lib/src/relay/connection_end.rs
@@ -36,8 +36,10 @@
 /// Whether a server that this box can't connect to is up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerVerdict {
-    /// A peer connects to it, so the path of this box is at fault.
+    /// A connection of a peer to it stays open, so the path of this box is at fault.
     Up,
+    /// It closes the connections of peers.
+    Closes,
     /// It refuses a peer as well.
     Down,
     /// No peer could tell, or none was asked.
@@ -70,8 +72,10 @@
     PathCut,
     /// The path of this box may be cut, and no peer could tell.
     PathSuspected,
-    /// Nothing shows whether the server is still running.
-    Unclear,
+    /// The server closes new connections. It is exiting, or accepts no more connections.
+    Closing,
+    /// The server does not answer, and no peer could tell.
+    Unreachable,
 }
 
 impl ConnectionEnd {
@@ -85,28 +89,31 @@
         match (standing, probe, peers) {
             (ServerStanding::Replaced, _, _) => Self::Exited,
             (_, ProbeResult::Open, _) => Self::Running,
-            (_, ProbeResult::Refused, PeerVerdict::Up) => Self::PathCut,
+            (_, ProbeResult::Refused | ProbeResult::NoAnswer, PeerVerdict::Up) => Self::PathCut,
+            (_, ProbeResult::Refused, PeerVerdict::Closes) => Self::PathSuspected,
             (_, ProbeResult::Refused, PeerVerdict::Unknown) if is_path_suspected => {
                 Self::PathSuspected
             }
             (ServerStanding::InService, ProbeResult::Refused, _) => Self::Crashed,
             (ServerStanding::MayExit, ProbeResult::Refused, _) => Self::Exited,
-            (_, ProbeResult::Closed | ProbeResult::NoAnswer, _) => Self::Unclear,
+            (_, ProbeResult::Closed, _) => Self::Closing,
+            (_, ProbeResult::NoAnswer, _) => Self::Unreachable,
         }
     }
 
     /// Whether a response that ended with its connection is whole.
     pub const fn is_response_whole(self) -> bool {
         match self {
-            Self::Running | Self::PathCut | Self::PathSuspected | Self::Unclear => true,
-            Self::Crashed | Self::Exited => false,
+            Self::Running | Self::PathCut | Self::Closing => true,
+            Self::Crashed | Self::Exited | Self::PathSuspected | Self::Unreachable => false,
         }
     }
 
     /// Outcome of the attempt for its server, if it would be `outcome` as far as the response shows.
     pub const fn server_outcome(self, outcome: ServerOutcome) -> ServerOutcome {
         match (self, outcome) {
-            (Self::PathCut | Self::PathSuspected, _) | (Self::Exited, ServerOutcome::Success) => {
+            (Self::PathCut | Self::PathSuspected, _)
+            | (Self::Exited | Self::Unreachable, ServerOutcome::Success) => {
                 ServerOutcome::Inconclusive
             }
             (Self::Crashed, ServerOutcome::Success) => ServerOutcome::Failure,
@@ -122,7 +129,8 @@
             Self::Running => "running",
             Self::PathCut => "path_cut",
             Self::PathSuspected => "path_suspected",
-            Self::Unclear => "unclear",
+            Self::Closing => "closing",
+            Self::Unreachable => "unreachable",
         }
     }
 }
--- a/lib/tests/test_relay_connection_end.rs
+++ b/lib/tests/test_relay_connection_end.rs
@@ -24,6 +24,7 @@
     ] {
         for peers in [
             PeerVerdict::Up,
+            PeerVerdict::Closes,
             PeerVerdict::Down,
             PeerVerdict::Unknown,
             PeerVerdict::Alone,
@@ -40,19 +41,14 @@
     all
 }
 
-/// Guards against cut responses of servers that no one may blame for their exit.
+/// Guards against cut responses of servers that nobody may blame for their exit, or that this box
+/// can't reach.
 #[test]
-fn response_of_a_process_that_refuses_connections_is_not_whole() {
+fn response_is_not_whole_if_nobody_connects_to_its_process() {
     for standing in STANDINGS {
         for evidence in all_evidence() {
-            let ProcessEvidence {
-                probe,
-                peers,
-                is_path_suspected,
-            } = evidence;
-            let is_up =
-                peers == PeerVerdict::Up || (peers == PeerVerdict::Unknown && is_path_suspected);
-            if probe == ProbeResult::Refused && !is_up {
+            let has_own = matches!(evidence.probe, ProbeResult::Open | ProbeResult::Closed);
+            if !has_own && evidence.peers != PeerVerdict::Up {
                 let end = ConnectionEnd::conclude(standing, evidence);
                 assert!(!end.is_response_whole(), "{standing:?}, {evidence:?}");
             }
@@ -60,6 +56,18 @@
     }
 }
 
+#[test]
+fn response_is_whole_if_a_peer_connects_to_its_process() {
+    for standing in [ServerStanding::InService, ServerStanding::MayExit] {
+        for evidence in all_evidence() {
+            if evidence.peers == PeerVerdict::Up {
+                let end = ConnectionEnd::conclude(standing, evidence);
+                assert!(end.is_response_whole(), "{standing:?}, {evidence:?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn response_of_a_replaced_process_is_not_whole() {
     for evidence in all_evidence() {
@@ -91,7 +99,8 @@
             if end == ConnectionEnd::Crashed {
                 assert_eq!(standing, ServerStanding::InService, "{evidence:?}");
                 assert_eq!(evidence.probe, ProbeResult::Refused, "{evidence:?}");
-                assert_ne!(evidence.peers, PeerVerdict::Up, "{evidence:?}");
+                let listens = matches!(evidence.peers, PeerVerdict::Up | PeerVerdict::Closes);
+                assert!(!listens, "{evidence:?}");
             } else if !end.is_response_whole() {
                 let outcome = end.server_outcome(ServerOutcome::Success);
                 assert_eq!(outcome, ServerOutcome::Inconclusive, "{evidence:?}");
