responses: cut ones of servers that exit slowly no longer look whole

What a caller would see: a complete 200 with part of the answer, if a server that exits has closed the connection of an answer without framing, and still accepts and closes new connections for over 150 ms. docs/guarantees.md had it as not covered.

Cause: such a server is exiting or has no room for connections. After 150 ms it counted as running.

Change: after that time the call is repeated or resumed if it may be and has a retry left. Otherwise it waits up to a second more, the time in which a crash is recognised anyway: if the server listens then, the response is whole. A second connection that is reset no longer confirms the first.

Measured: unframed_response_of_a_server_that_exits_slowly_is_not_whole failed before (answered with 3 bytes, end=closing) and passes for calls that may be repeated, streams, and calls that may run once. unframed_response_of_a_server_that_closes_new_connections_is_forwarded passed before and passes. 44 tests of unframed responses, paths and crashes passed.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -190,7 +190,7 @@
         };
         return receive_first_events(call, attempts, received, join).await;
     }
-    receive_unary(call, received).await
+    receive_unary(call, attempts, received).await
 }
 
 fn handle_unusable(
@@ -259,7 +259,7 @@
     Some(report.map_or(DeclineCause::Full, |report| report.decline_cause()))
 }
 
-async fn receive_unary(call: &Call, received: Received) -> AttemptResult {
+async fn receive_unary(call: &Call, attempts: &Attempts, received: Received) -> AttemptResult {
     let after = received.after();
     let Received {
         mut attempt,
@@ -292,7 +292,7 @@
         attempt.finish(ServerOutcome::Failure);
         AttemptResult::ServerError(response)
     } else {
-        match attempt.finish_served().await {
+        match attempt.finish_served(call.may_resend(attempts)).await {
             ResponseEnd::Whole => AttemptResult::Complete(response),
             ResponseEnd::MaybeCut => {
                 call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
@@ -472,7 +472,8 @@
                 Err(cause) => StreamFailure::InvalidData(cause.to_string()),
             },
             Ok(None) if !join.is_inside_event() => {
-                if attempt.finish_served().await == ResponseEnd::MaybeCut {
+                let may_repeat = call.may_resend(attempts);
+                if attempt.finish_served(may_repeat).await == ResponseEnd::MaybeCut {
                     call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
                     return AttemptResult::Ended(AttemptEnd::Lost);
                 }
@@ -480,7 +481,7 @@
             }
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
-            Err(failure) if attempts.may_retry() && call.has_retry_budget() => failure,
+            Err(failure) if call.may_resend(attempts) => failure,
             // Without a retry, the attempt goes on until the deadline of the call.
             Err(_silent) => {
                 silence = Silence::TOLERATED;
--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -193,6 +193,12 @@
             || self.with_retry_window(|window, rule| window.has_retry_left(now, rule, boxes))
     }
 
+    /// Whether the call may be sent again after it may have run, and the retry budget may have a retry
+    /// left for it.
+    pub fn may_resend(&self, attempts: &Attempts) -> bool {
+        attempts.may_retry() && self.has_retry_budget()
+    }
+
     /// Requests a retry from the pool of the hall, if the next attempt needs one that the box has
     /// not earned itself and the fleet is so large that the slack is pooled.
     pub async fn prepare_retry(&self, attempts: &Attempts, end: AttemptEnd) {
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -123,7 +123,8 @@
     /// Ends an attempt whose response looks complete; later calls return the first result. A
     /// response without framing ends with its connection, as when the server exits. So only a framed
     /// response shows that the request did not crash the server; otherwise the server is examined.
-    pub async fn finish_served(&mut self) -> ResponseEnd {
+    /// `may_repeat`: whether the call may be sent again if the response may be cut.
+    pub async fn finish_served(&mut self, may_repeat: bool) -> ResponseEnd {
         if let Some(end) = self.response_end {
             return end;
         }
@@ -132,9 +133,13 @@
             self.record_end(ServerOutcome::Success);
             ResponseEnd::Whole
         } else {
-            let end =
-                connection_end::examine_unframed(&self.call, &self.selection, self.run_ended())
-                    .await;
+            let end = connection_end::examine_unframed(
+                &self.call,
+                &self.selection,
+                self.run_ended(),
+                may_repeat,
+            )
+            .await;
             self.finish_examined(end, ServerOutcome::Success).await;
             call_log::unframed_response_ended(&self.call, &self.selection, end);
             if end.is_response_whole() {
@@ -239,7 +244,7 @@
         call: call.id(),
     };
     let patience = reader_patience::server_patience(&call.route);
-    let may_resend = attempts.may_retry() && call.has_retry_budget();
+    let may_resend = call.may_resend(attempts);
     let path_cut = async {
         if may_resend {
             let selection = &attempt.selection;
--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -32,7 +32,10 @@
     /// Whether it crashed.
     HasCrashed,
     /// Whether it is still running.
-    IsRunning,
+    IsRunning {
+        /// Whether to wait until a server that closes new connections has exited, or would have.
+        waits: bool,
+    },
 }
 
 /// Examines the end of a connection that broke during `run`, and records a crash. A server that may
@@ -50,15 +53,18 @@
     Some(end.await)
 }
 
-/// Examines the end of a connection that ended a response without framing, and records a crash.
+/// Examines the end of a connection that ended a response without framing, and records a crash. If
+/// the call may be repeated, that is faster than to wait for a server that may be exiting.
 pub async fn examine_unframed(
     call: &Arc<Call>,
     selection: &Selection,
     run: CrashedRun,
+    may_repeat: bool,
 ) -> ConnectionEnd {
+    let question = Question::IsRunning { waits: !may_repeat };
     match standing(call, selection) {
         ServerStanding::Replaced => ConnectionEnd::Exited,
-        standing => examine(call, selection, standing, Question::IsRunning, run).await,
+        standing => examine(call, selection, standing, question, run).await,
     }
 }
 
@@ -88,7 +94,12 @@
         incarnation: selection.target.incarnation,
         run,
     };
-    let state = process_probe::check_exit(&address).await;
+    let state = match (process_probe::check_exit(&address).await, question) {
+        (ProcessState::Closing, Question::IsRunning { waits: true }) => {
+            process_probe::check_slow_exit(&address).await
+        }
+        (state, _) => state,
+    };
     let evidence = gather_evidence(call, &crash.server, &address, question, &state).await;
     let end = ConnectionEnd::conclude(standing, evidence);
     match (end, state) {
@@ -126,15 +137,14 @@
         ProcessState::Exited => ProbeResult::Refused,
         ProcessState::Open(_) => ProbeResult::Open,
         ProcessState::Closing => ProbeResult::Closed,
+        ProcessState::ClosingForLong => ProbeResult::ClosedForLong,
         ProcessState::Unreachable => ProbeResult::NoAnswer,
     };
     let peers = match (probe, question) {
-        (ProbeResult::Refused, _) | (ProbeResult::NoAnswer, Question::IsRunning) => {
+        (ProbeResult::Refused, _) | (ProbeResult::NoAnswer, Question::IsRunning { .. }) => {
             ask_peers(call, server, address).await
         }
-        (ProbeResult::Open | ProbeResult::Closed | ProbeResult::NoAnswer, _) => {
-            PeerVerdict::Unknown
-        }
+        _ => PeerVerdict::Unknown,
     };
     let path = lock(&call.relay.server_paths).path(&call.service);
     ProcessEvidence {
--- a/daemon/src/relay/process_probe.rs
+++ b/daemon/src/relay/process_probe.rs
@@ -32,6 +32,8 @@
     Unreachable,
     /// Closed or reset every connection within the given time, but still listens.
     Closing,
+    /// Closed or reset every connection for [`EXIT_WATCH_TIME`], and still listens.
+    ClosingForLong,
     /// Accepted a connection and has not closed it within [`EXIT_TIMEOUT`].
     Open(TcpStream),
 }
@@ -41,6 +43,14 @@
     watch_exit(address, CLOSING_TIMEOUT, RECONNECT_DELAY).await
 }
 
+/// Checks whether a process that closes each connection exits within [`EXIT_WATCH_TIME`].
+pub async fn check_slow_exit(address: &str) -> ProcessState {
+    match watch_exit(address, EXIT_WATCH_TIME, WATCH_RECONNECT_DELAY).await {
+        ProcessState::Closing => ProcessState::ClosingForLong,
+        state => state,
+    }
+}
+
 /// Whether a process that was still there at the end of [`check_exit`] exits within
 /// [`EXIT_WATCH_TIME`].
 pub async fn exits_later(address: &str, state: ProcessState) -> bool {
@@ -52,7 +62,7 @@
             }
             watch_exit(address, CLOSING_TIMEOUT, RECONNECT_DELAY).await
         }
-        ProcessState::Closing => watch_exit(address, EXIT_WATCH_TIME, WATCH_RECONNECT_DELAY).await,
+        ProcessState::Closing => check_slow_exit(address).await,
         state => state,
     };
     matches!(state, ProcessState::Exited)
@@ -75,13 +85,12 @@
                 // An error means that the connection was reset, which counts as closed too.
                 let closed = timeout(EXIT_TIMEOUT, stream.read(&mut [0])).await;
                 if closed.is_err() {
-                    return match try_connect(address).await {
-                        ConnectResult::Refused => ProcessState::Exited,
-                        ConnectResult::Connected(newer) => ProcessState::Open(newer),
-                        ConnectResult::Reset | ConnectResult::NoAnswer => {
-                            ProcessState::Open(stream)
-                        }
-                    };
+                    match try_connect(address).await {
+                        ConnectResult::Refused => return ProcessState::Exited,
+                        ConnectResult::Connected(newer) => return ProcessState::Open(newer),
+                        ConnectResult::NoAnswer => return ProcessState::Unreachable,
+                        ConnectResult::Reset => {}
+                    }
                 }
             }
         }
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -348,12 +348,17 @@
         return ForwardEnd::Broken { join, retry_spent };
     }
     attempt_response::return_connection(call, &attempt.selection.server, connection, after);
-    finish_complete(call, attempt, join).await
+    finish_complete(call, attempts, attempt, join).await
 }
 
 /// Ends an attempt whose stream looks complete.
-async fn finish_complete(call: &Call, mut attempt: AttemptGuard, join: EventJoin) -> ForwardEnd {
-    match attempt.finish_served().await {
+async fn finish_complete(
+    call: &Call,
+    attempts: &Attempts,
+    mut attempt: AttemptGuard,
+    join: EventJoin,
+) -> ForwardEnd {
+    match attempt.finish_served(call.may_resend(attempts)).await {
         ResponseEnd::Whole => ForwardEnd::Complete,
         ResponseEnd::MaybeCut => {
             let status = StatusCode::OK;
--- a/daemon/tests/test_relay_unframed.rs
+++ b/daemon/tests/test_relay_unframed.rs
@@ -6,6 +6,7 @@
 use badgerferry_standin::caller::RawResponse;
 use badgerferry_standin::caller::call;
 use badgerferry_standin::crashes::CrashRule;
+use badgerferry_standin::crashes::NewConnections;
 use badgerferry_standin::relay_box::TestCluster;
 use badgerferry_standin::relay_box::wait_until;
 use badgerferry_standin::server::Behaviour;
@@ -16,6 +17,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 /// Longer than any call.
 const LONG_DOWNTIME: Duration = Duration::from_secs(30);
+/// Longer than calls that can be repeated wait for the exit of their server.
+const SLOW_EXIT_TIME: Duration = Duration::from_millis(500);
 /// Exceeds the time in which a server sends the first events of a stream.
 const PART_TIME: Duration = Duration::from_millis(200);
 /// Number of servers.
@@ -293,3 +296,50 @@
     }
     Ok(())
 }
+
+/// Guards against a response that looks whole because its server, which is exiting, still listens.
+#[tokio::test]
+async fn unframed_response_of_a_server_that_exits_slowly_is_not_whole() -> anyhow::Result<()> {
+    for (method, path, status) in [
+        ("GET", "/again/a", 200),
+        ("POST", "/stream/a", 200),
+        ("POST", "/once/a", 502),
+    ] {
+        let cluster = start(Behaviour::CrashUnframed(2)).await?;
+        for server in &cluster.servers {
+            let crash_rule = CrashRule::on_body("", LONG_DOWNTIME, &cluster.store);
+            let crash_rule = crash_rule.lingering(SLOW_EXIT_TIME);
+            server.set_crash_rule(crash_rule.with_new_connections(NewConnections::Close));
+        }
+
+        let answer = exchange(&cluster, method, path).await?;
+
+        let context = format!("{path}: {answer:?}; {}", cluster.relay.log());
+        assert_eq!(answer.status, status, "{context}");
+        match path {
+            "/stream/a" => assert_whole_stream(&answer, &cluster),
+            "/again/a" => assert!(answer.body.ends_with("served call-1"), "{context}"),
+            _ => assert_eq!(cluster.received_calls(), 1, "{context}"),
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a call that may run once and fails because its server accepts no connections.
+#[tokio::test]
+async fn unframed_response_of_a_server_that_closes_new_connections_is_forwarded()
+-> anyhow::Result<()> {
+    for departure in DEPARTURES {
+        let mut held = HeldCall::start("POST", "/once/a", departure).await?;
+
+        held.server.close_new_connections();
+        held.server.release_responses();
+        let answer = held.caller.read_response().await?;
+
+        let is_served = (answer.status, answer.is_complete) == (200, true);
+        assert!(is_served, "{departure:?}: {answer:?}; {}", held.log());
+        assert!(answer.body.ends_with("served call-1"), "{answer:?}");
+        assert_eq!(held.cluster.received_calls(), 1, "{}", held.log());
+    }
+    Ok(())
+}
--- a/lib/src/relay/connection_end.rs
+++ b/lib/src/relay/connection_end.rs
@@ -29,6 +29,8 @@
     Open,
     /// They are closed or reset.
     Closed,
+    /// The same, for longer than a process takes to exit.
+    ClosedForLong,
     /// They get no answer.
     NoAnswer,
 }
@@ -88,7 +90,7 @@
         } = evidence;
         match (standing, probe, peers) {
             (ServerStanding::Replaced, _, _) => Self::Exited,
-            (_, ProbeResult::Open, _) => Self::Running,
+            (_, ProbeResult::Open | ProbeResult::ClosedForLong, _) => Self::Running,
             (_, ProbeResult::Refused | ProbeResult::NoAnswer, PeerVerdict::Up) => Self::PathCut,
             (_, ProbeResult::Refused, PeerVerdict::Closes) => Self::PathSuspected,
             (_, ProbeResult::Refused, PeerVerdict::Unknown) if is_path_suspected => {
@@ -104,8 +106,12 @@
     /// Whether a response that ended with its connection is whole.
     pub const fn is_response_whole(self) -> bool {
         match self {
-            Self::Running | Self::PathCut | Self::Closing => true,
-            Self::Crashed | Self::Exited | Self::PathSuspected | Self::Unreachable => false,
+            Self::Running | Self::PathCut => true,
+            Self::Crashed
+            | Self::Exited
+            | Self::PathSuspected
+            | Self::Closing
+            | Self::Unreachable => false,
         }
     }
 
@@ -113,7 +119,7 @@
     pub const fn server_outcome(self, outcome: ServerOutcome) -> ServerOutcome {
         match (self, outcome) {
             (Self::PathCut | Self::PathSuspected, _)
-            | (Self::Exited | Self::Unreachable, ServerOutcome::Success) => {
+            | (Self::Exited | Self::Closing | Self::Unreachable, ServerOutcome::Success) => {
                 ServerOutcome::Inconclusive
             }
             (Self::Crashed, ServerOutcome::Success) => ServerOutcome::Failure,
