responses: cut errors without framing are not forwarded

What a caller of a call that may run once would see: the server's 5xx and seal with a complete, cut body, if the response has no framing and its server crashes in the middle of it.

Cause: only successes were examined when they ended with their connection.

Change: error responses end like others. One that may be cut counts as lost; the caller gets 502 without the seal.

Measured: unframed_error_cut_by_a_crash_is_not_forwarded failed before (500) and passes. unframed_error_of_a_running_server_is_forwarded_whole passed before and passes.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -288,16 +288,19 @@
     return_connection(call, &attempt.selection.server, connection, after);
     let body = ResponseBody::full(bytes).with_reader(reader);
     let response = response_to_caller(&parts, body);
-    if parts.status.is_server_error() {
-        attempt.finish(ServerOutcome::Failure);
-        AttemptResult::ServerError(response)
+    let may_repeat = call.may_resend(attempts);
+    let is_error = parts.status.is_server_error();
+    let end = if is_error {
+        attempt.finish_with_error(may_repeat).await
     } else {
-        match attempt.finish_served(call.may_resend(attempts)).await {
-            ResponseEnd::Whole => AttemptResult::Complete(response),
-            ResponseEnd::MaybeCut => {
-                call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
-                AttemptResult::Ended(AttemptEnd::Lost)
-            }
+        attempt.finish_served(may_repeat).await
+    };
+    match end {
+        ResponseEnd::Whole if is_error => AttemptResult::ServerError(response),
+        ResponseEnd::Whole => AttemptResult::Complete(response),
+        ResponseEnd::MaybeCut => {
+            call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
+            AttemptResult::Ended(AttemptEnd::Lost)
         }
     }
 }
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -125,33 +125,46 @@
     /// response shows that the request did not crash the server; otherwise the server is examined.
     /// `may_repeat`: whether the call may be sent again if the response may be cut.
     pub async fn finish_served(&mut self, may_repeat: bool) -> ResponseEnd {
+        self.finish_complete(ServerOutcome::Success, may_repeat)
+            .await
+    }
+
+    /// The same for an error response of the server.
+    pub async fn finish_with_error(&mut self, may_repeat: bool) -> ResponseEnd {
+        self.finish_complete(ServerOutcome::Failure, may_repeat)
+            .await
+    }
+
+    async fn finish_complete(&mut self, outcome: ServerOutcome, may_repeat: bool) -> ResponseEnd {
         if let Some(end) = self.response_end {
             return end;
         }
         let end = if self.is_framed {
-            self.record_success();
-            self.record_end(ServerOutcome::Success);
+            if outcome == ServerOutcome::Success {
+                self.record_success();
+            }
+            self.record_end(outcome);
             ResponseEnd::Whole
         } else {
-            let end = connection_end::examine_unframed(
-                &self.call,
-                &self.selection,
-                self.run_ended(),
-                may_repeat,
-            )
-            .await;
-            self.finish_examined(end, ServerOutcome::Success).await;
-            call_log::unframed_response_ended(&self.call, &self.selection, end);
-            if end.is_response_whole() {
-                ResponseEnd::Whole
-            } else {
-                ResponseEnd::MaybeCut
-            }
+            self.finish_unframed(outcome, may_repeat).await
         };
         self.response_end = Some(end);
         end
     }
 
+    async fn finish_unframed(&mut self, outcome: ServerOutcome, may_repeat: bool) -> ResponseEnd {
+        let run = self.run_ended();
+        let end =
+            connection_end::examine_unframed(&self.call, &self.selection, run, may_repeat).await;
+        self.finish_examined(end, outcome).await;
+        call_log::unframed_response_ended(&self.call, &self.selection, end);
+        if end.is_response_whole() {
+            ResponseEnd::Whole
+        } else {
+            ResponseEnd::MaybeCut
+        }
+    }
+
     async fn finish_after_break(&mut self, outcome: ServerOutcome) {
         let run = self.run_ended();
         match connection_end::examine_broken(&self.call, &self.selection, run).await {
--- a/daemon/tests/test_relay_unframed.rs
+++ b/daemon/tests/test_relay_unframed.rs
@@ -84,7 +84,18 @@
     /// Sends a call to a cluster whose servers are in halls of their own. The server departs before
     /// it sends the rest; the others serve.
     async fn start(method: &str, path: &str, departure: Departure) -> anyhow::Result<Self> {
-        let cluster = start(Behaviour::HoldUnframed(3)).await?;
+        let held = Self::start_in_service(Behaviour::HoldUnframed(3), method, path).await?;
+        held.depart(departure).await?;
+        Ok(held)
+    }
+
+    /// The same, but the server stays in service.
+    async fn start_in_service(
+        behaviour: Behaviour,
+        method: &str,
+        path: &str,
+    ) -> anyhow::Result<Self> {
+        let cluster = start(behaviour).await?;
         for server in &cluster.servers {
             let mut entry = server.entry("ready");
             entry["zone"] = json!(format!("hall-{}", server.name));
@@ -107,13 +118,13 @@
         for other in &cluster.servers {
             other.set_default_behaviour(Behaviour::Serve);
         }
-        let held = Self {
+        // The first part of the response has reached the box by then.
+        tokio::time::sleep(PART_TIME).await;
+        Ok(Self {
             cluster,
             server,
             caller,
-        };
-        held.depart(departure).await?;
-        Ok(held)
+        })
     }
 
     async fn depart(&self, departure: Departure) -> anyhow::Result<()> {
@@ -132,10 +143,7 @@
                 vec!["evacuat", name]
             }
         };
-        self.cluster.relay.wait_for_log_line(&line).await?;
-        // The first part of the response has reached the box by then.
-        tokio::time::sleep(PART_TIME).await;
-        Ok(())
+        self.cluster.relay.wait_for_log_line(&line).await
     }
 
     fn log(&self) -> String {
@@ -343,3 +351,30 @@
     }
     Ok(())
 }
+
+/// Guards against an error response that looks whole because its server crashed.
+#[tokio::test]
+async fn unframed_error_cut_by_a_crash_is_not_forwarded() -> anyhow::Result<()> {
+    let mut held = HeldCall::start_in_service(Behaviour::FailUnframed, "POST", "/once/a").await?;
+
+    held.server.crash();
+    let answer = held.caller.read_response().await?;
+
+    assert_eq!(answer.status, 502, "{answer:?}; {}", held.log());
+    let seal = answer.header("badgerferry-response-seal");
+    assert_eq!(seal, None, "{answer:?}");
+    assert_eq!(held.cluster.received_calls(), 1, "{}", held.log());
+    Ok(())
+}
+
+#[tokio::test]
+async fn unframed_error_of_a_running_server_is_forwarded_whole() -> anyhow::Result<()> {
+    let mut held = HeldCall::start_in_service(Behaviour::FailUnframed, "POST", "/once/a").await?;
+
+    held.server.release_responses();
+    let answer = held.caller.read_response().await?;
+
+    assert_eq!((answer.status, answer.is_complete), (500, true));
+    assert!(answer.body.ends_with("served call-1"), "{answer:?}");
+    Ok(())
+}
