streams: unframed ones that servers cut unread no longer look complete

What a caller would see: it pauses, and its stream ends as complete without the rest. The box has no more room, so the server closes the connection of a stream whose events stay unread; if the stream has no framing and the server closes between two events, that looks like its end.

Cause: that a server may have cut what the box left unread was considered only for responses that broke off. The server runs on, so examining it finds nothing either.

Change: a response without framing that was left unread for as long as servers tolerate may be cut. A stream is resumed once its caller reads on, a single response is requested again; where that is not allowed, the stream is aborted or the call fails.

That a single response waits for room is by reading only.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -70,6 +70,9 @@
 /// Why a response of [`ResponseEnd::MaybeCut`] is not used, for logs.
 pub const MAYBE_CUT: &str = "ended with its connection, and may be cut";
 
+/// Why a response without framing that its box left unread is not used, for logs.
+pub const MAYBE_CUT_UNREAD: &str = "left unread, ended with its connection, and may be cut";
+
 /// What to do with a connection after a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AfterResponse {
@@ -268,15 +271,17 @@
         body,
         ..
     } = received;
-    let (bytes, reader) = match read_unary_body(call, body).await {
-        Ok(body) => body,
-        Err(BodyUnreadable { held_back }) => {
-            call_log::unusable_response(
-                call,
-                &attempt.selection,
-                parts.status,
-                "response body incomplete or too large",
-            );
+    let read = match read_unary_body(call, body).await {
+        Ok(read) if attempt.may_be_cut_unread(read.held_back) => Err(BodyUnusable {
+            held_back: read.held_back,
+            why: MAYBE_CUT_UNREAD,
+        }),
+        read => read,
+    };
+    let UnaryBody { bytes, reader, .. } = match read {
+        Ok(read) => read,
+        Err(BodyUnusable { held_back, why }) => {
+            call_log::unusable_response(call, &attempt.selection, parts.status, why);
             if reader_patience::counts_against_server(held_back) {
                 attempt.finish_broken().await;
             } else {
@@ -319,24 +324,35 @@
     }
 }
 
-/// A unary response broke off or is too large.
-struct BodyUnreadable {
+/// Body of a unary response that looks complete.
+struct UnaryBody {
+    bytes: Bytes,
+    /// Counts the body as held, unless it is small.
+    reader: Option<Arc<ResponseReader>>,
     /// How long the box left it unread, for want of room.
     held_back: Duration,
 }
 
+/// A unary response broke off, is too large, or may be cut.
+struct BodyUnusable {
+    /// How long the box left it unread, for want of room.
+    held_back: Duration,
+    /// Reason for logs.
+    why: &'static str,
+}
+
 /// Reads a unary response. Once it is not small, room for all of it is taken at once.
-async fn read_unary_body(
-    call: &Call,
-    body: Incoming,
-) -> Result<(Bytes, Option<Arc<ResponseReader>>), BodyUnreadable> {
+async fn read_unary_body(call: &Call, body: Incoming) -> Result<UnaryBody, BodyUnusable> {
     let mut held_back = Duration::ZERO;
     let len = body.size_hint().exact();
     let mut body = Limited::new(body, MAX_UNARY_BODY_BYTES);
     let (mut chunks, mut read) = (Vec::new(), 0);
     let mut counted = None;
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_cause| BodyUnreadable { held_back })?;
+        let frame = frame.map_err(|_cause| BodyUnusable {
+            held_back,
+            why: "response body incomplete or too large",
+        })?;
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
@@ -355,9 +371,14 @@
         1 => chunks.remove(0),
         _ => chunks.concat().into(),
     };
-    Ok(match counted {
+    let (bytes, reader) = match counted {
         Some((reader, held)) => (held.attach(bytes), Some(reader)),
         None => (bytes, None),
+    };
+    Ok(UnaryBody {
+        bytes,
+        reader,
+        held_back,
     })
 }
 
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -114,6 +114,12 @@
         self.finish_after_break(ServerOutcome::Failure).await;
     }
 
+    /// Whether the server may have cut a response that looks complete, because the box left it unread
+    /// for `held_back`. A server that cuts one without framing ends it like a whole one.
+    pub fn may_be_cut_unread(&self, held_back: Duration) -> bool {
+        !self.is_framed && !reader_patience::counts_against_server(held_back)
+    }
+
     /// Ends an attempt whose response broke off after the box had left it unread. The server may have
     /// cut it for that, or may have crashed.
     pub async fn finish_unread(mut self) {
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -23,6 +23,7 @@
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::MAX_UNCOUNTED_BYTES;
 use crate::relay::attempt_response::MAYBE_CUT;
+use crate::relay::attempt_response::MAYBE_CUT_UNREAD;
 use crate::relay::attempt_response::Silence;
 use crate::relay::attempt_response::StreamFailure;
 use crate::relay::attempt_response::StreamingResponse;
@@ -347,6 +348,11 @@
         failure.finish(call, attempt).await;
         return ForwardEnd::Broken { join, retry_spent };
     }
+    if attempt.may_be_cut_unread(sink.held_back) {
+        call_log::unusable_response(call, &attempt.selection, StatusCode::OK, MAYBE_CUT_UNREAD);
+        attempt.finish_unread().await;
+        return ForwardEnd::LeftUnread { join };
+    }
     attempt_response::return_connection(call, &attempt.selection.server, connection, after);
     finish_complete(call, attempts, attempt, join).await
 }
--- a/daemon/tests/test_relay_slow_readers.rs
+++ b/daemon/tests/test_relay_slow_readers.rs
@@ -10,6 +10,7 @@
 use badgerferry_standin::relay_box::TestCluster;
 use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::LARGE_STREAM_EVENTS;
 use badgerferry_standin::server::Server;
 
@@ -19,6 +20,9 @@
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 /// How long a server may leave a body of the unary routes unread: their objective.
 const BODY_PATIENCE: Duration = Duration::from_secs(2);
+/// Events of a large stream that fill the room of a call at the box, but not the buffers of a
+/// connection.
+const UNREAD_EVENTS: u64 = 4;
 /// Larger than the buffers of a connection.
 const LARGE_BODY_BYTES: usize = 12 << 20;
 
@@ -181,6 +185,38 @@
     world.relay.wait_for_log_line(&ended).await
 }
 
+/// Guards against an unframed stream that looks whole because its server cut it between two events.
+#[tokio::test]
+async fn unframed_stream_that_its_server_cut_unread_is_not_whole() -> anyhow::Result<()> {
+    for (path, ids) in [
+        ("/stream/paused/large", 0..LARGE_STREAM_EVENTS),
+        ("/stream/single/large", 0..UNREAD_EVENTS),
+    ] {
+        let world = cluster(1).await?;
+        let server = &world.servers[0];
+        server.pad_large_responses(500_000);
+        server.queue_behaviours(&[Behaviour::EndUnframed(UNREAD_EVENTS)]);
+
+        let text = patient_call("POST", path, "id-1", "prompt");
+        let mut caller = send_unread(&world, &text).await?;
+        wait_until(|| active_calls(server) == 1).await?;
+        wait_until(|| active_calls(server) == 0).await?;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let response = caller.read_response().await?;
+
+        assert_eq!(response.status, 200, "{path}");
+        let is_resumable = ids.end == LARGE_STREAM_EVENTS;
+        assert_eq!(response.is_complete, is_resumable, "{path}");
+        let lines = response.body.lines();
+        let received = lines.filter_map(|line| line.strip_prefix("id: ")?.parse::<u64>().ok());
+        assert!(received.eq(ids), "{path}; {}", world.relay.log());
+        let runs = server.received_calls().len();
+        assert_eq!(runs, if is_resumable { 2 } else { 1 }, "{path}");
+        assert!(!world.relay.log().contains("excluded"));
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn crash_of_a_server_whose_stream_is_left_unread_is_recorded() -> anyhow::Result<()> {
     let world = cluster(1).await?;
