responses: a transfer coding other than chunked is no framing

What a caller would see: a complete response with part of its body, if the server names a transfer coding that does not delimit the body and crashes in the middle of it.

Cause: any Transfer-Encoding or Content-Length header counted as framing, so the server was not examined. Only a last coding of chunked delimits a body, and a length counts only without a coding.

--- a/daemon/tests/test_relay_unframed.rs
+++ b/daemon/tests/test_relay_unframed.rs
@@ -378,3 +378,19 @@
     assert!(answer.body.ends_with("served call-1"), "{answer:?}");
     Ok(())
 }
+
+/// Guards against a response that counts as framed by a transfer coding that does not delimit it.
+#[tokio::test]
+async fn response_whose_transfer_coding_is_not_chunked_ends_with_its_connection()
+-> anyhow::Result<()> {
+    let cluster = start(Behaviour::CrashUnframed(0)).await?;
+    for server in &cluster.servers {
+        server.add_header("Transfer-Encoding", "gzip");
+    }
+
+    let answer = exchange(&cluster, "POST", "/once/a").await?;
+
+    let log = cluster.relay.log();
+    assert_eq!(answer.status, 502, "{answer:?}; {log}");
+    Ok(())
+}
