responses: those without a body are whole once their head has arrived

What a caller would see: 502 for a call that may run once and was answered with 204, if the server exits right after. The server then also counts as crashed by the request.

Cause: a response without a length or chunks counted as one that ends with its connection, even if it can have no body.

Change: such a response is framed.

Measured: response_without_a_body_is_whole_even_if_its_server_exits failed before (502, with "server crashed during a call") and passes.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -21,6 +21,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body::Body as _;
 
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::Received;
@@ -288,7 +289,8 @@
     relay
         .unknown_headers
         .record(call.id(), server, &parts.headers);
-    attempt.is_framed = headers::is_framed(&parts.headers);
+    // A response without a body, such as 204, ends with its head.
+    attempt.is_framed = headers::is_framed(&parts.headers) || body.is_end_stream();
     let now = call.relay.clock.now();
     lock(&call.relay.tracker).call_answered(now, &attempt.selection.server);
     // A late response to another call, or one from another server, says nothing about the target.
--- a/daemon/tests/test_relay_unframed.rs
+++ b/daemon/tests/test_relay_unframed.rs
@@ -394,3 +394,14 @@
     assert_eq!(answer.status, 502, "{answer:?}; {log}");
     Ok(())
 }
+
+/// Guards against a call that fails although its response, which has no body, is whole.
+#[tokio::test]
+async fn response_without_a_body_is_whole_even_if_its_server_exits() -> anyhow::Result<()> {
+    let cluster = start(Behaviour::NoContentThenCrash).await?;
+
+    let answer = exchange(&cluster, "POST", "/once/a").await?;
+
+    assert_eq!(answer.status, 204, "{answer:?}; {}", cluster.relay.log());
+    Ok(())
+}
