quarantine: exits that servers announce while they are watched are no crashes

What operators would see: a request becomes suspect, and later quarantined, for servers that left in order. A connection breaks, its server is watched for a second, says meanwhile that it leaves, and exits.

Cause: whether the server may exit was read once, before it was watched.

Change: it is read again when the conclusion is drawn. Only an announcement counts then, since a crash also leads to a server that is not listed or was started again.

Measured: exit_announced_after_a_broken_connection_is_no_crash failed before ("server crashed during a call" 17 ms after the entry with leaving) and passes. 51 tests of unframed responses, exits, crashes and paths passed.

--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::connection_end::ConnectionEnd;
 use badgerferry_lib::relay::connection_end::PeerVerdict;
 use badgerferry_lib::relay::connection_end::ProbeResult;
@@ -22,6 +21,7 @@
 use crate::relay::process_probe::ProcessState;
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::ServerCrash;
+use crate::relay::server_gate::Target;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
@@ -45,12 +45,13 @@
     selection: &Selection,
     run: CrashedRun,
 ) -> Option<ConnectionEnd> {
-    let standing = standing(call, selection);
-    if standing != ServerStanding::InService {
-        return None;
+    let server = EndedServer::of(selection);
+    match server.standing(call) {
+        standing @ ServerStanding::InService => {
+            Some(examine(call, server, standing, Question::HasCrashed, run).await)
+        }
+        ServerStanding::MayExit | ServerStanding::Replaced => None,
     }
-    let end = examine(call, selection, standing, Question::HasCrashed, run);
-    Some(end.await)
 }
 
 /// Examines the end of a connection that ended a response without framing, and records a crash. If
@@ -61,53 +62,128 @@
     run: CrashedRun,
     may_repeat: bool,
 ) -> ConnectionEnd {
+    let server = EndedServer::of(selection);
     let question = Question::IsRunning { waits: !may_repeat };
-    match standing(call, selection) {
+    match server.standing(call) {
         ServerStanding::Replaced => ConnectionEnd::Exited,
-        standing => examine(call, selection, standing, question, run).await,
+        standing => examine(call, server, standing, question, run).await,
     }
 }
 
-fn standing(call: &Call, selection: &Selection) -> ServerStanding {
-    let (relay, target) = (&call.relay, &selection.target);
-    let may_exit = relay.gate.may_exit(target);
-    let tracker = lock(&relay.tracker);
-    match tracker.get(&selection.server) {
-        Some(record) if record.incarnation != target.incarnation => ServerStanding::Replaced,
-        Some(record) if record.info.leaving || may_exit => ServerStanding::MayExit,
-        Some(_) => ServerStanding::InService,
-        None if tracker.has_address(&selection.address) => ServerStanding::Replaced,
-        None => ServerStanding::MayExit,
+/// Server whose connection ended.
+#[derive(Debug, Clone)]
+struct EndedServer {
+    target: Target,
+    address: String,
+}
+
+impl EndedServer {
+    fn of(selection: &Selection) -> Self {
+        Self {
+            target: selection.target.clone(),
+            address: selection.address.clone(),
+        }
+    }
+
+    fn standing(&self, call: &Call) -> ServerStanding {
+        let may_exit = call.relay.gate.may_exit(&self.target);
+        let tracker = lock(&call.relay.tracker);
+        match tracker.get(&self.target.name) {
+            Some(record) if record.incarnation != self.target.incarnation => {
+                ServerStanding::Replaced
+            }
+            Some(record) if record.info.leaving || may_exit => ServerStanding::MayExit,
+            Some(_) => ServerStanding::InService,
+            None if tracker.has_address(&self.address) => ServerStanding::Replaced,
+            None => ServerStanding::MayExit,
+        }
+    }
+
+    /// Whether it has announced its exit by now. That it is not listed any more, or was started again,
+    /// is no announcement: a crash has the same effect.
+    fn has_announced_exit(&self, call: &Call) -> bool {
+        let may_exit = call.relay.gate.may_exit(&self.target);
+        let tracker = lock(&call.relay.tracker);
+        let record = tracker.get(&self.target.name);
+        let record = record.filter(|record| record.incarnation == self.target.incarnation);
+        may_exit || record.is_some_and(|record| record.info.leaving)
+    }
+
+    /// Draws the conclusion from what new connections showed.
+    async fn conclude(
+        &self,
+        call: &Call,
+        standing: ServerStanding,
+        question: Question,
+        state: &ProcessState,
+    ) -> ConnectionEnd {
+        let probe = match state {
+            ProcessState::Exited => ProbeResult::Refused,
+            ProcessState::Open(_) => ProbeResult::Open,
+            ProcessState::Closing => ProbeResult::Closed,
+            ProcessState::ClosingForLong => ProbeResult::ClosedForLong,
+            ProcessState::Unreachable => ProbeResult::NoAnswer,
+        };
+        let peers = match (probe, question) {
+            (ProbeResult::Refused, _) | (ProbeResult::NoAnswer, Question::IsRunning { .. }) => {
+                self.ask_peers(call).await
+            }
+            _ => PeerVerdict::Unknown,
+        };
+        let path = lock(&call.relay.server_paths).path(&call.service);
+        let evidence = ProcessEvidence {
+            probe,
+            peers,
+            is_path_suspected: path != ServerPath::Direct,
+        };
+        let standing = match standing {
+            ServerStanding::InService if self.has_announced_exit(call) => ServerStanding::MayExit,
+            standing => standing,
+        };
+        ConnectionEnd::conclude(standing, evidence)
+    }
+
+    /// Asks peers whether it is up.
+    async fn ask_peers(&self, call: &Call) -> PeerVerdict {
+        let destination = Destination {
+            relay: &call.relay,
+            server: &self.target.name,
+            address: &self.address,
+            call: call.id(),
+        };
+        let verdict = peer_connections::ask_peers(&destination).await;
+        if verdict == PeerVerdict::Up {
+            counter!("badgerferry_server_exits_refuted_total").increment(1);
+            tracing::info!(
+                call = call.id(),
+                server = %self.target.name,
+                "server refuses this box but has not exited: its path is cut"
+            );
+        }
+        verdict
     }
 }
 
 async fn examine(
     call: &Arc<Call>,
-    selection: &Selection,
+    server: EndedServer,
     standing: ServerStanding,
     question: Question,
     run: CrashedRun,
 ) -> ConnectionEnd {
-    let address = selection.address.clone();
-    let crash = ServerCrash {
-        server: selection.server.clone(),
-        incarnation: selection.target.incarnation,
-        run,
-    };
-    let state = match (process_probe::check_exit(&address).await, question) {
+    let state = match (process_probe::check_exit(&server.address).await, question) {
         (ProcessState::Closing, Question::IsRunning { waits: true }) => {
-            process_probe::check_slow_exit(&address).await
+            process_probe::check_slow_exit(&server.address).await
         }
         (state, _) => state,
     };
-    let evidence = gather_evidence(call, &crash.server, &address, question, &state).await;
-    let end = ConnectionEnd::conclude(standing, evidence);
+    let end = server.conclude(call, standing, question, &state).await;
     match (end, state) {
-        (ConnectionEnd::Crashed, _) => request_quarantine::record_crash(call, &crash),
+        (ConnectionEnd::Crashed, _) => record_crash(call, &server, run),
         (_, state @ (ProcessState::Closing | ProcessState::Open(_)))
             if standing == ServerStanding::InService =>
         {
-            tokio::spawn(watch_exit(Arc::clone(call), crash, address, state));
+            tokio::spawn(watch_exit(Arc::clone(call), server, state, run));
         }
         _ => {}
     }
@@ -115,61 +191,22 @@
 }
 
 /// Records a crash if the process exits soon.
-async fn watch_exit(call: Arc<Call>, crash: ServerCrash, address: String, state: ProcessState) {
-    if !process_probe::exits_later(&address, state).await {
+async fn watch_exit(call: Arc<Call>, server: EndedServer, state: ProcessState, run: CrashedRun) {
+    if !process_probe::exits_later(&server.address, state).await {
         return;
     }
-    let (question, state) = (Question::HasCrashed, ProcessState::Exited);
-    let evidence = gather_evidence(&call, &crash.server, &address, question, &state).await;
-    if ConnectionEnd::conclude(ServerStanding::InService, evidence) == ConnectionEnd::Crashed {
-        request_quarantine::record_crash(&call, &crash);
-    }
-}
-
-async fn gather_evidence(
-    call: &Call,
-    server: &ServerName,
-    address: &str,
-    question: Question,
-    state: &ProcessState,
-) -> ProcessEvidence {
-    let probe = match state {
-        ProcessState::Exited => ProbeResult::Refused,
-        ProcessState::Open(_) => ProbeResult::Open,
-        ProcessState::Closing => ProbeResult::Closed,
-        ProcessState::ClosingForLong => ProbeResult::ClosedForLong,
-        ProcessState::Unreachable => ProbeResult::NoAnswer,
-    };
-    let peers = match (probe, question) {
-        (ProbeResult::Refused, _) | (ProbeResult::NoAnswer, Question::IsRunning { .. }) => {
-            ask_peers(call, server, address).await
-        }
-        _ => PeerVerdict::Unknown,
-    };
-    let path = lock(&call.relay.server_paths).path(&call.service);
-    ProcessEvidence {
-        probe,
-        peers,
-        is_path_suspected: path != ServerPath::Direct,
+    let (standing, state) = (ServerStanding::InService, ProcessState::Exited);
+    let end = server.conclude(&call, standing, Question::HasCrashed, &state);
+    if end.await == ConnectionEnd::Crashed {
+        record_crash(&call, &server, run);
     }
 }
 
-/// Asks peers whether the server is up.
-async fn ask_peers(call: &Call, server: &ServerName, address: &str) -> PeerVerdict {
-    let destination = Destination {
-        relay: &call.relay,
-        server,
-        address,
-        call: call.id(),
+fn record_crash(call: &Call, server: &EndedServer, run: CrashedRun) {
+    let crash = ServerCrash {
+        server: server.target.name.clone(),
+        incarnation: server.target.incarnation,
+        run,
     };
-    let verdict = peer_connections::ask_peers(&destination).await;
-    if verdict == PeerVerdict::Up {
-        counter!("badgerferry_server_exits_refuted_total").increment(1);
-        tracing::info!(
-            call = call.id(),
-            %server,
-            "server refuses this box but has not exited: its path is cut"
-        );
-    }
-    verdict
+    request_quarantine::record_crash(call, &crash);
 }
--- a/daemon/tests/test_relay_crashes.rs
+++ b/daemon/tests/test_relay_crashes.rs
@@ -9,6 +9,7 @@
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::crashes::NewConnections;
 use badgerferry_standin::relay_box::RelayBox;
+use badgerferry_standin::relay_box::TestCluster;
 use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Store;
@@ -31,6 +32,8 @@
 const MAX_UNCOUNTED: usize = 3;
 /// Minimum interval between crashes that count separately.
 const CRASH_SPACING: Duration = Duration::from_millis(500);
+/// Exceeds the time for which a server is watched after a connection to it broke.
+const WATCH_TIME: Duration = Duration::from_millis(1_500);
 /// Refusal reason for a quarantined request.
 const REFUSAL_REASON: &str = "ends_servers";
 
@@ -377,3 +380,28 @@
     );
     Ok(())
 }
+
+/// Guards against a crash record of a server that announces its exit while it is being watched.
+#[tokio::test]
+async fn exit_announced_after_a_broken_connection_is_no_crash() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(3).await?;
+    for server in &cluster.servers {
+        server.set_crash_rule(CrashRule::on_body("", WATCH_TIME * 10, &cluster.store));
+        server.set_default_behaviour(Behaviour::CloseUnanswered);
+    }
+    let request = call("POST", "/once/a", "call-1", "", "a prompt");
+    Caller::exchange(cluster.relay.front(), &request).await?;
+    let mut servers = cluster.servers.iter();
+    let server = servers.find(|server| !server.received_calls().is_empty());
+    let server = server.expect("a server received the call");
+
+    cluster.store.put(&server.key(), &server.entry("draining"));
+    let leaving = ["server entry", server.name.as_str(), "\"leaving\":true"];
+    cluster.relay.wait_for_log_line(&leaving).await?;
+    server.crash();
+    tokio::time::sleep(WATCH_TIME).await;
+
+    let log = cluster.relay.log();
+    assert!(!log.contains("server crashed"), "{log}");
+    Ok(())
+}
