services: responses without framing of services that exit are lost

What a caller of the project's own interface would see: a complete response with part of its body, if a plain service answers without a length or chunks and exits in the middle.

Cause: the client of plain services took the end of the connection for the end of the response.

Change: the check of a server's process and the rule of what frames a response are in edges, and both ways to a server use them. A response without framing whose service is not running any more is lost.

Measured: response_without_framing_of_a_service_that_exits_may_be_cut failed before (200, "first part") and passes; two controls passed before and pass.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use badgerferry_edges::http_client;
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::attempts::AttemptEnd;
@@ -21,7 +22,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body::Body as _;
 
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::Received;
@@ -289,8 +289,7 @@
     relay
         .unknown_headers
         .record(call.id(), server, &parts.headers);
-    // A response without a body, such as 204, ends with its head.
-    attempt.is_framed = headers::is_framed(&parts.headers) || body.is_end_stream();
+    attempt.is_framed = http_client::is_framed(&parts.headers, &body);
     let now = call.relay.clock.now();
     lock(&call.relay.tracker).call_answered(now, &attempt.selection.server);
     // A late response to another call, or one from another server, says nothing about the target.
--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -6,6 +6,8 @@
 
 use std::sync::Arc;
 
+use badgerferry_edges::process_probe;
+use badgerferry_edges::process_probe::ProcessState;
 use badgerferry_lib::relay::connection_end::ConnectionEnd;
 use badgerferry_lib::relay::connection_end::PeerVerdict;
 use badgerferry_lib::relay::connection_end::ProbeResult;
@@ -17,8 +19,6 @@
 
 use crate::relay::call::Call;
 use crate::relay::peer_connections;
-use crate::relay::process_probe;
-use crate::relay::process_probe::ProcessState;
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::ServerCrash;
 use crate::relay::server_gate::Target;
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -34,7 +34,6 @@
 mod peer_connections;
 mod permit_transport;
 mod pooled_retries;
-mod process_probe;
 mod pulls;
 mod request_body;
 mod request_quarantine;
--- a/edges/src/http_client.rs
+++ b/edges/src/http_client.rs
@@ -14,10 +14,13 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderMap;
+use hyper::header::TRANSFER_ENCODING;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -107,6 +110,25 @@
     response.map_err(|cause| SendError::lost(address, &cause))
 }
 
+/// Whether a response has its own end: it can have no body, or its headers delimit the body, by
+/// chunks or by a length. Otherwise the body ends with its connection, and its end can't be
+/// distinguished from an exit of the server.
+pub fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.is_end_stream() || has_framing(headers)
+}
+
+/// Whether the headers delimit the body of a response. A length counts only without a transfer
+/// coding.
+pub fn has_framing(headers: &HeaderMap) -> bool {
+    match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(codings) => codings.to_str().is_ok_and(|codings| {
+            let last = codings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        }),
+        None => headers.contains_key(CONTENT_LENGTH),
+    }
+}
+
 /// Failure of a control call.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
--- a/edges/src/lib.rs
+++ b/edges/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod no_delay_listener;
 pub mod peer;
 pub mod platform;
+pub mod process_probe;
 pub mod service;
--- a/daemon/src/relay/process_probe.rs
+++ b/edges/src/process_probe.rs
@@ -25,6 +25,7 @@
 const WATCH_RECONNECT_DELAY: Duration = Duration::from_millis(20);
 
 /// Whether a server process has exited.
+#[derive(Debug)]
 pub enum ProcessState {
     /// It refuses connections.
     Exited,
@@ -51,6 +52,15 @@
     }
 }
 
+/// Whether a process whose connection ended is still running, as far as its address shows.
+pub async fn is_running(address: &str) -> bool {
+    let state = match check_exit(address).await {
+        ProcessState::Closing => check_slow_exit(address).await,
+        state => state,
+    };
+    matches!(state, ProcessState::Open(_) | ProcessState::ClosingForLong)
+}
+
 /// Whether a process that was still there at the end of [`check_exit`] exits within
 /// [`EXIT_WATCH_TIME`].
 pub async fn exits_later(address: &str, state: ProcessState) -> bool {
--- a/edges/src/service.rs
+++ b/edges/src/service.rs
@@ -13,12 +13,16 @@
 use hyper::header::HeaderName;
 
 use crate::engine::read_error;
+use crate::http_client;
 use crate::http_client::BufferedResponse;
 use crate::http_client::SendError;
 use crate::http_client::send_once;
+use crate::process_probe;
 
 /// Maximum size of a service's response body.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Why a response without framing is not used.
+const MAYBE_CUT: &str = "response ended with its connection, and may be cut";
 /// Headers that are not forwarded: those that apply to one connection only, and `content-length`,
 /// which is set anew from the buffered body.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
@@ -91,8 +95,12 @@
             return Err(read_error(address, response).await);
         }
         let (parts, body) = response.into_parts();
+        let is_framed = http_client::is_framed(&parts.headers, &body);
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|cause| SendError::lost(address, &cause))?;
+        if !is_framed && !process_probe::is_running(address).await {
+            return Err(SendError::lost(address, &MAYBE_CUT));
+        }
         Ok(BufferedResponse {
             status: parts.status,
             headers: parts.headers,
--- a/edges/tests/runner.rs
+++ b/edges/tests/runner.rs
@@ -1,3 +1,5 @@
 //! Tests of the clients, built as one binary.
 
+mod test_http_client;
 mod test_peer;
+mod test_service;
