gate: calls that waited are not sent to servers that left meanwhile

Callers saw lost calls, and a leaving server got calls 3.44 s after the store took its leaving (bound 3 s): they had waited at the box until the server had read earlier bodies.

The wait for earlier bodies came after the last question to the gate. And the gate knew only what servers say in answers and what the operator evacuates; the list was asked when the server was chosen, before any wait.

Change: the gate asks the list last as well. A call that waited for earlier bodies is admitted anew, by the gate and by the quarantine; if the server takes it no more, nothing was sent and another one is chosen. A body that was not sent after its wait does not count as left unread.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -31,6 +31,8 @@
 use crate::relay::connection_end;
 use crate::relay::connection_pool::Reuse;
 use crate::relay::connection_pool::SendError;
+use crate::relay::connection_pool::ServerRequest;
+use crate::relay::request_body::BodyPermit;
 use crate::relay::request_body::RequestBody;
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::Run;
@@ -264,6 +266,16 @@
         call: call.id(),
     };
     let patience = reader_patience::server_patience(&call.route);
+    let (body_permit, admitted) = match reserve_body(call, &attempt, admitted, patience).await {
+        Ok(reserved) => reserved,
+        Err(cause) => return handle_send_error(call, attempt, &cause).await,
+    };
+    let request = ServerRequest {
+        request,
+        body_permit,
+        reuse,
+        patience,
+    };
     let may_resend = call.may_resend(attempts);
     let path_cut = async {
         if may_resend {
@@ -276,7 +288,7 @@
         }
     };
     let sent = connection_pool
-        .send(&destination, reuse, request, patience, admitted, path_cut)
+        .send(&destination, request, admitted, path_cut)
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
@@ -371,6 +383,34 @@
     Err((RefusalReason::ServersLimited, OWNER_RETRY_DELAY))
 }
 
+/// Waits until the server has read enough of earlier bodies. After a wait the call is admitted anew,
+/// since what the server accepts may have changed.
+async fn reserve_body(
+    call: &Call,
+    attempt: &AttemptGuard,
+    admitted: Admitted,
+    patience: Duration,
+) -> Result<(BodyPermit, Admitted), SendError> {
+    let selection = &attempt.selection;
+    let pool = &call.relay.connection_pool;
+    let permit = pool.reserve_body(&selection.server, call.body.len(), patience);
+    let permit = permit.await?;
+    if !permit.has_waited {
+        return Ok((permit, admitted));
+    }
+    let pending = PendingCall {
+        id: call.id(),
+        target: &selection.target,
+        helpers: &selection.helper_targets,
+        max_wait: Duration::ZERO,
+    };
+    let admitted = call.relay.gate.admit_call(&pending).await;
+    match admitted {
+        Ok(admitted) if attempt.run.may_send() => Ok((permit, admitted)),
+        Ok(_) | Err(_) => Err(SendError::NotAdmitted),
+    }
+}
+
 fn build_request(
     call: &Call,
     selection: &Selection,
@@ -404,7 +444,7 @@
             attempt.finish(ServerOutcome::ConnectTimeout);
             AttemptResult::Ended(AttemptEnd::NoConnection)
         }
-        SendError::NoPath => {
+        SendError::NoPath | SendError::NotAdmitted => {
             attempt.finish(ServerOutcome::Inconclusive);
             AttemptResult::Ended(AttemptEnd::NoConnection)
         }
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::relay::listener::MAX_UNSENT_BYTES;
+use crate::relay::request_body::BodyPermit;
 use crate::relay::request_body::BodyTransfers;
 use crate::relay::request_body::RequestBody;
 use crate::relay::server_gate::Admitted;
@@ -58,6 +59,9 @@
     /// No response arrived, and the path of this box to the servers is cut. The call may have run.
     #[error("no response, and the path to the servers is cut")]
     PathCut,
+    /// Nothing was sent: the server does not accept the call any more.
+    #[error("server accepts the call no more")]
+    NotAdmitted,
     /// Nothing was sent: the server has not read the bodies of earlier requests.
     #[error("earlier request bodies are unread")]
     EarlierBodiesUnread,
@@ -136,6 +140,19 @@
     Never,
 }
 
+/// A request that is ready to be sent.
+#[derive(Debug)]
+pub struct ServerRequest {
+    /// The request.
+    pub request: Request<RequestBody>,
+    /// Permission to send its body.
+    pub body_permit: BodyPermit,
+    /// Whether it may use an idle connection.
+    pub reuse: Reuse,
+    /// Longest time for which the server may read nothing of a large body.
+    pub patience: Duration,
+}
+
 impl ConnectionPool {
     /// An empty pool; `bodies` is the bound on request bodies that the box holds.
     pub fn new(bodies: Option<u64>) -> Self {
@@ -145,9 +162,23 @@
         }
     }
 
-    /// Sends a call once on an idle or a new connection and waits for the response head. `patience`
-    /// is the longest time for which the server may read nothing of a large body. `path_cut` resolves
-    /// if a connection made by this box is no longer worth waiting for.
+    /// Waits until the server has read enough of earlier bodies for one of `len` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::EarlierBodiesUnread`] if it has not within `patience`.
+    pub async fn reserve_body(
+        &self,
+        server: &ServerName,
+        len: usize,
+        patience: Duration,
+    ) -> Result<BodyPermit, SendError> {
+        let permit = self.body_transfers.begin(server, len, patience).await;
+        permit.map_err(|_unread| SendError::EarlierBodiesUnread)
+    }
+
+    /// Sends a call once on an idle or a new connection and waits for the response head. `path_cut`
+    /// resolves if a connection made by this box is no longer worth waiting for.
     ///
     /// # Errors
     ///
@@ -155,17 +186,18 @@
     pub async fn send(
         &self,
         destination: &Destination<'_>,
-        reuse: Reuse,
-        mut request: Request<RequestBody>,
-        patience: Duration,
+        request: ServerRequest,
         admitted: Admitted,
         path_cut: impl Future<Output = ()>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let server = destination.server;
-        let progress = (self.body_transfers)
-            .begin(server, request.body_mut(), patience)
-            .await
-            .map_err(|_unread| SendError::EarlierBodiesUnread)?;
+        let ServerRequest {
+            mut request,
+            body_permit,
+            reuse,
+            patience,
+        } = request;
+        let progress = body_permit.attach(request.body_mut());
         let pooled = match reuse {
             Reuse::Allowed => self.take_idle(server),
             Reuse::Never => None,
--- a/daemon/src/relay/request_body.rs
+++ b/daemon/src/relay/request_body.rs
@@ -59,8 +59,8 @@
         let slice = self.rest.split_to(len);
         match self.transfer.take() {
             Some(transfer) if self.rest.is_empty() => transfer.finish(),
-            Some(transfer) => {
-                transfer.progress.record();
+            Some(mut transfer) => {
+                transfer.record_progress();
                 self.transfer = Some(transfer);
             }
             None => {}
@@ -94,8 +94,8 @@
         })
     }
 
-    /// Counts a large body as being sent, once the server has read enough of the others. Returns
-    /// the progress of the body, or `None` if it is small.
+    /// Counts a large body of `len` bytes as being sent, once the server has read enough of the
+    /// others.
     ///
     /// # Errors
     ///
@@ -103,33 +103,57 @@
     pub async fn begin(
         self: &Arc<Self>,
         server: &ServerName,
-        body: &mut RequestBody,
+        len: usize,
         patience: Duration,
-    ) -> Result<Option<Arc<Progress>>, BodiesUnread> {
-        if body.rest.len() <= SLICE_BYTES {
-            return Ok(None);
+    ) -> Result<BodyPermit, BodiesUnread> {
+        if len <= SLICE_BYTES {
+            return Ok(BodyPermit::default());
         }
-        let bytes = body.rest.len() as u64;
+        let bytes = len as u64;
         let until = Instant::now() + patience;
+        let mut has_waited = false;
         loop {
             // Subscribes before the check, so that no notification between the two is missed.
             let ended = self.ended.notified();
             if lock(&self.bodies).try_send(server, bytes) {
                 break;
             }
+            has_waited = true;
             timeout_at(until, ended)
                 .await
                 .map_err(|_elapsed| BodiesUnread)?;
         }
-        let progress = Arc::new(Progress(Mutex::new(Some(Instant::now()))));
-        body.transfer = Some(BodyTransfer {
+        let transfer = BodyTransfer {
             transfers: Arc::clone(self),
             server: server.clone(),
             bytes,
-            is_read: false,
-            progress: Arc::clone(&progress),
-        });
-        Ok(Some(progress))
+            state: TransferState::NotStarted,
+            progress: Arc::new(Progress(Mutex::new(Some(Instant::now())))),
+        };
+        Ok(BodyPermit {
+            transfer: Some(transfer),
+            has_waited,
+        })
+    }
+}
+
+/// Permission to send a body to a server.
+#[derive(Debug, Default)]
+pub struct BodyPermit {
+    /// `None` if the body is small.
+    transfer: Option<BodyTransfer>,
+    /// Whether it was granted only after a wait.
+    pub has_waited: bool,
+}
+
+impl BodyPermit {
+    /// Attaches it to the body. Returns the progress of the body, or `None` if it is small.
+    pub fn attach(self, body: &mut RequestBody) -> Option<Arc<Progress>> {
+        let transfer = self.transfer?;
+        let progress = Arc::clone(&transfer.progress);
+        progress.record();
+        body.transfer = Some(transfer);
+        Some(progress)
     }
 }
 
@@ -159,19 +183,32 @@
     }
 }
 
+/// How far a server has read a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TransferState {
+    NotStarted,
+    Started,
+    Read,
+}
+
 /// A large body that is being sent to a server.
 #[derive(Debug)]
 struct BodyTransfer {
     transfers: Arc<BodyTransfers>,
     server: ServerName,
     bytes: u64,
-    is_read: bool,
+    state: TransferState,
     progress: Arc<Progress>,
 }
 
 impl BodyTransfer {
+    fn record_progress(&mut self) {
+        self.state = TransferState::Started;
+        self.progress.record();
+    }
+
     fn finish(mut self) {
-        self.is_read = true;
+        self.state = TransferState::Read;
     }
 }
 
@@ -179,10 +216,10 @@
     fn drop(&mut self) {
         *lock(&self.progress.0) = None;
         let mut bodies = lock(&self.transfers.bodies);
-        if self.is_read {
-            bodies.body_read(&self.server, self.bytes);
-        } else {
-            bodies.body_unread(&self.server, self.bytes);
+        match self.state {
+            TransferState::NotStarted => bodies.body_not_sent(&self.server, self.bytes),
+            TransferState::Started => bodies.body_unread(&self.server, self.bytes),
+            TransferState::Read => bodies.body_read(&self.server, self.bytes),
         }
         drop(bodies);
         self.transfers.ended.notify_waiters();
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -109,7 +109,7 @@
     pub clock: Clock,
     /// Known boxes and their liveness, which determine the quota owners.
     pub cluster_view: Arc<Mutex<ClusterView>>,
-    /// Maps incarnations to server names for logs.
+    /// Listed servers.
     pub tracker: Arc<Mutex<ServerTracker>>,
     /// Data halls that the operator evacuates.
     pub evacuated_halls: Arc<ArcSwap<HallSet>>,
@@ -167,12 +167,16 @@
             tokio::time::sleep(pause).await;
         }
         self.acquire_permit(call).await?;
-        // The notices and the evacuated halls may have changed while the call waited.
+        // The list, the notices and the evacuated halls may have changed while the call waited.
+        let participants = || call.helpers.iter().chain([target]);
+        if participants().any(|server| self.has_departed(server)) {
+            notice_log::log_held_back(call, Availability::Leaving);
+            return Err(NotAdmitted);
+        }
         let now = self.now();
         let mut notices = lock(&self.notices);
         let announced = notices.availability(now, target.incarnation);
-        let participants = call.helpers.iter().chain([target]);
-        let halls = participants.map(|server| &server.hall);
+        let halls = participants().map(|server| &server.hall);
         let availability = self.availability_in(halls, announced);
         match availability {
             Availability::BackOff | Availability::Evacuated | Availability::Leaving => {
@@ -189,6 +193,14 @@
         }
     }
 
+    /// Whether the server is leaving, gone or restarted according to the list.
+    fn has_departed(&self, target: &Target) -> bool {
+        let tracker = lock(&self.context.tracker);
+        tracker
+            .get(&target.name)
+            .is_none_or(|record| record.info.leaving || record.incarnation != target.incarnation)
+    }
+
     /// Obtains a permit if the server has a limit.
     async fn acquire_permit(&self, call: &PendingCall<'_>) -> Result<(), NotAdmitted> {
         let now = self.now();
--- a/daemon/tests/test_relay_slow_readers.rs
+++ b/daemon/tests/test_relay_slow_readers.rs
@@ -25,6 +25,8 @@
 const UNREAD_EVENTS: u64 = 4;
 /// Larger than the buffers of a connection.
 const LARGE_BODY_BYTES: usize = 12 << 20;
+/// Body that a slow server reads within its patience.
+const QUEUED_BODY_BYTES: usize = 4 << 20;
 
 /// A cluster whose routes have a long time limit and accept large bodies.
 async fn cluster(servers: usize) -> anyhow::Result<TestCluster> {
@@ -359,6 +361,29 @@
     world.relay.wait_for_log_line(&waited).await
 }
 
+/// Guards against calls that reach a server long after it said that it leaves, because they waited
+/// until it had read earlier bodies.
+#[tokio::test]
+async fn call_that_waited_for_earlier_bodies_is_not_sent_to_a_leaving_server() -> anyhow::Result<()>
+{
+    let mut world = cluster(1).await?;
+    world.servers[0].read_bodies_slowly(Duration::from_millis(20));
+    let body = "x".repeat(QUEUED_BODY_BYTES);
+
+    let mut first = send_routed(&world, "/once/a", "id-1", &body).await?;
+    let mut second = send_routed(&world, "/once/a", "id-2", &body).await?;
+    add_server(&mut world).await?;
+    let leaving = &world.servers[0];
+    world.store.put(&leaving.key(), &leaving.entry("draining"));
+    let (first, second) = (first.read_response().await?, second.read_response().await?);
+
+    let log = world.relay.log();
+    assert_eq!(first.body, "i-0 served id-1", "{first:?}; {log}");
+    assert_eq!(second.body, "i-1 served id-2", "{second:?}; {log}");
+    assert_eq!(world.servers[0].received_calls().len(), 1, "{log}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn window_of_a_server_falls_back_once_it_leaves_a_body_unread() -> anyhow::Result<()> {
     let world = cluster(1).await?;
--- a/lib/src/relay/server_bodies.rs
+++ b/lib/src/relay/server_bodies.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// A body was not sent after all.
+    pub fn body_not_sent(&mut self, server: &ServerName, bytes: u64) {
+        if let Some(flow) = self.flows.get_mut(server) {
+            flow.unread -= bytes;
+        }
+    }
+
     /// A body was discarded before the server had read it.
     pub fn body_unread(&mut self, server: &ServerName, bytes: u64) {
         if let Some(flow) = self.flows.get_mut(server) {
