attempts: calls that waited for earlier bodies state the time that is left

What servers would see: a call with up to a second, or the objective of its route, more time than its caller waits, if it waited until the server had read earlier bodies.

Cause: the headers were built before the wait.

Change: they are built after it.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -250,7 +250,6 @@
     tried.push(selection.server.clone());
     call_log::routed(call, attempts, &selection);
     let resume_after = join.and_then(EventJoin::last);
-    let request = build_request(call, &selection, resume_after);
     let mut attempt = AttemptGuard::new(call, run, selection);
     attempts.send();
     let reuse = if call.route.kind.is_repeatable() {
@@ -271,7 +270,7 @@
         Err(cause) => return handle_send_error(call, attempt, &cause).await,
     };
     let request = ServerRequest {
-        request,
+        request: build_request(call, &attempt.selection, resume_after),
         body_permit,
         reuse,
         patience,
--- a/daemon/tests/test_relay_slow_readers.rs
+++ b/daemon/tests/test_relay_slow_readers.rs
@@ -384,6 +384,29 @@
     Ok(())
 }
 
+/// Guards against servers that work past the deadline of a call that waited.
+#[tokio::test]
+async fn call_that_waited_for_earlier_bodies_states_the_time_that_is_left() -> anyhow::Result<()> {
+    let world = cluster(1).await?;
+    let server = &world.servers[0];
+    server.read_bodies_slowly(Duration::from_millis(20));
+    let body = "x".repeat(QUEUED_BODY_BYTES);
+
+    let mut first = send_routed(&world, "/once/a", "id-1", &body).await?;
+    let sent_at = Instant::now();
+    let mut second = send_routed(&world, "/once/a", "id-2", &body).await?;
+    first.read_response().await?;
+    // The second call reaches the server after this.
+    let waited = sent_at.elapsed() / 2;
+    second.read_response().await?;
+
+    let calls = server.received_calls();
+    let stated = calls[1].headers["badgerferry-deadline-ms"].parse()?;
+    let total = Duration::from_millis(stated) + waited;
+    assert!(total < TIME_LIMIT, "{stated}, {waited:?}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn window_of_a_server_falls_back_once_it_leaves_a_body_unread() -> anyhow::Result<()> {
     let world = cluster(1).await?;
