store: a watch whose answer is too large leads to a full read

Cause: the first read of a box may be seconds old, and it watches from there. The answer holds every version since, over 4 MiB, and was given up with "length limit exceeded", which counted as an outage: the box asked for the same answer again until the store had forgotten the history.

Change: a response that is too large is an error of its own, and in a watch leads to a full read of the latest state, at a random time within 0.2 s, as after a restore.

--- a/cli/src/commands/suspects.rs
+++ b/cli/src/commands/suspects.rs
@@ -73,7 +73,7 @@
         StoreError::NotApplied(_) | StoreError::HistoryExpired | StoreError::NewEra(_) => {
             Failure::Refused
         }
-        StoreError::NoResponse(_) => Failure::NoAnswer,
+        StoreError::NoResponse(_) | StoreError::TooLarge => Failure::NoAnswer,
     };
     CommandError::new(kind, format!("failed to {operation}: {cause}"))
         .hint("--platform is the address of the platform's store here")
--- a/daemon/src/relay/store_follower.rs
+++ b/daemon/src/relay/store_follower.rs
@@ -56,7 +56,7 @@
 /// Maximum delay after a failed call. Changes have to take effect within four seconds of the
 /// store's recovery.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Maximum random delay before a box that follows the store reads it in full after a restore.
+/// Maximum random delay before a box reads the store in full, where others do so at the same time.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(200);
 /// Maximum random delay before the other boxes write their entries again after a restore. Nothing
 /// depends on these soon.
@@ -303,7 +303,12 @@
                 self.cursor.reset();
                 return rand::rng().random_range(Duration::ZERO..MAX_REREAD_DELAY);
             }
-            StoreError::NotApplied(_) | StoreError::NoResponse(_) => {}
+            StoreError::TooLarge if position.is_some() => {
+                tracing::warn!(era, revision, "store has too many changes: reading in full");
+                self.cursor.reset();
+                return rand::rng().random_range(Duration::ZERO..MAX_REREAD_DELAY);
+            }
+            StoreError::TooLarge | StoreError::NotApplied(_) | StoreError::NoResponse(_) => {}
         }
         if self.unavailable_since.is_none() {
             self.unavailable_since = Some(Instant::now());
--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -23,6 +23,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
+/// Desired states written in succession, and the bytes of each: together more than a response of the
+/// store may have.
+const LARGE_STATES: u64 = 20;
+const LARGE_STATE_BYTES: usize = 300_000;
+
 fn idempotent_call(id: &str, key: &str) -> String {
     call("GET", "/again/a", id, "", "").replace("key-1", key)
 }
@@ -124,6 +129,31 @@
     Ok(())
 }
 
+/// Guards against a box that keeps an old route table because the changes since do not fit into a
+/// response.
+#[tokio::test]
+async fn box_reads_in_full_if_the_changes_since_its_first_read_are_too_large() -> anyhow::Result<()>
+{
+    let store = Store::start().await?;
+    store.put_routes(&desired_state(3, &["key-1"]));
+    let server = Server::start("i-0", "boards", Duration::from_millis(20)).await?;
+    store.put(&server.key(), &server.entry("ready"));
+    store.hold_old_reads();
+    let large_name = "r".repeat(LARGE_STATE_BYTES);
+    for version in 4..4 + LARGE_STATES {
+        let mut state = desired_state(version, &["key-2"]);
+        state["routes"][4]["name"] = large_name.as_str().into();
+        store.put_routes(&state);
+    }
+
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_ready().await?;
+
+    wait_status(&relay, "key-2", 200).await?;
+    assert_eq!(status(&relay, "key-1").await?, 401);
+    Ok(())
+}
+
 #[tokio::test]
 async fn older_route_table_version_is_ignored() -> anyhow::Result<()> {
     let world = TestCluster::start(1).await?;
