stop: wait for callers that still read their responses

Cause: a call counts as in flight until the HTTP library drops its response, which it does once it has taken the last bytes into its own buffer, read or not.

Change: a connection with bytes that wait for its caller keeps the process as well, up to the time limit of the stop. Callers that read nothing are cut by their own limits.

--- a/daemon/src/relay/caller_io.rs
+++ b/daemon/src/relay/caller_io.rs
@@ -160,6 +160,7 @@
 #[derive(Debug)]
 pub struct CallerIo {
     stream: TcpStream,
+    relay: Arc<Relay>,
     connection: Arc<Mutex<CallerConnection>>,
     /// Whether the last write had to wait.
     is_blocked: bool,
@@ -167,25 +168,41 @@
 
 impl CallerIo {
     /// Wraps `stream` and records its state in `connection`.
-    pub const fn new(stream: TcpStream, connection: Arc<Mutex<CallerConnection>>) -> Self {
+    pub const fn new(
+        stream: TcpStream,
+        relay: Arc<Relay>,
+        connection: Arc<Mutex<CallerConnection>>,
+    ) -> Self {
         Self {
             stream,
+            relay,
             connection,
             is_blocked: false,
         }
     }
 
     fn record_write(&mut self, polled: &Poll<io::Result<usize>>) {
-        let is_blocked = polled.is_pending();
-        if is_blocked != self.is_blocked {
-            self.is_blocked = is_blocked;
-            lock(&self.connection).blocked_since = is_blocked.then(Instant::now);
+        self.set_blocked(polled.is_pending());
+    }
+
+    fn set_blocked(&mut self, is_blocked: bool) {
+        if is_blocked == self.is_blocked {
+            return;
+        }
+        self.is_blocked = is_blocked;
+        lock(&self.connection).blocked_since = is_blocked.then(Instant::now);
+        let blocked = &self.relay.blocked_callers;
+        if is_blocked {
+            blocked.fetch_add(1, Ordering::SeqCst);
+        } else {
+            blocked.fetch_sub(1, Ordering::SeqCst);
         }
     }
 }
 
 impl Drop for CallerIo {
     fn drop(&mut self) {
+        self.set_blocked(false);
         if lock(&self.connection).resets {
             // On failure, the system sends the unread bytes for as long as the caller takes them.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -63,7 +63,7 @@
     }
     let limits = current_limits(&relay);
     let state = Arc::new(Mutex::new(CallerConnection::new()));
-    let io = CallerIo::new(stream, Arc::clone(&state));
+    let io = CallerIo::new(stream, Arc::clone(&relay), Arc::clone(&state));
     let service = service_fn({
         let (relay, state) = (Arc::clone(&relay), Arc::clone(&state));
         move |req| serve_call(Arc::clone(&relay), Arc::clone(&state), req)
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -162,6 +162,8 @@
     pub refusing: AtomicBool,
     /// Calls whose responses are not fully sent yet.
     pub in_flight: AtomicUsize,
+    /// Connections of callers with bytes that wait to be written.
+    pub blocked_callers: AtomicUsize,
 }
 
 impl Relay {
@@ -231,6 +233,7 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            blocked_callers: AtomicUsize::new(0),
         }
     }
 
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -97,7 +97,11 @@
     }
 }
 
-/// Calls of this box, and connections that it carries for peers.
+/// Calls of this box, connections that it carries for peers, and responses whose ends callers have
+/// not read: a call counts as ended once the HTTP library holds its response.
 fn in_flight(relay: &Relay) -> usize {
-    relay.in_flight.load(Ordering::SeqCst) + relay.carried.load(Ordering::SeqCst)
+    [&relay.in_flight, &relay.carried, &relay.blocked_callers]
+        .into_iter()
+        .map(|count| count.load(Ordering::SeqCst))
+        .sum()
 }
--- a/daemon/tests/test_relay_slow_readers.rs
+++ b/daemon/tests/test_relay_slow_readers.rs
@@ -23,6 +23,8 @@
 /// Events of a large stream that fill the room of a call at the box, but not the buffers of a
 /// connection.
 const UNREAD_EVENTS: u64 = 4;
+/// Time in which an idle box would have ended its stop, but one that is busy may not have yet.
+const READ_DURING_STOP: Duration = Duration::from_secs(4);
 /// Larger than the buffers of a connection.
 const LARGE_BODY_BYTES: usize = 12 << 20;
 /// Body that a slow server reads within its patience.
@@ -296,6 +298,35 @@
     Ok(())
 }
 
+/// Guards against a planned stop that cuts responses which callers are still reading.
+#[tokio::test]
+async fn planned_stop_waits_for_callers_that_still_read() -> anyhow::Result<()> {
+    let mut world = cluster(1).await?;
+    world.servers[0].pad_large_responses(3_000_000);
+    let mut callers = Vec::new();
+    for (index, path) in ["/again/large", "/once/large"].into_iter().enumerate() {
+        let text = patient_call("POST", path, &format!("id-{index}"), "");
+        callers.push(send_unread(&world, &text).await?);
+    }
+    let log = ["call ended", "answered"];
+    world.relay.wait_for_log_line(&log).await?;
+    wait_until(|| active_calls(&world.servers[0]) == 0).await?;
+
+    world.relay.signal("TERM")?;
+    tokio::time::sleep(READ_DURING_STOP).await;
+    for mut caller in callers {
+        let response = caller.read_response().await?;
+        let is_served = (response.status, response.is_complete) == (200, true);
+        assert!(is_served, "{}; {}", response.head, world.relay.log());
+    }
+
+    let mut has_exited = || world.relay.exit_code().is_ok_and(|code| code.is_some());
+    let read_at = Instant::now();
+    wait_until(&mut has_exited).await?;
+    assert!(read_at.elapsed() < READ_DURING_STOP, "the box exits early");
+    Ok(())
+}
+
 #[tokio::test]
 async fn body_that_a_server_leaves_unread_is_cut_and_may_have_run() -> anyhow::Result<()> {
     let world = cluster(1).await?;
