servers: entries by other writers name no server to use

What a server saw: it had said in its answers that it leaves, and got one more call after another writer had written its entry without born, version, cold_left_ms and call_seq.

Cause: only the fields that the box uses were required, and born not even that. Without born the entry passed for one of a new incarnation, of which nothing had been said.

An entry without born whose server has stated one counts as unreadable, also in a full read.

--- a/daemon/tests/test_relay_leaving.rs
+++ b/daemon/tests/test_relay_leaving.rs
@@ -213,3 +213,35 @@
 
     assert_eq!(count_served(&answers), answers.len(), "{}", fleet.logs());
 }
+
+/// Guards against an entry by another writer that is taken for a new incarnation of its server.
+#[tokio::test]
+async fn entry_without_all_fields_does_not_undo_what_a_leaving_server_said() -> anyhow::Result<()> {
+    for missing in [
+        &["version", "cold_left_ms", "call_seq", "born"][..],
+        &["born"],
+    ] {
+        let fleet = Fleet::start(1, 2, "boards").await?;
+        let leaving = &fleet.servers[0];
+        let mut entry = leaving.entry("ready");
+        entry["born"] = 7.into();
+        fleet.store.put(&leaving.key(), &entry);
+        let written = ["server entry", "i-0", "\"born\":7"];
+        fleet.boxes[0].wait_for_log_line(&written).await?;
+        leaving.announce_leaving(Some("1"));
+        while !leaving.received_calls().iter().any(|seen| seen.ran) {
+            fleet.call_all("/again/a", "", WARM_UP).await;
+        }
+
+        let fields = entry.as_object_mut().expect("an entry is an object");
+        fields.retain(|name, _| !missing.contains(&name.as_str()));
+        fleet.store.put(&leaving.key(), &entry);
+        tokio::time::sleep(PROPAGATION_TIME * 2).await;
+        let before = leaving.received_calls().len();
+        fleet.call_all("/again/a", "", WARM_UP * 2).await;
+
+        let received = leaving.received_calls().len();
+        assert_eq!(received, before, "without {missing:?}; {}", fleet.logs());
+    }
+    Ok(())
+}
--- a/lib/src/relay/server_list.rs
+++ b/lib/src/relay/server_list.rs
@@ -192,6 +192,7 @@
             self.unconfirmed_until = now + self.unconfirmed_hold;
             self.merged_digests.clear();
         }
+        self.mark_foreign(&mut entries);
         self.mark_retired(&mut entries);
         let mut halls = std::mem::take(&mut self.entries.halls);
         halls.merge(entries.position, entries.halls);
@@ -210,6 +211,21 @@
         self.record_digest();
     }
 
+    /// Marks servers as leaving whose entries are now from another writer.
+    fn mark_foreign(&self, entries: &mut ServerSnapshot) {
+        for (name, server) in &mut entries.servers {
+            match self.entries.servers.get(name) {
+                Some(known) if lacks_known_start(known, server) => {
+                    *server = ServerEntry {
+                        leaving: true,
+                        ..known.clone()
+                    };
+                }
+                Some(_) | None => {}
+            }
+        }
+    }
+
     /// Marks servers as leaving that were retired in an earlier era: their entries come from a
     /// backup that is older than the retirement.
     fn mark_retired(&mut self, entries: &mut ServerSnapshot) {
@@ -245,6 +261,11 @@
 
     /// Applies a changed entry; ignored if it is of another era.
     pub fn put(&mut self, position: StorePosition, server: ServerEntry) {
+        let known = self.entries.servers.get(&server.name);
+        if known.is_some_and(|known| lacks_known_start(known, &server)) {
+            self.put_unreadable(position, &server.name);
+            return;
+        }
         if !self.record_change(position, &server.name) {
             return;
         }
@@ -475,3 +496,9 @@
         }
     }
 }
+
+/// Whether an entry lacks the start time that the known one of its server has: it is from another
+/// writer, and says nothing about the server.
+const fn lacks_known_start(known: &ServerEntry, server: &ServerEntry) -> bool {
+    known.born.is_some() && server.born.is_none()
+}
--- a/lib/tests/test_relay_server_list.rs
+++ b/lib/tests/test_relay_server_list.rs
@@ -223,6 +223,34 @@
 }
 
 /// A store that is restored from a backup assigns the same revisions again.
+/// Guards against an entry by another writer that is taken for a new incarnation.
+#[test]
+fn entry_without_the_known_start_marks_its_server_as_leaving() {
+    let name = ServerName::new("a");
+    let started = |born: Option<u64>| ServerEntry {
+        born,
+        ..server("a")
+    };
+    let known = |list: &ServerList| {
+        let servers = list.servers();
+        servers.first().map(|server| (server.leaving, server.born))
+    };
+    let mut list = ServerList::default();
+    list.put(at(1), started(Some(7)));
+
+    list.put(at(2), started(None));
+    let by_change = known(&list);
+    list.put(at(3), started(Some(7)));
+    let by_itself = known(&list);
+    let mut snapshot = entries(4, &[]);
+    snapshot.servers.insert(name, started(None));
+    list.replace(Time::ZERO, snapshot);
+
+    assert_eq!(by_change, Some((true, Some(7))));
+    assert_eq!(by_itself, Some((false, Some(7))));
+    assert_eq!(known(&list), Some((true, Some(7))));
+}
+
 #[test]
 fn snapshot_of_newer_era_with_lower_revision_is_applied() {
     let mut list = ServerList::default();
