--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -60,7 +60,7 @@
     #[error("no response, and the path to the servers is cut")]
     PathCut,
     /// Nothing was sent: the server does not accept the call any more.
-    #[error("server accepts the call no more")]
+    #[error("server no longer accepts the call")]
     NotAdmitted,
     /// Nothing was sent: the server has not read the bodies of earlier requests.
     #[error("earlier request bodies are unread")]
