soak: calls that are answered with 421 ask for no pause

Trace: the bytes of the server's links were held and arrived at once. Within 6 ms, twelve calls got 421, since the plan has the server misdirect 17 calls, were sent once more, and got 503 with Retry-After, one each. The boxes sent nothing more until the pause was over.

Cause: the stand-in recorded every call that it had not run as rejected with a pause while it shed, also those that it answered with 421, which carries none. So each of these calls counted twice.

The bound and the check of the soak stay as they are; the rule is about answers of 503 with Retry-After.

--- a/daemon/tests/test_relay_shedding.rs
+++ b/daemon/tests/test_relay_shedding.rs
@@ -230,3 +230,23 @@
         fleet.logs()
     );
 }
+
+/// Guards against calls that count as rejected with a pause although they were meant for another
+/// server.
+#[tokio::test]
+async fn misdirected_call_asks_for_no_pause() -> anyhow::Result<()> {
+    let server = Server::start("i-0", "boards", Duration::ZERO).await?;
+    server.shed(Some(PAUSE_TEXT));
+    server.queue_behaviours(&[Behaviour::Misdirect]);
+
+    for _ in 0..2 {
+        let request = call("GET", "/again/a", "call", "", "");
+        let response = Caller::exchange(server.address, &request).await?;
+
+        let states_pause = response.header("retry-after").is_some();
+        let calls = server.received_calls();
+        let recorded = calls.last().map(|seen| seen.sent_retry_after);
+        assert_eq!(recorded, Some(states_pause), "{response:?}");
+    }
+    Ok(())
+}
