server paths: decide on a large sample that no path is left

Callers saw: 503 servers_unreachable for a harmless call, while half of the servers of its service were up. Seen once, in a run of crash_is_detected_when_the_server_closes_new_connections_for_long with 6 of 12 servers down.

Cause: two refused connections raise the suspicion that the path of the box is cut; the probe that follows took four random servers, two of them through peers. If these were all among the crashed ones, no path counted as left, and all calls were refused for 250 ms.

Change: the probe that may give a path up takes 16 servers, both directly and through peers. Peers are asked once the direct probe has failed or is slow. The size is decided in the library.

The test that failed prints the logs of its boxes now.

--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -39,10 +39,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between two probes of a path that is cut.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Servers connected to in each probe of a path that is cut; some of them may be down.
-const PROBED_SERVERS: usize = 2;
-/// Servers that must all be out of reach before calls are refused without an attempt.
-const DECISIVE_PROBES: usize = 4;
+/// Servers that a path is checked with: the silent one and, if connecting to it is slow, another.
+const CHECKED_SERVERS: usize = 2;
 /// Longest time for which a stream that has started waits for a path. Callers give a stream up after
 /// two seconds of silence, part of which has passed.
 const MAX_PATH_WAIT: Duration = Duration::from_secs(1);
@@ -269,7 +267,7 @@
             .map(|record| record.info.address.clone())
     };
     let Some(address) = address else { return };
-    let others = random_servers(relay, service, PROBED_SERVERS).into_iter();
+    let others = random_servers(relay, service, CHECKED_SERVERS).into_iter();
     let other = others.into_iter().find(|(other, _)| other != server);
     let (relay, server) = (Arc::clone(relay), server.clone());
     tokio::spawn(async move {
@@ -324,31 +322,25 @@
     }
 }
 
-/// Connects to random servers of the service, directly and, if peers may be unable to connect, also
-/// through these.
+/// Connects to random servers of the service, directly and, if that fails and peers may be unable to
+/// connect, also through these.
 async fn probe(relay: &Relay, service: &ServiceName) {
-    let asks_peers = lock(&relay.server_paths).should_probe_peers(service);
-    let count = if asks_peers {
-        DECISIVE_PROBES
-    } else {
-        PROBED_SERVERS
-    };
-    let servers = random_servers(relay, service, count);
-    let direct = async {
-        let probes = servers
-            .iter()
-            .map(|(server, address)| connect_directly(relay, server, address));
-        join_all(probes).await.iter().any(Result::is_ok)
-    };
-    let through_peers = async {
-        let probes = servers
-            .iter()
-            .take(PROBED_SERVERS)
-            .map(|(server, address)| probe_through_peer(relay, server, address));
-        asks_peers && join_all(probes).await.contains(&true)
+    let size = lock(&relay.server_paths).probe_size(service);
+    let servers = random_servers(relay, service, size.direct);
+    let is_reached = {
+        let direct = probe_directly(relay, &servers);
+        tokio::pin!(direct);
+        match timeout(CHECK_STAGGER, direct.as_mut()).await {
+            Ok(true) => true,
+            Ok(false) => probe_through_peers(relay, &servers, size.through_peers).await,
+            Err(_elapsed) => {
+                let through_peers = probe_through_peers(relay, &servers, size.through_peers);
+                let (is_direct, is_through_peers) = tokio::join!(direct, through_peers);
+                is_direct || is_through_peers
+            }
+        }
     };
-    let (is_direct, is_through_peers) = tokio::join!(direct, through_peers);
-    if asks_peers && !is_direct && !is_through_peers {
+    if size.through_peers > 0 && !is_reached {
         let now = relay.clock.now();
         let change = lock(&relay.server_paths).record_failed_probe(now, service);
         if let Some(change) = change {
@@ -357,6 +349,27 @@
     }
 }
 
+/// Whether this box connects to any of the servers itself.
+async fn probe_directly(relay: &Relay, servers: &[(ServerName, String)]) -> bool {
+    let probes = servers
+        .iter()
+        .map(|(server, address)| connect_directly(relay, server, address));
+    join_all(probes).await.iter().any(Result::is_ok)
+}
+
+/// Whether a peer connects to any of the first `count` servers.
+async fn probe_through_peers(
+    relay: &Relay,
+    servers: &[(ServerName, String)],
+    count: usize,
+) -> bool {
+    let probes = servers
+        .iter()
+        .take(count)
+        .map(|(server, address)| probe_through_peer(relay, server, address));
+    join_all(probes).await.contains(&true)
+}
+
 async fn probe_through_peer(relay: &Relay, server: &ServerName, address: &str) -> bool {
     let Some(known) = known_server(relay, server) else {
         return false;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_relay_leaving;
 mod test_relay_limits;
 mod test_relay_prompt_parts;
+mod test_relay_refused_connections;
 mod test_relay_reservations;
 mod test_relay_retry_pool;
 mod test_relay_server_paths;
--- a/daemon/tests/test_relay_crashes.rs
+++ b/daemon/tests/test_relay_crashes.rs
@@ -94,7 +94,12 @@
     );
     for (index, relay_box) in fleet.boxes.iter().enumerate() {
         let other = stream(relay_box, &format!("other-{index}"), "another prompt").await?;
-        assert_eq!((other.status, other.is_complete), (200, true), "{other:?}");
+        assert_eq!(
+            (other.status, other.is_complete),
+            (200, true),
+            "{other:?}; logs:\n{}",
+            fleet.logs()
+        );
     }
     Ok(())
 }
--- /dev/null
+++ b/daemon/tests/test_relay_refused_connections.rs
@@ -0,0 +1,68 @@
+//! Services most of whose servers have exited and are still listed.
+
+use std::net::TcpStream;
+use std::time::Duration;
+
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::RawResponse;
+use badgerferry_standin::caller::call;
+use badgerferry_standin::crashes::CrashRule;
+use badgerferry_standin::relay_box::wait_until;
+use badgerferry_standin::server::Server;
+
+use crate::relay_fleet::Fleet;
+
+/// Servers of the service, and those of them that have exited.
+const SERVERS: usize = 16;
+const EXITED_SERVERS: usize = 14;
+/// Longer than the test runs.
+const DOWNTIME: Duration = Duration::from_mins(1);
+
+/// Starts boxes that have not noticed yet that most servers refuse connections.
+async fn start_with_exited_servers(boxes: usize) -> anyhow::Result<Fleet> {
+    let fleet = Fleet::start(boxes, SERVERS, "boards").await?;
+    let exited = &fleet.servers[..EXITED_SERVERS];
+    for server in exited {
+        server.set_crash_rule(CrashRule {
+            downtime: DOWNTIME,
+            ..CrashRule::default()
+        });
+        server.crash();
+    }
+    for server in exited {
+        wait_until(|| refuses_connections(server)).await?;
+    }
+    Ok(fleet)
+}
+
+fn refuses_connections(server: &Server) -> bool {
+    TcpStream::connect(server.address).is_err()
+}
+
+/// Sends one call to each box at once.
+async fn call_each(fleet: &Fleet) -> Vec<RawResponse> {
+    let calls = fleet
+        .boxes
+        .iter()
+        .enumerate()
+        .map(async |(index, relay_box)| {
+            let request = call("GET", "/again/a", &format!("call-{index}"), "", "");
+            let response = Caller::exchange(relay_box.front(), &request).await;
+            response.unwrap_or_default()
+        });
+    futures::future::join_all(calls).await
+}
+
+/// Guards against calls refused for want of a path because a sample of the servers is down.
+#[tokio::test]
+async fn servers_that_exited_are_no_cut_path() -> anyhow::Result<()> {
+    let fleet = start_with_exited_servers(6).await?;
+
+    let responses = call_each(&fleet).await;
+
+    let refused = responses
+        .iter()
+        .find(|response| response.body.contains("servers_unreachable"));
+    assert!(refused.is_none(), "{refused:?}; {}", fleet.logs());
+    Ok(())
+}
--- a/lib/src/relay/server_paths.rs
+++ b/lib/src/relay/server_paths.rs
@@ -10,7 +10,8 @@
 //!
 //! While a path is suspected or cut, random servers are probed. Connections to two of them restore
 //! it. If neither this box nor a peer connects to any of them, no path is left, and calls are
-//! refused at once until a probe succeeds.
+//! refused at once until a probe succeeds. The probe that decides this takes a large sample, since
+//! many servers may be down while others are up.
 //!
 //! Only new connections count. Open ones may outlive a cut, and the system of a server that is
 //! silent for a while still accepts connections. A call that is silent for longer than expected is
@@ -42,6 +43,13 @@
 const EVIDENCE_TTL: Duration = Duration::from_secs(3);
 /// Minimum interval between two checks of a path on which calls are silent.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Servers probed while a path is cut, to notice that it is restored.
+const PROBED_SERVERS: usize = 2;
+/// Servers probed directly while no path is left; some of them may be down.
+const PROBED_SERVERS_WITHOUT_PATH: usize = 4;
+/// Servers that must all be out of reach before no path counts as left. With half of the servers
+/// down, one sample in 65,000 shows none that is up.
+const DECISIVE_PROBES: usize = 16;
 /// Bounds of the retry delay of callers while no path is left.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -103,6 +111,15 @@
     Unknown,
 }
 
+/// How many servers of a service to probe at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProbeSize {
+    /// Servers that this box connects to itself.
+    pub direct: usize,
+    /// How many of these peers connect to as well, if this box fails.
+    pub through_peers: usize,
+}
+
 /// The path to the servers of a service changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PathChange {
@@ -265,6 +282,25 @@
         })
     }
 
+    /// How many servers to probe.
+    pub fn probe_size(&self, service: &ServiceName) -> ProbeSize {
+        let asks_peers = self.should_probe_peers(service);
+        match self.path(service) {
+            ServerPath::Unavailable => ProbeSize {
+                direct: PROBED_SERVERS_WITHOUT_PATH,
+                through_peers: PROBED_SERVERS,
+            },
+            ServerPath::Suspected | ServerPath::ThroughPeers if asks_peers => ProbeSize {
+                direct: DECISIVE_PROBES,
+                through_peers: DECISIVE_PROBES,
+            },
+            _ => ProbeSize {
+                direct: PROBED_SERVERS,
+                through_peers: 0,
+            },
+        }
+    }
+
     /// Records a connection attempt of this box itself. `halls` are those of the service's servers,
     /// one item for each server.
     pub fn record_direct<'a>(
--- a/lib/tests/test_relay_server_paths.rs
+++ b/lib/tests/test_relay_server_paths.rs
@@ -217,6 +217,22 @@
     assert!(world.paths.should_probe_peers(&service));
 }
 
+/// Guards against a path given up because a few servers that are down were the ones probed.
+#[test]
+fn probe_that_may_give_a_path_up_takes_a_large_sample() {
+    let mut world = World::new(&OWN_HALL);
+    let service = ServiceName::new("boards");
+    world.direct("boards", 0, Failed);
+    world.direct("boards", 1, Failed);
+    // Samples among which one shows no server that is up, if half of them are down.
+    let samples = |servers: usize| 1_u64 << servers.min(63);
+
+    let size = world.paths.probe_size(&service);
+
+    assert!(samples(size.direct) > 10_000, "{size:?}");
+    assert!(samples(size.through_peers) > 10_000, "{size:?}");
+}
+
 #[test]
 fn no_path_is_left_after_a_failed_probe_until_a_peer_connects() {
     let mut world = World::new(&OWN_HALL);
