attempts: go on after refused connections while servers are untried

Callers saw: 503 no_server after 4 ms, while half of the servers of the service were up. Seen in a run of crash_is_detected_when_the_server_closes_new_connections_for_long with 6 of 12 servers down: four connections of one call were refused.

Cause: the limit of four failed connections bounds the time lost to connections without an answer (200 ms each), and counted refused ones, which take a round trip.

Change: a connection that is refused within 100 ms has a limit of its own (16) while there are servers that the call has not tried. Nothing was sent, so calls that may run once go on as well.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -31,6 +31,7 @@
 use crate::relay::call_attempt::AttemptResult;
 use crate::relay::call_attempt::ResponseEnd;
 use crate::relay::call_log;
+use crate::relay::candidates;
 use crate::relay::connection_pool::Connection;
 use crate::relay::connection_pool::Via;
 use crate::relay::held_bytes::ResponseReader;
@@ -233,15 +234,10 @@
         (ExecutionStatus::NotExecuted | ExecutionStatus::Unknown, _) => ServerOutcome::Inconclusive,
     });
     let retry_after = head.notice.retry_after.value().unwrap_or_default();
-    let has_untried = || {
-        let tracker = lock(&call.relay.tracker);
-        let mut records = tracker.of_service(&call.service);
-        records.any(|record| !record.info.leaving && !tried.contains(&record.info.name))
-    };
     AttemptResult::Ended(match cause {
         _ if !retry_after.is_zero() => AttemptEnd::Shed,
         Some(_) => AttemptEnd::Full {
-            has_untried: has_untried(),
+            has_untried: candidates::has_untried(call, tried),
         },
         None => AttemptEnd::Declined,
     })
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -28,6 +28,7 @@
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
 use crate::relay::call_log;
+use crate::relay::candidates;
 use crate::relay::connection_end;
 use crate::relay::connection_pool::Reuse;
 use crate::relay::connection_pool::SendError;
@@ -50,6 +51,10 @@
 /// Added to the estimate of a response after which the path to the server is checked.
 const RESPONSE_SLACK: Duration = Duration::from_millis(100);
 
+/// Longest time in which a server that is down refuses a connection: a round trip between regions,
+/// for this box and for a peer.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum AttemptResult {
@@ -267,7 +272,7 @@
     let patience = reader_patience::server_patience(&call.route);
     let (body_permit, admitted) = match reserve_body(call, &attempt, admitted, patience).await {
         Ok(reserved) => reserved,
-        Err(cause) => return handle_send_error(call, attempt, &cause).await,
+        Err(cause) => return handle_send_error(call, tried, attempt, &cause).await,
     };
     let request = ServerRequest {
         request: build_request(call, &attempt.selection, resume_after),
@@ -291,7 +296,7 @@
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(cause) => return handle_send_error(call, attempt, &cause).await,
+        Err(cause) => return handle_send_error(call, tried, attempt, &cause).await,
     };
     let (parts, body) = response.into_parts();
     let head = headers::parse_response_head(parts.status, &parts.headers, call.head.id.as_deref());
@@ -431,13 +436,24 @@
     request
 }
 
-async fn handle_send_error(call: &Call, attempt: AttemptGuard, cause: &SendError) -> AttemptResult {
+async fn handle_send_error(
+    call: &Call,
+    tried: &[ServerName],
+    attempt: AttemptGuard,
+    cause: &SendError,
+) -> AttemptResult {
     call_log::attempt_failed(call, &attempt.selection, cause);
     let patience = reader_patience::server_patience(&call.route);
     match cause {
         SendError::NotSent(_) => {
+            let took = call.relay.clock.now().since(attempt.sent_at);
             attempt.finish(ServerOutcome::Unreachable);
-            AttemptResult::Ended(AttemptEnd::NoConnection)
+            AttemptResult::Ended(if took <= MAX_REFUSAL_TIME {
+                let has_untried = candidates::has_untried(call, tried);
+                AttemptEnd::ConnectionRefused { has_untried }
+            } else {
+                AttemptEnd::NoConnection
+            })
         }
         SendError::ConnectTimeout => {
             attempt.finish(ServerOutcome::ConnectTimeout);
--- a/daemon/src/relay/candidates.rs
+++ b/daemon/src/relay/candidates.rs
@@ -12,6 +12,7 @@
 use badgerferry_lib::time::Time;
 use rand::Rng;
 
+use crate::relay::call::Call;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -140,6 +141,13 @@
     }
 }
 
+/// Whether the service has servers that the call was not sent to yet.
+pub fn has_untried(call: &Call, tried: &[ServerName]) -> bool {
+    let tracker = lock(&call.relay.tracker);
+    let mut records = tracker.of_service(&call.service);
+    records.any(|record| !record.info.leaving && !tried.contains(&record.info.name))
+}
+
 /// Removes slow engines, unless no engine that accepts calls would remain.
 pub fn without_slow<'a>(
     relay: &Relay,
--- a/daemon/tests/test_relay_refused_connections.rs
+++ b/daemon/tests/test_relay_refused_connections.rs
@@ -66,3 +66,15 @@
     assert!(refused.is_none(), "{refused:?}; {}", fleet.logs());
     Ok(())
 }
+
+/// Guards against calls refused after a few servers that refuse connections, while others are up.
+#[tokio::test]
+async fn call_reaches_one_of_the_few_servers_that_are_up() -> anyhow::Result<()> {
+    let fleet = start_with_exited_servers(6).await?;
+
+    let responses = call_each(&fleet).await;
+
+    let statuses: Vec<u16> = responses.iter().map(|response| response.status).collect();
+    assert_eq!(statuses, [200; 6], "{responses:?}; {}", fleet.logs());
+    Ok(())
+}
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -14,9 +14,12 @@
 use crate::outcome::Refused;
 use crate::outcome::Unsent;
 
-/// Maximum number of failed connections per call. Several servers in a row may be gone while the
-/// caller still waits.
+/// Maximum number of failed connections per call that took time to fail, or after which no other
+/// server is left. Several servers in a row may be gone while the caller still waits.
 const MAX_CONNECT_ATTEMPTS: u32 = 4;
+/// Maximum number of refused connections per call. Each costs a round trip; with half of the servers
+/// down, one call in 65,000 meets only such servers.
+const MAX_REFUSED_CONNECTIONS: u32 = 16;
 /// Maximum number of servers that may shed one call. None of them is tried again during its pause,
 /// and each further attempt spends from the retry budget.
 const MAX_SHED_ATTEMPTS: u32 = 4;
@@ -29,6 +32,11 @@
 pub enum AttemptEnd {
     /// No connection was made; nothing was sent.
     NoConnection,
+    /// The connection failed at once; nothing was sent.
+    ConnectionRefused {
+        /// Whether there are servers that the call has not tried yet.
+        has_untried: bool,
+    },
     /// The server responded that it did not run the call.
     Declined,
     /// The server did not run the call and accepts no calls for a pause.
@@ -74,6 +82,7 @@
     sent: u32,
     times_shed: u32,
     failed_connects: u32,
+    refused_connects: u32,
     resumed_pauses: u32,
     state: Option<Execution>,
 }
@@ -87,6 +96,7 @@
             sent: 0,
             times_shed: 0,
             failed_connects: 0,
+            refused_connects: 0,
             resumed_pauses: 0,
             state: Some(Execution::Unsent(Unsent::new())),
         }
@@ -116,7 +126,9 @@
     /// Whether the next attempt, after one that ended like this, takes a retry from the budget.
     pub const fn may_need_budget(&self, end: AttemptEnd) -> bool {
         let (has_not_run, sent) = match end {
-            AttemptEnd::NoConnection => (true, self.sent.saturating_sub(1)),
+            AttemptEnd::NoConnection | AttemptEnd::ConnectionRefused { .. } => {
+                (true, self.sent.saturating_sub(1))
+            }
             AttemptEnd::Declined | AttemptEnd::Shed | AttemptEnd::Full { .. } => (true, self.sent),
             AttemptEnd::Lost | AttemptEnd::LeftUnread | AttemptEnd::ServerError => {
                 (false, self.sent)
@@ -166,10 +178,15 @@
         may_retry: impl FnOnce() -> bool,
     ) -> NextStep {
         match end {
-            AttemptEnd::NoConnection => {
+            AttemptEnd::NoConnection | AttemptEnd::ConnectionRefused { .. } => {
                 // The attempt did not reach the server, so it is not counted as sent.
                 self.sent = self.sent.saturating_sub(1);
-                self.failed_connects += 1;
+                match end {
+                    AttemptEnd::ConnectionRefused { has_untried: true } => {
+                        self.refused_connects += 1;
+                    }
+                    _ => self.failed_connects += 1,
+                }
                 self.mark_not_started(NotStarted::NoConnection);
             }
             AttemptEnd::Declined => self.mark_not_started(NotStarted::ServerDeclined),
@@ -193,7 +210,9 @@
             self.resumed_pauses += 1;
         }
         let may_resend = self.repeatable || self.is_unsent();
-        let has_left = self.has_attempt_left() && self.failed_connects < MAX_CONNECT_ATTEMPTS;
+        let may_connect = self.failed_connects < MAX_CONNECT_ATTEMPTS
+            && self.refused_connects < MAX_REFUSED_CONNECTIONS;
+        let has_left = self.has_attempt_left() && may_connect;
         if may_resend && has_left && (!self.is_retry() || may_retry()) {
             return NextStep::TryElsewhere;
         }
--- a/lib/tests/test_relay_attempts.rs
+++ b/lib/tests/test_relay_attempts.rs
@@ -170,6 +170,36 @@
     assert!(refused.is_some_and(|failures| failures < 9));
 }
 
+/// Guards against a call given up after a few servers that refuse connections while others are up.
+#[test]
+fn call_goes_on_from_servers_that_refuse_connections() {
+    let mut attempts = Attempts::new(false, 1);
+    let refused = AttemptEnd::ConnectionRefused { has_untried: true };
+
+    let given_up = (0..12).position(|_| {
+        attempts.send();
+        is_refusal(&attempts.on_attempt_end(refused, RETRY_AFTER, || panic!("a retry was spent")))
+    });
+
+    assert_eq!(given_up, None);
+}
+
+#[test]
+fn refused_connections_are_limited() {
+    for has_untried in [true, false] {
+        let mut attempts = Attempts::new(true, 1);
+        let refused = AttemptEnd::ConnectionRefused { has_untried };
+        let max = if has_untried { 32 } else { 9 };
+
+        let given_up = (0..max).position(|_| {
+            attempts.send();
+            is_refusal(&attempts.on_attempt_end(refused, RETRY_AFTER, || true))
+        });
+
+        assert!(given_up.is_some(), "has_untried={has_untried}");
+    }
+}
+
 #[test]
 fn lost_call_without_budget_fails() {
     let mut attempts = sent_once(true, 2);
@@ -228,13 +258,15 @@
             if attempts.sent() > max + shed || shed > 3 {
                 return TestResult::failed();
             }
-            let end = match end % 7 {
+            let end = match end % 9 {
                 0 => AttemptEnd::NoConnection,
                 1 => AttemptEnd::Declined,
                 2 => AttemptEnd::Lost,
                 3 => AttemptEnd::Shed,
                 4 => AttemptEnd::Full { has_untried: true },
                 5 => AttemptEnd::Full { has_untried: false },
+                6 => AttemptEnd::ConnectionRefused { has_untried: true },
+                7 => AttemptEnd::ConnectionRefused { has_untried: false },
                 _ => AttemptEnd::ServerError,
             };
             let exceeds_max = attempts.sent() == max + shed;
