soak: a call that hangs is reported with its phases

Change: the record of a call keeps when it was sent and which box was drawn, and the report of a hung call names them, its kind and what was received. No check or bound is changed.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -58,10 +58,17 @@
         };
         let front = fronts[rng.random_range(0..fronts.len())];
         let started = Instant::now();
-        let response = send_call(&mut connection, front, &request_text(kind, &id)).await;
+        let mut sent_after = None;
+        let text = request_text(kind, &id);
+        let response = send_call(&mut connection, front, &text, || {
+            sent_after = Some(started.elapsed());
+        })
+        .await;
         let record = CallRecord {
             id,
             kind,
+            front,
+            sent_after,
             response,
             elapsed: started.elapsed(),
             ended_at: Instant::now(),
@@ -91,6 +98,7 @@
     connection: &mut Option<Caller>,
     front: SocketAddr,
     request: &str,
+    on_sent: impl FnOnce(),
 ) -> Option<badgerferry_standin::caller::RawResponse> {
     let mut caller = match connection.take() {
         Some(caller) => caller,
@@ -100,6 +108,7 @@
             .ok()?,
     };
     caller.send(request).await.ok()?;
+    on_sent();
     let response = timeout(CLIENT_TIMEOUT, caller.read_response())
         .await
         .ok()?
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -32,6 +33,10 @@
     pub id: String,
     /// Kind of the call.
     pub kind: CallKind,
+    /// Box that was drawn for it; an open connection may lead to another one.
+    pub front: SocketAddr,
+    /// Time until it was sent; `None` if connecting failed or timed out.
+    pub sent_after: Option<Duration>,
     /// Response; `None` if connecting, sending or reading failed or timed out.
     pub response: Option<RawResponse>,
     /// Time until the call ended.
@@ -204,8 +209,12 @@
     );
     anyhow::ensure!(
         record.elapsed <= record.deadline + HANG_GRACE,
-        "call {id} hung: it took {:?}",
-        record.elapsed
+        "call {id} ({:?}) hung: it took {:?}, sent after {:?}, drawn for {}; response {:?}",
+        record.kind,
+        record.elapsed,
+        record.sent_after,
+        record.front,
+        record.response
     );
     let Some(response) = &record.response else {
         return Ok(());
