--- a/daemon/tests/test_relay_boxes.rs
+++ b/daemon/tests/test_relay_boxes.rs
@@ -129,6 +129,22 @@
     Ok(())
 }
 
+/// Guards against a box that misses a change because a page of its first read is older than the page
+/// before.
+#[tokio::test]
+async fn box_whose_first_read_has_pages_of_different_age_misses_no_change() -> anyhow::Result<()> {
+    let store = Store::start().await?;
+    store.put_routes(&desired_state(3, &["key-1"]));
+    let server = Server::start("i-0", "boards", Duration::from_millis(20)).await?;
+    store.hold_old_later_pages(1);
+    store.put(&server.key(), &server.entry("ready"));
+
+    let relay = RelayBox::start("box-1", store.address, &[])?;
+    relay.wait_ready().await?;
+
+    wait_status(&relay, "key-1", 200).await
+}
+
 /// Guards against a box that keeps an old route table because the changes since do not fit into a
 /// response.
 #[tokio::test]
