responses: cut ones no longer look whole after a suspension of the box

Callers saw (in a test): a sealed, complete 200 with the first three bytes of an answer. The box had been suspended while the server crashed and was started again at its address.

Cause: an answer without framing is whole if its process outlived the connection, and the box takes whatever listens at the address for that process. After a suspension the end of the connection is old, and another process may listen there.

--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -45,7 +45,7 @@
     selection: &Selection,
     run: CrashedRun,
 ) -> Option<ConnectionEnd> {
-    let server = EndedServer::of(selection);
+    let server = EndedServer::of(call, selection);
     match server.standing(call) {
         standing @ ServerStanding::InService => {
             Some(examine(call, server, standing, Question::HasCrashed, run).await)
@@ -62,7 +62,7 @@
     run: CrashedRun,
     may_repeat: bool,
 ) -> ConnectionEnd {
-    let server = EndedServer::of(selection);
+    let server = EndedServer::of(call, selection);
     let question = Question::IsRunning { waits: !may_repeat };
     match server.standing(call) {
         ServerStanding::Replaced => ConnectionEnd::Exited,
@@ -75,13 +75,17 @@
 struct EndedServer {
     target: Target,
     address: String,
+    /// Whether the connection may have ended while this box was suspended.
+    was_suspended: bool,
 }
 
 impl EndedServer {
-    fn of(selection: &Selection) -> Self {
+    fn of(call: &Call, selection: &Selection) -> Self {
+        let now = call.relay.clock.now();
         Self {
             target: selection.target.clone(),
             address: selection.address.clone(),
+            was_suspended: lock(&call.relay.suspension).was_suspended(now),
         }
     }
 
@@ -135,6 +139,7 @@
             probe,
             peers,
             is_path_suspected: path != ServerPath::Direct,
+            was_suspended: self.was_suspended,
         };
         let standing = match standing {
             ServerStanding::InService if self.has_announced_exit(call) => ServerStanding::MayExit,
@@ -181,7 +186,7 @@
     match (end, state) {
         (ConnectionEnd::Crashed, _) => record_crash(call, &server, run),
         (_, state @ (ProcessState::Closing | ProcessState::Open(_)))
-            if standing == ServerStanding::InService =>
+            if standing == ServerStanding::InService && end != ConnectionEnd::Unknown =>
         {
             tokio::spawn(watch_exit(Arc::clone(call), server, state, run));
         }
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -46,6 +46,7 @@
 mod stop;
 mod store_follower;
 mod stream_relay;
+mod suspension;
 mod unknown_headers;
 
 /// Runs the daemon until a planned stop completes.
@@ -78,6 +79,7 @@
         tokio::spawn(front::serve(front, Arc::clone(&relay)));
         tokio::spawn(carried::serve(carried, Arc::clone(&relay)));
         tokio::spawn(server_path::probe_paths(Arc::clone(&relay)));
+        tokio::spawn(suspension::watch(Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_ready(ready, Arc::clone(&relay)));
         tokio::spawn(metrics_page::serve_metrics(metrics, Arc::clone(&relay)));
         stop::wait_for_exit(&relay, signals).await;
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -43,6 +43,7 @@
 use badgerferry_lib::relay::state_pull::PullResponse;
 use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_lib::relay::suspect_key::SuspectKey;
+use badgerferry_lib::relay::suspension::SuspensionMonitor;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use hyper::body::Bytes;
@@ -134,6 +135,8 @@
     pub server_paths: Mutex<ServerPaths>,
     /// Notifies the task that probes paths that are cut.
     pub server_path_changed: Notify,
+    /// Whether this box was suspended lately.
+    pub suspension: Mutex<SuspensionMonitor>,
     /// Connections that this box carries for peers.
     pub carried: AtomicUsize,
     /// Idle connections to servers.
@@ -221,6 +224,7 @@
             held_bytes,
             server_paths,
             server_path_changed: Notify::new(),
+            suspension: Mutex::new(SuspensionMonitor::new(clock.now())),
             carried: AtomicUsize::new(0),
             connection_pool: ConnectionPool::new(body_bound),
             cluster_view,
--- a/daemon/tests/test_relay_unframed.rs
+++ b/daemon/tests/test_relay_unframed.rs
@@ -19,6 +19,9 @@
 const LONG_DOWNTIME: Duration = Duration::from_secs(30);
 /// Longer than calls that can be repeated wait for the exit of their server.
 const SLOW_EXIT_TIME: Duration = Duration::from_millis(500);
+/// Time from a crash to a restart at the same address, and a longer one for which a box is suspended.
+const SHORT_DOWNTIME: Duration = Duration::from_millis(200);
+const SUSPENDED_TIME: Duration = Duration::from_millis(1_500);
 /// Exceeds the time in which a server sends the first events of a stream.
 const PART_TIME: Duration = Duration::from_millis(200);
 /// Number of servers.
@@ -405,3 +408,36 @@
     assert_eq!(answer.status, 204, "{answer:?}; {}", cluster.relay.log());
     Ok(())
 }
+
+/// Guards against a response that looks whole because its server was started again while the box was
+/// suspended.
+#[tokio::test]
+async fn unframed_response_cut_while_the_box_is_suspended_is_not_whole() -> anyhow::Result<()> {
+    for (method, path, status) in [
+        ("GET", "/again/a", 200),
+        ("POST", "/stream/a", 200),
+        ("POST", "/once/a", 502),
+    ] {
+        let behaviour = Behaviour::HoldUnframed(3);
+        let mut held = HeldCall::start_in_service(behaviour, method, path).await?;
+        held.server.set_crash_rule(CrashRule {
+            downtime: SHORT_DOWNTIME,
+            ..CrashRule::default()
+        });
+
+        held.cluster.relay.signal("STOP")?;
+        held.server.crash();
+        tokio::time::sleep(SUSPENDED_TIME).await;
+        held.cluster.relay.signal("CONT")?;
+        let answer = held.caller.read_response().await?;
+
+        let context = format!("{path}: {answer:?}; {}", held.log());
+        assert_eq!(answer.status, status, "{context}");
+        match path {
+            "/stream/a" => assert_whole_stream(&answer, &held.cluster),
+            "/again/a" => assert!(answer.body.ends_with("served call-1"), "{context}"),
+            _ => assert_eq!(held.cluster.received_calls(), 1, "{context}"),
+        }
+    }
+    Ok(())
+}
--- a/lib/src/relay/connection_end.rs
+++ b/lib/src/relay/connection_end.rs
@@ -59,6 +59,9 @@
     pub peers: PeerVerdict,
     /// Whether the path of this box to the servers of the service may be cut.
     pub is_path_suspected: bool,
+    /// Whether this box was suspended lately, so that the connection may have ended long before it
+    /// noticed.
+    pub was_suspended: bool,
 }
 
 /// What the end of a connection shows.
@@ -78,6 +81,8 @@
     Closing,
     /// The server does not answer, and no peer could tell.
     Unreachable,
+    /// A process listens at its address, but this box was suspended, so that it may be another one.
+    Unknown,
 }
 
 impl ConnectionEnd {
@@ -87,9 +92,16 @@
             probe,
             peers,
             is_path_suspected,
+            was_suspended,
         } = evidence;
         match (standing, probe, peers) {
             (ServerStanding::Replaced, _, _) => Self::Exited,
+            (_, ProbeResult::Open | ProbeResult::ClosedForLong, _)
+            | (_, ProbeResult::Refused | ProbeResult::NoAnswer, PeerVerdict::Up)
+                if was_suspended =>
+            {
+                Self::Unknown
+            }
             (_, ProbeResult::Open | ProbeResult::ClosedForLong, _) => Self::Running,
             (_, ProbeResult::Refused | ProbeResult::NoAnswer, PeerVerdict::Up) => Self::PathCut,
             (_, ProbeResult::Refused, PeerVerdict::Closes) => Self::PathSuspected,
@@ -111,7 +123,8 @@
             | Self::Exited
             | Self::PathSuspected
             | Self::Closing
-            | Self::Unreachable => false,
+            | Self::Unreachable
+            | Self::Unknown => false,
         }
     }
 
@@ -119,9 +132,10 @@
     pub const fn server_outcome(self, outcome: ServerOutcome) -> ServerOutcome {
         match (self, outcome) {
             (Self::PathCut | Self::PathSuspected, _)
-            | (Self::Exited | Self::Closing | Self::Unreachable, ServerOutcome::Success) => {
-                ServerOutcome::Inconclusive
-            }
+            | (
+                Self::Exited | Self::Closing | Self::Unreachable | Self::Unknown,
+                ServerOutcome::Success,
+            ) => ServerOutcome::Inconclusive,
             (Self::Crashed, ServerOutcome::Success) => ServerOutcome::Failure,
             (_, outcome) => outcome,
         }
@@ -137,6 +151,7 @@
             Self::PathSuspected => "path_suspected",
             Self::Closing => "closing",
             Self::Unreachable => "unreachable",
+            Self::Unknown => "unknown",
         }
     }
 }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -62,3 +62,4 @@
 pub mod stream_gaps;
 pub mod suspect_key;
 pub mod suspect_record;
+pub mod suspension;
