relay: one constant for how long an open connection shows a server is up

Cause: the time for which a new connection must stay open was stated twice, for connections of the box and of its peers.

Change: peers' connections use the constant of the probe.

--- a/daemon/src/relay/peer_connections.rs
+++ b/daemon/src/relay/peer_connections.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use badgerferry_edges::process_probe::EXIT_TIMEOUT;
 use badgerferry_lib::relay::carriers;
 use badgerferry_lib::relay::carriers::CarrierQuery;
 use badgerferry_lib::relay::carriers::CarryRequest;
@@ -39,8 +40,6 @@
 /// Peers that fail to connect to a server before it counts as unreachable for them. One alone may
 /// have been cut off at the same time and not know it yet.
 const MAX_FAILED_CARRIERS: usize = 2;
-/// How long a connection that a peer makes must stay open to show that the server is up.
-const OPEN_TIME: Duration = Duration::from_millis(50);
 /// Longest wait for the remaining peers once a server has refused one as well. Until an exit is
 /// recorded, the request that caused it may be sent to other servers.
 const REMAINING_PEERS_TIMEOUT: Duration = Duration::from_millis(60);
@@ -174,7 +173,7 @@
         .into_iter()
         .map(async |(_peer, address)| probe(destination, address).await)
         .collect();
-    let mut until = Instant::now() + CARRIER_TIMEOUT + OPEN_TIME;
+    let mut until = Instant::now() + CARRIER_TIMEOUT + EXIT_TIMEOUT;
     let mut verdict = PeerVerdict::Unknown;
     while let Ok(Some(response)) = timeout_at(until, responses.next()).await {
         match response {
@@ -193,7 +192,7 @@
                 if verdict == PeerVerdict::Unknown {
                     verdict = PeerVerdict::Down;
                 }
-                until = until.min(Instant::now() + REMAINING_PEERS_TIMEOUT + OPEN_TIME);
+                until = until.min(Instant::now() + REMAINING_PEERS_TIMEOUT + EXIT_TIMEOUT);
             }
             Ok(_) | Err(_) => {}
         }
@@ -209,6 +208,6 @@
 ) -> anyhow::Result<(CarryResponse, bool)> {
     let (response, mut stream) = request(destination, address).await?;
     let stays_open = response == CarryResponse::Connected
-        && timeout(OPEN_TIME, stream.read(&mut [0])).await.is_err();
+        && timeout(EXIT_TIMEOUT, stream.read(&mut [0])).await.is_err();
     Ok((response, stays_open))
 }
--- a/edges/src/process_probe.rs
+++ b/edges/src/process_probe.rs
@@ -10,9 +10,10 @@
 
 /// Maximum wait for a server's machine to accept or refuse a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long a call whose connection broke watches a new connection to the server. The call is not
-/// sent to another server in this time, since it may crash that one as well.
-const EXIT_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long a call whose connection broke watches a new connection to the server. If it stays open
+/// for this long, the server is up. The call is not sent to another server in this time, since it
+/// may crash that one as well.
+pub const EXIT_TIMEOUT: Duration = Duration::from_millis(50);
 /// The same, in total, while the server closes each new connection: it is exiting, or can't serve
 /// the call either. Less than the gap between events that a resumed stream may have.
 const CLOSING_TIMEOUT: Duration = Duration::from_millis(150);
