--- a/daemon/tests/test_relay_calls.rs
+++ b/daemon/tests/test_relay_calls.rs
@@ -515,3 +515,27 @@
     assert_eq!(count(), 1);
     assert!(world.relay.log().contains("server-mood"));
 }
+
+#[tokio::test]
+async fn prompt_that_no_engines_can_hold_is_rejected_at_once() -> anyhow::Result<()> {
+    let world = TestCluster::start(1).await?;
+    let engine = Server::start("e-0", "engines", Duration::from_millis(20)).await?;
+    world.store.put(&engine.key(), &engine.entry("ready"));
+    world
+        .relay
+        .wait_for_log_line(&["server entry", "e-0"])
+        .await?;
+    let mut caller = Caller::connect(world.relay.front()).await?;
+    let tokens = "Badgerferry-Token-Counts: 500000,100\r\n";
+
+    caller
+        .send(&call("POST", "/long/a", "id-1", tokens, ""))
+        .await?;
+    let answer = tokio::time::timeout(Duration::from_secs(1), caller.read_response()).await??;
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.body.contains("prompt_too_long"), "{}", answer.body);
+    assert!(answer.header("retry-after").is_some());
+    assert!(engine.received_calls().is_empty());
+    Ok(())
+}
