responses: no server counts as failed for what a suspended box saw late

Cause: after a suspension, a broken connection to a server whose address may belong to another process by then counted as a failure of the server, also where its path alone was cut.

Change: the outcome is inconclusive then.

Measured: server_is_not_blamed_if_another_process_may_have_its_address failed before and passes.

--- a/lib/src/relay/connection_end.rs
+++ b/lib/src/relay/connection_end.rs
@@ -131,11 +131,10 @@
     /// Outcome of the attempt for its server, if it would be `outcome` as far as the response shows.
     pub const fn server_outcome(self, outcome: ServerOutcome) -> ServerOutcome {
         match (self, outcome) {
-            (Self::PathCut | Self::PathSuspected, _)
-            | (
-                Self::Exited | Self::Closing | Self::Unreachable | Self::Unknown,
-                ServerOutcome::Success,
-            ) => ServerOutcome::Inconclusive,
+            (Self::PathCut | Self::PathSuspected | Self::Unknown, _)
+            | (Self::Exited | Self::Closing | Self::Unreachable, ServerOutcome::Success) => {
+                ServerOutcome::Inconclusive
+            }
             (Self::Crashed, ServerOutcome::Success) => ServerOutcome::Failure,
             (_, outcome) => outcome,
         }
--- a/lib/tests/test_relay_connection_end.rs
+++ b/lib/tests/test_relay_connection_end.rs
@@ -89,6 +89,18 @@
     }
 }
 
+/// Guards against servers that count as failed for what a suspended box saw late.
+#[test]
+fn server_is_not_blamed_if_another_process_may_have_its_address() {
+    for evidence in all_evidence() {
+        let end = ConnectionEnd::conclude(ServerStanding::InService, evidence);
+        if end == ConnectionEnd::Unknown {
+            let outcome = end.server_outcome(ServerOutcome::Failure);
+            assert_eq!(outcome, ServerOutcome::Inconclusive, "{evidence:?}");
+        }
+    }
+}
+
 #[test]
 fn response_of_a_process_that_accepts_connections_is_whole() {
     for standing in [ServerStanding::InService, ServerStanding::MayExit] {
