server paths: a probe ends once it has shown that the path is direct

Change: the connections of a probe that are still under way are dropped once the path counts as direct.

--- a/daemon/src/relay/server_path.rs
+++ b/daemon/src/relay/server_path.rs
@@ -18,7 +18,9 @@
 use badgerferry_lib::relay::server_paths::PeerConnectResult;
 use badgerferry_lib::relay::server_paths::ServerPath;
 use badgerferry_lib::relay::server_paths::ServerPaths;
+use futures::StreamExt;
 use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use metrics::counter;
 use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
@@ -328,7 +330,7 @@
     let size = lock(&relay.server_paths).probe_size(service);
     let servers = random_servers(relay, service, size.direct);
     let is_reached = {
-        let direct = probe_directly(relay, &servers);
+        let direct = probe_directly(relay, service, &servers);
         tokio::pin!(direct);
         match timeout(CHECK_STAGGER, direct.as_mut()).await {
             Ok(true) => true,
@@ -349,12 +351,25 @@
     }
 }
 
-/// Whether this box connects to any of the servers itself.
-async fn probe_directly(relay: &Relay, servers: &[(ServerName, String)]) -> bool {
-    let probes = servers
+/// Whether this box connects to any of the servers itself. Ends once the path is direct: what fails
+/// after that are servers that are down, and would raise the suspicion again.
+async fn probe_directly(
+    relay: &Relay,
+    service: &ServiceName,
+    servers: &[(ServerName, String)],
+) -> bool {
+    let mut probes: FuturesUnordered<_> = servers
         .iter()
-        .map(|(server, address)| connect_directly(relay, server, address));
-    join_all(probes).await.iter().any(Result::is_ok)
+        .map(|(server, address)| connect_directly(relay, server, address))
+        .collect();
+    let mut is_reached = false;
+    while let Some(result) = probes.next().await {
+        is_reached |= result.is_ok();
+        if lock(&relay.server_paths).path(service) == ServerPath::Direct {
+            return true;
+        }
+    }
+    is_reached
 }
 
 /// Whether a peer connects to any of the first `count` servers.
--- a/daemon/tests/test_relay_refused_connections.rs
+++ b/daemon/tests/test_relay_refused_connections.rs
@@ -17,6 +17,10 @@
 const EXITED_SERVERS: usize = 14;
 /// Longer than the test runs.
 const DOWNTIME: Duration = Duration::from_mins(1);
+/// Longer than a probe of servers that refuse connections takes.
+const PROBE_TIME: Duration = Duration::from_millis(150);
+/// Time without calls, in which several probes would be due.
+const IDLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Starts boxes that have not noticed yet that most servers refuse connections.
 async fn start_with_exited_servers(boxes: usize) -> anyhow::Result<Fleet> {
@@ -78,3 +82,19 @@
     assert_eq!(statuses, [200; 6], "{responses:?}; {}", fleet.logs());
     Ok(())
 }
+
+/// Guards against probes that raise the suspicion again which they refute.
+#[tokio::test]
+async fn suspicion_is_not_kept_up_by_its_own_probes() -> anyhow::Result<()> {
+    let fleet = start_with_exited_servers(6).await?;
+    call_each(&fleet).await;
+    tokio::time::sleep(PROBE_TIME).await;
+    let suspicions = || fleet.logs().matches("path to servers may be cut").count();
+    let before = suspicions();
+
+    tokio::time::sleep(IDLE_TIME).await;
+
+    assert!(before > 0, "{}", fleet.logs());
+    assert_eq!(suspicions(), before, "{}", fleet.logs());
+    Ok(())
+}
