soak: restart boxes in series and audit the retries that servers receive

It audits three rules on what servers received: the budget in every sliding window, servers per call, and the time that they are told.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -17,11 +17,14 @@
 mod callers;
 mod faults;
 mod ledger;
+mod retry_budget;
 mod run;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
 const REGRESSIONS: &str = include_str!("../regressions.txt");
 
+const DEFAULT_BOXES: usize = 3;
+
 /// Soak the daemon under seeded faults.
 #[derive(FromArgs)]
 struct Args {
@@ -35,14 +38,18 @@
     #[argh(option, default = "6")]
     seconds: u64,
     /// boxes in each run (3)
-    #[argh(option, default = "3")]
-    boxes: usize,
+    #[argh(option)]
+    boxes: Option<usize>,
     /// servers in each run (4)
     #[argh(option, default = "4")]
     servers: usize,
     /// give each box links of its own to the servers, and cut those of some boxes
     #[argh(switch)]
     server_cuts: bool,
+    /// restart boxes in series while servers cut calls, and audit the retries; draws the size of the
+    /// fleet unless --boxes is given
+    #[argh(switch)]
+    retries: bool,
     /// a seed to pass over, since it is known to fail; may be repeated
     #[argh(option)]
     pass_over: Vec<u64>,
@@ -71,7 +78,7 @@
     let first = args
         .first
         .unwrap_or_else(|| u64::from(rand::random::<u32>()));
-    let mut seeds = if args.no_regressions {
+    let mut seeds = if args.no_regressions || args.retries {
         Vec::new()
     } else {
         regressions()
@@ -87,16 +94,25 @@
     };
     let mut failed = 0;
     for seed in &seeds {
+        let fault_duration = Duration::from_secs(args.seconds);
         let size = run::Size {
-            boxes: args.boxes,
+            boxes: args.boxes.unwrap_or(DEFAULT_BOXES),
             servers: args.servers,
-            fault_duration: Duration::from_secs(args.seconds),
+            fault_duration,
             cuts_servers: args.server_cuts,
         };
+        let run = async {
+            if args.retries {
+                let summary = retry_budget::run(*seed, args.boxes, fault_duration).await?;
+                Ok::<_, anyhow::Error>(summary.to_string())
+            } else {
+                Ok(run::run(*seed, size).await?.to_string())
+            }
+        };
         // On a signal the run is dropped, which kills its boxes. Orphaned boxes would keep polling
         // their store at an address that a server of another run may get.
         let result = tokio::select! {
-            result = run::run(*seed, size) => result,
+            result = run => result,
             () = wait_for_stop_signal(&mut term, &mut interrupt) => {
                 println!("seed {seed}: stopped; its boxes are ended");
                 return ExitCode::FAILURE;
