retries: log each retry that is taken from the budget, or not

From the logs of the incident no one could say which retries were sent, for what and from which share: only a refusal had a line, with the number of known boxes.

Each retry has a line with how the attempt before ended, its source (own share or pool), the box's share, what it has earned and spent in the window, and the age of the box, and two counters.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -71,6 +71,15 @@
 /// Longest time for which the body of a refused call is read.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(5);
 
+/// Where a retry was taken from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetrySource {
+    /// The box's share of the retry budget.
+    Own,
+    /// The pool of the hall.
+    Pool,
+}
+
 /// A call whose head and body have been read.
 #[derive(Debug)]
 pub struct Call {
@@ -214,28 +223,38 @@
         }
     }
 
-    /// Takes one retry from the box's share of the retry budget or from what the pool of the hall
-    /// granted, if one is left.
-    pub fn try_spend_retry(&self) -> bool {
+    /// Takes one retry, after an attempt that ended like this, from the box's share of the retry budget
+    /// or from what the pool of the hall granted, if one is left.
+    pub fn try_spend_retry(&self, end: AttemptEnd) -> bool {
         let (now, boxes) = (self.relay.clock.now(), self.relay.box_count());
-        let allowed = self.with_retry_window(|window, rule| window.try_spend(now, rule, boxes))
-            || self.pooled_retry.swap(false, Ordering::Relaxed);
-        if !allowed {
-            tracing::info!(
-                call = self.id(),
-                service = %self.service,
-                boxes,
-                "retry budget exhausted"
-            );
-        }
-        allowed
+        let source = if self.with_retry_window(|window, rule| window.try_spend(now, rule, boxes)) {
+            Some(RetrySource::Own)
+        } else if self.pooled_retry.swap(false, Ordering::Relaxed) {
+            Some(RetrySource::Pool)
+        } else {
+            None
+        };
+        self.log_retry(end, source);
+        source.is_some()
     }
 
     /// Takes one retry for a stream whose caller paused, if much of the box's share of the retry
     /// budget is left.
     pub fn try_spend_retry_on_pause(&self) -> bool {
         let (now, boxes) = (self.relay.clock.now(), self.relay.box_count());
-        self.with_retry_window(|window, rule| window.try_spend_on_pause(now, rule, boxes))
+        let is_spent =
+            self.with_retry_window(|window, rule| window.try_spend_on_pause(now, rule, boxes));
+        self.log_retry(AttemptEnd::LeftUnread, is_spent.then_some(RetrySource::Own));
+        is_spent
+    }
+
+    fn log_retry(&self, end: AttemptEnd, source: Option<RetrySource>) {
+        let (now, boxes) = (self.relay.clock.now(), self.relay.box_count());
+        let usage = self.with_retry_window(|window, rule| window.usage(now, rule, boxes));
+        match source {
+            Some(source) => call_log::retry_spent(self, end, source, usage),
+            None => call_log::retry_denied(self, end, usage),
+        }
     }
 
     fn with_retry_window<T>(&self, f: impl FnOnce(&mut RetryWindow, &RetryBudgetRule) -> T) -> T {
@@ -448,7 +467,7 @@
             AttemptResult::Ended(end) => (end, None),
         };
         call.prepare_retry(&attempts, end).await;
-        match attempts.on_attempt_end(end, NO_SERVER_RETRY, || call.try_spend_retry()) {
+        match attempts.on_attempt_end(end, NO_SERVER_RETRY, || call.try_spend_retry(end)) {
             NextStep::TryElsewhere => {}
             NextStep::PassOn => {
                 let Some(response) = server_error else {
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use badgerferry_lib::outcome::RefusalReason;
+use badgerferry_lib::relay::attempts::AttemptEnd;
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::call::PromptSize;
 use badgerferry_lib::relay::connection_end::ConnectionEnd;
 use badgerferry_lib::relay::engine_plan::EngineModel;
 use badgerferry_lib::relay::held_bytes::Side;
 use badgerferry_lib::relay::long_prompt_queue::BlockedPolls;
+use badgerferry_lib::relay::retry_window::RetryUsage;
 use badgerferry_lib::relay::route_table::Denied;
 use badgerferry_platform::headers::ResponseHead;
 use http::StatusCode;
@@ -21,6 +23,7 @@
 
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
+use crate::relay::call::RetrySource;
 use crate::relay::connection_pool::SendError;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
@@ -118,6 +121,43 @@
     );
 }
 
+/// A retry was taken from the budget; `end` of the attempt before it.
+pub fn retry_spent(call: &Call, end: AttemptEnd, source: RetrySource, usage: RetryUsage) {
+    let source = match source {
+        RetrySource::Own => "own",
+        RetrySource::Pool => "pool",
+    };
+    counter!("badgerferry_retries_total", "after" => end.code(), "source" => source).increment(1);
+    tracing::info!(
+        call = call.id(),
+        service = %call.service,
+        after = end.code(),
+        source,
+        boxes = call.relay.box_count(),
+        spent = usage.spent,
+        earned = usage.earned,
+        share = usage.share,
+        uptime_ms = call.relay.clock.now().as_micros() / 1_000,
+        "retry allowed"
+    );
+}
+
+/// No retry is left in the budget.
+pub fn retry_denied(call: &Call, end: AttemptEnd, usage: RetryUsage) {
+    counter!("badgerferry_retries_denied_total", "after" => end.code()).increment(1);
+    tracing::info!(
+        call = call.id(),
+        service = %call.service,
+        after = end.code(),
+        boxes = call.relay.box_count(),
+        spent = usage.spent,
+        earned = usage.earned,
+        share = usage.share,
+        uptime_ms = call.relay.clock.now().as_micros() / 1_000,
+        "retry budget exhausted"
+    );
+}
+
 /// The call is not sent: the reported queues show that no server can serve it in time.
 pub fn servers_overloaded(
     call: &Call,
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -218,7 +218,7 @@
                 if is_paused {
                     call.try_spend_retry_on_pause()
                 } else {
-                    already_spent || call.try_spend_retry()
+                    already_spent || call.try_spend_retry(end)
                 }
             };
             match attempts.on_attempt_end(end, NO_SERVER_RETRY, may_retry) {
@@ -330,7 +330,7 @@
                 // Silence alone does not end a stream: if it may not be resumed on another server,
                 // the attempt goes on until the deadline of the call.
                 call.prepare_retry(attempts, AttemptEnd::Lost).await;
-                retry_spent = attempts.may_retry() && call.try_spend_retry();
+                retry_spent = attempts.may_retry() && call.try_spend_retry(AttemptEnd::Lost);
                 if !retry_spent {
                     silence = Silence::TOLERATED;
                     continue;
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -54,6 +54,22 @@
     ServerError,
 }
 
+impl AttemptEnd {
+    /// Name in logs and metrics.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::NoConnection => "no_connection",
+            Self::ConnectionRefused { .. } => "connection_refused",
+            Self::Declined => "declined",
+            Self::Shed => "shed",
+            Self::Full { .. } => "full",
+            Self::Lost => "lost",
+            Self::LeftUnread => "left_unread",
+            Self::ServerError => "server_error",
+        }
+    }
+}
+
 /// What to do after an attempt ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum NextStep {
--- a/lib/src/relay/retry_window.rs
+++ b/lib/src/relay/retry_window.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// What a box used of its part of the budget in the window that ends now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryUsage {
+    /// Retries spent.
+    pub spent: u32,
+    /// Retries earned by first sends.
+    pub earned: f64,
+    /// The box's share of the slack.
+    pub share: f64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Slice {
     number: u64,
@@ -84,27 +95,35 @@
         self.count_if(is_allowed, now, budget)
     }
 
-    /// Whether this fraction of the box's share allows another retry.
-    fn has_share_left(
-        &mut self,
-        fraction: f64,
-        now: Time,
-        budget: &RetryBudgetRule,
-        boxes: usize,
-    ) -> bool {
+    /// What the box used of its part of the budget.
+    pub fn usage(&mut self, now: Time, budget: &RetryBudgetRule, boxes: usize) -> RetryUsage {
         let current = self.slice(now, budget).number;
         let first_sends: u32 = (self.slices.iter())
             .filter(|slice| slice.number + u64::from(SLICES) > current)
             .map(|slice| slice.first_sends)
             .sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
         let share = if retry_pool::is_used(budget, boxes) {
             0.0
         } else {
             budget.own_slack(boxes)
         };
-        let allowed = budget.ratio * SPENDABLE_FRACTION * f64::from(first_sends) + share;
-        f64::from(retries) + 1.0 <= allowed * fraction
+        RetryUsage {
+            spent: self.slices.iter().map(|slice| slice.retries).sum(),
+            earned: budget.ratio * SPENDABLE_FRACTION * f64::from(first_sends),
+            share,
+        }
+    }
+
+    /// Whether this fraction of the box's share allows another retry.
+    fn has_share_left(
+        &mut self,
+        fraction: f64,
+        now: Time,
+        budget: &RetryBudgetRule,
+        boxes: usize,
+    ) -> bool {
+        let used = self.usage(now, budget, boxes);
+        f64::from(used.spent) + 1.0 <= (used.earned + used.share) * fraction
     }
 
     fn count_if(&mut self, is_allowed: bool, now: Time, budget: &RetryBudgetRule) -> bool {
