--- a/lib/tests/test_relay_retry_model.rs
+++ b/lib/tests/test_relay_retry_model.rs
@@ -24,11 +24,26 @@
         failing: (0.01, 0.1),
         owner_changes: None,
         restarts: None,
+        kills: None,
         halls_cut: false,
         lasts: Duration::from_mins(2),
     }
 }
 
+/// The incident's deployment and the sizes around it, with and without pools.
+fn incident_plan(boxes: usize) -> RetryPlan {
+    RetryPlan {
+        halls: 3,
+        budget: RetryBudgetRule {
+            slack: 206.0,
+            ..plan(boxes).budget
+        },
+        calls_per_s: 100.0,
+        failing: (0.7, 0.7),
+        ..plan(boxes)
+    }
+}
+
 /// Fraction of the needed retries that is allowed, and the largest part of the budget that is used.
 fn play(plan: &RetryPlan) -> (f64, f64) {
     let (results, broken) = run_seeds(0..4, |seed| retry_model::run(plan, seed));
@@ -82,3 +97,41 @@
         assert!(used <= 1.0, "{boxes} boxes: {used} of the budget used");
     }
 }
+
+#[test]
+fn budget_holds_while_all_boxes_are_killed_in_series() {
+    for boxes in [6, 26, 77, 350] {
+        for kills in [500, 1_000, 2_500, 4_000, 9_000] {
+            let plan = RetryPlan {
+                kills: Some(Duration::from_millis(kills)),
+                ..incident_plan(boxes)
+            };
+
+            let (_, used) = play(&plan);
+
+            assert!(
+                used <= 1.0,
+                "{boxes} boxes killed every {kills} ms: {used} of the budget used"
+            );
+        }
+    }
+}
+
+#[test]
+fn budget_holds_while_boxes_restart_in_turn() {
+    for boxes in [6, 26, 77, 350] {
+        for restarts in [500, 1_000, 2_500, 4_000, 9_000] {
+            let plan = RetryPlan {
+                restarts: Some(Duration::from_millis(restarts)),
+                ..incident_plan(boxes)
+            };
+
+            let (_, used) = play(&plan);
+
+            assert!(
+                used <= 1.0,
+                "{boxes} boxes, each restarted every {restarts} ms: {used} of the budget used"
+            );
+        }
+    }
+}
--- a/testutils/src/retry_model.rs
+++ b/testutils/src/retry_model.rs
@@ -37,6 +37,8 @@
     pub owner_changes: Option<Duration>,
     /// Time in which each box restarts once.
     pub restarts: Option<Duration>,
+    /// Interval at which all boxes are killed at once and start again.
+    pub kills: Option<Duration>,
     /// Whether each hall is cut in two from the middle on.
     pub halls_cut: bool,
     /// How long it is played.
@@ -77,6 +79,7 @@
     let mut owners: Vec<Owner> = Vec::new();
     owners.resize_with(2 * plan.halls, Owner::default);
     let mut sums = Sums::default();
+    let mut killed_at = Time::ZERO;
     let mut counts = RetryCounts::default();
     let mut now = Time::ZERO;
     loop {
@@ -86,6 +89,17 @@
             return counts;
         }
         restart_boxes(plan, pause, &mut windows, &mut rng);
+        if plan
+            .kills
+            .is_some_and(|period| now.since(killed_at) >= period)
+        {
+            killed_at = now;
+            windows.fill_with(RetryWindow::default);
+            owners.fill_with(|| Owner {
+                since: now,
+                ..Owner::default()
+            });
+        }
         let at = rng.random_range(0..plan.boxes);
         windows[at].record_first_send(now, &plan.budget);
         sums.first_sends.push_back(now);
