--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_relay_cold;
 mod test_relay_crashes;
 mod test_relay_crowd;
+mod test_relay_endless_responses;
 mod test_relay_eras;
 mod test_relay_evacuation;
 mod test_relay_evacuation_eras;
