connections: close one that gets too many interim responses

Callers waited until their deadline while a server sent 1xx responses without end, and the box read them as fast as they came. HTTP does not limit their number, and the client passes over them.

--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_lib::ids::ServerName;
@@ -16,6 +18,7 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -38,6 +41,8 @@
 /// Subtracted from the idle timeout that a server announces, because the server measures it by its
 /// own clock.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// Interim responses to one request, after which its connection is closed.
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Limit of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 4;
 
@@ -110,12 +115,19 @@
     /// [`SendError::NotSent`] only if no byte was written.
     pub async fn send(
         &mut self,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
         _admitted: Admitted,
     ) -> Result<Response<Incoming>, SendError> {
         let sender = self.sender.as_mut();
         let sender = sender.ok_or_else(|| SendError::NotSent("closed".to_owned()))?;
-        match sender.try_send_request(request).await {
+        let interim = InterimLimit::of(&mut request);
+        let response = tokio::select! {
+            response = sender.try_send_request(request) => response,
+            () = interim.exceeded() => {
+                return Err(SendError::Lost("too many interim responses".to_owned()));
+            }
+        };
+        match response {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 Some(_request) => Err(SendError::NotSent(error.into_error().to_string())),
@@ -125,6 +137,30 @@
     }
 }
 
+/// Counts the interim responses (1xx) to a request, which HTTP does not limit.
+#[derive(Debug, Clone, Default)]
+struct InterimLimit {
+    count: Arc<AtomicUsize>,
+    exceeded: Arc<Notify>,
+}
+
+impl InterimLimit {
+    fn of(request: &mut Request<RequestBody>) -> Self {
+        let limit = Self::default();
+        let counted = limit.clone();
+        hyper::ext::on_informational(request, move |_response| {
+            if counted.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+                counted.exceeded.notify_one();
+            }
+        });
+        limit
+    }
+
+    async fn exceeded(&self) {
+        self.exceeded.notified().await;
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
