responses: a declined call does not wait for the body of the refusal

A server that declined a call with a body without end held the call until its deadline, although the head had said that it did not run: the body was read first, so that the connection could be used again.

It is read in the background now, up to 64 KB and a second. body_without_end_of_a_declined_call_does_not_delay_its_retry failed before (504 after 4 s) and passes.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -25,6 +25,7 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::relay::call::Call;
 use crate::relay::call_attempt::AttemptGuard;
@@ -42,6 +43,9 @@
 
 /// Largest body of a unary response, which is read completely before it is forwarded.
 const MAX_UNARY_BODY_BYTES: usize = 4 << 20;
+/// Limits of a body that is read only so that its connection can be used again.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
 
 /// Response bytes of a call that are not counted as held, as they fit into the buffers of its
 /// connection.
@@ -169,7 +173,7 @@
 ) -> AttemptResult {
     let (head, status) = (&received.head, received.parts.status);
     if head.execution != ExecutionStatus::Unknown && !status.is_success() {
-        return handle_declined(call, tried, received).await;
+        return handle_declined(call, tried, received);
     }
     if !head.is_for_call {
         return handle_unusable(
@@ -208,7 +212,7 @@
     AttemptResult::Ended(AttemptEnd::Lost)
 }
 
-async fn handle_declined(call: &Call, tried: &[ServerName], received: Received) -> AttemptResult {
+fn handle_declined(call: &Call, tried: &[ServerName], received: Received) -> AttemptResult {
     let after = received.after();
     let cause = decline_cause(call, &received);
     let Received {
@@ -225,9 +229,7 @@
         lock(&call.relay.tracker).record_fault(now, address);
         call.relay.urgent_changed.notify_one();
     }
-    if read_body(body).await.is_some() {
-        return_connection(call, &attempt.selection.server, connection, after);
-    }
+    reuse_after_body(call, &attempt.selection.server, connection, after, body);
     attempt.finish(match (head.execution, cause) {
         (ExecutionStatus::Misdirected, _) => ServerOutcome::Unreachable,
         (_, Some(DeclineCause::Faulty)) => ServerOutcome::Failure,
@@ -378,12 +380,29 @@
     })
 }
 
-async fn read_body(body: Incoming) -> Option<Bytes> {
-    let body = Limited::new(body, MAX_UNARY_BODY_BYTES);
-    body.collect()
-        .await
-        .ok()
-        .map(http_body_util::Collected::to_bytes)
+/// Returns a connection to the pool once the body of a response that is not needed has ended. The call
+/// goes on meanwhile: the body may come slowly, or without end.
+fn reuse_after_body(
+    call: &Call,
+    server: &ServerName,
+    connection: Connection,
+    after: AfterResponse,
+    body: Incoming,
+) {
+    let AfterResponse::Pool { keep_alive } = after else {
+        return;
+    };
+    let (relay, server) = (Arc::clone(&call.relay), server.clone());
+    if body.is_end_stream() {
+        relay.connection_pool.put(&server, connection, keep_alive);
+        return;
+    }
+    tokio::spawn(async move {
+        let body = Limited::new(body, MAX_DISCARDED_BYTES).collect();
+        if matches!(timeout(MAX_DISCARD_TIME, body).await, Ok(Ok(_body))) {
+            relay.connection_pool.put(&server, connection, keep_alive);
+        }
+    });
 }
 
 /// Response for the caller: the server's head without the headers of its own connection.
