streams: only events end the silence of a server

A server that sent bytes of an event that never ended, or comments only, held a stream until its deadline: any bytes restarted the time after which a silent attempt is given up.

Now only a complete event does. A time in which the box did not read, since its caller was behind, does not count. Comments before the first event of an attempt are held until it comes, up to 64 KB, so that a stream that has nothing but comments can still be sent elsewhere.

first_event_without_end_is_given_up_like_silence, later_event_without_end_is_given_up_like_silence and comments_without_end_are_given_up_like_silence failed before (504, or an incomplete stream, after 4 s) and pass.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -17,6 +17,7 @@
 use badgerferry_platform::headers::ExecutionStatus;
 use badgerferry_platform::headers::ResponseHead;
 use badgerferry_platform::headers::ServerLoad;
+use bytes::BytesMut;
 use http::Response;
 use http::StatusCode;
 use http_body::Body as _;
@@ -416,9 +417,14 @@
     response
 }
 
-/// How long an attempt may receive no data.
+/// How long an attempt may receive no event. Other bytes don't count: a server may send them without
+/// end.
 #[derive(Debug, Clone, Copy)]
 pub struct Silence {
+    /// When the attempt began, or the last event arrived.
+    since: Instant,
+    /// Events until then.
+    events: u64,
     /// Time after which the attempt counts as failed.
     timeout: Duration,
     /// Time after which the path to the server is checked; the attempt fails early if it is cut.
@@ -428,16 +434,35 @@
 
 impl Silence {
     /// However long it lasts.
-    pub const TOLERATED: Self = Self {
-        timeout: Duration::MAX,
-        expected: Duration::MAX,
-        why: "",
-    };
+    pub fn tolerated() -> Self {
+        Self {
+            since: Instant::now(),
+            events: 0,
+            timeout: MAX_SILENCE,
+            expected: MAX_SILENCE,
+            why: "",
+        }
+    }
+
+    /// Records how many events have arrived so far.
+    pub fn record_events(&mut self, events: u64) {
+        if events > self.events {
+            self.events = events;
+            self.since = Instant::now();
+        }
+    }
+
+    /// Leaves out a time in which the box did not read.
+    pub fn exclude(&mut self, span: Duration) {
+        self.since += span;
+    }
 
     /// Silence until the first event.
-    pub fn before_first_event(call: &Call, selection: &Selection, via: Via) -> Self {
+    fn before_first_event(call: &Call, selection: &Selection, via: Via) -> Self {
         let expected = selection.expected_first_event;
         Self {
+            since: Instant::now(),
+            events: 0,
             timeout: (expected * 3).max(call.route.objective) + FIRST_EVENT_SLACK,
             expected: expected * 2,
             why: "first event timed out",
@@ -445,12 +470,14 @@
         .on(via)
     }
 
-    /// Silence between events.
-    pub fn between_events(call: &Call, via: Via) -> Self {
+    /// Silence after this many events.
+    pub fn between_events(call: &Call, via: Via, events: u64) -> Self {
         let Some(max_gap) = call.route.max_gap else {
-            return Self::TOLERATED;
+            return Self::tolerated();
         };
         Self {
+            since: Instant::now(),
+            events,
             timeout: (max_gap * 4).max(MIN_EVENT_TIMEOUT),
             expected: max_gap,
             why: "no data within the timeout",
@@ -461,25 +488,32 @@
     /// Only connections that this box made itself depend on its path.
     const fn on(mut self, via: Via) -> Self {
         if matches!(via, Via::Peer) {
-            self.expected = Duration::MAX;
+            self.expected = MAX_SILENCE;
         }
         self
     }
 
     /// Resolves once the silence has lasted too long.
     pub async fn lasts(self, call: &Call, server: &ServerName) -> StreamFailure {
+        let expected = self.expected.saturating_sub(self.since.elapsed());
         tokio::select! {
-            () = tokio::time::sleep(self.timeout) => StreamFailure::TimedOut(self.why),
-            () = server_path::cut_while_silent(call, server, self.expected) => {
+            () = tokio::time::sleep_until(self.since + self.timeout) => {
+                StreamFailure::TimedOut(self.why)
+            }
+            () = server_path::cut_while_silent(call, server, expected) => {
                 StreamFailure::PathCut
             }
         }
     }
 }
 
+/// Longer than any call.
+const MAX_SILENCE: Duration = Duration::from_hours(24);
 /// Added to the larger of the route's objective and three times the estimate, which gives the
 /// timeout of the first event.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(500);
+/// Comments that may precede the first event of an attempt.
+const MAX_LEADING_COMMENT_BYTES: usize = 64 << 10;
 /// Shortest silence after which a stream is resumed on another server. Callers disconnect after two
 /// seconds of silence.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -499,6 +533,8 @@
         ..
     } = received;
     let mut silence = Silence::before_first_event(call, &attempt.selection, connection.via);
+    let events_before = join.event_count();
+    let mut received = BytesMut::new();
     let (events, complete) = loop {
         let frame = tokio::select! {
             frame = body.frame() => Ok(frame),
@@ -506,8 +542,16 @@
         };
         let failure = match frame {
             Ok(Some(Ok(frame))) => match join.push(&frame.into_data().unwrap_or_default()) {
-                Ok(events) if events.is_empty() => continue,
-                Ok(events) => break (events, false),
+                Ok(bytes) => {
+                    received.extend_from_slice(&bytes);
+                    if join.event_count() > events_before {
+                        break (received.freeze(), false);
+                    }
+                    if received.len() <= MAX_LEADING_COMMENT_BYTES {
+                        continue;
+                    }
+                    StreamFailure::InvalidData("too many comments before an event".to_owned())
+                }
                 Err(cause) => StreamFailure::InvalidData(cause.to_string()),
             },
             Ok(None) if !join.is_inside_event() => {
@@ -516,14 +560,14 @@
                     call_log::unusable_response(call, &attempt.selection, parts.status, MAYBE_CUT);
                     return AttemptResult::Ended(AttemptEnd::Lost);
                 }
-                break (Bytes::new(), true);
+                break (received.freeze(), true);
             }
             Ok(None) => StreamFailure::ConnectionLost("stream ended inside an event".to_owned()),
             Ok(Some(Err(cause))) => StreamFailure::ConnectionLost(cause.to_string()),
             Err(failure) if call.may_resend(attempts) => failure,
             // Without a retry, the attempt goes on until the deadline of the call.
             Err(_silent) => {
-                silence = Silence::TOLERATED;
+                silence = Silence::tolerated();
                 continue;
             }
         };
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -265,7 +265,7 @@
         ..
     } = *live;
     sink.held_back = Duration::ZERO;
-    let mut silence = Silence::between_events(call, connection.via);
+    let mut silence = Silence::between_events(call, connection.via, join.event_count());
     let unread_limit = unread_limit(call, &attempt.selection);
     let mut caught_up_at = Instant::now();
     let mut harmless_at = Some(Instant::now() + HARMLESS_AFTER);
@@ -277,9 +277,10 @@
             let left = unread_limit.map_or(Duration::MAX, |limit| {
                 limit.saturating_sub(caught_up_at.elapsed())
             });
+            let sending = Instant::now();
             let mut sent = pin!(send_events(std::mem::take(&mut events), sink, gaps));
             match timeout(left, &mut sent).await {
-                Ok(true) => {}
+                Ok(true) => silence.exclude(sending.elapsed()),
                 Ok(false) => return ForwardEnd::CallerGone,
                 Err(_elapsed) => {
                     let waited = caught_up_at.elapsed();
@@ -309,11 +310,8 @@
                 let bytes = frame.into_data().unwrap_or_default();
                 match join.push(&bytes) {
                     Ok(received) => {
-                        attempt.record_progress();
-                        if harmless_at.is_some_and(|at| Instant::now() >= at) {
-                            harmless_at = None;
-                            attempt.record_success();
-                        }
+                        record_progress(&attempt, &mut harmless_at);
+                        silence.record_events(join.event_count());
                         events = received;
                         continue;
                     }
@@ -329,7 +327,7 @@
             Err(failure) => {
                 has_retry = reserve_after_silence(call, attempts).await;
                 if !has_retry {
-                    silence = Silence::TOLERATED;
+                    silence = Silence::tolerated();
                     continue;
                 }
                 failure
@@ -354,6 +352,14 @@
     finish_complete(call, attempts, attempt, join).await
 }
 
+fn record_progress(attempt: &AttemptGuard, harmless_at: &mut Option<Instant>) {
+    attempt.record_progress();
+    if harmless_at.is_some_and(|at| Instant::now() >= at) {
+        *harmless_at = None;
+        attempt.record_success();
+    }
+}
+
 /// Silence alone does not end a stream: if it may not be resumed on another server, the attempt goes
 /// on until the deadline of the call.
 async fn reserve_after_silence(call: &Call, attempts: &Attempts) -> bool {
