--- a/lib/src/retry_budget.rs
+++ b/lib/src/retry_budget.rs
@@ -4,13 +4,20 @@
 /// many times.
 const MAX_BALANCE: f64 = 10.0;
 
-/// Budget of retries: each first attempt adds a fraction of a retry, and each retry spends one. It
-/// begins empty: otherwise boxes that restart in series would exceed the fraction.
-#[derive(Debug, Default)]
+/// Budget of retries: each first attempt adds a fraction of a retry, and each retry spends one.
+#[derive(Debug)]
 pub struct RetryBudget {
     balance: f64,
 }
 
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            balance: MAX_BALANCE,
+        }
+    }
+}
+
 impl RetryBudget {
     /// Records a first attempt, which adds `percent` of a retry.
     pub fn deposit(&mut self, percent: u64) {
