--- a/lib/tests/test_relay_retry_model.rs
+++ b/lib/tests/test_relay_retry_model.rs
@@ -25,6 +25,7 @@
         owner_changes: None,
         restarts: None,
         kills: None,
+        added: 0,
         halls_cut: false,
         lasts: Duration::from_mins(2),
     }
@@ -135,3 +136,19 @@
         }
     }
 }
+
+#[test]
+fn budget_holds_while_many_boxes_are_added() {
+    for boxes in [6, 26, 77, 350] {
+        let plan = RetryPlan {
+            added: 3 * boxes / 4,
+            calls_per_s: 600.0,
+            failing: (1.0, 1.0),
+            ..incident_plan(boxes)
+        };
+
+        let (_, used) = play(&plan);
+
+        assert!(used <= 1.0, "{boxes} boxes: {used} of the budget used");
+    }
+}
--- a/testutils/src/bin/emulate/retries.rs
+++ b/testutils/src/bin/emulate/retries.rs
@@ -77,6 +77,7 @@
         owner_changes: None,
         restarts: None,
         kills: None,
+        added: 0,
         halls_cut: false,
         lasts: Duration::from_mins(2),
     }
--- a/testutils/src/retry_model.rs
+++ b/testutils/src/retry_model.rs
@@ -20,6 +20,9 @@
 const CRASH_PERIOD: Duration = Duration::from_secs(20);
 const CRASH_DURATION: Duration = Duration::from_secs(4);
 
+/// Time until the other boxes know of those that are added.
+const DISCOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// What is played.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryPlan {
@@ -39,6 +42,8 @@
     pub restarts: Option<Duration>,
     /// Interval at which all boxes are killed at once and start again.
     pub kills: Option<Duration>,
+    /// Boxes that are added at once in the middle.
+    pub added: usize,
     /// Whether each hall is cut in two from the middle on.
     pub halls_cut: bool,
     /// How long it is played.
@@ -100,7 +105,12 @@
                 ..Owner::default()
             });
         }
-        let at = rng.random_range(0..plan.boxes);
+        if now >= Time::ZERO + plan.lasts / 2 && windows.len() == plan.boxes {
+            let boxes = plan.boxes + plan.added;
+            windows.resize_with(boxes, || RetryWindow::new(now));
+        }
+        let at = rng.random_range(0..windows.len());
+        let known = known_boxes(plan, now, at);
         windows[at].record_first_send(now, &plan.budget);
         sums.first_sends.push_back(now);
         if rng.random::<f64>() >= failing(plan, now) {
@@ -111,16 +121,16 @@
         let owner = &mut owners[2 * (at / 2 % plan.halls) + half];
         keep_owner(plan, now, owner);
         let scope = PoolScope {
-            boxes: plan.boxes,
-            hall_boxes: plan.boxes / plan.halls,
+            boxes: known,
+            hall_boxes: known / plan.halls,
             owners: 1 + usize::from(is_cut),
         };
-        let is_own = windows[at].try_reserve(now, &plan.budget, plan.boxes);
+        let is_own = windows[at].try_reserve(now, &plan.budget, known);
         if is_own {
             windows[at].send(now);
         }
         let is_allowed = is_own
-            || (retry_pool::is_used(&plan.budget, plan.boxes)
+            || (retry_pool::is_used(&plan.budget, known)
                 && owner.pool.try_grant(now, service, &plan.budget, scope));
         if now >= Time::ZERO + plan.budget.window {
             counts.needed += 1;
@@ -133,6 +143,16 @@
     }
 }
 
+/// Number of boxes that a box knows.
+fn known_boxes(plan: &RetryPlan, now: Time, at: usize) -> usize {
+    let known_at = Time::ZERO + plan.lasts / 2 + DISCOVERY_TIME;
+    if at >= plan.boxes || now >= known_at {
+        plan.boxes + plan.added
+    } else {
+        plan.boxes
+    }
+}
+
 fn failing(plan: &RetryPlan, now: Time) -> f64 {
     let in_period = now.as_micros() % CRASH_PERIOD.as_micros() as u64;
     if in_period < CRASH_DURATION.as_micros() as u64 {
