retries: a refused connection does not reserve a second retry for a paused stream

A stream that its server cut while its caller paused reserves a retry. If the next server refused the connection, it reserved another one, and the first was never given back: the box had one retry fewer from then on.

One function reserves now, and keeps what is reserved. The test paused_stream_whose_first_server_refuses_connections_takes_one_retry failed before (two retries) and passes.

--- a/daemon/src/relay/call_retry.rs
+++ b/daemon/src/relay/call_retry.rs
@@ -92,27 +92,38 @@
     /// Reserves a retry after an attempt that ended like this, if one is left. One that was reserved
     /// for that attempt and not sent serves for the next.
     pub fn try_reserve(&self, call: &Call, end: AttemptEnd) -> bool {
+        self.reserve_with(call, end, RetryWindow::try_reserve)
+    }
+
+    /// Reserves a retry for a stream whose caller paused, if much of the box's share is left.
+    pub fn try_reserve_on_pause(&self, call: &Call) -> bool {
+        let try_reserve = RetryWindow::try_reserve_on_pause;
+        self.reserve_with(call, AttemptEnd::LeftUnread, try_reserve)
+    }
+
+    fn reserve_with(
+        &self,
+        call: &Call,
+        end: AttemptEnd,
+        try_reserve: impl FnOnce(&mut RetryWindow, Time, &RetryBudgetRule, usize) -> bool,
+    ) -> bool {
         let mut state = lock(&self.state);
         if let State::Reserved(_) = *state {
             return true;
         }
         let (now, boxes) = (self.relay.clock.now(), self.relay.budget_boxes());
-        let is_own = self.with_window(|window, rule| window.try_reserve(now, rule, boxes));
+        let is_own = self.with_window(|window, rule| try_reserve(window, now, rule, boxes));
         let source = match *state {
-            _ if is_own => Some(RetrySource::Own),
-            State::Granted => Some(RetrySource::Pool),
-            _ => None,
+            _ if is_own => RetrySource::Own,
+            State::Granted => RetrySource::Pool,
+            _ => {
+                call_log::retry_denied(call, end, self.usage());
+                return false;
+            }
         };
-        self.hold(&mut state, call, end, source)
-    }
-
-    /// Reserves a retry for a stream whose caller paused, if much of the box's share is left.
-    pub fn try_reserve_on_pause(&self, call: &Call) -> bool {
-        let mut state = lock(&self.state);
-        let (now, boxes) = (self.relay.clock.now(), self.relay.budget_boxes());
-        let is_own = self.with_window(|window, rule| window.try_reserve_on_pause(now, rule, boxes));
-        let source = is_own.then_some(RetrySource::Own);
-        self.hold(&mut state, call, AttemptEnd::LeftUnread, source)
+        *state = State::Reserved(source);
+        call_log::retry_allowed(call, end, source, self.usage());
+        true
     }
 
     /// Records that the attempt is being sent.
@@ -138,23 +149,6 @@
         }
     }
 
-    fn hold(
-        &self,
-        state: &mut State,
-        call: &Call,
-        end: AttemptEnd,
-        source: Option<RetrySource>,
-    ) -> bool {
-        let usage = self.usage();
-        if let Some(source) = source {
-            *state = State::Reserved(source);
-            call_log::retry_allowed(call, end, source, usage);
-        } else {
-            call_log::retry_denied(call, end, usage);
-        }
-        source.is_some()
-    }
-
     fn usage(&self) -> RetryUsage {
         let (now, boxes) = (self.relay.clock.now(), self.relay.budget_boxes());
         self.with_window(|window, rule| window.usage(now, rule, boxes))
--- a/daemon/tests/test_relay_slow_readers.rs
+++ b/daemon/tests/test_relay_slow_readers.rs
@@ -169,6 +169,34 @@
     Ok(())
 }
 
+/// Guards against a retry that is reserved again after a refused connection and never given back.
+#[tokio::test]
+async fn paused_stream_whose_first_server_refuses_connections_takes_one_retry() -> anyhow::Result<()>
+{
+    let world = cluster(1).await?;
+    let server = &world.servers[0];
+    server.pad_large_responses(500_000);
+    server.cut_unread_streams(Duration::from_millis(1_200));
+    let text = patient_call("POST", "/stream/paused/large", "id-1", "prompt");
+    let mut caller = send_unread(&world, &text).await?;
+    wait_until(|| active_calls(server) == 1).await?;
+    let unused = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let entry = server.entry_at("ready", unused);
+    world.store.put("servers/i-1", &entry);
+    let listed = ["server entry", "i-1"];
+    world.relay.wait_for_log_line(&listed).await?;
+    wait_until(|| active_calls(server) == 0).await?;
+
+    let response = caller.read_response().await?;
+
+    let log = world.relay.log();
+    assert!(response.is_complete, "{log}");
+    assert!(log.contains("attempt failed"), "{log}");
+    let retries = log.matches("retry allowed").count();
+    assert_eq!(retries, 1, "{log}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn cut_stream_that_can_not_be_resumed_is_not_blamed_on_the_server() -> anyhow::Result<()> {
     let world = cluster(1).await?;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_relay_quarantine_parts;
 mod test_relay_quota_owner;
 mod test_relay_reader_patience;
+mod test_relay_recent_box_count;
 mod test_relay_request_fingerprint;
 mod test_relay_retry_model;
 mod test_relay_retry_window;
