--- a/daemon/tests/test_relay_leaving.rs
+++ b/daemon/tests/test_relay_leaving.rs
@@ -94,7 +94,11 @@
         assert_eq!(answer.status, 503, "{answer:?}; {}", fleet.logs());
         assert!(answer.body.contains("servers_leaving"), "{answer:?}");
         assert!(answer.header("retry-after").is_some(), "{answer:?}");
-        assert!(took < Duration::from_millis(500), "refused after {took:?}");
+        assert!(
+            took < Duration::from_millis(500),
+            "refused after {took:?}; {}",
+            fleet.logs()
+        );
     }
 }
 
