--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,6 +5,7 @@
 //! and follow one another closely. The timing of the processes does not depend on the seed, so a
 //! seed may fail in some of its runs only.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::sheet_run::Severity;
 use argh::FromArgs;
 
 mod callers;
@@ -19,6 +21,7 @@
 mod ledger;
 mod retry_budget;
 mod run;
+mod sheet_run;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
 const REGRESSIONS: &str = include_str!("../regressions.txt");
@@ -50,6 +53,12 @@
     /// fleet unless --boxes is given
     #[argh(switch)]
     retries: bool,
+    /// play the deployment of this site file at its whole size, and audit every retry rule
+    #[argh(option)]
+    sheet: Option<PathBuf>,
+    /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines
+    #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
+    severity: Severity,
     /// a seed to pass over, since it is known to fail; may be repeated
     #[argh(option)]
     pass_over: Vec<u64>,
@@ -58,6 +67,16 @@
     no_regressions: bool,
 }
 
+fn parse_severity(name: &str) -> Result<Severity, String> {
+    match name {
+        "usual" => Ok(Severity::Usual),
+        "most-servers-still" => Ok(Severity::MostServersStill),
+        "silent-crashes" => Ok(Severity::SilentCrashes),
+        "late-declines" => Ok(Severity::LateDeclines),
+        _ => Err(format!("unknown severity {name}")),
+    }
+}
+
 fn regressions() -> Vec<u64> {
     let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
     lines
@@ -78,7 +97,7 @@
     let first = args
         .first
         .unwrap_or_else(|| u64::from(rand::random::<u32>()));
-    let mut seeds = if args.no_regressions || args.retries {
+    let mut seeds = if args.no_regressions || args.retries || args.sheet.is_some() {
         Vec::new()
     } else {
         regressions()
@@ -102,7 +121,10 @@
             cuts_servers: args.server_cuts,
         };
         let run = async {
-            if args.retries {
+            if let Some(sheet) = &args.sheet {
+                let report = sheet_run::run(*seed, sheet, args.severity, fault_duration).await?;
+                Ok(report.to_string())
+            } else if args.retries {
                 let summary = retry_budget::run(*seed, args.boxes, fault_duration).await?;
                 Ok::<_, anyhow::Error>(summary.to_string())
             } else {
--- /dev/null
+++ b/soak/src/sheet_run.rs
@@ -0,0 +1,647 @@
+//! Plays a deployment at its whole size, with its kinds of calls and rates, under the troubles of a
+//! seed, and audits every retry rule by what the servers read.
+//!
+//! Servers stand still, slow down, lose calls, shed load or crash; boxes stand still, are killed or
+//! are stopped and started again. Troubles overlap and come in series.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::RawResponse;
+use badgerferry_standin::crashes::CrashRule;
+use badgerferry_standin::relay_box::RelayBox;
+use badgerferry_standin::relay_box::random_loopback_ip;
+use badgerferry_standin::relay_box::settings;
+use badgerferry_standin::relay_box::with_retry_slack;
+use badgerferry_standin::retry_audit;
+use badgerferry_standin::retry_audit::BudgetTerms;
+use badgerferry_standin::retry_audit::LateRepeats;
+use badgerferry_standin::retry_audit::SentCall;
+use badgerferry_standin::retry_audit::WindowUse;
+use badgerferry_standin::server::Server;
+use badgerferry_standin::sheet::CallKind;
+use badgerferry_standin::sheet::Sheet;
+use badgerferry_standin::store::Store;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+/// Time before the first trouble, in which boxes earn retries.
+const WARM_UP: Duration = Duration::from_secs(11);
+/// Pause of a caller whose box refused the connection.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Body of the request that crashes its servers.
+const CRASHING_BODY: &str = "crashes";
+/// Calls that a server may get from a box in a pause that it asked for.
+const MAX_CALLS_IN_PAUSE: usize = 2;
+/// Time after a refusal in which calls that are on the way do not count.
+const PAUSE_TOLERANCE: Duration = Duration::from_millis(500);
+/// Time after the third crash from which on runs of the request count, and how many may.
+const CRASH_TOLERANCE: Duration = Duration::from_secs(4);
+const MAX_RUNS_AFTER_CRASHES: usize = 3;
+/// Time before a pause in which a disturbance of the box excuses what follows.
+const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
+/// Calls that may each run on more servers than their route allows.
+const MAX_CALLS_BEYOND_ATTEMPTS: usize = 3;
+/// Time that callers of the request that crashes servers wait.
+const CRASHING_PATIENCE: Duration = Duration::from_secs(3);
+/// Time left below which a call is not repeated.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
+
+/// What befalls servers and boxes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Trouble {
+    /// This fraction of the servers stands still.
+    ServersStill(f64),
+    /// This fraction of the servers is slower by a factor.
+    ServersSlow(f64, f64),
+    /// All servers lose this fraction of their calls.
+    CallsLost(f64),
+    /// This fraction of the servers declines calls after a delay, and asks for a pause of as many
+    /// seconds.
+    ServersShed(f64, Duration, u64),
+    /// This fraction of the servers crashes.
+    ServersCrash(f64),
+    /// This fraction of the boxes stands still.
+    BoxesStill(f64),
+    /// This fraction of the boxes is killed, and started again at once.
+    BoxesKilled(f64),
+    /// One box after the other is told to stop, and started again.
+    BoxesStopped,
+    /// This fraction of the callers leaves after the time.
+    CallersLeave(f64, Duration),
+    /// A request crashes its servers, after this silence; the calls of it in a second.
+    CrashingRequest(Duration, f64),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Scheduled {
+    at: Duration,
+    lasts: Duration,
+    trouble: Trouble,
+}
+
+/// How hard the troubles are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Severity {
+    /// Shares and times as in site files.
+    Usual,
+    /// Most of the servers stand still in turn, and most calls are lost.
+    MostServersStill,
+    /// A request crashes servers that were silent before, whose callers leave first.
+    SilentCrashes,
+    /// Servers decline calls whose callers have left.
+    LateDeclines,
+}
+
+fn draw(rng: &mut ChaCha8Rng, severity: Severity, lasts: Duration) -> Vec<Scheduled> {
+    let secs = Duration::from_secs_f64;
+    let whole = |trouble| Scheduled {
+        at: Duration::ZERO,
+        lasts,
+        trouble,
+    };
+    let turns = lasts.as_secs() / 5;
+    match severity {
+        Severity::MostServersStill => {
+            let still = (0..turns).map(|turn| Scheduled {
+                at: secs(turn as f64 * 5.0),
+                lasts: secs(4.5),
+                trouble: Trouble::ServersStill(0.6),
+            });
+            still.chain([whole(Trouble::CallsLost(0.6))]).collect()
+        }
+        Severity::SilentCrashes => {
+            let silence = Duration::from_secs(4);
+            vec![whole(Trouble::CrashingRequest(silence, 1.0))]
+        }
+        Severity::LateDeclines => vec![
+            whole(Trouble::ServersShed(0.4, Duration::from_millis(300), 3)),
+            whole(Trouble::CallersLeave(0.7, Duration::from_millis(100))),
+        ],
+        Severity::Usual => (0..rng.random_range(8..16))
+            .map(|_| Scheduled {
+                at: lasts.mul_f64(rng.random_range(0.0..0.9)),
+                lasts: secs(rng.random_range(2.0..6.5)),
+                trouble: match rng.random_range(0..12) {
+                    0..3 => Trouble::ServersStill(0.14),
+                    3 => Trouble::ServersSlow(0.14, 7.5),
+                    4 => Trouble::CallsLost(rng.random_range(0.02..0.4)),
+                    5 => Trouble::ServersShed(0.14, Duration::ZERO, rng.random_range(1..4)),
+                    6 => Trouble::ServersCrash(0.17),
+                    7 => Trouble::BoxesStill(0.2),
+                    8 => Trouble::BoxesKilled(rng.random_range(0.16..1.0)),
+                    9 => Trouble::BoxesStopped,
+                    10 => Trouble::CallersLeave(0.2, secs(rng.random_range(0.05..2.0))),
+                    _ => Trouble::CrashingRequest(secs(rng.random_range(0.0..3.0)), 1.0),
+                },
+            })
+            .collect(),
+    }
+}
+
+/// Result of a run.
+#[derive(Debug)]
+pub struct Report {
+    calls: usize,
+    served: usize,
+    repeats: usize,
+    worst: Option<WindowUse>,
+    beyond: usize,
+    late: LateRepeats,
+    crashes: usize,
+    runs_after_crashes: usize,
+    in_pauses: usize,
+}
+
+impl Report {
+    /// The rules that are violated.
+    fn violated(&self) -> Vec<&'static str> {
+        let is_over = self.worst.is_some_and(|worst| worst.fraction() > 1.0);
+        let rules = [
+            (is_over, "sum of retries"),
+            (self.beyond > MAX_CALLS_BEYOND_ATTEMPTS, "servers of a call"),
+            (self.late.violate(), "time told"),
+            (
+                self.runs_after_crashes > MAX_RUNS_AFTER_CRASHES,
+                "request that crashes servers",
+            ),
+            (self.in_pauses > MAX_CALLS_IN_PAUSE, "calls in a pause"),
+        ];
+        let violated = rules.into_iter().filter(|(is_violated, _)| *is_violated);
+        violated.map(|(_, rule)| rule).collect()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { calls, served, .. } = self;
+        let worst = self.worst.map_or((0, 0.0), |w| (w.retries, w.allowed));
+        write!(
+            f,
+            "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, told too late {} of \
+             {}, beyond attempts {}, crashes {}, runs after them {}, in a pause {}",
+            self.repeats,
+            worst.0,
+            worst.1,
+            self.late.too_much,
+            self.late.late,
+            self.beyond,
+            self.crashes,
+            self.runs_after_crashes,
+            self.in_pauses
+        )
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Sent {
+    call: SentCall,
+    kind: usize,
+    is_crashing: bool,
+}
+
+/// What callers share.
+#[derive(Debug, Default)]
+struct Traffic {
+    fronts: Vec<SocketAddr>,
+    kinds: Vec<CallKind>,
+    sent: Mutex<Vec<Sent>>,
+    served: Mutex<BTreeSet<u64>>,
+    /// Fraction of the callers that leave, and when.
+    leaving: Mutex<Option<(f64, Duration)>>,
+    /// Calls of the request that crashes servers, per second.
+    crashing_rate: Mutex<f64>,
+}
+
+struct Deployment {
+    store: Store,
+    servers: Vec<Server>,
+    boxes: Vec<RelayBox>,
+    /// When a box was stopped, killed or continued.
+    disturbed: Vec<Vec<Instant>>,
+    traffic: Arc<Traffic>,
+    budget: BudgetTerms,
+}
+
+/// Runs a seed.
+///
+/// # Errors
+///
+/// A retry rule is violated, or a process could not be started.
+pub async fn run(
+    seed: u64,
+    sheet: &Path,
+    severity: Severity,
+    lasts: Duration,
+) -> anyhow::Result<Report> {
+    let sheet = Sheet::read(sheet)?;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let troubles = draw(&mut rng, severity, lasts);
+    println!("{} seed {seed}: {troubles:?}", sheet.name);
+    let mut deployment = Deployment::start(&sheet).await?;
+    let callers = tokio::spawn(make_calls(
+        Arc::clone(&deployment.traffic),
+        WARM_UP + lasts,
+        ChaCha8Rng::seed_from_u64(seed + 1),
+    ));
+    sleep(WARM_UP).await;
+    deployment.play(troubles, &mut rng).await?;
+    callers.await?;
+    let report = deployment.audit();
+    let violated = report.violated();
+    if violated.is_empty() {
+        return Ok(report);
+    }
+    let logs = deployment.save_logs(&sheet.name, seed)?;
+    anyhow::bail!("{violated:?}: {report}; logs in {logs}")
+}
+
+impl Deployment {
+    async fn start(sheet: &Sheet) -> anyhow::Result<Self> {
+        let store = Store::start().await?;
+        store.put_routes(&sheet.desired_state("key-1"));
+        let mut servers = Vec::new();
+        for plan in sheet.servers() {
+            let mut server = Server::start(&plan.name, &plan.service, plan.pace).await?;
+            server.set_hall(&plan.hall);
+            if let Some(rate) = plan.prefill_rate {
+                server.set_prefill_rate(rate);
+            }
+            server.set_events(plan.events);
+            store.put(&server.key(), &server.entry("ready"));
+            servers.push(server);
+        }
+        let budget = sheet.budget();
+        let mut boxes: Vec<RelayBox> = Vec::new();
+        for (index, hall) in sheet.box_halls().iter().enumerate() {
+            let ip = random_loopback_ip();
+            let seeds: Vec<_> = boxes.iter().take(3).map(|seed| seed.ip).collect();
+            let text = settings(&format!("box-{index}"), ip, store.address, &seeds);
+            let text = text.replace("zone = \"hall-a\"", &format!("zone = \"{hall}\""));
+            let text = with_retry_slack(&text, budget.slack);
+            boxes.push(RelayBox::start_with_settings(ip, &text)?);
+        }
+        for started in &boxes {
+            started.wait_ready().await?;
+        }
+        Ok(Self {
+            traffic: Arc::new(Traffic {
+                fronts: boxes.iter().map(RelayBox::front).collect(),
+                kinds: sheet.call_kinds(),
+                ..Traffic::default()
+            }),
+            disturbed: vec![Vec::new(); boxes.len()],
+            store,
+            servers,
+            boxes,
+            budget,
+        })
+    }
+
+    /// Begins and ends the troubles in the order of their times.
+    async fn play(&mut self, troubles: Vec<Scheduled>, rng: &mut ChaCha8Rng) -> anyhow::Result<()> {
+        let started = tokio::time::Instant::now();
+        let mut steps = Vec::new();
+        for Scheduled { at, lasts, trouble } in troubles {
+            let affected = self.choose(trouble, rng);
+            steps.push((at, true, trouble, affected.clone()));
+            steps.push((at + lasts, false, trouble, affected));
+        }
+        steps.sort_by_key(|(at, ..)| *at);
+        for (at, begins, trouble, affected) in steps {
+            sleep_until(started + at).await;
+            self.change(trouble, begins, &affected)?;
+        }
+        Ok(())
+    }
+
+    /// Indexes of the servers or boxes that the trouble affects.
+    fn choose(&self, trouble: Trouble, rng: &mut ChaCha8Rng) -> Vec<usize> {
+        let (count, share) = match trouble {
+            Trouble::ServersStill(share)
+            | Trouble::ServersSlow(share, _)
+            | Trouble::ServersShed(share, ..)
+            | Trouble::ServersCrash(share) => (self.servers.len(), share),
+            Trouble::BoxesStill(share) | Trouble::BoxesKilled(share) => (self.boxes.len(), share),
+            Trouble::BoxesStopped => (self.boxes.len(), 0.0),
+            Trouble::CallsLost(_) | Trouble::CrashingRequest(..) => (self.servers.len(), 1.0),
+            Trouble::CallersLeave(..) => (0, 0.0),
+        };
+        let mut all: Vec<usize> = (0..count).collect();
+        all.shuffle(rng);
+        all.truncate(((count as f64 * share).ceil() as usize).max(1));
+        all
+    }
+
+    fn change(&mut self, trouble: Trouble, begins: bool, affected: &[usize]) -> anyhow::Result<()> {
+        let servers = || affected.iter().map(|index| &self.servers[*index]);
+        match trouble {
+            Trouble::ServersStill(_) => servers().for_each(|server| server.suspend(begins)),
+            Trouble::ServersSlow(_, factor) => {
+                let factor = if begins { factor } else { 1.0 };
+                servers().for_each(|server| server.slow_down(factor));
+            }
+            Trouble::CallsLost(fraction) => {
+                let fraction = if begins { fraction } else { 0.0 };
+                servers().for_each(|server| server.cut_calls(fraction));
+            }
+            Trouble::ServersShed(_, delay, pause) => {
+                let pause = pause.to_string();
+                for server in servers() {
+                    server.decline_after(delay);
+                    server.shed(begins.then_some(&pause));
+                }
+            }
+            Trouble::ServersCrash(_) if begins => servers().for_each(Server::crash),
+            Trouble::CrashingRequest(silence, per_s) => {
+                let rule = CrashRule::on_body(CRASHING_BODY, Duration::from_secs(3), &self.store);
+                let rule = rule.silent_for(silence);
+                if begins {
+                    servers().for_each(|server| server.set_crash_rule(rule.clone()));
+                }
+                let rate = if begins { per_s } else { 0.0 };
+                *lock(&self.traffic.crashing_rate) = rate;
+            }
+            Trouble::CallersLeave(share, after) => {
+                *lock(&self.traffic.leaving) = begins.then_some((share, after));
+            }
+            Trouble::BoxesStill(_) => {
+                for index in affected {
+                    self.disturbed[*index].push(Instant::now());
+                    self.boxes[*index].signal(if begins { "STOP" } else { "CONT" })?;
+                }
+            }
+            Trouble::BoxesKilled(_) if begins => {
+                for index in affected {
+                    self.disturbed[*index].push(Instant::now());
+                    self.boxes[*index].restart()?;
+                }
+            }
+            Trouble::BoxesStopped if begins => {
+                for index in affected {
+                    self.disturbed[*index].push(Instant::now());
+                    self.boxes[*index].signal("TERM")?;
+                }
+            }
+            Trouble::BoxesStopped => {
+                for index in affected {
+                    self.disturbed[*index].push(Instant::now());
+                    self.boxes[*index].restart()?;
+                }
+            }
+            Trouble::ServersCrash(_) | Trouble::BoxesKilled(_) => {}
+        }
+        Ok(())
+    }
+
+    fn audit(&self) -> Report {
+        let sent = lock(&self.traffic.sent).clone();
+        let calls: Vec<SentCall> = sent.iter().map(|sent| sent.call.clone()).collect();
+        let services: BTreeSet<&String> = self.servers.iter().map(|of| &of.service).collect();
+        let kinds = &self.traffic.kinds;
+        let of_service = |service: &str| -> (Vec<SentCall>, Vec<Server>) {
+            let calls = sent
+                .iter()
+                .filter(|sent| kinds[sent.kind].service == service);
+            let servers = self.servers.iter().filter(|of| of.service == service);
+            (
+                calls.map(|sent| sent.call.clone()).collect(),
+                servers.cloned().collect(),
+            )
+        };
+        let worst = services.into_iter().filter_map(|service| {
+            let (calls, servers) = of_service(service);
+            retry_audit::worst_window(&calls, &servers, &self.budget)
+        });
+        let worst = worst.max_by(|a, b| a.fraction().total_cmp(&b.fraction()));
+        let max_attempts = kinds.iter().map(|kind| kind.max_attempts).max();
+        let crashing: BTreeSet<&str> = sent
+            .iter()
+            .filter(|sent| sent.is_crashing)
+            .map(|sent| sent.call.id.as_str())
+            .collect();
+        Report {
+            calls: sent.len(),
+            served: lock(&self.traffic.served).len(),
+            repeats: retry_audit::repeats(&self.servers),
+            worst,
+            beyond: retry_audit::calls_beyond_attempts(&self.servers, max_attempts.unwrap_or(1))
+                .len(),
+            late: retry_audit::late_repeats(&calls, &self.servers),
+            crashes: retry_audit::crashes_of(&crashing, &self.servers).len(),
+            runs_after_crashes: retry_audit::runs_after_third_crash(
+                &crashing,
+                &self.servers,
+                CRASH_TOLERANCE,
+            ),
+            in_pauses: self.calls_in_pauses(),
+        }
+    }
+
+    /// The most calls that a server got from one box in a pause that it had asked for. A box that was
+    /// disturbed meanwhile is excused.
+    fn calls_in_pauses(&self) -> usize {
+        let mut most = 0;
+        for server in &self.servers {
+            let calls = server.received_calls();
+            let by_box = |index| {
+                calls
+                    .iter()
+                    .filter(move |call| box_of(call.id()) == Some(index))
+            };
+            let declines = calls.iter().filter_map(|call| {
+                let pause = call.retry_after.as_deref()?.parse().ok()?;
+                Some((
+                    box_of(call.id())?,
+                    call.declined_at?,
+                    Duration::from_secs(pause),
+                ))
+            });
+            for (index, at, pause) in declines {
+                let pause = at + PAUSE_TOLERANCE..at + pause;
+                let is_excused = self.disturbed[index].iter().any(|disturbed| {
+                    *disturbed + DISTURBANCE_MARGIN >= at && *disturbed <= pause.end
+                });
+                let times = by_box(index).filter_map(|call| call.received_at);
+                let inside = times.filter(|at| pause.contains(at)).count();
+                if !is_excused {
+                    most = most.max(inside);
+                }
+            }
+        }
+        most
+    }
+
+    fn save_logs(&self, name: &str, seed: u64) -> anyhow::Result<String> {
+        let dir = std::env::temp_dir().join(format!("badgerferry-soak-{name}-{seed}"));
+        std::fs::create_dir_all(&dir)?;
+        for (index, a_box) in self.boxes.iter().enumerate() {
+            let path = dir.join(format!("box-{index}.log"));
+            std::fs::write(path, a_box.log()).context("failed to save a log")?;
+        }
+        Ok(dir.display().to_string())
+    }
+}
+
+/// Index of the box to which a call with this id was sent.
+fn box_of(id: &str) -> Option<usize> {
+    id.rsplit_once("-b")?.1.parse().ok()
+}
+
+/// Makes calls at their rates until the end; waits for all of them.
+async fn make_calls(traffic: Arc<Traffic>, lasts: Duration, mut rng: ChaCha8Rng) {
+    let rate: f64 = traffic.kinds.iter().map(|kind| kind.rate).sum();
+    let until = Instant::now() + lasts;
+    let mut calls = tokio::task::JoinSet::new();
+    let mut number = 0;
+    let mut next = tokio::time::Instant::now();
+    let mut last_crashing = Instant::now();
+    while Instant::now() < until {
+        next += Duration::from_secs_f64(-rng.random::<f64>().ln() / rate);
+        sleep_until(next).await;
+        number += 1;
+        let mut left = rng.random_range(0.0..rate);
+        let kinds = traffic.kinds.iter();
+        let drawn = kinds.take_while(|kind| {
+            left -= kind.rate;
+            left > 0.0
+        });
+        let kind = drawn.count().min(traffic.kinds.len() - 1);
+        let crashing_rate = *lock(&traffic.crashing_rate);
+        let is_crashing = crashing_rate * last_crashing.elapsed().as_secs_f64() >= 1.0;
+        let caller_rng = ChaCha8Rng::seed_from_u64(rng.random());
+        if is_crashing {
+            last_crashing = Instant::now();
+        }
+        let one = OneCall {
+            number,
+            kind: if is_crashing { 0 } else { kind },
+            is_crashing,
+        };
+        calls.spawn(make_call(Arc::clone(&traffic), one, caller_rng));
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OneCall {
+    number: u64,
+    kind: usize,
+    is_crashing: bool,
+}
+
+/// Makes a call, and repeats it as its kind says.
+async fn make_call(traffic: Arc<Traffic>, one: OneCall, mut rng: ChaCha8Rng) {
+    let kind = &traffic.kinds[one.kind];
+    let deadline = if one.is_crashing {
+        CRASHING_PATIENCE
+    } else {
+        kind.deadline
+    };
+    let until = Instant::now() + deadline;
+    for attempt in 0..=kind.retries {
+        let left = until.saturating_duration_since(Instant::now());
+        if left < MIN_TIME_LEFT {
+            return;
+        }
+        let index = rng.random_range(0..traffic.fronts.len());
+        let id = format!("c{}-{attempt}-b{index}", one.number);
+        let text = request_text(kind, &id, one.is_crashing, left, &mut rng);
+        let leaves = *lock(&traffic.leaving);
+        let patience = match leaves {
+            Some((share, after)) if rng.random_bool(share) => after.min(left),
+            _ => left,
+        };
+        let exchange = async {
+            let mut caller = Caller::connect(traffic.fronts[index]).await?;
+            lock(&traffic.sent).push(Sent {
+                call: SentCall {
+                    id: id.clone(),
+                    at: Instant::now(),
+                    deadline: left,
+                },
+                kind: one.kind,
+                is_crashing: one.is_crashing,
+            });
+            caller.send(&text).await?;
+            caller.read_response().await
+        };
+        let response: RawResponse = match timeout(patience, exchange).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_refused)) => {
+                sleep(RECONNECT_PAUSE).await;
+                continue;
+            }
+            Err(_left) => return,
+        };
+        if response.status == 200 && response.is_complete {
+            lock(&traffic.served).insert(one.number);
+            return;
+        }
+        let has_not_run = matches!(response.status, 429 | 503 | 408 | 421);
+        if response.status == 200 && !kind.is_repeatable
+            || matches!(response.status, 400 | 401 | 403 | 404 | 413 | 431)
+            || !has_not_run && !kind.is_repeatable
+        {
+            return;
+        }
+        let retry_after = response
+            .header("retry-after")
+            .and_then(|text| text.parse().ok());
+        let left = until.saturating_duration_since(Instant::now());
+        let pause = Duration::from_secs_f64(retry_after.unwrap_or(0.0));
+        sleep(pause.min(left / 3)).await;
+    }
+}
+
+fn request_text(
+    kind: &CallKind,
+    id: &str,
+    is_crashing: bool,
+    left: Duration,
+    rng: &mut ChaCha8Rng,
+) -> String {
+    let body = match (is_crashing, kind.method.as_str()) {
+        (true, _) => CRASHING_BODY.to_owned(),
+        (false, "GET") => String::new(),
+        (false, _) => format!("prompt {id}"),
+    };
+    let (prompt, response) = kind.tokens;
+    let counts = if prompt > 0.0 {
+        let size = rng.random_range(0.5..1.5);
+        format!(
+            "Badgerferry-Token-Counts: {:.0},{response:.0}\r\n",
+            prompt * size
+        )
+    } else {
+        String::new()
+    };
+    format!(
+        "{} {} HTTP/1.1\r\nHost: host.example\r\nBadgerferry-Attempt-Id: {id}\r\n\
+         Badgerferry-Deadline-Ms: {}\r\nAuthorization: Bearer key-1\r\n{counts}\
+         Content-Length: {}\r\n\r\n{body}",
+        kind.method,
+        kind.path,
+        left.as_millis(),
+        body.len()
+    )
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
