retries, quarantine, pauses: what a server shows counts after its call has ended

Callers saw: calls sent to servers in a pause that these had asked for, and a request that crashed server after server; operators saw servers that got more repeats in a window than the budget allows once they went on.

Cause: evidence that belongs to a server was kept by the call and dropped with it. A call whose caller left, or whose deadline passed, closed its connection: the head of a refusal was read by nobody, a crash was nobody's, and a retry counted from the time of its send, although a server that stands still reads it seconds later, with all others at once.

A head is recorded as ever; a close that does not follow at once is examined for a crash; a suspect request's abandoned run counts as in progress. A retry is pending, and counts as arriving now, until all but one of the sends of its call are over.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -40,7 +40,6 @@
 use crate::relay::response_body::ResponseBody;
 use crate::relay::server_path;
 use crate::relay::server_selection::Selection;
-use crate::traffic::lock;
 
 /// Largest body of a unary response, which is read completely before it is forwarded.
 const MAX_UNARY_BODY_BYTES: usize = 4 << 20;
@@ -224,12 +223,6 @@
         body,
     } = received;
     call_log::declined(call, &attempt.selection, parts.status, &head);
-    // A server whose call depends on other servers may state which one is at fault.
-    if let Some(address) = &head.faulty_server {
-        let now = call.relay.clock.now();
-        lock(&call.relay.tracker).record_fault(now, address);
-        call.relay.urgent_changed.notify_one();
-    }
     reuse_after_body(call, &attempt.selection.server, connection, after, body);
     attempt.finish(match (head.execution, cause) {
         (ExecutionStatus::Misdirected, _) => ServerOutcome::Unreachable,
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -22,6 +22,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::response::Parts;
 
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::Received;
@@ -38,10 +39,12 @@
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::Run;
 use crate::relay::response_body::ResponseBody;
+use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_gate::MAX_SERVERS_PER_ATTEMPT;
 use crate::relay::server_gate::OWNER_RETRY_DELAY;
 use crate::relay::server_gate::PendingCall;
+use crate::relay::server_gate::Target;
 use crate::relay::server_path;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection;
@@ -212,8 +215,10 @@
 
     /// Records that the response goes on: more of it has arrived.
     pub fn record_progress(&self) {
+        let now = self.call.relay.clock.now();
+        lock(&self.call.relay.tracker).record_heard(now, &self.selection.server);
         if let Some(started) = self.response_started {
-            let responding = self.call.relay.clock.now().since(started);
+            let responding = now.since(started);
             self.run.record_progress(responding);
         }
     }
@@ -291,34 +296,27 @@
             std::future::pending::<()>().await;
         }
     };
-    let record_sent = || call.retry.record_sent();
+    let begin_run = || ServerRun {
+        call: Arc::clone(call),
+        target: attempt.selection.target.clone(),
+        address: attempt.selection.address.clone(),
+        sent_at: attempt.sent_at,
+        pending: call.retry.record_sent(),
+    };
     let sent = connection_pool
-        .send(&destination, request, admitted, record_sent, path_cut)
+        .send(&destination, request, admitted, begin_run, path_cut)
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err(cause) => return handle_send_error(call, tried, attempt, &cause).await,
     };
     let (parts, body) = response.into_parts();
-    let head = headers::parse_response_head(parts.status, &parts.headers, call.head.id.as_deref());
-    let relay = &call.relay;
-    let server = &attempt.selection.server;
-    relay
-        .unknown_headers
-        .record(call.id(), server, &parts.headers);
     attempt.is_framed = http_client::is_framed(&parts.headers, &body);
-    let now = call.relay.clock.now();
-    lock(&call.relay.tracker).call_answered(now, &attempt.selection.server);
-    // A late response to another call, or one from another server, says nothing about the target.
-    let is_from_target = head.is_for_call && head.execution != ExecutionStatus::Misdirected;
-    if is_from_target {
-        let target = &attempt.selection.target;
-        call.relay
-            .gate
-            .record_response(call.id(), target, &head.notice, head.has_proof);
+    let head = record_head(call, &attempt.selection.target, &parts);
+    if is_from_target(&head) {
         record_load(call, &attempt, parts.status, &head);
         if parts.status.is_success() {
-            attempt.response_started = Some(now);
+            attempt.response_started = Some(call.relay.clock.now());
         }
     }
     let received = Received {
@@ -331,6 +329,33 @@
     attempt_response::classify(call, attempts, tried, received, join).await
 }
 
+/// Records what a response head shows of its server, whether or not its call goes on.
+pub fn record_head(call: &Call, target: &Target, parts: &Parts) -> ResponseHead {
+    let head = headers::parse_response_head(parts.status, &parts.headers, call.head.id.as_deref());
+    let relay = &call.relay;
+    relay
+        .unknown_headers
+        .record(call.id(), &target.name, &parts.headers);
+    lock(&relay.tracker).call_answered(relay.clock.now(), &target.name);
+    if is_from_target(&head) {
+        relay
+            .gate
+            .record_response(call.id(), target, &head.notice, head.has_proof);
+    }
+    // A server whose call depends on other servers may state which one is at fault.
+    let is_declined = head.execution != ExecutionStatus::Unknown && !parts.status.is_success();
+    if let Some(address) = head.faulty_server.as_ref().filter(|_| is_declined) {
+        lock(&relay.tracker).record_fault(relay.clock.now(), address);
+        relay.urgent_changed.notify_one();
+    }
+    head
+}
+
+/// A late response to another call, or one from another server, says nothing about the target.
+fn is_from_target(head: &ResponseHead) -> bool {
+    head.is_for_call && head.execution != ExecutionStatus::Misdirected
+}
+
 fn record_load(call: &Call, attempt: &AttemptGuard, status: StatusCode, head: &ResponseHead) {
     let Some(load) = head.load else { return };
     let now = call.relay.clock.now();
@@ -444,9 +469,6 @@
     cause: &SendError,
 ) -> AttemptResult {
     call_log::attempt_failed(call, &attempt.selection, cause);
-    if !cause.may_have_run() {
-        call.retry.record_not_sent();
-    }
     let patience = reader_patience::server_patience(&call.route);
     match cause {
         SendError::NotSent(_) => {
@@ -471,7 +493,7 @@
             attempt.finish(ServerOutcome::Inconclusive);
             AttemptResult::Ended(AttemptEnd::Lost)
         }
-        SendError::Lost(_) => {
+        SendError::Lost(_) | SendError::Unacknowledged(_) => {
             attempt.finish_broken().await;
             AttemptResult::Ended(AttemptEnd::Lost)
         }
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -27,6 +27,8 @@
 use crate::relay::connection_pool::SendError;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
+use crate::relay::server_exchange::AbandonedEnd;
+use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_selection::Selection;
 
 /// The call was rejected before it was sent to any server.
@@ -135,6 +137,7 @@
         source,
         boxes = call.relay.budget_boxes(),
         spent = usage.spent,
+        pending = usage.pending,
         earned = usage.earned,
         share = usage.share,
         uptime_ms = call.relay.clock.now().as_micros() / 1_000,
@@ -142,6 +145,19 @@
     );
 }
 
+/// What the server of an abandoned call showed after the call had ended.
+pub fn abandoned_call_ended(run: &ServerRun, end: AbandonedEnd, took: Duration) {
+    counter!("badgerferry_abandoned_calls_total", "end" => end.code()).increment(1);
+    tracing::info!(
+        call = run.call.id(),
+        server = %run.target.name,
+        end = end.code(),
+        after_ms = took.as_millis() as u64,
+        sent_ms_ago = run.call.relay.clock.now().since(run.sent_at).as_millis() as u64,
+        "abandoned call ended"
+    );
+}
+
 /// No retry is left in the budget.
 pub fn retry_denied(call: &Call, end: AttemptEnd, usage: RetryUsage) {
     counter!("badgerferry_retries_denied_total", "after" => end.code()).increment(1);
@@ -151,6 +167,7 @@
         after = end.code(),
         boxes = call.relay.budget_boxes(),
         spent = usage.spent,
+        pending = usage.pending,
         earned = usage.earned,
         share = usage.share,
         uptime_ms = call.relay.clock.now().as_micros() / 1_000,
--- a/daemon/src/relay/call_retry.rs
+++ b/daemon/src/relay/call_retry.rs
@@ -1,14 +1,17 @@
-//! The retry of a call, from the decision to the send.
+//! The retry of a call, from the decision to the arrival at its server.
 //!
-//! A call may wait between the two, and its connection may be refused. The retry budget bounds what
-//! reaches servers, so a retry is reserved until it is sent, and is kept for the next attempt if
-//! nothing was sent.
+//! A call may wait between the decision and the send, its connection may be refused, and a server that
+//! stands still reads it long after the send. The retry budget bounds what servers receive. So a
+//! retry is reserved until it has arrived, and is kept for the next attempt if nothing was sent.
+//! [`PendingSend`] tells of the arrival, which may come after the call has ended.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 
 use badgerferry_lib::relay::attempts::AttemptEnd;
 use badgerferry_lib::relay::attempts::Attempts;
+use badgerferry_lib::relay::call_sends::CallSends;
 use badgerferry_lib::relay::retry_pool;
 use badgerferry_lib::relay::retry_window::RetryBudgetRule;
 use badgerferry_lib::relay::retry_window::RetryUsage;
@@ -39,53 +42,121 @@
     /// The next attempt is a retry.
     Reserved(RetrySource),
     /// It was sent.
-    Sent(RetrySource, Time),
+    Sent(RetrySource),
 }
 
-/// The retry that a call holds. Dropped before the send, it is given back.
 #[derive(Debug)]
-pub struct CallRetry {
+struct CallState {
+    state: State,
+    sends: CallSends,
+    /// Sources of the retries that may still arrive, the oldest first.
+    pending: VecDeque<RetrySource>,
+}
+
+/// What a call and its pending sends share.
+#[derive(Debug)]
+struct Shared {
     relay: Arc<Relay>,
     service: ServiceName,
-    state: Mutex<State>,
+    call: Mutex<CallState>,
 }
 
+impl Shared {
+    fn with_window<T>(&self, f: impl FnOnce(&mut RetryWindow, &RetryBudgetRule) -> T) -> T {
+        let mut retries = lock(&self.relay.retries);
+        let window = retries.entry(self.service.clone());
+        // The clock starts with the process.
+        let window = window.or_insert_with(|| RetryWindow::new(Time::ZERO));
+        f(window, &self.relay.settings.retries)
+    }
+}
+
+/// A call that is being sent to a server, and may arrive at any time until this is dropped.
+#[derive(Debug)]
+pub struct PendingSend {
+    shared: Arc<Shared>,
+    may_have_arrived: bool,
+}
+
+impl PendingSend {
+    /// Records that nothing reached the server.
+    pub fn record_not_sent(mut self) {
+        self.may_have_arrived = false;
+        let mut call = lock(&self.shared.call);
+        if let State::Sent(source) = call.state {
+            call.state = State::Reserved(source);
+            call.sends.undo_send();
+            call.pending.pop_back();
+        }
+    }
+}
+
+impl Drop for PendingSend {
+    fn drop(&mut self) {
+        if !self.may_have_arrived {
+            return;
+        }
+        let arrived = {
+            let mut call = lock(&self.shared.call);
+            if call.sends.end_send() {
+                call.pending.pop_front()
+            } else {
+                None
+            }
+        };
+        if arrived == Some(RetrySource::Own) {
+            let now = self.shared.relay.clock.now();
+            self.shared
+                .with_window(|window, _rule| window.record_arrival(now));
+        }
+    }
+}
+
+/// The retry that a call holds. Dropped before the send, it is given back.
+#[derive(Debug)]
+pub struct CallRetry(Arc<Shared>);
+
 impl CallRetry {
     /// No retry.
     pub fn new(relay: &Arc<Relay>, service: &ServiceName) -> Self {
-        Self {
+        Self(Arc::new(Shared {
             relay: Arc::clone(relay),
             service: service.clone(),
-            state: Mutex::new(State::Idle),
-        }
+            call: Mutex::new(CallState {
+                state: State::Idle,
+                sends: CallSends::default(),
+                pending: VecDeque::new(),
+            }),
+        }))
     }
 
     /// Counts the first send of the call.
     pub fn record_first_send(&self, at: Time) {
-        self.with_window(|window, rule| window.record_first_send(at, rule));
+        self.0
+            .with_window(|window, rule| window.record_first_send(at, rule));
     }
 
     /// Whether the retry budget may have a retry left.
     pub fn may_be_left(&self) -> bool {
-        let boxes = self.relay.budget_boxes();
-        matches!(*lock(&self.state), State::Reserved(_))
-            || retry_pool::is_used(&self.relay.settings.retries, boxes)
+        let boxes = self.0.relay.budget_boxes();
+        matches!(lock(&self.0.call).state, State::Reserved(_))
+            || retry_pool::is_used(&self.0.relay.settings.retries, boxes)
             || self.is_left_in_share()
     }
 
     /// Requests a retry from the pool of the hall, if the next attempt needs one that the box has
     /// not earned itself and the fleet is so large that the slack is pooled.
     pub async fn prepare(&self, attempts: &Attempts, end: AttemptEnd) {
-        let boxes = self.relay.budget_boxes();
+        let boxes = self.0.relay.budget_boxes();
         if !attempts.may_need_budget(end)
-            || !retry_pool::is_used(&self.relay.settings.retries, boxes)
-            || matches!(*lock(&self.state), State::Reserved(_))
+            || !retry_pool::is_used(&self.0.relay.settings.retries, boxes)
+            || matches!(lock(&self.0.call).state, State::Reserved(_))
             || self.is_left_in_share()
         {
             return;
         }
-        if self.relay.gate.request_retry(&self.service).await {
-            *lock(&self.state) = State::Granted;
+        if self.0.relay.gate.request_retry(&self.0.service).await {
+            lock(&self.0.call).state = State::Granted;
         }
     }
 
@@ -107,13 +178,15 @@
         end: AttemptEnd,
         try_reserve: impl FnOnce(&mut RetryWindow, Time, &RetryBudgetRule, usize) -> bool,
     ) -> bool {
-        let mut state = lock(&self.state);
-        if let State::Reserved(_) = *state {
+        let mut held = lock(&self.0.call);
+        if let State::Reserved(_) = held.state {
             return true;
         }
-        let (now, boxes) = (self.relay.clock.now(), self.relay.budget_boxes());
-        let is_own = self.with_window(|window, rule| try_reserve(window, now, rule, boxes));
-        let source = match *state {
+        let (now, boxes) = (self.0.relay.clock.now(), self.0.relay.budget_boxes());
+        let is_own = self
+            .0
+            .with_window(|window, rule| try_reserve(window, now, rule, boxes));
+        let source = match held.state {
             _ if is_own => RetrySource::Own,
             State::Granted => RetrySource::Pool,
             _ => {
@@ -121,57 +194,43 @@
                 return false;
             }
         };
-        *state = State::Reserved(source);
+        held.state = State::Reserved(source);
         call_log::retry_allowed(call, end, source, self.usage());
         true
     }
 
     /// Records that the attempt is being sent.
-    pub fn record_sent(&self) {
-        let mut state = lock(&self.state);
-        if let State::Reserved(source) = *state {
-            let now = self.relay.clock.now();
-            if source == RetrySource::Own {
-                self.with_window(|window, _rule| window.send(now));
-            }
-            *state = State::Sent(source, now);
+    pub fn record_sent(&self) -> PendingSend {
+        let mut call = lock(&self.0.call);
+        if let State::Reserved(source) = call.state {
+            call.state = State::Sent(source);
+            call.sends.send_retry();
+            call.pending.push_back(source);
         }
-    }
-
-    /// Records that nothing of the attempt reached its server.
-    pub fn record_not_sent(&self) {
-        let mut state = lock(&self.state);
-        if let State::Sent(source, at) = *state {
-            if source == RetrySource::Own {
-                self.with_window(|window, _rule| window.undo_send(at));
-            }
-            *state = State::Reserved(source);
+        PendingSend {
+            shared: Arc::clone(&self.0),
+            may_have_arrived: true,
         }
     }
 
     fn usage(&self) -> RetryUsage {
-        let (now, boxes) = (self.relay.clock.now(), self.relay.budget_boxes());
-        self.with_window(|window, rule| window.usage(now, rule, boxes))
+        let (now, boxes) = (self.0.relay.clock.now(), self.0.relay.budget_boxes());
+        self.0
+            .with_window(|window, rule| window.usage(now, rule, boxes))
     }
 
     fn is_left_in_share(&self) -> bool {
-        let (now, boxes) = (self.relay.clock.now(), self.relay.budget_boxes());
-        self.with_window(|window, rule| window.has_retry_left(now, rule, boxes))
-    }
-
-    fn with_window<T>(&self, f: impl FnOnce(&mut RetryWindow, &RetryBudgetRule) -> T) -> T {
-        let mut retries = lock(&self.relay.retries);
-        let window = retries.entry(self.service.clone());
-        // The clock starts with the process.
-        let window = window.or_insert_with(|| RetryWindow::new(Time::ZERO));
-        f(window, &self.relay.settings.retries)
+        let (now, boxes) = (self.0.relay.clock.now(), self.0.relay.budget_boxes());
+        self.0
+            .with_window(|window, rule| window.has_retry_left(now, rule, boxes))
     }
 }
 
 impl Drop for CallRetry {
     fn drop(&mut self) {
-        if *lock(&self.state) == State::Reserved(RetrySource::Own) {
-            self.with_window(|window, _rule| window.release());
+        let state = lock(&self.0.call).state;
+        if state == State::Reserved(RetrySource::Own) {
+            self.0.with_window(|window, _rule| window.release());
         }
     }
 }
--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -21,6 +21,7 @@
 use crate::relay::peer_connections;
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::ServerCrash;
+use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_gate::Target;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection::Selection;
@@ -45,7 +46,7 @@
     selection: &Selection,
     run: CrashedRun,
 ) -> Option<ConnectionEnd> {
-    let server = EndedServer::of(call, selection);
+    let server = EndedServer::of(call, &selection.target, &selection.address);
     match server.standing(call) {
         standing @ ServerStanding::InService => {
             Some(examine(call, server, standing, Question::HasCrashed, run).await)
@@ -62,7 +63,7 @@
     run: CrashedRun,
     may_repeat: bool,
 ) -> ConnectionEnd {
-    let server = EndedServer::of(call, selection);
+    let server = EndedServer::of(call, &selection.target, &selection.address);
     let question = Question::IsRunning { waits: !may_repeat };
     match server.standing(call) {
         ServerStanding::Replaced => ConnectionEnd::Exited,
@@ -70,6 +71,16 @@
     }
 }
 
+/// Examines a server that closed the connection of an abandoned call late, and records a crash.
+pub async fn examine_abandoned(abandoned: &ServerRun, run: CrashedRun) {
+    let call = &abandoned.call;
+    let server = EndedServer::of(call, &abandoned.target, &abandoned.address);
+    let standing = server.standing(call);
+    if standing == ServerStanding::InService {
+        examine(call, server, standing, Question::HasCrashed, run).await;
+    }
+}
+
 /// Server whose connection ended.
 #[derive(Debug, Clone)]
 struct EndedServer {
@@ -80,11 +91,11 @@
 }
 
 impl EndedServer {
-    fn of(call: &Call, selection: &Selection) -> Self {
+    fn of(call: &Call, target: &Target, address: &str) -> Self {
         let now = call.relay.clock.now();
         Self {
-            target: selection.target.clone(),
-            address: selection.address.clone(),
+            target: target.clone(),
+            address: address.to_owned(),
             was_suspended: lock(&call.relay.suspension).was_suspended(now),
         }
     }
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -2,6 +2,7 @@
 //! is reused only if the last response on it was complete and belonged to its call.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -22,10 +23,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::relay::half_close::HalfClose;
+use crate::relay::half_close::ServerStream;
 use crate::relay::listener::MAX_UNSENT_BYTES;
 use crate::relay::request_body::BodyPermit;
 use crate::relay::request_body::BodyTransfers;
 use crate::relay::request_body::RequestBody;
+use crate::relay::server_exchange::Exchange;
+use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_path;
 use crate::relay::server_path::Destination;
@@ -61,6 +66,9 @@
     /// Nothing was sent: no peer connects to servers of the service for this box.
     #[error("path to the servers is cut, and no peer connects")]
     NoPath,
+    /// Nothing was acknowledged for long, so that the connection ended; the call may have run.
+    #[error("no acknowledgement: {0}")]
+    Unacknowledged(String),
     /// No response arrived, and the path of this box to the servers is cut. The call may have run.
     #[error("no response, and the path to the servers is cut")]
     PathCut,
@@ -79,7 +87,7 @@
     /// Whether the server may have received the request.
     pub const fn may_have_run(&self) -> bool {
         match self {
-            Self::Lost(_) | Self::PathCut | Self::BodyUnread => true,
+            Self::Lost(_) | Self::Unacknowledged(_) | Self::PathCut | Self::BodyUnread => true,
             Self::NotSent(_)
             | Self::ConnectTimeout
             | Self::NoPath
@@ -96,6 +104,8 @@
     task: AbortHandle,
     /// Who made it.
     pub via: Via,
+    /// Closes its sending side.
+    pub half_close: Arc<HalfClose>,
 }
 
 /// Who made a connection to a server.
@@ -131,12 +141,21 @@
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 Some(_request) => Err(SendError::NotSent(error.into_error().to_string())),
-                None => Err(SendError::Lost(error.into_error().to_string())),
+                None => Err(lost(&error.into_error())),
             },
         }
     }
 }
 
+fn lost(error: &hyper::Error) -> SendError {
+    let source = std::error::Error::source(error);
+    let cause = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    match cause.map(std::io::Error::kind) {
+        Some(ErrorKind::TimedOut) => SendError::Unacknowledged(error.to_string()),
+        _ => SendError::Lost(error.to_string()),
+    }
+}
+
 /// Counts the interim responses (1xx) to a request, which HTTP does not limit.
 #[derive(Debug, Clone, Default)]
 struct InterimLimit {
@@ -228,7 +247,7 @@
     }
 
     /// Sends a call once on an idle or a new connection and waits for the response head.
-    /// `before_send` is called once there is a connection. `path_cut` resolves if a connection made
+    /// `begin_run` is called once there is a connection. `path_cut` resolves if a connection made
     /// by this box is no longer worth waiting for.
     ///
     /// # Errors
@@ -239,7 +258,7 @@
         destination: &Destination<'_>,
         request: ServerRequest,
         admitted: Admitted,
-        before_send: impl FnOnce(),
+        begin_run: impl FnOnce() -> ServerRun,
         path_cut: impl Future<Output = ()>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let server = destination.server;
@@ -254,7 +273,7 @@
             Reuse::Allowed => self.take_idle(server),
             Reuse::Never => None,
         };
-        let mut connection = match pooled {
+        let connection = match pooled {
             Some(connection) => connection,
             None => server_path::connect(destination).await?,
         };
@@ -265,15 +284,12 @@
                 None => std::future::pending().await,
             }
         };
-        before_send();
-        let response = tokio::select! {
-            response = connection.send(request, admitted) => response?,
-            () = stalled => return Err(SendError::BodyUnread),
-            () = path_cut, if is_own => {
-                return Err(SendError::PathCut);
-            }
-        };
-        Ok((response, connection))
+        let mut exchange = Exchange::start(connection, request, admitted, begin_run());
+        tokio::select! {
+            answer = exchange.answer() => answer,
+            () = stalled => Err(SendError::BodyUnread),
+            () = path_cut, if is_own => Err(SendError::PathCut),
+        }
     }
 
     fn take_idle(&self, server: &ServerName) -> Option<Connection> {
@@ -340,6 +356,8 @@
 ///
 /// [`SendError::NotSent`]: the handshake failed.
 pub async fn open(stream: TcpStream, via: Via) -> Result<Connection, SendError> {
+    let half_close = Arc::<HalfClose>::default();
+    let stream = ServerStream::new(stream, Arc::clone(&half_close));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
@@ -351,6 +369,7 @@
         sender: Some(sender),
         task,
         via,
+        half_close,
     })
 }
 
--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -95,6 +95,18 @@
     }
 }
 
+/// A run of a call that has ended, while its server may still run it.
+pub fn continue_run(call: &Call) -> Run {
+    let relay = Arc::clone(&call.relay);
+    let keys = call.keys(true);
+    lock(&relay.quarantine).continue_run(relay.clock.now(), &keys);
+    Run {
+        relay,
+        keys,
+        is_isolated: false,
+    }
+}
+
 /// Admits a run of the call, at once unless servers crashed during runs of the same request, or of
 /// requests with a part of its prompt.
 ///
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -354,6 +354,7 @@
 
 fn record_progress(attempt: &AttemptGuard, harmless_at: &mut Option<Instant>) {
     attempt.record_progress();
+
     if harmless_at.is_some_and(|at| Instant::now() >= at) {
         *harmless_at = None;
         attempt.record_success();
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_end_to_end;
 mod test_failures;
 mod test_invalid_requests;
+mod test_relay_abandoned_calls;
 mod test_relay_boxes;
 mod test_relay_calls;
 mod test_relay_cold;
--- /dev/null
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -0,0 +1,123 @@
+//! What servers show after their call has ended: its caller left, or its deadline passed.
+
+use std::time::Duration;
+
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::call;
+use badgerferry_standin::crashes::CrashRule;
+use badgerferry_standin::relay_box::TestCluster;
+use badgerferry_standin::server::Server;
+use badgerferry_standin::store::Store;
+
+use crate::crash_fleet::Fleet;
+
+/// Body that makes a server crash.
+const CRASHING_BODY: &str = "a prompt that hangs its server";
+/// How long callers wait.
+const CALLER_PATIENCE: Duration = Duration::from_millis(100);
+/// Time after which a server declines, or crashes.
+const SERVER_DELAY: Duration = Duration::from_millis(300);
+/// How long a crashed server is down.
+const DOWNTIME: Duration = Duration::from_millis(1_500);
+/// Time in which a box learns what happened, and other boxes of it.
+const REPORT_TIME: Duration = Duration::from_millis(700);
+/// Maximum number of servers that one request may crash.
+const MAX_CRASHES: usize = 3;
+
+/// Sends a call and leaves.
+async fn leave(front: std::net::SocketAddr, text: &str) -> anyhow::Result<()> {
+    let mut caller = Caller::connect(front).await?;
+    caller.send(text).await?;
+    tokio::time::sleep(CALLER_PATIENCE).await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn pause_requested_after_the_caller_left_is_kept() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(2).await?;
+    let shedding = &cluster.servers[0];
+    shedding.decline_after(SERVER_DELAY);
+    shedding.shed(Some("3"));
+    let front = cluster.relay.front();
+    let text = |id: &str| call("POST", "/again/a", id, "", "prompt");
+    while shedding.received_calls().is_empty() {
+        leave(front, &text("left")).await?;
+    }
+    tokio::time::sleep(SERVER_DELAY).await;
+    let before = shedding.received_calls().len();
+
+    for index in 0..30 {
+        let response = Caller::exchange(front, &text(&format!("later-{index}"))).await?;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+
+    let in_pause = shedding.received_calls().len() - before;
+    assert_eq!(
+        in_pause,
+        0,
+        "calls in the pause; log:\n{}",
+        cluster.relay.log()
+    );
+    Ok(())
+}
+
+/// Lets callers of a request that crashes its servers leave before the crash.
+async fn assert_few_crashes_without_callers(boxes: usize, path: &str) -> anyhow::Result<()> {
+    let crash_rule =
+        |store: &Store| CrashRule::on_body(CRASHING_BODY, DOWNTIME, store).silent_for(SERVER_DELAY);
+    let fleet = Fleet::start(boxes, 8, "boards", crash_rule).await?;
+
+    for index in 0..10 {
+        let text = call(
+            "POST",
+            path,
+            &format!("crashing-{index}"),
+            "",
+            CRASHING_BODY,
+        );
+        leave(fleet.boxes[index % boxes].front(), &text).await?;
+        tokio::time::sleep(REPORT_TIME).await;
+    }
+
+    let crashes = fleet.crash_count();
+    assert!(
+        crashes <= MAX_CRASHES,
+        "{crashes} crashes; logs:\n{}",
+        fleet.logs()
+    );
+    Ok(())
+}
+
+#[tokio::test]
+async fn request_whose_callers_leave_crashes_few_servers() -> anyhow::Result<()> {
+    assert_few_crashes_without_callers(1, "/stream/a").await
+}
+
+#[tokio::test]
+async fn request_whose_callers_leave_crashes_few_servers_across_boxes() -> anyhow::Result<()> {
+    assert_few_crashes_without_callers(3, "/again/a").await
+}
+
+#[tokio::test]
+async fn server_that_drops_abandoned_calls_is_not_taken_for_crashed() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(2).await?;
+    let front = cluster.relay.front();
+    let text = |id: &str| call("POST", "/stream/a", id, "", CRASHING_BODY);
+
+    for index in 0..20 {
+        leave(front, &text(&format!("left-{index}"))).await?;
+    }
+
+    tokio::time::sleep(REPORT_TIME).await;
+    let response = Caller::exchange(front, &text("last")).await?;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert!(
+        cluster
+            .servers
+            .iter()
+            .all(|server| server.times_crashed() == 0)
+    );
+    let log = cluster.relay.log();
+    assert!(!log.contains("server crashed"), "log:\n{log}");
+    Ok(())
+}
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod call_quota;
 pub mod call_rate;
+pub mod call_sends;
 pub mod carriers;
 pub mod cold_servers;
 pub mod connection_end;
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -248,6 +248,13 @@
         }
     }
 
+    /// Counts a run as in progress whose call has ended, but not the run.
+    pub fn continue_run(&mut self, now: Time, keys: &CallKeys) {
+        for key in keys.iter() {
+            self.begin_run(now, key);
+        }
+    }
+
     fn begin_run(&mut self, now: Time, key: SuspectKey) {
         *self.runs.entry(key).or_default() += 1;
         // Others must learn of this run, although the crashes were those of other workspaces.
--- a/lib/src/relay/retry_allowance.rs
+++ b/lib/src/relay/retry_allowance.rs
@@ -5,6 +5,9 @@
 //! only a fraction of a part may be sent at once. The rest accrues over one window, and a holder that
 //! is younger than a window has only what has accrued since its start.
 //!
+//! What counts is the arrival at the server, which may come long after the decision. A retry counts as
+//! arriving now from its decision until it has arrived, and from then on for a window.
+//!
 //! So the holders of one part that follow each other stay within it, however many they are: the one
 //! at the start of a window sends at most the fraction at once and what accrued until its end, and
 //! each later one at most what accrued in its own time.
@@ -26,25 +29,25 @@
     pub window: Duration,
     /// How long the part has been held.
     pub held_for: Duration,
-    /// Retries that may be sent at once.
+    /// Retries that may arrive at once.
     pub at_once: f64,
     /// Retries that accrued over the last span of this length, at most a window.
     pub accrued: F,
 }
 
-/// Retries that a holder sent within the window, and those that it is about to send.
+/// Retries of a holder that arrived at servers within the window, and those that may arrive yet.
 #[derive(Debug, Default)]
-pub(crate) struct SentRetries {
+pub(crate) struct CountedRetries {
     times: VecDeque<Time>,
-    /// Retries that were decided and are not sent yet.
-    reserved: usize,
+    /// Retries that were decided and have not arrived yet.
+    pending: usize,
 }
 
-impl SentRetries {
+impl CountedRetries {
     pub const fn new() -> Self {
         Self {
             times: VecDeque::new(),
-            reserved: 0,
+            pending: 0,
         }
     }
 
@@ -55,7 +58,7 @@
         allowance: &Allowance<F>,
     ) -> bool {
         self.expire(now, allowance.window);
-        let first = self.reserved + 1;
+        let first = self.pending + 1;
         if allowance.held_for < allowance.window {
             let ages = self.times.iter().map(|at| now.since(*at));
             let sent = ages.filter(|age| *age <= allowance.held_for).count();
@@ -68,34 +71,31 @@
             && spans.all(|(later, span)| is_within(first + later + 1, span))
     }
 
-    /// Reserves a retry that is about to be sent.
+    /// Reserves a retry.
     pub fn reserve(&mut self) {
-        self.reserved += 1;
+        self.pending += 1;
     }
 
     /// Gives up a reserved retry.
     pub fn release(&mut self) {
-        self.reserved = self.reserved.saturating_sub(1);
+        self.pending = self.pending.saturating_sub(1);
     }
 
-    /// Records that a reserved retry is sent now.
-    pub fn send(&mut self, now: Time) {
+    /// Records that a reserved retry has arrived by now.
+    pub fn record_arrival(&mut self, now: Time) {
         self.release();
         self.times.push_back(now);
     }
 
-    /// Reserves a retry again that was recorded as sent at `at` and did not reach its server.
-    pub fn undo_send(&mut self, at: Time) {
-        if let Some(index) = self.times.iter().rposition(|time| *time == at) {
-            self.times.remove(index);
-        }
-        self.reserve();
+    /// Number of retries that have not arrived yet.
+    pub const fn pending(&self) -> usize {
+        self.pending
     }
 
-    /// Number of retries, those about to be sent included.
+    /// Number of retries, those that have not arrived yet included.
     pub fn count(&mut self, now: Time, window: Duration) -> usize {
         self.expire(now, window);
-        self.times.len() + self.reserved
+        self.times.len() + self.pending
     }
 
     fn expire(&mut self, now: Time, window: Duration) {
--- a/lib/src/relay/retry_pool.rs
+++ b/lib/src/relay/retry_pool.rs
@@ -14,8 +14,8 @@
 
 use crate::relay::retry_allowance::AT_ONCE_FRACTION;
 use crate::relay::retry_allowance::Allowance;
+use crate::relay::retry_allowance::CountedRetries;
 use crate::relay::retry_allowance::SPENDABLE_FRACTION;
-use crate::relay::retry_allowance::SentRetries;
 use crate::relay::retry_window::RetryBudgetRule;
 use crate::relay::server_paths::ServiceKey;
 use crate::time::Time;
@@ -53,7 +53,7 @@
 pub struct RetryPool {
     /// Since when it has been the owner without interruption.
     owner_since: Option<Time>,
-    granted: HashMap<ServiceKey, SentRetries>,
+    granted: HashMap<ServiceKey, CountedRetries>,
 }
 
 impl RetryPool {
@@ -79,7 +79,7 @@
         let is_granted = granted.allow_another(now, &allowance);
         if is_granted {
             granted.reserve();
-            granted.send(now);
+            granted.record_arrival(now);
         }
         is_granted
     }
--- a/lib/src/relay/retry_window.rs
+++ b/lib/src/relay/retry_window.rs
@@ -12,8 +12,8 @@
 
 use crate::relay::retry_allowance::AT_ONCE_FRACTION;
 use crate::relay::retry_allowance::Allowance;
+use crate::relay::retry_allowance::CountedRetries;
 use crate::relay::retry_allowance::SPENDABLE_FRACTION;
-use crate::relay::retry_allowance::SentRetries;
 use crate::relay::retry_pool;
 use crate::time::Time;
 
@@ -48,8 +48,10 @@
 /// What a box used of its part of the budget in the window that ends now.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryUsage {
-    /// Retries sent or about to be sent.
+    /// Retries that have arrived, or may arrive yet.
     pub spent: usize,
+    /// Those of them that may arrive yet.
+    pub pending: usize,
     /// Retries earned by first sends.
     pub earned: f64,
     /// The box's share of the slack.
@@ -72,7 +74,7 @@
 #[derive(Debug)]
 pub struct RetryWindow {
     first_sends: FirstSends,
-    sent: SentRetries,
+    retries: CountedRetries,
     /// Since when the box has its share.
     held_since: Time,
     /// Whether the slack belonged to the pools when it was last used.
@@ -86,7 +88,7 @@
             first_sends: FirstSends {
                 slices: VecDeque::new(),
             },
-            sent: SentRetries::new(),
+            retries: CountedRetries::new(),
             held_since: started,
             is_pooled: false,
         }
@@ -102,7 +104,8 @@
         self.has_share_left(1.0, now, budget, boxes)
     }
 
-    /// Reserves a retry if the box's share allows it, until [`Self::send`] or [`Self::release`].
+    /// Reserves a retry if the box's share allows it, until
+    /// [`Self::record_arrival`] or [`Self::release`].
     pub fn try_reserve(&mut self, now: Time, budget: &RetryBudgetRule, boxes: usize) -> bool {
         let is_allowed = self.has_share_left(1.0, now, budget, boxes);
         self.reserve_if(is_allowed)
@@ -122,23 +125,19 @@
 
     /// Gives up a reserved retry.
     pub fn release(&mut self) {
-        self.sent.release();
+        self.retries.release();
     }
 
-    /// Records that a reserved retry is sent now.
-    pub fn send(&mut self, now: Time) {
-        self.sent.send(now);
-    }
-
-    /// Reserves a retry again that was sent at `at` and did not reach its server.
-    pub fn undo_send(&mut self, at: Time) {
-        self.sent.undo_send(at);
+    /// Records that a reserved retry has arrived at its server by now.
+    pub fn record_arrival(&mut self, now: Time) {
+        self.retries.record_arrival(now);
     }
 
     /// What the box used of its part of the budget.
     pub fn usage(&mut self, now: Time, budget: &RetryBudgetRule, boxes: usize) -> RetryUsage {
         RetryUsage {
-            spent: self.sent.count(now, budget.window),
+            spent: self.retries.count(now, budget.window),
+            pending: self.retries.pending(),
             earned: self.first_sends.earned(now, budget, budget.window),
             share: own_share(budget, boxes),
         }
@@ -167,7 +166,7 @@
             at_once: AT_ONCE_FRACTION * (share + earned) * fraction,
             accrued,
         };
-        self.sent.allow_another(now, &allowance)
+        self.retries.allow_another(now, &allowance)
     }
 
     /// Begins anew when the slack comes back from the pools, whose owners may just have granted it.
@@ -180,7 +179,7 @@
 
     fn reserve_if(&mut self, is_allowed: bool) -> bool {
         if is_allowed {
-            self.sent.reserve();
+            self.retries.reserve();
         }
         is_allowed
     }
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -90,6 +90,8 @@
     /// Load and speed according to its responses to this box.
     pub load: ServerLoad,
     breaker: Breaker,
+    /// When it last sent this box anything in response to a call.
+    last_heard: Option<Time>,
     /// When another server last reported it at fault to this box.
     last_fault: Option<Time>,
     /// Consecutive exclusions due to reported faults, up to `MAX_FAULT_EXCLUSIONS`.
@@ -108,6 +110,7 @@
             failure_rate: 0.0,
             load: ServerLoad::default(),
             breaker: Breaker::Closed,
+            last_heard: None,
             last_fault: None,
             fault_exclusions: 0,
             reported_leaving: None,
@@ -120,6 +123,11 @@
         reported.is_some_and(|at| now.since(at) < DEPARTURE_TRUST_TIME)
     }
 
+    /// Whether it has sent something within this time.
+    pub fn is_heard_within(&self, now: Time, recent: Duration) -> bool {
+        self.last_heard.is_some_and(|at| now.since(at) <= recent)
+    }
+
     /// Whether the server is excluded after failures.
     pub fn is_excluded(&self, now: Time) -> bool {
         !self.breaker.admits(now)
@@ -337,9 +345,17 @@
         }
     }
 
+    /// Records that a server sent something in response to a call.
+    pub fn record_heard(&mut self, now: Time, name: &ServerName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.last_heard = Some(now);
+        }
+    }
+
     /// Records that a server began to respond: a probe succeeds now, not at the end of a long call.
     pub fn call_answered(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
+            record.last_heard = Some(now);
             self.reachability.record_answer(now, &record.info.hall);
             record.breaker.on_success();
             self.halls
@@ -441,6 +457,20 @@
     }
 }
 
+/// The usable servers that have sent something within `recent`; all, if none of those accepts calls. A
+/// server that stands still shows the load that it had, so that only its silence tells it from an idle
+/// one.
+pub fn heard_recently(
+    now: Time,
+    recent: Duration,
+    usable: Vec<(&ServerRecord, Availability)>,
+) -> Vec<(&ServerRecord, Availability)> {
+    let heard = usable.iter();
+    let heard = heard.filter(|(record, _)| record.is_heard_within(now, recent));
+    let heard: Vec<_> = heard.copied().collect();
+    if accepts_calls(&heard) { heard } else { usable }
+}
+
 fn accepts_calls(servers: &[(&ServerRecord, Availability)]) -> bool {
     servers
         .iter()
--- a/lib/tests/test_relay_retry_window.rs
+++ b/lib/tests/test_relay_retry_window.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use badgerferry_lib::relay::call_sends::CallSends;
 use badgerferry_lib::relay::retry_window::RetryBudgetRule;
 use badgerferry_lib::relay::retry_window::RetryWindow;
 use badgerferry_lib::time::Time;
@@ -20,7 +21,7 @@
         .filter(|_| {
             let is_allowed = window.try_reserve(now, &BUDGET, boxes);
             if is_allowed {
-                window.send(now);
+                window.record_arrival(now);
             }
             is_allowed
         })
@@ -88,15 +89,15 @@
     assert_eq!((at_once, later), (0, 48));
 }
 
-/// Guards against retries that wait at the box and are sent together within a later window.
+/// Guards against retries that wait at the box and arrive together within a later window.
 #[test]
-fn retry_that_waits_counts_until_it_was_sent_a_window_ago() {
+fn retry_that_waits_counts_until_it_has_arrived_a_window_ago() {
     let mut window = window();
     assert!((0..48).all(|_| window.try_reserve(STEADY, &BUDGET, 1)));
     let sent_at = Time::from_millis(19_999);
 
     let while_waiting = window.try_reserve(sent_at, &BUDGET, 1);
-    (0..48).for_each(|_| window.send(sent_at));
+    (0..48).for_each(|_| window.record_arrival(sent_at));
     let after = spend_retries(&mut window, Time::from_millis(20_001), 1_000, 1);
 
     assert!(!while_waiting);
@@ -106,15 +107,101 @@
 #[test]
 fn retry_that_did_not_reach_its_server_is_available_again() {
     let mut window = window();
-    assert_eq!(spend_retries(&mut window, STEADY, 1_000, 1), 48);
-
-    window.undo_send(STEADY);
+    assert!((0..48).all(|_| window.try_reserve(STEADY, &BUDGET, 1)));
     assert!(!window.try_reserve(STEADY, &BUDGET, 1));
+
     window.release();
 
     assert_eq!(spend_retries(&mut window, STEADY, 1_000, 1), 1);
 }
 
+/// A send that has not arrived yet.
+struct Underway {
+    read_at: u64,
+    call: usize,
+}
+
+/// Servers stand still in turn: they read all that was sent to them at the end of each halt.
+fn read_at(now: u64, halt: u64, is_still: bool) -> u64 {
+    if is_still {
+        (now / halt + 1) * halt
+    } else {
+        now
+    }
+}
+
+#[test]
+fn retries_that_servers_read_late_stay_within_the_budget() {
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let halt = rng.random_range(1_000..9_000);
+        let still = rng.random_range(0.2..0.9);
+        let mut window = window();
+        let (mut calls, mut underway): (Vec<(CallSends, usize)>, Vec<Underway>) =
+            Default::default();
+        let (mut first_sends, mut retries): (Vec<u64>, Vec<u64>) = Default::default();
+        for step in 0..1_200_u64 {
+            let millis = step * 50;
+            let now = Time::from_millis(millis);
+            let (read, left) = underway
+                .into_iter()
+                .partition(|send| send.read_at <= millis);
+            underway = left;
+            for Underway { call, .. } in read {
+                let (sends, arrivals) = &mut calls[call];
+                *arrivals += 1;
+                if *arrivals > 1 {
+                    retries.push(millis);
+                }
+                if sends.end_send() {
+                    window.record_arrival(now);
+                }
+            }
+            for _ in 0..rng.random_range(0..6) {
+                window.record_first_send(now, &BUDGET);
+                first_sends.push(millis);
+                let mut sends = CallSends::default();
+                let mut count = 1;
+                while count < 3 && window.try_reserve(now, &BUDGET, 1) {
+                    sends.send_retry();
+                    count += 1;
+                }
+                let call = calls.len();
+                calls.push((sends, 0));
+                underway.extend((0..count).map(|_| Underway {
+                    read_at: read_at(millis, halt, rng.random_bool(still)),
+                    call,
+                }));
+            }
+        }
+        for end in (10_000..60_000).step_by(250) {
+            let within = |times: &[u64], from: u64, to: u64| {
+                times.iter().filter(|&&at| at > from && at <= to).count() as f64
+            };
+            let earned = [0, 5_000, 10_000].map(|ago: u64| {
+                let end = end - ago;
+                within(&first_sends, end.saturating_sub(10_000), end)
+            });
+            let earned = earned.into_iter().fold(0.0, f64::max);
+            let spent = within(&retries, end - 10_000, end);
+            assert!(
+                spent <= BUDGET.ratio * earned + BUDGET.slack,
+                "seed {seed}: {spent} retries for {earned} first sends in the window ending at {end} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn retry_counts_until_all_but_one_of_the_sends_are_over() {
+    let mut sends = CallSends::default();
+    sends.send_retry();
+
+    assert!(!sends.end_send(), "one of two sends has arrived");
+    assert!(sends.end_send(), "both have");
+    assert!(!sends.end_send(), "there was one retry");
+}
+
 #[test]
 fn first_sends_earn_retries() {
     let now = Time::from_millis(10_500);
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -14,6 +14,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use badgerferry_standin::caller::Caller;
@@ -36,6 +37,7 @@
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
@@ -487,6 +489,24 @@
         most
     }
 
+    /// What the servers read, a line for each call, to be compared with what the boxes logged.
+    fn arrivals(&self) -> String {
+        let now = SystemTime::now();
+        let mut lines = String::new();
+        for server in &self.servers {
+            for call in server.received_calls() {
+                let Some(at) = call.received_at else { continue };
+                let at = (now - at.elapsed()).duration_since(SystemTime::UNIX_EPOCH);
+                let line = json!({"unix_ms": at.map_or(0, |at| at.as_millis() as u64),
+                    "server": server.name, "call": call.id(), "ran": call.ran,
+                    "told_ms": call.headers.get("badgerferry-deadline-ms")});
+                lines += &line.to_string();
+                lines.push('\n');
+            }
+        }
+        lines
+    }
+
     fn save_logs(&self, name: &str, seed: u64) -> anyhow::Result<String> {
         let dir = std::env::temp_dir().join(format!("badgerferry-soak-{name}-{seed}"));
         std::fs::create_dir_all(&dir)?;
@@ -494,6 +514,7 @@
             let path = dir.join(format!("box-{index}.log"));
             std::fs::write(path, a_box.log()).context("failed to save a log")?;
         }
+        std::fs::write(dir.join("arrivals.jsonl"), self.arrivals())?;
         Ok(dir.display().to_string())
     }
 }
--- a/testutils/src/retry_model.rs
+++ b/testutils/src/retry_model.rs
@@ -127,7 +127,7 @@
         };
         let is_own = windows[at].try_reserve(now, &plan.budget, known);
         if is_own {
-            windows[at].send(now);
+            windows[at].record_arrival(now);
         }
         let is_allowed = is_own
             || (retry_pool::is_used(&plan.budget, known)
