retries: go to engines that have just shown that they run

Callers saw: retries lost to servers that stand still. Servers read them late, with more time than was left.

Cause: the kernel accepts connections and calls for a process that stands still, and the load that such a server reported before looks low, so that retries prefer it.

A retry at a plain service prefers servers heard from within the route's objective. Long prompts need more engines than have been heard from and are planned as before.

--- a/daemon/src/relay/candidates.rs
+++ b/daemon/src/relay/candidates.rs
@@ -7,6 +7,7 @@
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::availability::Availability;
 use badgerferry_lib::relay::route_table::ServiceName;
+use badgerferry_lib::relay::server_tracker;
 use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
 use badgerferry_lib::time::Time;
@@ -75,6 +76,8 @@
     pub tried: &'a [ServerName],
     /// Longest time that the call may wait for a server.
     pub max_wait: Duration,
+    /// Whether servers that have sent something within this time are preferred.
+    pub heard_within: Option<Duration>,
 }
 
 /// Servers that may take part in a call, with the availability of each. If none accepts calls now,
@@ -94,6 +97,7 @@
         service,
         tried,
         max_wait,
+        heard_within,
     } = *query;
     let notices = lock(&relay.gate.notices);
     let availability = |record: &ServerRecord| {
@@ -104,7 +108,11 @@
         };
         relay.gate.availability_in([&record.info.hall], announced)
     };
-    let mut usable = tracker.usable(now, service, tried, availability);
+    let usable = tracker.usable(now, service, tried, availability);
+    let mut usable = match heard_within {
+        Some(recent) => server_tracker::heard_recently(now, recent, usable),
+        None => usable,
+    };
     if usable
         .iter()
         .any(|(_, availability)| availability.accepts_calls())
--- a/daemon/src/relay/first_event_watchdog.rs
+++ b/daemon/src/relay/first_event_watchdog.rs
@@ -95,6 +95,11 @@
     }
 }
 
+/// Whether the engine responds to a query of its pace.
+pub async fn responds(relay: &Relay, engine: &Engine) -> bool {
+    fetch_pace(relay, engine).await.is_some()
+}
+
 /// Pace of the engine as a multiple of its usual time; `None` if the query fails or is not admitted
 /// to the engine now.
 async fn fetch_pace(relay: &Relay, engine: &Engine) -> Option<f64> {
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -41,6 +41,7 @@
 mod request_quarantine;
 mod reservations;
 mod response_body;
+mod running_engines;
 mod server_exchange;
 mod server_gate;
 mod server_path;
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -42,6 +42,7 @@
 use crate::relay::first_event_watchdog::FirstEventWatchdog;
 use crate::relay::reservations::Reservations;
 use crate::relay::reservations::ReserveError;
+use crate::relay::running_engines;
 use crate::relay::server_gate::Target;
 use crate::relay::server_path::Destination;
 use crate::relay::state::Relay;
@@ -166,7 +167,8 @@
         }
     }
 
-    fn of(record: &ServerRecord) -> Self {
+    /// A listed server as an engine.
+    pub fn of(record: &ServerRecord) -> Self {
         Self {
             server: record.info.name.clone(),
             target: target(record),
@@ -210,6 +212,7 @@
         service: &call.service,
         tried,
         max_wait: call.max_admission_wait(tried.is_empty()),
+        heard_within: None,
     }
 }
 
@@ -225,7 +228,12 @@
     };
     let tracker = lock(&relay.tracker);
     let hall = &relay.settings.hall;
-    let candidates = candidates::of_service(relay, now, &tracker, &candidate_query(call, tried));
+    let query = CandidateQuery {
+        // A retry that a server reads late states more time than is left by then.
+        heard_within: (!tried.is_empty()).then_some(call.route.objective),
+        ..candidate_query(call, tried)
+    };
+    let candidates = candidates::of_service(relay, now, &tracker, &query);
     let candidates = candidates.map_err(NoCandidate::refusal)?;
     let record =
         match ServerTracker::select_plain(now, plain_call, &candidates, hall, &mut rand::rng()) {
@@ -268,6 +276,9 @@
 ) -> Result<Selection, (RefusalReason, Duration)> {
     let gaps = stream_gaps(call, model);
     if !engine_plan::is_long(model, prompt, &gaps) {
+        if !tried.is_empty() {
+            running_engines::find(call, &candidate_query(call, tried)).await;
+        }
         let isolated = is_isolated.then(|| plan(call, tried, model, prompt, EngineSet::Isolated));
         let planned = if let Some(Ok(planned)) = isolated {
             planned
@@ -411,7 +422,14 @@
     let boxes = relay.boxes_in_scope(scope);
     let tracker = lock(&relay.tracker);
     let table = lock(&relay.loads).table(now);
-    let candidates = candidates::of_service(relay, now, &tracker, &candidate_query(call, tried))?;
+    let gaps = stream_gaps(call, model);
+    let is_long = engine_plan::is_long(model, prompt, &gaps);
+    let query = CandidateQuery {
+        // A long prompt needs more engines than have just been heard from.
+        heard_within: (!tried.is_empty() && !is_long).then_some(running_engines::RECENT),
+        ..candidate_query(call, tried)
+    };
+    let candidates = candidates::of_service(relay, now, &tracker, &query)?;
     let mut candidates = candidates::without_slow(relay, now, candidates);
     if engine_set == EngineSet::Isolated {
         let call_count = |(record, _): &(&ServerRecord, Availability)| {
@@ -436,7 +454,7 @@
     let rng = &mut rand::rng();
     let targets = LatencyTargets {
         due_in: now.until(call.due()),
-        gaps: stream_gaps(call, model),
+        gaps,
         late_chunk: match engine_set {
             EngineSet::All { late_chunk } => late_chunk,
             EngineSet::Isolated => None,
--- a/daemon/tests/test_relay_abandoned_calls.rs
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -121,3 +121,47 @@
     assert!(!log.contains("server crashed"), "log:\n{log}");
     Ok(())
 }
+
+/// Number of calls that reached one of the servers after another server had read them.
+fn repeats_at(still: &[Server], others: &[Server]) -> usize {
+    let elsewhere: Vec<_> = others.iter().flat_map(Server::received_calls).collect();
+    let seen = still.iter().flat_map(Server::received_calls);
+    seen.filter(|call| elsewhere.iter().any(|other| other.id() == call.id()))
+        .count()
+}
+
+#[tokio::test]
+async fn late_retries_avoid_servers_that_stand_still() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(6).await?;
+    let front = cluster.relay.front();
+    let (still, moving) = cluster.servers.split_at(3);
+    let text = |id: &str| call("POST", "/stream/a", id, "", "prompt");
+    for server in moving {
+        server.slow_down(20.0);
+        server.cut_calls(0.4);
+    }
+    let calls = |name: &'static str| {
+        let calls = (0..40).map(move |index| {
+            let text = text(&format!("{name}-{index}"));
+            async move {
+                tokio::time::sleep(Duration::from_millis(50) * index).await;
+                Caller::exchange(front, &text).await
+            }
+        });
+        futures::future::join_all(calls)
+    };
+    still.iter().for_each(|server| server.suspend(true));
+
+    calls("call").await;
+
+    still.iter().for_each(|server| server.suspend(false));
+    tokio::time::sleep(REPORT_TIME).await;
+    let repeats = repeats_at(still, moving);
+    assert_eq!(
+        repeats,
+        0,
+        "retries to servers that stood still; log:\n{}",
+        cluster.relay.log()
+    );
+    Ok(())
+}
