--- a/daemon/tests/test_relay_abandoned_calls.rs
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -150,11 +150,15 @@
         });
         futures::future::join_all(calls)
     };
-    still.iter().for_each(|server| server.suspend(true));
+    for server in still {
+        server.suspend(true);
+    }
 
     calls("call").await;
 
-    still.iter().for_each(|server| server.suspend(false));
+    for server in still {
+        server.suspend(false);
+    }
     tokio::time::sleep(REPORT_TIME).await;
     let repeats = repeats_at(still, moving);
     assert_eq!(
