retries: if no engine responds, the one that lost the call and runs is used

Callers saw: with most engines still, a retry waited for two rounds of queries that nobody answered and then went to one that stands still, since the engine that had just closed the connection was left out as tried.

Now that engine may be used again if it was heard from before the queries began.

--- a/daemon/src/relay/running_engines.rs
+++ b/daemon/src/relay/running_engines.rs
@@ -32,23 +32,30 @@
 /// Time in which an engine that was heard from counts as running, as one that responds to a query.
 pub const RECENT: Duration = RESPONSE_TIMEOUT;
 
+/// Longest time of [`find`].
+pub const MAX_SEARCH_TIME: Duration =
+    Duration::from_millis(RESPONSE_TIMEOUT.as_millis() as u64 * QUERIED_ENGINES.len() as u64);
+
 /// Queries engines that the call may be sent to, unless the box has just heard from one.
-/// The first that responds counts as heard from.
-pub async fn find(call: &Call, query: &CandidateQuery<'_>) {
-    let mut engines = unheard_engines(call, query);
+/// The first that responds counts as heard from. Returns false if none does.
+pub async fn find(call: &Call, query: &CandidateQuery<'_>) -> bool {
+    let Some(mut engines) = unheard_engines(call, query) else {
+        return true;
+    };
     for count in QUERIED_ENGINES {
         let rest = engines.split_off(count.min(engines.len()));
         let queried = std::mem::replace(&mut engines, rest);
         if queried.is_empty() {
-            return;
+            return false;
         }
         let running = first_running(call, &queried).await;
         log_query(call, queried.len(), running.as_ref());
         if let Some(server) = running {
             lock(&call.relay.tracker).record_heard(call.relay.clock.now(), &server);
-            return;
+            return true;
         }
     }
+    false
 }
 
 /// The first of the engines that responds in time.
@@ -80,14 +87,13 @@
     );
 }
 
-/// Some of the engines that accept calls; none if one of them was heard from within [`RECENT`].
-fn unheard_engines(call: &Call, query: &CandidateQuery<'_>) -> Vec<Engine> {
+/// Some of the engines that accept calls; `None` if one of them was heard from within [`RECENT`], or if
+/// there are none.
+fn unheard_engines(call: &Call, query: &CandidateQuery<'_>) -> Option<Vec<Engine>> {
     let relay = &call.relay;
     let now = relay.clock.now();
     let tracker = lock(&relay.tracker);
-    let Ok(candidates) = candidates::of_service(relay, now, &tracker, query) else {
-        return Vec::new();
-    };
+    let candidates = candidates::of_service(relay, now, &tracker, query).ok()?;
     let accepting = candidates
         .into_iter()
         .filter(|(_, availability)| availability.accepts_calls());
@@ -96,12 +102,12 @@
         .iter()
         .any(|record| record.is_heard_within(now, RECENT))
     {
-        return Vec::new();
+        return None;
     }
     let count = QUERIED_ENGINES.iter().sum();
     let mut chosen = accepting
         .into_iter()
         .choose_multiple(&mut rand::rng(), count);
     chosen.shuffle(&mut rand::rng());
-    chosen.into_iter().map(Engine::of).collect()
+    Some(chosen.into_iter().map(Engine::of).collect())
 }
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -276,15 +276,22 @@
 ) -> Result<Selection, (RefusalReason, Duration)> {
     let gaps = stream_gaps(call, model);
     if !engine_plan::is_long(model, prompt, &gaps) {
+        let mut query = candidate_query(call, tried);
         if !tried.is_empty() {
-            running_engines::find(call, &candidate_query(call, tried)).await;
+            query.heard_within = Some(running_engines::RECENT);
+            if !running_engines::find(call, &query).await {
+                // One that lost the call and runs is better than one that stands still.
+                query.tried = &[];
+                query.heard_within =
+                    Some(running_engines::RECENT + running_engines::MAX_SEARCH_TIME);
+            }
         }
-        let isolated = is_isolated.then(|| plan(call, tried, model, prompt, EngineSet::Isolated));
+        let isolated = is_isolated.then(|| plan(call, &query, model, prompt, EngineSet::Isolated));
         let planned = if let Some(Ok(planned)) = isolated {
             planned
         } else {
             let all = EngineSet::All { late_chunk: None };
-            plan(call, tried, model, prompt, all).map_err(NoCandidate::refusal)?
+            plan(call, &query, model, prompt, all).map_err(NoCandidate::refusal)?
         };
         let registered = register(&call.relay, planned);
         registered.load_entries.notify_peers();
@@ -411,7 +418,7 @@
 /// Plans the call on the engines that accept it now.
 fn plan(
     call: &Call,
-    tried: &[ServerName],
+    query: &CandidateQuery<'_>,
     model: &EngineModel,
     prompt: &PromptSize,
     engine_set: EngineSet,
@@ -422,14 +429,7 @@
     let boxes = relay.boxes_in_scope(scope);
     let tracker = lock(&relay.tracker);
     let table = lock(&relay.loads).table(now);
-    let gaps = stream_gaps(call, model);
-    let is_long = engine_plan::is_long(model, prompt, &gaps);
-    let query = CandidateQuery {
-        // A long prompt needs more engines than have just been heard from.
-        heard_within: (!tried.is_empty() && !is_long).then_some(running_engines::RECENT),
-        ..candidate_query(call, tried)
-    };
-    let candidates = candidates::of_service(relay, now, &tracker, &query)?;
+    let candidates = candidates::of_service(relay, now, &tracker, query)?;
     let mut candidates = candidates::without_slow(relay, now, candidates);
     if engine_set == EngineSet::Isolated {
         let call_count = |(record, _): &(&ServerRecord, Availability)| {
@@ -454,7 +454,7 @@
     let rng = &mut rand::rng();
     let targets = LatencyTargets {
         due_in: now.until(call.due()),
-        gaps,
+        gaps: stream_gaps(call, model),
         late_chunk: match engine_set {
             EngineSet::All { late_chunk } => late_chunk,
             EngineSet::Isolated => None,
@@ -554,7 +554,8 @@
             let mut queue = lock(&relay.long_prompt_queue);
             let late_chunk = queue.late_chunk(now, queue_entry.ticket);
             let planned = || {
-                let planned = plan(call, tried, model, prompt, EngineSet::All { late_chunk });
+                let all = EngineSet::All { late_chunk };
+                let planned = plan(call, &candidate_query(call, tried), model, prompt, all);
                 planned.inspect_err(|why| no_candidate = *why).ok()
             };
             queue.try_start(now, queue_entry.ticket, own_box, planned)
