quarantine: a run of a call that has ended counts until its crash is known

By reading: other runs of a suspect request could start while the server of an abandoned one was examined. The run now counts as in progress until that is done and reported, as that of a call that has not ended does.

--- a/daemon/src/relay/server_exchange.rs
+++ b/daemon/src/relay/server_exchange.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::CrashedRun;
 use badgerferry_lib::time::Time;
 use futures::FutureExt;
@@ -185,12 +186,15 @@
     let relay = &run.call.relay;
     let abandoned_at = relay.clock.now();
     let watched = WatchedGuard::try_new(&relay.watched_calls);
-    let end = if watched.is_none() || via != Via::Own || !relay.held_bytes.has_room_for_call() {
-        drop(answer);
-        AbandonedEnd::NotWatched
-    } else {
+    let is_watched = watched.is_some() && via == Via::Own && relay.held_bytes.has_room_for_call();
+    // Other runs of a suspect request wait for this one, and until the other boxes know of a crash.
+    let _in_progress = is_watched.then(|| request_quarantine::continue_run(&run.call));
+    let end = if is_watched {
         half_close.request();
         read_abandoned(&run, answer, abandoned_at).await
+    } else {
+        drop(answer);
+        AbandonedEnd::NotWatched
     };
     let took = relay.clock.now().since(abandoned_at);
     call_log::abandoned_call_ended(&run, end, took);
@@ -201,6 +205,7 @@
             ended: relay.clock.now(),
         };
         connection_end::examine_abandoned(&run, crashed).await;
+        tokio::time::sleep(quarantine::REPORT_WAIT).await;
     }
 }
 
@@ -210,8 +215,6 @@
     abandoned_at: Time,
 ) -> AbandonedEnd {
     let call = &run.call;
-    // Other runs of a suspect request wait for this one.
-    let _in_progress = request_quarantine::continue_run(call);
     match timeout(call.route.time_limit, answer).await {
         Ok(Ok((response, _connection))) => {
             let (parts, _body) = response.into_parts();
