quarantine: a crash counts after the call has given its response up

Callers saw: a request that makes its server begin a response, fall silent and crash was sent to server after server, as its callers left or its silence was given up first.

Cause: as for runs without a response, the evidence was dropped with the call: the connection of a stream was closed.

The connection of a stream that is given up is half-closed and read until the server sends something or closes it, by the same code as before the response (abandoned_run.rs, which server_exchange.rs and stream_source.rs use).

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -40,6 +40,7 @@
 use crate::relay::response_body::ResponseBody;
 use crate::relay::server_path;
 use crate::relay::server_selection::Selection;
+use crate::relay::stream_source::StreamSource;
 
 /// Largest body of a unary response, which is read completely before it is forwarded.
 const MAX_UNARY_BODY_BYTES: usize = 4 << 20;
@@ -61,11 +62,9 @@
     /// Whether the stream has already ended.
     pub complete: bool,
     /// Rest of the body.
-    pub body: Incoming,
+    pub source: StreamSource,
     /// Joins events over the attempts of the call.
     pub join: EventJoin,
-    /// Connection that carries the stream.
-    pub connection: Connection,
     /// Records the end of the attempt when dropped.
     pub attempt: AttemptGuard,
     /// What to do with the connection after the response.
@@ -522,15 +521,16 @@
         mut attempt,
         connection,
         parts,
-        mut body,
+        body,
         ..
     } = received;
-    let mut silence = Silence::before_first_event(call, &attempt.selection, connection.via);
+    let mut source = StreamSource::new(body, connection, attempt.sent_run());
+    let mut silence = Silence::before_first_event(call, &attempt.selection, source.via());
     let events_before = join.event_count();
     let mut received = BytesMut::new();
     let (events, complete) = loop {
         let frame = tokio::select! {
-            frame = body.frame() => Ok(frame),
+            frame = source.frame() => Ok(frame),
             failure = silence.lasts(call, &attempt.selection.server) => Err(failure),
         };
         let failure = match frame {
@@ -571,9 +571,8 @@
         head: parts,
         events,
         complete,
-        body,
+        source,
         join,
-        connection,
         attempt,
         after,
     }))
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -24,6 +24,7 @@
 use http::StatusCode;
 use http::response::Parts;
 
+use crate::relay::abandoned_run::SentRun;
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::Received;
 use crate::relay::attempt_response::StreamingResponse;
@@ -39,7 +40,6 @@
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::Run;
 use crate::relay::response_body::ResponseBody;
-use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_gate::MAX_SERVERS_PER_ATTEMPT;
 use crate::relay::server_gate::OWNER_RETRY_DELAY;
@@ -190,6 +190,17 @@
         }
     }
 
+    /// The run, as far as it goes on after its call.
+    pub fn sent_run(&self) -> SentRun {
+        SentRun {
+            call: Arc::clone(&self.call),
+            target: self.selection.target.clone(),
+            address: self.selection.address.clone(),
+            sent_at: self.sent_at,
+            response_started: self.response_started,
+        }
+    }
+
     /// The run, which ends now.
     fn run_ended(&self) -> CrashedRun {
         CrashedRun {
@@ -296,13 +307,7 @@
             std::future::pending::<()>().await;
         }
     };
-    let begin_run = || ServerRun {
-        call: Arc::clone(call),
-        target: attempt.selection.target.clone(),
-        address: attempt.selection.address.clone(),
-        sent_at: attempt.sent_at,
-        pending: call.retry.record_sent(),
-    };
+    let begin_run = || (attempt.sent_run(), call.retry.record_sent());
     let sent = connection_pool
         .send(&destination, request, admitted, begin_run, path_cut)
         .await;
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -21,14 +21,14 @@
 use metrics::counter;
 use metrics::histogram;
 
+use crate::relay::abandoned_run::AbandonedEnd;
+use crate::relay::abandoned_run::SentRun;
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
 use crate::relay::call_retry::RetrySource;
 use crate::relay::connection_pool::SendError;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
-use crate::relay::server_exchange::AbandonedEnd;
-use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_selection::Selection;
 
 /// The call was rejected before it was sent to any server.
@@ -145,8 +145,8 @@
     );
 }
 
-/// What the server of an abandoned call showed after the call had ended.
-pub fn abandoned_call_ended(run: &ServerRun, end: AbandonedEnd, took: Duration) {
+/// What the server of an abandoned run showed after the call had ended.
+pub fn abandoned_run_ended(run: &SentRun, end: AbandonedEnd, took: Duration) {
     counter!("badgerferry_abandoned_calls_total", "end" => end.code()).increment(1);
     tracing::info!(
         call = run.call.id(),
@@ -154,6 +154,7 @@
         end = end.code(),
         after_ms = took.as_millis() as u64,
         sent_ms_ago = run.call.relay.clock.now().since(run.sent_at).as_millis() as u64,
+        had_responded = run.response_started.is_some(),
         "abandoned call ended"
     );
 }
--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -17,11 +17,11 @@
 use badgerferry_lib::relay::server_paths::ServerPath;
 use metrics::counter;
 
+use crate::relay::abandoned_run::SentRun;
 use crate::relay::call::Call;
 use crate::relay::peer_connections;
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::ServerCrash;
-use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_gate::Target;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection::Selection;
@@ -72,7 +72,7 @@
 }
 
 /// Examines a server that closed the connection of an abandoned call late, and records a crash.
-pub async fn examine_abandoned(abandoned: &ServerRun, run: CrashedRun) {
+pub async fn examine_abandoned(abandoned: &SentRun, run: CrashedRun) {
     let call = &abandoned.call;
     let server = EndedServer::of(call, &abandoned.target, &abandoned.address);
     let standing = server.standing(call);
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -23,6 +23,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::relay::abandoned_run::SentRun;
+use crate::relay::call_retry::PendingSend;
 use crate::relay::half_close::HalfClose;
 use crate::relay::half_close::ServerStream;
 use crate::relay::listener::MAX_UNSENT_BYTES;
@@ -30,7 +32,6 @@
 use crate::relay::request_body::BodyTransfers;
 use crate::relay::request_body::RequestBody;
 use crate::relay::server_exchange::Exchange;
-use crate::relay::server_exchange::ServerRun;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_path;
 use crate::relay::server_path::Destination;
@@ -258,7 +259,7 @@
         destination: &Destination<'_>,
         request: ServerRequest,
         admitted: Admitted,
-        begin_run: impl FnOnce() -> ServerRun,
+        begin_run: impl FnOnce() -> (SentRun, PendingSend),
         path_cut: impl Future<Output = ()>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let server = destination.server;
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use badgerferry_platform::settings_file::BoxSettings;
 
+mod abandoned_run;
 mod attempt_response;
 mod call;
 mod call_attempt;
@@ -50,6 +51,7 @@
 mod stop;
 mod store_follower;
 mod stream_relay;
+mod stream_source;
 mod suspension;
 mod unknown_headers;
 
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -131,8 +131,8 @@
     pub unknown_headers: UnknownHeaders,
     /// Bytes held for slow callers and servers.
     pub held_bytes: Arc<HeldByteAccount>,
-    /// Number of abandoned calls that are watched.
-    pub watched_calls: Arc<AtomicUsize>,
+    /// Number of abandoned runs that are watched.
+    pub watched_runs: Arc<AtomicUsize>,
     /// Whether the own path to the servers of each service is cut.
     pub server_paths: Mutex<ServerPaths>,
     /// Notifies the task that probes paths that are cut.
@@ -224,7 +224,7 @@
             gate,
             unknown_headers: UnknownHeaders::default(),
             held_bytes,
-            watched_calls: Arc::default(),
+            watched_runs: Arc::default(),
             server_paths,
             server_path_changed: Notify::new(),
             suspension: Mutex::new(SuspensionMonitor::new(clock.now())),
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -14,7 +14,6 @@
 use badgerferry_lib::relay::reader_patience;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -257,15 +256,14 @@
     let StreamingResponse {
         mut events,
         mut complete,
-        mut body,
+        mut source,
         mut join,
-        connection,
         attempt,
         after,
         ..
     } = *live;
     sink.held_back = Duration::ZERO;
-    let mut silence = Silence::between_events(call, connection.via, join.event_count());
+    let mut silence = Silence::between_events(call, source.via(), join.event_count());
     let unread_limit = unread_limit(call, &attempt.selection);
     let mut caught_up_at = Instant::now();
     let mut harmless_at = Some(Instant::now() + HARMLESS_AFTER);
@@ -285,7 +283,7 @@
                 Err(_elapsed) => {
                     let waited = caught_up_at.elapsed();
                     call_log::reservations_left_unread(call, &attempt.selection, waited);
-                    drop((body, connection));
+                    drop(source);
                     attempt.finish_unread().await;
                     // These events still have to be sent: `join` counts them as forwarded.
                     return if sent.await {
@@ -300,7 +298,7 @@
             break;
         }
         let frame = tokio::select! {
-            frame = body.frame() => Ok(frame),
+            frame = source.frame() => Ok(frame),
             failure = silence.lasts(call, &attempt.selection.server) => Err(failure),
             () = sink.tx.closed() => return ForwardEnd::CallerGone,
         };
@@ -348,7 +346,9 @@
         attempt.finish_unread().await;
         return ForwardEnd::LeftUnread { join };
     }
-    attempt_response::return_connection(call, &attempt.selection.server, connection, after);
+    if let Some(connection) = source.into_connection() {
+        attempt_response::return_connection(call, &attempt.selection.server, connection, after);
+    }
     finish_complete(call, attempts, attempt, join).await
 }
 
--- a/daemon/tests/test_relay_abandoned_calls.rs
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -62,9 +62,15 @@
 }
 
 /// Lets callers of a request that crashes its servers leave before the crash.
-async fn assert_few_crashes_without_callers(boxes: usize, path: &str) -> anyhow::Result<()> {
-    let crash_rule =
-        |store: &Store| CrashRule::on_body(CRASHING_BODY, DOWNTIME, store).silent_for(SERVER_DELAY);
+async fn assert_few_crashes_without_callers(
+    boxes: usize,
+    path: &str,
+    configure: impl Fn(CrashRule) -> CrashRule,
+) -> anyhow::Result<()> {
+    let crash_rule = |store: &Store| {
+        let crash_rule = CrashRule::on_body(CRASHING_BODY, DOWNTIME, store);
+        configure(crash_rule.silent_for(SERVER_DELAY))
+    };
     let fleet = Fleet::start(boxes, 8, "boards", crash_rule).await?;
 
     for index in 0..10 {
@@ -90,12 +96,17 @@
 
 #[tokio::test]
 async fn request_whose_callers_leave_crashes_few_servers() -> anyhow::Result<()> {
-    assert_few_crashes_without_callers(1, "/stream/a").await
+    assert_few_crashes_without_callers(1, "/stream/a", |rule| rule).await
 }
 
 #[tokio::test]
 async fn request_whose_callers_leave_crashes_few_servers_across_boxes() -> anyhow::Result<()> {
-    assert_few_crashes_without_callers(3, "/again/a").await
+    assert_few_crashes_without_callers(3, "/again/a", |rule| rule).await
+}
+
+#[tokio::test]
+async fn request_whose_callers_leave_its_response_crashes_few_servers() -> anyhow::Result<()> {
+    assert_few_crashes_without_callers(2, "/stream/a", CrashRule::beginning_response).await
 }
 
 #[tokio::test]
