tests: limits and exits announced after the caller left

The same cause elsewhere: the head of a refusal that nobody reads may also announce a limit, or that its server leaves.

--- a/daemon/tests/test_relay_abandoned_calls.rs
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -6,6 +6,7 @@
 use badgerferry_standin::caller::call;
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::relay_box::TestCluster;
+use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Store;
 
@@ -32,32 +33,55 @@
     Ok(())
 }
 
-#[tokio::test]
-async fn pause_requested_after_the_caller_left_is_kept() -> anyhow::Result<()> {
+/// Lets callers leave before a server declines, which announces something with it; then makes calls at
+/// once and returns how many of them reach that server.
+async fn calls_after_late_announcement(announce: impl Fn(&Server)) -> anyhow::Result<usize> {
     let cluster = TestCluster::start(2).await?;
-    let shedding = &cluster.servers[0];
-    shedding.decline_after(SERVER_DELAY);
-    shedding.shed(Some("3"));
+    let announcing = &cluster.servers[0];
+    announcing.set_default_behaviour(Behaviour::Decline);
+    announcing.decline_after(SERVER_DELAY);
+    announce(announcing);
     let front = cluster.relay.front();
     let text = |id: &str| call("POST", "/again/a", id, "", "prompt");
-    while shedding.received_calls().is_empty() {
+    while announcing.received_calls().is_empty() {
         leave(front, &text("left")).await?;
     }
     tokio::time::sleep(SERVER_DELAY).await;
-    let before = shedding.received_calls().len();
+    let before = announcing.received_calls().len();
 
     for index in 0..30 {
         let response = Caller::exchange(front, &text(&format!("later-{index}"))).await?;
-        assert_eq!(response.status, 200, "{response:?}");
+        anyhow::ensure!(
+            response.status == 200,
+            "{response:?}; log:\n{}",
+            cluster.relay.log()
+        );
     }
 
-    let in_pause = shedding.received_calls().len() - before;
-    assert_eq!(
-        in_pause,
-        0,
-        "calls in the pause; log:\n{}",
-        cluster.relay.log()
-    );
+    Ok(announcing.received_calls().len() - before)
+}
+
+#[tokio::test]
+async fn pause_requested_after_the_caller_left_is_kept() -> anyhow::Result<()> {
+    let calls = calls_after_late_announcement(|server| server.shed(Some("3"))).await?;
+
+    assert_eq!(calls, 0, "calls in the pause");
+    Ok(())
+}
+
+#[tokio::test]
+async fn exit_announced_after_the_caller_left_is_respected() -> anyhow::Result<()> {
+    let calls = calls_after_late_announcement(|server| server.announce_leaving(Some("1"))).await?;
+
+    assert_eq!(calls, 0, "calls to a leaving server");
+    Ok(())
+}
+
+#[tokio::test]
+async fn limit_announced_after_the_caller_left_is_kept() -> anyhow::Result<()> {
+    let calls = calls_after_late_announcement(|server| server.announce_limit(Some("0"))).await?;
+
+    assert_eq!(calls, 0, "calls to a server that accepts none");
     Ok(())
 }
 
--- a/lib/tests/test_relay_retry_window.rs
+++ b/lib/tests/test_relay_retry_window.rs
@@ -192,6 +192,17 @@
     }
 }
 
+#[test]
+fn retry_that_was_not_sent_does_not_arrive() {
+    let mut sends = CallSends::default();
+    sends.send_retry();
+
+    sends.undo_send();
+
+    assert!(!sends.end_send(), "the first send has arrived");
+    assert!(!sends.end_send(), "no retry is pending");
+}
+
 #[test]
 fn retry_counts_until_all_but_one_of_the_sends_are_over() {
     let mut sends = CallSends::default();
