relay, soak: split two files that had grown large

No behaviour changes: engine.rs takes the engine that requests of the box are addressed to, sheet_callers.rs the callers of the soak's deployments.

--- a/daemon/src/relay/first_event_watchdog.rs
+++ b/daemon/src/relay/first_event_watchdog.rs
@@ -14,8 +14,8 @@
 use tokio::time::timeout;
 
 use crate::relay::call::Call;
+use crate::relay::engine::Engine;
 use crate::relay::engine_call;
-use crate::relay::server_selection::Engine;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod connection_end;
 mod connection_pool;
 mod datagram_receiver;
+mod engine;
 mod engine_call;
 mod error_response;
 mod first_event_watchdog;
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -18,9 +18,9 @@
 use tokio::time::timeout;
 
 use crate::relay::call::Call;
+use crate::relay::engine::Engine;
 use crate::relay::engine_call;
 use crate::relay::server_gate::Admitted;
-use crate::relay::server_selection::Engine;
 use crate::relay::state::Relay;
 
 /// Time until a reservation expires without renewal; memory held longer counts as leaked.
--- a/daemon/src/relay/running_engines.rs
+++ b/daemon/src/relay/running_engines.rs
@@ -18,8 +18,8 @@
 use crate::relay::call::Call;
 use crate::relay::candidates;
 use crate::relay::candidates::CandidateQuery;
+use crate::relay::engine::Engine;
 use crate::relay::first_event_watchdog;
-use crate::relay::server_selection::Engine;
 use crate::traffic::lock;
 
 /// Engines that are queried at a time, first and if none of those responds. With most engines still,
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -40,6 +40,7 @@
 use badgerferry_lib::relay::server_notices::NoticeChanges;
 use badgerferry_lib::relay::server_notices::NoticeRows;
 use badgerferry_lib::relay::server_notices::ServerNotices;
+use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
 use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_lib::time::Time;
@@ -85,6 +86,17 @@
     pub hall: HallName,
 }
 
+impl Target {
+    /// The server that the record describes.
+    pub fn of(record: &ServerRecord) -> Self {
+        Self {
+            name: record.info.name.clone(),
+            incarnation: record.incarnation,
+            hall: record.info.hall.clone(),
+        }
+    }
+}
+
 /// A call that requests admission to its chosen server.
 #[derive(Debug, Clone, Copy)]
 pub struct PendingCall<'a> {
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -9,7 +9,6 @@
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::availability::Availability;
 use badgerferry_lib::relay::call::PromptSize;
-use badgerferry_lib::relay::engine_load::EngineKey;
 use badgerferry_lib::relay::engine_load::EngineWork;
 use badgerferry_lib::relay::engine_load::EngineWorkId;
 use badgerferry_lib::relay::engine_plan;
@@ -39,12 +38,12 @@
 use crate::relay::candidates::CandidateQuery;
 use crate::relay::candidates::NO_SERVER_RETRY;
 use crate::relay::candidates::NoCandidate;
+use crate::relay::engine::Engine;
 use crate::relay::first_event_watchdog::FirstEventWatchdog;
 use crate::relay::reservations::Reservations;
 use crate::relay::reservations::ReserveError;
 use crate::relay::running_engines;
 use crate::relay::server_gate::Target;
-use crate::relay::server_path::Destination;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
@@ -143,49 +142,6 @@
     }
 }
 
-/// An engine assigned by a plan.
-#[derive(Debug, Clone)]
-pub struct Engine {
-    /// Name of the server entry.
-    pub server: ServerName,
-    /// Incarnation and hall.
-    pub target: Target,
-    /// Address it listens on.
-    pub address: String,
-    /// Key in the load table.
-    pub key: EngineKey,
-}
-
-impl Engine {
-    /// Where connections to the engine lead, for requests of this box itself.
-    pub fn destination<'a>(&'a self, relay: &'a Relay) -> Destination<'a> {
-        Destination {
-            relay,
-            server: &self.server,
-            address: &self.address,
-            call: "-",
-        }
-    }
-
-    /// A listed server as an engine.
-    pub fn of(record: &ServerRecord) -> Self {
-        Self {
-            server: record.info.name.clone(),
-            target: target(record),
-            address: record.info.address.clone(),
-            key: record.key,
-        }
-    }
-}
-
-fn target(record: &ServerRecord) -> Target {
-    Target {
-        name: record.info.name.clone(),
-        incarnation: record.incarnation,
-        hall: record.info.hall.clone(),
-    }
-}
-
 /// Selects a server or engines. Servers in `tried` are used again only if there is no other. With
 /// `is_isolated`, a short call goes to one of the least loaded engines.
 ///
@@ -249,7 +205,7 @@
         };
     Ok(Selection {
         server: record.info.name.clone(),
-        target: target(record),
+        target: Target::of(record),
         address: record.info.address.clone(),
         helpers: Vec::new(),
         helper_targets: Vec::new(),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -21,6 +21,7 @@
 mod ledger;
 mod retry_budget;
 mod run;
+mod sheet_callers;
 mod sheet_run;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
--- /dev/null
+++ b/soak/src/sheet_callers.rs
@@ -0,0 +1,194 @@
+//! Callers of a deployment: they make calls of its kinds at their rates, repeat those that failed as their
+//! kinds say, and may leave.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use badgerferry_standin::caller::Caller;
+use badgerferry_standin::caller::RawResponse;
+use badgerferry_standin::retry_audit::SentCall;
+use badgerferry_standin::sheet::CallKind;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+/// Pause of a caller whose box refused the connection.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Time that callers of the request that crashes servers wait.
+const CRASHING_PATIENCE: Duration = Duration::from_secs(3);
+/// Time left below which a call is not repeated.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
+/// Body of the request that crashes its servers.
+pub const CRASHING_BODY: &str = "crashes";
+
+#[derive(Debug, Clone)]
+pub struct Sent {
+    pub call: SentCall,
+    pub kind: usize,
+    pub is_crashing: bool,
+}
+
+/// What callers share.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    pub fronts: Vec<SocketAddr>,
+    pub kinds: Vec<CallKind>,
+    pub sent: Mutex<Vec<Sent>>,
+    pub served: Mutex<BTreeSet<u64>>,
+    /// Fraction of the callers that leave, and when.
+    pub leaving: Mutex<Option<(f64, Duration)>>,
+    /// Calls of the request that crashes servers, per second.
+    pub crashing_rate: Mutex<f64>,
+}
+
+/// Makes calls at their rates until the end; waits for all of them.
+pub async fn make_calls(traffic: Arc<Traffic>, lasts: Duration, mut rng: ChaCha8Rng) {
+    let rate: f64 = traffic.kinds.iter().map(|kind| kind.rate).sum();
+    let until = Instant::now() + lasts;
+    let mut calls = tokio::task::JoinSet::new();
+    let mut number = 0;
+    let mut next = tokio::time::Instant::now();
+    let mut last_crashing = Instant::now();
+    while Instant::now() < until {
+        next += Duration::from_secs_f64(-rng.random::<f64>().ln() / rate);
+        sleep_until(next).await;
+        number += 1;
+        let mut left = rng.random_range(0.0..rate);
+        let kinds = traffic.kinds.iter();
+        let drawn = kinds.take_while(|kind| {
+            left -= kind.rate;
+            left > 0.0
+        });
+        let kind = drawn.count().min(traffic.kinds.len() - 1);
+        let crashing_rate = *lock(&traffic.crashing_rate);
+        let is_crashing = crashing_rate * last_crashing.elapsed().as_secs_f64() >= 1.0;
+        let caller_rng = ChaCha8Rng::seed_from_u64(rng.random());
+        if is_crashing {
+            last_crashing = Instant::now();
+        }
+        let one = OneCall {
+            number,
+            kind: if is_crashing { 0 } else { kind },
+            is_crashing,
+        };
+        calls.spawn(make_call(Arc::clone(&traffic), one, caller_rng));
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OneCall {
+    number: u64,
+    kind: usize,
+    is_crashing: bool,
+}
+
+/// Makes a call, and repeats it as its kind says.
+async fn make_call(traffic: Arc<Traffic>, one: OneCall, mut rng: ChaCha8Rng) {
+    let kind = &traffic.kinds[one.kind];
+    let deadline = if one.is_crashing {
+        CRASHING_PATIENCE
+    } else {
+        kind.deadline
+    };
+    let until = Instant::now() + deadline;
+    for attempt in 0..=kind.retries {
+        let left = until.saturating_duration_since(Instant::now());
+        if left < MIN_TIME_LEFT {
+            return;
+        }
+        let index = rng.random_range(0..traffic.fronts.len());
+        let id = format!("c{}-{attempt}-b{index}", one.number);
+        let text = request_text(kind, &id, one.is_crashing, left, &mut rng);
+        let leaves = *lock(&traffic.leaving);
+        let patience = match leaves {
+            Some((share, after)) if rng.random_bool(share) => after.min(left),
+            _ => left,
+        };
+        let exchange = async {
+            let mut caller = Caller::connect(traffic.fronts[index]).await?;
+            lock(&traffic.sent).push(Sent {
+                call: SentCall {
+                    id: id.clone(),
+                    at: Instant::now(),
+                    deadline: left,
+                },
+                kind: one.kind,
+                is_crashing: one.is_crashing,
+            });
+            caller.send(&text).await?;
+            caller.read_response().await
+        };
+        let response: RawResponse = match timeout(patience, exchange).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_refused)) => {
+                sleep(RECONNECT_PAUSE).await;
+                continue;
+            }
+            Err(_left) => return,
+        };
+        if response.status == 200 && response.is_complete {
+            lock(&traffic.served).insert(one.number);
+            return;
+        }
+        let has_not_run = matches!(response.status, 429 | 503 | 408 | 421);
+        if response.status == 200 && !kind.is_repeatable
+            || matches!(response.status, 400 | 401 | 403 | 404 | 413 | 431)
+            || !has_not_run && !kind.is_repeatable
+        {
+            return;
+        }
+        let retry_after = response
+            .header("retry-after")
+            .and_then(|text| text.parse().ok());
+        let left = until.saturating_duration_since(Instant::now());
+        let pause = Duration::from_secs_f64(retry_after.unwrap_or(0.0));
+        sleep(pause.min(left / 3)).await;
+    }
+}
+
+fn request_text(
+    kind: &CallKind,
+    id: &str,
+    is_crashing: bool,
+    left: Duration,
+    rng: &mut ChaCha8Rng,
+) -> String {
+    let body = match (is_crashing, kind.method.as_str()) {
+        (true, _) => CRASHING_BODY.to_owned(),
+        (false, "GET") => String::new(),
+        (false, _) => format!("prompt {id}"),
+    };
+    let (prompt, response) = kind.tokens;
+    let counts = if prompt > 0.0 {
+        let size = rng.random_range(0.5..1.5);
+        format!(
+            "Badgerferry-Token-Counts: {:.0},{response:.0}\r\n",
+            prompt * size
+        )
+    } else {
+        String::new()
+    };
+    format!(
+        "{} {} HTTP/1.1\r\nHost: host.example\r\nBadgerferry-Attempt-Id: {id}\r\n\
+         Badgerferry-Deadline-Ms: {}\r\nAuthorization: Bearer key-1\r\n{counts}\
+         Content-Length: {}\r\n\r\n{body}",
+        kind.method,
+        kind.path,
+        left.as_millis(),
+        body.len()
+    )
+}
+
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -6,19 +6,13 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
 use anyhow::Context;
-use badgerferry_standin::caller::Caller;
-use badgerferry_standin::caller::RawResponse;
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::random_loopback_ip;
@@ -30,7 +24,6 @@
 use badgerferry_standin::retry_audit::SentCall;
 use badgerferry_standin::retry_audit::WindowUse;
 use badgerferry_standin::server::Server;
-use badgerferry_standin::sheet::CallKind;
 use badgerferry_standin::sheet::Sheet;
 use badgerferry_standin::store::Store;
 use rand::Rng;
@@ -40,14 +33,14 @@
 use serde_json::json;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
-use tokio::time::timeout;
+
+use crate::sheet_callers::CRASHING_BODY;
+use crate::sheet_callers::Traffic;
+use crate::sheet_callers::lock;
+use crate::sheet_callers::make_calls;
 
 /// Time before the first trouble, in which boxes earn retries.
 const WARM_UP: Duration = Duration::from_secs(11);
-/// Pause of a caller whose box refused the connection.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
-/// Body of the request that crashes its servers.
-const CRASHING_BODY: &str = "crashes";
 /// Calls that a server may get from a box in a pause that it asked for.
 const MAX_CALLS_IN_PAUSE: usize = 2;
 /// Time after a refusal in which calls that are on the way do not count.
@@ -59,10 +52,6 @@
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 /// Calls that may each run on more servers than their route allows.
 const MAX_CALLS_BEYOND_ATTEMPTS: usize = 3;
-/// Time that callers of the request that crashes servers wait.
-const CRASHING_PATIENCE: Duration = Duration::from_secs(3);
-/// Time left below which a call is not repeated.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
 
 /// What befalls servers and boxes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -210,26 +199,6 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct Sent {
-    call: SentCall,
-    kind: usize,
-    is_crashing: bool,
-}
-
-/// What callers share.
-#[derive(Debug, Default)]
-struct Traffic {
-    fronts: Vec<SocketAddr>,
-    kinds: Vec<CallKind>,
-    sent: Mutex<Vec<Sent>>,
-    served: Mutex<BTreeSet<u64>>,
-    /// Fraction of the callers that leave, and when.
-    leaving: Mutex<Option<(f64, Duration)>>,
-    /// Calls of the request that crashes servers, per second.
-    crashing_rate: Mutex<f64>,
-}
-
 struct Deployment {
     store: Store,
     servers: Vec<Server>,
@@ -523,146 +492,3 @@
 fn box_of(id: &str) -> Option<usize> {
     id.rsplit_once("-b")?.1.parse().ok()
 }
-
-/// Makes calls at their rates until the end; waits for all of them.
-async fn make_calls(traffic: Arc<Traffic>, lasts: Duration, mut rng: ChaCha8Rng) {
-    let rate: f64 = traffic.kinds.iter().map(|kind| kind.rate).sum();
-    let until = Instant::now() + lasts;
-    let mut calls = tokio::task::JoinSet::new();
-    let mut number = 0;
-    let mut next = tokio::time::Instant::now();
-    let mut last_crashing = Instant::now();
-    while Instant::now() < until {
-        next += Duration::from_secs_f64(-rng.random::<f64>().ln() / rate);
-        sleep_until(next).await;
-        number += 1;
-        let mut left = rng.random_range(0.0..rate);
-        let kinds = traffic.kinds.iter();
-        let drawn = kinds.take_while(|kind| {
-            left -= kind.rate;
-            left > 0.0
-        });
-        let kind = drawn.count().min(traffic.kinds.len() - 1);
-        let crashing_rate = *lock(&traffic.crashing_rate);
-        let is_crashing = crashing_rate * last_crashing.elapsed().as_secs_f64() >= 1.0;
-        let caller_rng = ChaCha8Rng::seed_from_u64(rng.random());
-        if is_crashing {
-            last_crashing = Instant::now();
-        }
-        let one = OneCall {
-            number,
-            kind: if is_crashing { 0 } else { kind },
-            is_crashing,
-        };
-        calls.spawn(make_call(Arc::clone(&traffic), one, caller_rng));
-    }
-    while calls.join_next().await.is_some() {}
-}
-
-#[derive(Debug, Clone, Copy)]
-struct OneCall {
-    number: u64,
-    kind: usize,
-    is_crashing: bool,
-}
-
-/// Makes a call, and repeats it as its kind says.
-async fn make_call(traffic: Arc<Traffic>, one: OneCall, mut rng: ChaCha8Rng) {
-    let kind = &traffic.kinds[one.kind];
-    let deadline = if one.is_crashing {
-        CRASHING_PATIENCE
-    } else {
-        kind.deadline
-    };
-    let until = Instant::now() + deadline;
-    for attempt in 0..=kind.retries {
-        let left = until.saturating_duration_since(Instant::now());
-        if left < MIN_TIME_LEFT {
-            return;
-        }
-        let index = rng.random_range(0..traffic.fronts.len());
-        let id = format!("c{}-{attempt}-b{index}", one.number);
-        let text = request_text(kind, &id, one.is_crashing, left, &mut rng);
-        let leaves = *lock(&traffic.leaving);
-        let patience = match leaves {
-            Some((share, after)) if rng.random_bool(share) => after.min(left),
-            _ => left,
-        };
-        let exchange = async {
-            let mut caller = Caller::connect(traffic.fronts[index]).await?;
-            lock(&traffic.sent).push(Sent {
-                call: SentCall {
-                    id: id.clone(),
-                    at: Instant::now(),
-                    deadline: left,
-                },
-                kind: one.kind,
-                is_crashing: one.is_crashing,
-            });
-            caller.send(&text).await?;
-            caller.read_response().await
-        };
-        let response: RawResponse = match timeout(patience, exchange).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(_refused)) => {
-                sleep(RECONNECT_PAUSE).await;
-                continue;
-            }
-            Err(_left) => return,
-        };
-        if response.status == 200 && response.is_complete {
-            lock(&traffic.served).insert(one.number);
-            return;
-        }
-        let has_not_run = matches!(response.status, 429 | 503 | 408 | 421);
-        if response.status == 200 && !kind.is_repeatable
-            || matches!(response.status, 400 | 401 | 403 | 404 | 413 | 431)
-            || !has_not_run && !kind.is_repeatable
-        {
-            return;
-        }
-        let retry_after = response
-            .header("retry-after")
-            .and_then(|text| text.parse().ok());
-        let left = until.saturating_duration_since(Instant::now());
-        let pause = Duration::from_secs_f64(retry_after.unwrap_or(0.0));
-        sleep(pause.min(left / 3)).await;
-    }
-}
-
-fn request_text(
-    kind: &CallKind,
-    id: &str,
-    is_crashing: bool,
-    left: Duration,
-    rng: &mut ChaCha8Rng,
-) -> String {
-    let body = match (is_crashing, kind.method.as_str()) {
-        (true, _) => CRASHING_BODY.to_owned(),
-        (false, "GET") => String::new(),
-        (false, _) => format!("prompt {id}"),
-    };
-    let (prompt, response) = kind.tokens;
-    let counts = if prompt > 0.0 {
-        let size = rng.random_range(0.5..1.5);
-        format!(
-            "Badgerferry-Token-Counts: {:.0},{response:.0}\r\n",
-            prompt * size
-        )
-    } else {
-        String::new()
-    };
-    format!(
-        "{} {} HTTP/1.1\r\nHost: host.example\r\nBadgerferry-Attempt-Id: {id}\r\n\
-         Badgerferry-Deadline-Ms: {}\r\nAuthorization: Bearer key-1\r\n{counts}\
-         Content-Length: {}\r\n\r\n{body}",
-        kind.method,
-        kind.path,
-        left.as_millis(),
-        body.len()
-    )
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
