--- a/testutils/src/bin/emulate/relay.rs
+++ b/testutils/src/bin/emulate/relay.rs
@@ -31,6 +31,13 @@
     /// print each call of the first seed in place of results
     #[argh(switch)]
     calls: bool,
+    /// print a table of served shares in place of results, with a row for each of these factors
+    /// (comma-separated) by which the rate of the longest prompts is multiplied
+    #[argh(option)]
+    loads: Option<String>,
+    /// factor by which the spread of the lengths of the longest prompts is multiplied (1)
+    #[argh(option, default = "1.0")]
+    spread: f64,
 }
 
 /// Compare two files of results, seed by seed.
@@ -54,6 +61,7 @@
     let text = std::fs::read_to_string(&args.scenario)
         .with_context(|| format!("failed to read {}", args.scenario))?;
     let scenario = Scenario::parse(&text).with_context(|| args.scenario.clone())?;
+    let scenario = scenario.with_long_prompts(1.0, args.spread);
     let scope = match args.scope.as_str() {
         "fleet" => GossipScope::Fleet,
         "hall" => GossipScope::Hall,
@@ -66,11 +74,10 @@
         }
         return Ok(());
     }
-    let seeds = args.from..args.from + args.seeds;
-    let one = |seed| relay_model::run(&scenario, Some(scope), seed).0;
-    let (mut results, broken) = run_seeds(seeds, one);
-    anyhow::ensure!(broken.is_empty(), "these seeds panicked: {broken:?}");
-    results.sort_by_key(|result| result.seed);
+    if let Some(loads) = &args.loads {
+        return print_shares_by_load(args, &scenario, scope, loads);
+    }
+    let results = run_days(args, &scenario, scope)?;
     for result in &results {
         println!("{}", serde_json::to_string(result)?);
     }
@@ -80,6 +87,58 @@
     Ok(())
 }
 
+/// Results of all seeds, in their order.
+fn run_days(
+    args: &RelayArgs,
+    scenario: &Scenario,
+    scope: GossipScope,
+) -> anyhow::Result<Vec<DayResult>> {
+    let seeds = args.from..args.from + args.seeds;
+    let one = |seed| relay_model::run(scenario, Some(scope), seed).0;
+    let (mut results, broken) = run_seeds(seeds, one);
+    anyhow::ensure!(broken.is_empty(), "these seeds panicked: {broken:?}");
+    results.sort_by_key(|result| result.seed);
+    Ok(results)
+}
+
+/// Prints served shares of the two groups of large prompts, by kind and load.
+fn print_shares_by_load(
+    args: &RelayArgs,
+    scenario: &Scenario,
+    scope: GossipScope,
+    loads: &str,
+) -> anyhow::Result<()> {
+    println!(
+        "{:8} {:5} {:>5} {:>6} {:>6}  {:22} fifth beneath",
+        "kind", "load", "days", "worth", "served", "largest tenth"
+    );
+    println!(
+        "{:38}  {:22} starved, worst, median",
+        "", "starved, worst, median"
+    );
+    for load in loads.split(',') {
+        let load: f64 = load.parse().context("--loads: numbers are expected")?;
+        let loaded = scenario.clone().with_long_prompts(load, 1.0);
+        let results = run_days(args, &loaded, scope)?;
+        for (at, kind) in loaded.kinds.iter().enumerate() {
+            let served = mean(results.iter().map(|row| row.served[at].all));
+            let worth = mean(results.iter().map(|row| row.worth));
+            let groups = SIZE_GROUPS.map(|(_, ratio)| {
+                let [starved, worst, median] = relative_shares(&results, at, ratio);
+                format!("{starved:5} {worst:7.2} {median:7.2}")
+            });
+            println!(
+                "{:8} {load:<5} {:5} {worth:6.3} {served:6.3}  {:22} {}",
+                kind.name,
+                results.len(),
+                groups[0],
+                groups[1]
+            );
+        }
+    }
+    Ok(())
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> f64 {
     let (sum, count) = values.fold((0.0, 0), |(sum, count), value| (sum + value, count + 1));
     sum / f64::from(count.max(1))
@@ -138,25 +197,33 @@
 /// Served share of a group of a kind's prompts, as a part of that of all.
 type ServedRatio = fn(&ServedShares) -> f64;
 
+const SIZE_GROUPS: [(&str, ServedRatio); 2] = [
+    ("largest tenth", ServedShares::relative_largest_tenth),
+    ("fifth beneath", ServedShares::relative_fifth_beneath),
+];
+
+/// Number of days that starve a group of a kind's prompts, and its ratio on the worst and the median
+/// day.
+fn relative_shares(results: &[DayResult], kind: usize, ratio: ServedRatio) -> [f64; 3] {
+    let mut days: Vec<f64> = results.iter().map(|row| ratio(&row.served[kind])).collect();
+    days.sort_by(f64::total_cmp);
+    let starved = days.iter().filter(|day| **day < STARVED_UNDER).count();
+    let at = |index: usize| days.get(index).copied().unwrap_or_default();
+    [starved as f64, at(0), at(days.len() / 2)]
+}
+
 /// Share of the days that starve the largest prompts of a kind, and the worst and the median day.
 fn starved_days(name: &str, results: &[DayResult], kind: usize) -> Vec<(String, f64)> {
-    let groups: [(&str, ServedRatio); 2] = [
-        ("largest tenth", ServedShares::relative_largest_tenth),
-        ("fifth beneath", ServedShares::relative_fifth_beneath),
-    ];
     let group = |(group, ratio): (&str, ServedRatio)| {
-        let mut days: Vec<f64> = results.iter().map(|row| ratio(&row.served[kind])).collect();
-        days.sort_by(f64::total_cmp);
-        let starved = days.iter().filter(|day| **day < STARVED_UNDER).count();
-        let at = |index: usize| days.get(index).copied().unwrap_or_default();
+        let [starved, worst, median] = relative_shares(results, kind, ratio);
         [
-            ("days starved", starved as f64 / days.len().max(1) as f64),
-            ("of all, worst day", at(0)),
-            ("of all, median day", at(days.len() / 2)),
+            ("days starved", starved / results.len().max(1) as f64),
+            ("of all, worst day", worst),
+            ("of all, median day", median),
         ]
         .map(|(what, figure)| (format!("{name} {group}, {what}"), figure))
     };
-    groups.into_iter().flat_map(group).collect()
+    SIZE_GROUPS.into_iter().flat_map(group).collect()
 }
 
 /// Compares.
--- a/testutils/src/relay_model/scenario.rs
+++ b/testutils/src/relay_model/scenario.rs
@@ -172,6 +172,25 @@
         }
     }
 
+    /// The same scenario with the rate of the kind with the longest prompts multiplied by `load` and the
+    /// spread of its prompt lengths by `spread`.
+    #[must_use]
+    pub fn with_long_prompts(mut self, load: f64, spread: f64) -> Self {
+        let by_length = |a: &&mut Kind, b: &&mut Kind| a.mean_tokens.total_cmp(&b.mean_tokens);
+        if let Some(longest) = self.kinds.iter_mut().max_by(by_length) {
+            longest.per_second *= load;
+            longest.spread *= spread;
+        }
+        self
+    }
+
+    /// Index of the kind with the longest prompts.
+    pub fn long_kind(&self) -> usize {
+        let kinds = self.kinds.iter().enumerate();
+        let longest = kinds.max_by(|(_, a), (_, b)| a.mean_tokens.total_cmp(&b.mean_tokens));
+        longest.map_or(0, |(at, _)| at)
+    }
+
     /// What a kind's rate is multiplied with at a moment.
     pub(crate) fn factor(&self, kind: usize, at: Duration) -> f64 {
         let mut begun = self.phases.iter();
