relay: order long prompts by the served share of their size group

Cause: the order bounded no group's share. Smaller prompts passed larger ones, and a random rank, weighted for one load, made up for that at that load only.

Change: every box counts the long prompts that arrived and those that engines took, by size, and gossips the counts. All boxes derive the same size groups, and a prompt whose group is behind is ordered as if its prefill were shorter, ahead of all others before the share reaches half. Waiting prompts count as not taken. The random rank, the size from which it applied and its exponent are gone.

The tests of the random rank are replaced: what they guarded, that smaller prompts don't starve larger ones, is asserted of the served shares, by unit and over load.

--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -16,6 +16,7 @@
 use badgerferry_lib::relay::long_prompt_queue::BlockedPolls;
 use badgerferry_lib::relay::retry_window::RetryUsage;
 use badgerferry_lib::relay::route_table::Denied;
+use badgerferry_lib::relay::size_groups::SizePriority;
 use badgerferry_platform::headers::ResponseHead;
 use http::StatusCode;
 use metrics::counter;
@@ -85,7 +86,7 @@
 }
 
 /// A queued long prompt expired: no engines can meet its deadline any more.
-pub fn prompt_expired(call: &Call, blocked: BlockedPolls) {
+pub fn prompt_expired(call: &Call, blocked: BlockedPolls, priority: Option<SizePriority>) {
     let waited = call.relay.clock.now().since(call.arrived);
     tracing::info!(
         call = call.id(),
@@ -93,6 +94,8 @@
         waited_ms = waited.as_millis() as u64,
         looks_behind = blocked.not_first,
         looks_no_engines = blocked.too_few_engines,
+        size_group = priority.map(|priority| priority.group.name()),
+        relative_share = priority.map(|priority| priority.relative_share),
         "queued prompt expired: no engines in time"
     );
 }
--- a/daemon/src/relay/datagram_receiver.rs
+++ b/daemon/src/relay/datagram_receiver.rs
@@ -247,7 +247,11 @@
             let is_newer =
                 lock(&relay.loads).update_peer_table(now, from, incarnation, sequence, rows);
             if is_newer {
-                lock(&relay.long_prompt_queue).record_box_head(now, from, datagram.queue_head);
+                let mut queue = lock(&relay.long_prompt_queue);
+                queue.record_box_head(now, from, datagram.queue_head);
+                queue
+                    .size_groups
+                    .record_box(now, from, &datagram.size_counts);
             }
             if datagram.is_urgent {
                 relay.hall_changed.notify_one();
@@ -258,7 +262,10 @@
         LoadSource::Hall { hall, .. } => {
             let rows = datagram.rows.clone();
             if lock(&relay.loads).update_hall_table(now, hall, incarnation, sequence, rows) {
-                lock(&relay.long_prompt_queue).record_hall_head(now, hall, datagram.queue_head);
+                let mut queue = lock(&relay.long_prompt_queue);
+                queue.record_hall_head(now, hall, datagram.queue_head);
+                let counts = &datagram.size_counts;
+                queue.size_groups.record_hall(now, hall.as_str(), counts);
             }
         }
     }
--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -87,14 +87,19 @@
         relay.gate.pool_owner();
         log_reachability(relay);
         log_scope(relay, &mut scope);
+        log_size_groups(relay, now);
         let rows = lock(&relay.loads).own_table(now);
         sequence += 1;
+        let (queue_head, size_counts) = {
+            let queue = lock(&relay.long_prompt_queue);
+            (queue.head(now), queue.size_groups.own_counts(now))
+        };
         let mut datagram = LoadDatagram {
             is_urgent,
-            queue_head: lock(&relay.long_prompt_queue).head(now),
+            queue_head,
+            size_counts,
             ..build_datagram(relay, now, sequence, LoadSource::Box, rows)
         };
-        let queue_head = datagram.queue_head;
         let role = hub_gossip::role(relay, now);
         let peers = match &role {
             HallRole::Mesh => peers(relay),
@@ -193,13 +198,18 @@
         hall: relay.settings.hall.clone(),
         is_forwarded: false,
     };
+    let (queue_head, size_counts) = {
+        let queue = lock(&relay.long_prompt_queue);
+        (queue.hall_head(now), queue.size_groups.hall_counts(now))
+    };
     LoadDatagram {
-        queue_head: lock(&relay.long_prompt_queue).hall_head(now),
+        queue_head,
+        size_counts,
         ..build_datagram(relay, now, sequence, source, rows)
     }
 }
 
-/// Datagram without a queue head, which the caller adds.
+/// Datagram without a queue head and size counts, which the caller adds.
 fn build_datagram(
     relay: &Relay,
     now: Time,
@@ -245,6 +255,7 @@
         unconfirmed,
         follows_store: relay.follows_store(),
         queue_head: None,
+        size_counts: Vec::new(),
         faults,
         departures,
         cut_off,
@@ -323,6 +334,18 @@
     }
 }
 
+fn log_size_groups(relay: &Relay, now: Time) {
+    let changes = lock(&relay.long_prompt_queue).size_groups.take_changes(now);
+    for change in changes {
+        let (size_group, relative_share) = (change.group.name(), change.relative_share);
+        if change.is_behind {
+            tracing::warn!(size_group, relative_share, "size group behind");
+        } else {
+            tracing::info!(size_group, relative_share, "size group caught up");
+        }
+    }
+}
+
 fn log_scope(relay: &Relay, last: &mut GossipScope) {
     let (scope, boxes) = {
         let cluster_view = lock(&relay.cluster_view);
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use badgerferry_lib::relay::held_bytes::Side;
+use badgerferry_lib::relay::size_groups::SizeGroup;
 use badgerferry_lib::relay::suspect_key::SuspectKind;
 use http::Request;
 use http::Response;
@@ -85,7 +86,15 @@
     gauge!("badgerferry_routes_version").set(known_state.routes.unwrap_or_default() as f64);
     gauge!("badgerferry_store_era").set(known_state.servers.era as f64);
     gauge!("badgerferry_servers_revision").set(known_state.servers.revision as f64);
-    gauge!("badgerferry_long_prompts_waiting").set(lock(&relay.long_prompt_queue).len() as f64);
+    {
+        let mut queue = lock(&relay.long_prompt_queue);
+        gauge!("badgerferry_long_prompts_waiting").set(queue.len() as f64);
+        queue.size_groups.refresh(relay.clock.now());
+        for group in SizeGroup::ALL {
+            let share = queue.size_groups.relative_share(group);
+            gauge!("badgerferry_long_prompts_relative_share", "group" => group.name()).set(share);
+        }
+    }
     {
         let quarantine = lock(&relay.quarantine);
         let now = relay.clock.now();
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -2,6 +2,8 @@
 //! engine model that states the size of its prompt is planned on one or more engines.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_lib::ids::HallName;
@@ -108,6 +110,9 @@
             loads.prefill_done(id);
         }
         drop(loads);
+        self.load_entries
+            .is_prefilled
+            .store(true, Ordering::Relaxed);
         self.load_entries.notify_peers();
     }
 }
@@ -118,6 +123,10 @@
     relay: Arc<Relay>,
     ids: Vec<EngineWorkId>,
     is_long: bool,
+    /// Prefill time of the whole prompt on a single engine.
+    prefill: Duration,
+    /// Whether the prefill is complete.
+    is_prefilled: AtomicBool,
 }
 
 impl LoadEntries {
@@ -138,6 +147,11 @@
             loads.end(id);
         }
         drop(loads);
+        if self.is_long && !self.is_prefilled.load(Ordering::Relaxed) {
+            let now = self.relay.clock.now();
+            let mut queue = lock(&self.relay.long_prompt_queue);
+            queue.size_groups.record_lost_start(now, self.prefill);
+        }
         self.notify_peers();
     }
 }
@@ -217,6 +231,8 @@
             relay: Arc::clone(relay),
             ids: Vec::new(),
             is_long: false,
+            prefill: Duration::ZERO,
+            is_prefilled: AtomicBool::new(false),
         },
         watchdog: None,
         _reservations: None,
@@ -259,8 +275,10 @@
         return Err((RefusalReason::PromptTooLong, NO_SERVER_RETRY));
     }
     let queued_at = call.relay.clock.now();
+    let mut is_requeued = !tried.is_empty();
     loop {
-        let registered = wait_for_engines(call, tried, model, prompt).await?;
+        let registered = wait_for_engines(call, tried, model, prompt, is_requeued).await?;
+        is_requeued = true;
         let waited = call.relay.clock.now().since(queued_at);
         registered.load_entries.notify_peers();
         if !registered.plan.reserve_memory {
@@ -344,6 +362,8 @@
     /// Work of each engine.
     engine_work: Vec<EngineWork>,
     plan: EnginePlan,
+    /// Prefill time of the whole prompt on a single engine.
+    prefill: Duration,
 }
 
 /// The hall of each engine as an index; 0 is the hall of this box.
@@ -433,6 +453,7 @@
         engines: plan.assignments.iter().map(engine).collect(),
         engine_work: plan.engine_work(&states),
         plan,
+        prefill: model.prefill_time(prompt.tokens),
     })
 }
 
@@ -446,6 +467,7 @@
         engines,
         engine_work,
         plan,
+        prefill,
     } = planned;
     let now = relay.clock.now();
     let mut loads = lock(&relay.loads);
@@ -457,6 +479,8 @@
         relay: Arc::clone(relay),
         ids,
         is_long: plan.is_long,
+        prefill,
+        is_prefilled: AtomicBool::new(false),
     };
     RegisteredPlan {
         engines,
@@ -485,16 +509,17 @@
     tried: &[ServerName],
     model: &EngineModel,
     prompt: &PromptSize,
+    is_requeued: bool,
 ) -> Result<RegisteredPlan, (RefusalReason, Duration)> {
     let relay = &call.relay;
     let queued = QueuedPrompt {
         prefill: model.prefill_time(prompt.tokens),
+        decode: model.decode_time(prompt.max_output),
         due: call.due(),
-        objective: call.route.objective,
-        random_rank: rand::random(),
         engines: lock(&relay.tracker).of_service(&call.service).count(),
         arrived: call.arrived,
         deadline: call.deadline,
+        is_requeued,
     };
     let expires_at = queued.expires_at();
     let queue_entry = QueueEntry {
@@ -512,7 +537,9 @@
             let planned = || {
                 let all = EngineSet::All { late_chunk };
                 let planned = plan(call, &candidate_query(call, tried), model, prompt, all);
-                planned.inspect_err(|why| no_candidate = *why).ok()
+                let planned = planned.inspect_err(|why| no_candidate = *why).ok();
+                planned
+                    .filter(|planned| queued.can_complete(now, planned.plan.expected_first_event))
             };
             queue.try_start(now, queue_entry.ticket, own_box, planned)
         };
@@ -530,8 +557,12 @@
             return Err((RefusalReason::Leaving, NO_SERVER_RETRY));
         }
         if now >= expires_at {
-            let blocked_polls = lock(&relay.long_prompt_queue).blocked_polls(queue_entry.ticket);
-            call_log::prompt_expired(call, blocked_polls);
+            let (blocked_polls, priority) = {
+                let queue = lock(&relay.long_prompt_queue);
+                let ticket = queue_entry.ticket;
+                (queue.blocked_polls(ticket), queue.size_priority(ticket))
+            };
+            call_log::prompt_expired(call, blocked_polls, priority);
             let retry_after = candidates::with_jitter(queued.retry_after(now));
             return Err((RefusalReason::WouldMissDeadline, retry_after));
         }
--- a/daemon/tests/fake_peer.rs
+++ b/daemon/tests/fake_peer.rs
@@ -77,6 +77,7 @@
         unconfirmed: None,
         follows_store: false,
         queue_head: None,
+        size_counts: Vec::new(),
         faults: Vec::new(),
         cut_off: Vec::new(),
         departures: Vec::new(),
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -11,6 +11,7 @@
 use crate::relay::quarantine::QuarantineRow;
 use crate::relay::server_notices::NoticeRows;
 use crate::relay::server_paths::ServiceKey;
+use crate::relay::size_groups::SizeCount;
 use crate::relay::state_pull::FRAME_VERSION;
 use crate::relay::state_pull::KnownState;
 
@@ -60,6 +61,8 @@
     pub follows_store: bool,
     /// Next long prompt in the sender's queue, if any.
     pub queue_head: Option<QueueHead>,
+    /// Long prompts that arrived at the sender, or in its hall, and those that engines took, by size.
+    pub size_counts: Vec<SizeCount>,
     /// Servers that other servers recently reported to the sender as being at fault.
     pub faults: Vec<EngineKey>,
     /// Servers that recently began to leave or were removed, according to the store.
--- a/lib/src/relay/long_prompt_queue.rs
+++ b/lib/src/relay/long_prompt_queue.rs
@@ -3,13 +3,12 @@
 //! Engines are sent little more than they can prefill at once, so the order in which queued prompts
 //! start is decided here. A prompt is on time if its first event arrives by the time it is due.
 //! Prompts that can be on time start first, the shortest prefill before longer ones, so that as many
-//! as possible are on time. Large prompts, whose prefill takes a good part of their time objective
-//! even on as many engines as one prompt may use, start in random order among themselves: with
-//! shortest-first the largest would always be overtaken and never served under overload. The random
-//! rank favours larger prompts, since enough engines are free for them less often. A prompt that
-//! will be late on any engines starts when nothing else waits, and expires once no engines could
-//! complete it before its deadline. Where engines are few, a large prompt is nearly always late when
-//! others wait. There it keeps its rank and is prefilled on few engines in longer chunks.
+//! as possible are on time. By that order alone the largest would always be overtaken and never
+//! served under overload. A prompt whose size group is behind is therefore ordered as if its prefill
+//! were shorter, see [`size_groups`](crate::relay::size_groups). A prompt that will be late on any
+//! engines starts when nothing else waits, unless its size group is behind, and expires once no
+//! engines could complete it before its deadline. Where engines are few, a late prompt of a group that
+//! is behind is prefilled on few engines in longer chunks.
 //!
 //! The order applies across all boxes. Each box announces its first prompt, and a prompt waits
 //! while another box has one ahead of it. Otherwise all boxes would see the same engines become
@@ -24,6 +23,8 @@
 
 use crate::ids::HallName;
 use crate::relay::engine_plan::MAX_HELPERS;
+use crate::relay::size_groups::SizeGroups;
+use crate::relay::size_groups::SizePriority;
 use crate::time::Time;
 
 /// Interval at which a queued prompt checks whether it may start; shorter than any chunk.
@@ -33,21 +34,15 @@
 pub const RESERVATION_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Maximum number of engines that prefill one prompt.
 const MAX_PREFILL_ENGINES: u32 = MAX_HELPERS as u32 + 1;
-/// A prompt is large if its prefill on [`MAX_PREFILL_ENGINES`] engines takes at least this fraction
-/// of its objective. Large prompts start in random order: first come, first served would make each
-/// of them late in turn.
-const LARGE_FRACTION: f64 = 0.07;
-/// The same fraction where engines are few: a large prompt takes most of them and delays all
-/// others.
-const LARGE_FRACTION_FEW_ENGINES: f64 = 0.1;
 /// Number of engines below which they are few: one prompt may use more than half of them.
 const FEW_ENGINES: usize = 2 * MAX_PREFILL_ENGINES as usize;
-/// A large prompt's random rank is divided by its relative prefill time to this power.
-const RANK_EXPONENT: f64 = 0.6;
-/// Maximum prefill time of a chunk of a large prompt that is late and keeps its rank; long, so that
-/// few engines need to be free at once.
+/// Maximum prefill time of a chunk of a prompt that is late and keeps its place; long, so that few
+/// engines need to be free at once.
 const MAX_LATE_CHUNK: Duration = Duration::from_millis(3_500);
-/// Minimum time for passes and decoding, in addition to the prefill.
+/// Maximum fraction of its time that is kept for the response of a prompt. Its length is the limit
+/// that the caller stated, and most responses are shorter.
+const MAX_DECODE_FRACTION: f64 = 0.25;
+/// Minimum time assumed for passes and decoding, in addition to the prefill.
 const MIN_RUN_TIME: Duration = Duration::from_secs(2);
 
 /// Lifetime of another box's announcement: three times the maximum interval between the datagrams of
@@ -73,18 +68,18 @@
 pub struct QueuedPrompt {
     /// Prefill time on a single engine.
     pub prefill: Duration,
+    /// Estimated time to decode its response at its maximum length.
+    pub decode: Duration,
     /// Time at which its first event is due.
     pub due: Time,
-    /// Time from the caller's first request until the first event is due.
-    pub objective: Duration,
-    /// Random rank among large prompts, compared across all boxes; the smallest starts first.
-    pub random_rank: u16,
     /// Number of engines of its service.
     pub engines: usize,
     /// Arrival time at this box.
     pub arrived: Time,
     /// Time by which its response must be complete.
     pub deadline: Time,
+    /// Whether the same request was queued here before; it then counts as one arrival.
+    pub is_requeued: bool,
 }
 
 impl QueuedPrompt {
@@ -92,10 +87,21 @@
     ///
     /// The prompt isn't rejected earlier, since its caller would retry into the same queue.
     pub fn expires_at(&self) -> Time {
-        let run_time = MIN_RUN_TIME + self.prefill / MAX_PREFILL_ENGINES;
+        let run_time = self.decode_reserve().max(MIN_RUN_TIME) + self.prefill / MAX_PREFILL_ENGINES;
         self.arrived + self.deadline.since(self.arrived).saturating_sub(run_time)
     }
 
+    /// Whether the response can be complete before the deadline if the prompt starts now and its
+    /// first event takes this time. Otherwise its prefill would be wasted.
+    pub fn can_complete(&self, now: Time, first_event: Duration) -> bool {
+        now + first_event + self.decode_reserve() <= self.deadline
+    }
+
+    fn decode_reserve(&self) -> Duration {
+        let time = self.deadline.since(self.arrived);
+        self.decode.min(time.mul_f64(MAX_DECODE_FRACTION))
+    }
+
     /// Delay to state to the caller once the prompt has expired: until the deadline. A retry before it
     /// would be rejected as well, while a new request has its own deadline.
     pub const fn retry_after(&self, now: Time) -> Duration {
@@ -114,25 +120,10 @@
         self.engines < FEW_ENGINES
     }
 
-    /// Prefill time on a single engine from which a prompt with this objective is large.
-    fn large_prefill(&self) -> Duration {
-        let fraction = if self.has_few_engines() {
-            LARGE_FRACTION_FEW_ENGINES
-        } else {
-            LARGE_FRACTION
-        };
-        self.objective.mul_f64(fraction) * MAX_PREFILL_ENGINES
-    }
-
-    /// Whether the prompt keeps its rank among large prompts although it will be late.
-    fn keeps_rank(&self) -> bool {
-        self.has_few_engines() && self.prefill >= self.large_prefill()
-    }
-
-    /// Maximum prefill time of a chunk of a prompt that keeps its rank although it will be late;
+    /// Maximum prefill time of a chunk of a prompt that keeps its place although it will be late;
     /// `None` if the usual limits apply.
-    fn late_chunk(&self, now: Time) -> Option<Duration> {
-        if !self.will_be_late(now) || !self.keeps_rank() {
+    fn late_chunk(&self, now: Time, priority: SizePriority) -> Option<Duration> {
+        if !self.will_be_late(now) || !self.has_few_engines() || !priority.keeps_place() {
             return None;
         }
         let time_to_prefill = now.until(self.deadline).saturating_sub(2 * MIN_RUN_TIME);
@@ -140,39 +131,23 @@
     }
 
     /// Announcement of this prompt, which also determines its place in the order.
-    fn head(&self, now: Time) -> QueueHead {
-        let is_late = self.will_be_late(now) && !self.keeps_rank();
-        let large = self.large_prefill();
-        let (prefill, random_rank) = match self.prefill {
-            // Late prompts have lost most of their value: the shortest prefill starts first.
-            prefill if is_late || prefill < large => (prefill, 0),
-            prefill => (large, weighted_rank(self.random_rank, prefill, large)),
-        };
+    fn head(&self, now: Time, priority: SizePriority) -> QueueHead {
+        let ordered_by = self.prefill.mul_f64(priority.prefill_factor());
         QueueHead {
-            is_late,
-            prefill_ms: prefill.as_millis() as u32,
-            random_rank,
+            // Late prompts have lost most of their value.
+            is_late: self.will_be_late(now) && !priority.keeps_place(),
+            prefill_ms: ordered_by.as_millis() as u32,
         }
     }
 }
 
-/// Random rank of a large prompt, reduced with its prefill time so that larger prompts tend to start
-/// earlier. `large` is the prefill time from which a prompt is large.
-fn weighted_rank(random_rank: u16, prefill: Duration, large: Duration) -> u16 {
-    let ratio = prefill.as_secs_f64() / large.as_secs_f64().max(f64::MIN_POSITIVE);
-    (f64::from(random_rank) / ratio.powf(RANK_EXPONENT)) as u16
-}
-
 /// Announcement of the prompt that a box would start next. Prompts start in ascending order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct QueueHead {
-    /// Whether its first event will be late on any engines.
+    /// Whether it starts after prompts that can be on time.
     pub is_late: bool,
-    /// Prefill time on a single engine, in milliseconds; the same for all large prompts with
-    /// the same objective.
+    /// Prefill time on a single engine, in milliseconds, reduced if its size group is behind.
     pub prefill_ms: u32,
-    /// Rank among large prompts; 0 where only the prefill time decides.
-    pub random_rank: u16,
 }
 
 /// Polls at which a queued prompt could not start, by cause: the order or a lack of engines.
@@ -210,6 +185,8 @@
 pub struct LongPromptQueue {
     next_ticket: u64,
     entries: Vec<Entry>,
+    /// Served shares by size, over all boxes.
+    pub size_groups: SizeGroups,
     /// Announcements of other boxes.
     boxes: HashMap<String, Announcement>,
     /// Announcements of other halls, where halls are cells and announce one prompt each.
@@ -249,6 +226,10 @@
     pub fn push(&mut self, now: Time, prompt: QueuedPrompt) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        if !prompt.is_requeued {
+            self.size_groups.record_arrival(now, prompt.prefill);
+        }
+        self.size_groups.refresh(now);
         self.entries.push(Entry {
             ticket,
             prompt,
@@ -266,10 +247,19 @@
 
     /// The first prompt of this box, to announce to other boxes.
     pub fn head(&self, now: Time) -> Option<QueueHead> {
-        self.entries
-            .iter()
-            .map(|entry| entry.prompt.head(now))
-            .min()
+        let heads = self.entries.iter().map(|entry| self.head_of(now, entry));
+        heads.min()
+    }
+
+    fn head_of(&self, now: Time, entry: &Entry) -> QueueHead {
+        let priority = self.size_groups.priority(entry.prompt.prefill);
+        entry.prompt.head(now, priority)
+    }
+
+    /// Size group of a waiting prompt and the share of that group.
+    pub fn size_priority(&self, ticket: Ticket) -> Option<SizePriority> {
+        let entry = self.entries.iter().find(|entry| entry.ticket == ticket)?;
+        Some(self.size_groups.priority(entry.prompt.prefill))
     }
 
     /// The first prompt of all boxes of this hall, to announce to other halls.
@@ -297,14 +287,14 @@
         let first = self
             .entries
             .iter()
-            .min_by_key(|entry| (entry.prompt.head(now), entry.ticket));
+            .min_by_key(|entry| (self.head_of(now, entry), entry.ticket));
         let Some(first) = first.filter(|entry| entry.ticket == ticket) else {
             return Turn::Blocked;
         };
         if now.since(first.enqueued) < ANNOUNCEMENT_DELAY {
             return Turn::Blocked;
         }
-        let head = first.prompt.head(now);
+        let head = self.head_of(now, first);
         let is_ahead = |(name, announcement): (&String, &Announcement)| {
             announcement.is_fresh(now) && (announcement.head, name.as_str()) < (head, own)
         };
@@ -324,6 +314,7 @@
         own: &str,
         plan: impl FnOnce() -> Option<P>,
     ) -> Option<P> {
+        self.size_groups.refresh(now);
         let turn = self.turn(now, ticket, own);
         let planned = match turn {
             Turn::Blocked => None,
@@ -338,18 +329,23 @@
             entry.blocked_polls.not_first += u32::from(turn != Turn::First);
             entry.blocked_polls.too_few_engines +=
                 u32::from(turn == Turn::First && planned.is_none());
+            if planned.is_some() {
+                self.size_groups.record_start(now, entry.prompt.prefill);
+            }
         }
         planned
     }
 
-    /// Maximum prefill time of a chunk of a prompt that keeps its rank although it will be late, if
+    /// Maximum prefill time of a chunk of a prompt that keeps its place although it will be late, if
     /// other prompts wait; `None` if the usual limits apply.
     pub fn late_chunk(&self, now: Time, ticket: Ticket) -> Option<Duration> {
         let mut announcements = self.boxes.values().chain(self.halls.values());
         let others_wait =
             self.entries.len() > 1 || announcements.any(|announcement| announcement.is_fresh(now));
         let entry = self.entries.iter().find(|entry| entry.ticket == ticket)?;
-        entry.prompt.late_chunk(now).filter(|_| others_wait)
+        let priority = self.size_groups.priority(entry.prompt.prefill);
+        let chunk = entry.prompt.late_chunk(now, priority);
+        chunk.filter(|_| others_wait)
     }
 
     /// Polls at which a prompt could not start so far.
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -57,6 +57,7 @@
 pub mod server_tracker;
 pub mod shedding_servers;
 pub(crate) mod signed_time;
+pub mod size_groups;
 pub mod slow_engine_tracker;
 pub mod state_pull;
 pub mod stop_plan;
--- a/lib/src/relay/served_shares.rs
+++ b/lib/src/relay/served_shares.rs
@@ -8,9 +8,9 @@
 use serde::Serialize;
 
 /// Fraction of the prompts of a kind that form its largest group.
-const LARGEST_FRACTION: f64 = 0.1;
+pub const LARGEST_FRACTION: f64 = 0.1;
 /// Fraction of the prompts of a kind that form the group below.
-const BELOW_FRACTION: f64 = 0.2;
+pub const BELOW_FRACTION: f64 = 0.2;
 
 /// Shares of the prompts of one kind that were served, from 0 to 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -47,6 +47,7 @@
 mod test_relay_server_paths;
 mod test_relay_server_tracker;
 mod test_relay_shed_model;
+mod test_relay_size_groups;
 mod test_relay_size_groups_by_load;
 mod test_relay_slow_engine_tracker;
 mod test_relay_state_pull;
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -208,6 +208,7 @@
         unconfirmed: None,
         follows_store: true,
         queue_head: None,
+        size_counts: Vec::new(),
         faults: Vec::new(),
         cut_off: Vec::new(),
         departures: Vec::new(),
--- a/lib/tests/test_relay_long_prompt_queue.rs
+++ b/lib/tests/test_relay_long_prompt_queue.rs
@@ -10,12 +10,12 @@
 fn queued(prefill_ms: u64, due_ms: u64) -> QueuedPrompt {
     QueuedPrompt {
         prefill: Duration::from_millis(prefill_ms),
+        decode: Duration::from_millis(500),
         due: Time::from_millis(due_ms),
-        objective: Duration::from_millis(due_ms),
-        random_rank: 0,
         engines: 60,
         arrived: Time::ZERO,
         deadline: Time::from_millis(due_ms + 12_000),
+        is_requeued: false,
     }
 }
 
@@ -122,12 +122,12 @@
 fn prompt_waits_as_long_as_engines_could_meet_its_deadline() {
     let prompt = QueuedPrompt {
         prefill: Duration::from_secs(17),
+        decode: Duration::from_millis(500),
         due: Time::from_millis(3_000),
-        objective: Duration::from_secs(3),
-        random_rank: 0,
         engines: 60,
         arrived: Time::ZERO,
         deadline: Time::from_millis(15_000),
+        is_requeued: false,
     };
     let retried = QueuedPrompt {
         arrived: Time::from_millis(12_500),
@@ -161,84 +161,94 @@
     );
 }
 
-#[test]
-fn large_prompts_start_by_random_rank_after_smaller_ones() {
+/// Sizes of the prompts that arrived before, and how many of the largest engines took.
+fn queue_after(large_taken: usize) -> LongPromptQueue {
     let mut queue = LongPromptQueue::default();
-    let with_rank = |random_rank, prompt| QueuedPrompt {
-        random_rank,
-        ..prompt
-    };
-    let large = queue.push(Time::ZERO, with_rank(2, queued(6_000, 3_000)));
-    let largest = queue.push(Time::ZERO, with_rank(1, queued(40_000, 3_000)));
-    let smaller = queue.push(Time::ZERO, with_rank(3, queued(3_000, 3_000)));
-    let is_first =
-        |queue: &LongPromptQueue, ticket| queue.turn(ANNOUNCED_AT, ticket, "a") == Turn::First;
+    for index in 0..200 {
+        let is_large = index % 8 == 0;
+        let prefill = Duration::from_millis(if is_large { 25_000 } else { 3_000 });
+        queue.size_groups.record_arrival(Time::ZERO, prefill);
+        if !is_large || index / 8 < large_taken {
+            queue.size_groups.record_start(Time::ZERO, prefill);
+        }
+    }
+    queue
+}
 
-    assert!(is_first(&queue, smaller));
-    queue.remove(smaller);
-    assert!(is_first(&queue, largest));
-    queue.remove(largest);
-    assert!(is_first(&queue, large));
+#[test]
+fn shortest_prefill_starts_first_while_large_prompts_keep_up() {
+    let mut queue = queue_after(25);
+    let large = queue.push(Time::ZERO, queued(25_000, 8_000));
+    let small = queue.push(Time::ZERO, queued(3_000, 8_000));
+
+    assert_eq!(queue.turn(ANNOUNCED_AT, small, "a"), Turn::First);
+    assert_eq!(queue.turn(ANNOUNCED_AT, large, "a"), Turn::Blocked);
 }
 
 #[test]
-fn late_large_prompts_start_by_prefill_time() {
-    let mut queue = LongPromptQueue::default();
-    let now = Time::from_millis(4_000);
-    let with_rank = |random_rank, prompt| QueuedPrompt {
-        random_rank,
-        ..prompt
-    };
-    let large = queue.push(Time::ZERO, with_rank(2, queued(6_000, 3_000)));
-    let largest = queue.push(Time::ZERO, with_rank(1, queued(40_000, 3_000)));
+fn large_prompts_start_first_when_their_size_group_is_behind() {
+    let mut queue = queue_after(5);
+    let large = queue.push(Time::ZERO, queued(25_000, 8_000));
+    let small = queue.push(Time::ZERO, queued(3_000, 8_000));
 
-    assert_eq!(queue.turn(now, large, "a"), Turn::First);
-    assert_eq!(queue.turn(now, largest, "a"), Turn::Blocked);
+    assert_eq!(queue.turn(ANNOUNCED_AT, large, "a"), Turn::First);
+    assert_eq!(queue.turn(ANNOUNCED_AT, small, "a"), Turn::Blocked);
 }
 
 #[test]
-fn random_rank_favours_the_larger_of_two_large_prompts() {
-    let mut queue = LongPromptQueue::default();
-    let with_rank = |random_rank, prompt| QueuedPrompt {
-        random_rank,
-        ..prompt
+fn boxes_agree_that_a_size_group_is_behind() {
+    let there = queue_after(5);
+    let mut here = LongPromptQueue::default();
+    let counts = there.size_groups.own_counts(Time::ZERO);
+    here.size_groups.record_box(Time::ZERO, "b", &counts);
+    let large = here.push(Time::ZERO, queued(25_000, 8_000));
+    let small = here.push(Time::ZERO, queued(3_000, 8_000));
+
+    assert_eq!(here.turn(ANNOUNCED_AT, large, "a"), Turn::First);
+    assert_eq!(here.turn(ANNOUNCED_AT, small, "a"), Turn::Blocked);
+}
+
+#[test]
+fn late_prompt_starts_last_unless_its_size_group_is_behind() {
+    let now = Time::from_millis(4_000);
+    let turn_of_late = |large_taken| {
+        let mut queue = queue_after(large_taken);
+        let late = queue.push(Time::ZERO, queued(25_000, 3_000));
+        queue.push(Time::ZERO, queued(3_000, 8_000));
+        queue.turn(now, late, "a")
     };
-    let large = queue.push(Time::ZERO, with_rank(10_000, queued(4_000, 3_000)));
-    let largest = queue.push(Time::ZERO, with_rank(30_000, queued(40_000, 3_000)));
 
-    assert_eq!(queue.turn(ANNOUNCED_AT, largest, "a"), Turn::First);
-    assert_eq!(queue.turn(ANNOUNCED_AT, large, "a"), Turn::Blocked);
+    assert_eq!(turn_of_late(25), Turn::Blocked);
+    assert_eq!(turn_of_late(5), Turn::First);
 }
 
 /// Where 17 engines are most of the fleet, large prompts are late before that many are free at once.
 #[test]
-fn with_few_engines_a_late_large_prompt_keeps_its_rank() {
-    let mut queue = LongPromptQueue::default();
+fn with_few_engines_a_late_prompt_of_a_group_that_is_behind_uses_long_chunks() {
     let now = Time::from_millis(4_000);
-    let few = |random_rank, prefill_ms, due_ms| QueuedPrompt {
-        random_rank,
+    let few = |due_ms| QueuedPrompt {
         engines: 18,
-        ..queued(prefill_ms, due_ms)
+        ..queued(25_000, due_ms)
     };
-    let late = queue.push(Time::ZERO, few(1, 25_000, 3_000));
-    let large = queue.push(Time::ZERO, few(2, 25_000, 8_000));
-    let smaller = queue.push(Time::ZERO, few(3, 3_000, 8_000));
-
-    assert_eq!(queue.turn(now, smaller, "a"), Turn::First);
-    queue.remove(smaller);
-    assert_eq!(queue.turn(now, late, "a"), Turn::First);
-    assert_eq!(queue.turn(now, large, "a"), Turn::Blocked);
+    let mut queue = queue_after(5);
+    let late = queue.push(Time::ZERO, few(3_000));
+    let large = queue.push(Time::ZERO, few(8_000));
+    let mut fair = queue_after(25);
+    let late_and_fair = fair.push(Time::ZERO, few(3_000));
+    fair.push(Time::ZERO, few(8_000));
+
     assert!(queue.late_chunk(now, late) > Some(Duration::from_secs(3)));
     assert_eq!(
         queue.late_chunk(now, large),
         None,
         "the prompt can still be on time"
     );
+    assert_eq!(fair.late_chunk(now, late_and_fair), None);
 }
 
 #[test]
 fn chunk_of_a_late_prompt_ends_before_its_deadline() {
-    let mut queue = LongPromptQueue::default();
+    let mut queue = queue_after(5);
     let late = QueuedPrompt {
         engines: 18,
         ..queued(25_000, 3_000)
@@ -257,6 +267,30 @@
     assert_eq!(queue.late_chunk(Time::from_millis(12_000), ticket), None);
 }
 
+#[test]
+fn prompt_that_could_not_complete_its_response_is_not_started() {
+    let prompt = QueuedPrompt {
+        decode: Duration::from_secs(2),
+        ..queued(25_000, 3_000)
+    };
+    let now = Time::from_millis(10_000);
+
+    assert!(prompt.can_complete(now, Duration::from_secs(3)));
+    assert!(!prompt.can_complete(now, Duration::from_millis(3_100)));
+}
+
+/// A caller's limit on the length of the response is often far above the length.
+#[test]
+fn long_response_limit_does_not_expire_a_prompt_at_once() {
+    let prompt = QueuedPrompt {
+        decode: Duration::from_mins(2),
+        ..queued(3_000, 3_000)
+    };
+
+    assert!(prompt.expires_at() > Time::from_millis(10_000));
+    assert!(prompt.can_complete(Time::ZERO, Duration::from_secs(5)));
+}
+
 /// Guards against callers that are told to retry a prompt which no engines can complete any more.
 #[test]
 fn expired_prompt_is_not_invited_back_before_its_deadline() {
--- a/lib/tests/test_relay_size_groups_by_load.rs
+++ b/lib/tests/test_relay_size_groups_by_load.rs
@@ -52,13 +52,36 @@
 }
 
 #[test]
-fn size_groups_keep_half_of_their_share_with_other_spreads_of_sizes() {
-    for spread in [0.6, 1.4] {
-        let scenario = scenario_18_engines().with_long_prompts(1.8, spread);
+fn size_groups_keep_half_of_their_share_with_a_narrow_spread_of_sizes() {
+    let scenario = scenario_18_engines().with_long_prompts(1.8, 0.6);
 
-        let starved = starved_days(&scenario, GossipScope::Fleet, 8);
+    let starved = starved_days(&scenario, GossipScope::Fleet, 8);
+
+    assert!(starved.is_empty(), "{starved:?}");
+}
+
+#[test]
+fn size_groups_keep_half_of_their_share_with_a_wide_spread_of_sizes() {
+    let scenario = scenario_18_engines().with_long_prompts(1.8, 1.4);
+
+    let starved = starved_days(&scenario, GossipScope::Fleet, 8);
+
+    assert!(starved.is_empty(), "{starved:?}");
+}
+
+/// Days on which most of the largest prompts arrive in one burst.
+#[test]
+fn size_groups_of_few_prompts_keep_half_of_their_share() {
+    let days = [(1.0, 61_061), (1.8, 61_040), (2.5, 61_004), (2.5, 61_021)];
+    for (load, seed) in days {
+        let scenario = scenario_18_engines().with_long_prompts(load, 1.0);
+
+        let long_prompts = &relay_model::run(&scenario, Some(GossipScope::Fleet), seed)
+            .0
+            .served[scenario.long_kind()];
 
-        assert!(starved.is_empty(), "spread {spread}: {starved:?}");
+        let share = long_prompts.lower_relative_share();
+        assert!(share >= 0.5, "load {load}, seed {seed}: {long_prompts:?}");
     }
 }
 
--- a/testutils/src/gossip_model.rs
+++ b/testutils/src/gossip_model.rs
@@ -408,6 +408,7 @@
             unconfirmed: None,
             follows_store: at < 2,
             queue_head: None,
+            size_counts: Vec::new(),
             faults: Vec::new(),
             departures: Vec::new(),
             cut_off: Vec::new(),
--- a/testutils/src/relay_model/boxes.rs
+++ b/testutils/src/relay_model/boxes.rs
@@ -20,6 +20,7 @@
 use badgerferry_lib::relay::hall_planner::HallPlanner;
 use badgerferry_lib::relay::long_prompt_queue::LongPromptQueue;
 use badgerferry_lib::relay::long_prompt_queue::QueueHead;
+use badgerferry_lib::relay::size_groups::SizeCount;
 use badgerferry_lib::relay::slow_engine_tracker::ReportOrigin;
 use badgerferry_lib::relay::slow_engine_tracker::SlowEngineTracker;
 use badgerferry_lib::relay::stream_gaps::StreamGaps;
@@ -57,6 +58,7 @@
     pub(super) sequence: u64,
     pub(super) is_urgent: bool,
     pub(super) waits: Option<QueueHead>,
+    pub(super) size_counts: Vec<SizeCount>,
     pub(super) slow: Vec<EngineKey>,
     pub(super) rows: Vec<(EngineKey, EngineLoad)>,
 }
@@ -88,6 +90,13 @@
     rows: Vec<(EngineKey, usize, usize)>,
 }
 
+impl Planned {
+    /// Expected time to the first event.
+    pub(super) const fn first_event(&self) -> Duration {
+        self.plan.expected_first_event
+    }
+}
+
 /// One box.
 #[derive(Debug)]
 pub(super) struct ModelBox {
@@ -143,6 +152,7 @@
             sequence: self.sequence,
             is_urgent,
             waits: self.queue.head(now),
+            size_counts: self.queue.size_groups.own_counts(now),
             slow: self.paces.own_reports(now),
             rows: self.loads.own_table(now).into_iter().collect(),
         }
@@ -158,6 +168,8 @@
             .update_peer_table(now, from, 1, told.sequence, rows)
         {
             self.queue.record_box_head(now, from, told.waits);
+            let counts = &told.size_counts;
+            self.queue.size_groups.record_box(now, from, counts);
         }
     }
 
@@ -167,6 +179,7 @@
             sequence: now.as_micros() + 1,
             is_urgent: false,
             waits: self.queue.hall_head(now),
+            size_counts: self.queue.size_groups.hall_counts(now),
             slow: self.paces.hall_reports(now),
             rows: self.loads.hall_table(now, |_| true).into_iter().collect(),
         }
@@ -182,6 +195,10 @@
             .update_hall_table(now, hall, 1, told.sequence, rows)
         {
             self.queue.record_hall_head(now, hall, told.waits);
+            let counts = &told.size_counts;
+            self.queue
+                .size_groups
+                .record_hall(now, hall.as_str(), counts);
         }
     }
 
--- a/testutils/src/relay_model/run.rs
+++ b/testutils/src/relay_model/run.rs
@@ -27,6 +27,7 @@
 use crate::relay_model::boxes::EngineList;
 use crate::relay_model::boxes::ModelBox;
 use crate::relay_model::boxes::Placed;
+use crate::relay_model::boxes::Planned;
 use crate::relay_model::boxes::Rules;
 use crate::relay_model::boxes::Told;
 use crate::relay_model::engine::CallId;
@@ -70,7 +71,8 @@
     prompt: PromptSize,
     events: u32,
     ticket: Option<Ticket>,
-    expires_at: Time,
+    /// What it last queued as.
+    queued: Option<QueuedPrompt>,
     started: Time,
     parts_left: usize,
     placed: Option<Placed>,
@@ -212,7 +214,7 @@
             },
             events,
             ticket: None,
-            expires_at: Time::MAX,
+            queued: None,
             started: at,
             parts_left: 0,
             placed: None,
@@ -303,15 +305,15 @@
         let deadline = self.calls[id].at + Duration::from_millis(self.kind_of(id).deadline_ms);
         let waiting = QueuedPrompt {
             prefill: self.rules.model.prefill_time(asked.prompt.tokens),
+            decode: self.rules.model.decode_time(asked.prompt.max_output),
             due: asked.due,
-            objective: Duration::from_millis(self.kind_of(id).aim_ms),
-            random_rank: self.rng.random(),
             engines: self.engines.len(),
             arrived: self.calls[id].at,
             deadline,
+            is_requeued: self.calls[id].queued.is_some(),
         };
         let box_at = self.calls[id].box_at;
-        self.calls[id].expires_at = waiting.expires_at();
+        self.calls[id].queued = Some(waiting);
         self.calls[id].ticket = Some(self.boxes[box_at].queue.push(now, waiting));
         self.tells(now, box_at);
         self.agenda.put(now + QUEUE_POLL_INTERVAL, Event::Looks(id));
@@ -330,11 +332,15 @@
         let of = &mut self.boxes[box_at];
         let mut queue = std::mem::take(&mut of.queue);
         let rng = &mut self.rng;
-        let plan = || of.plan(now, rules, &asked, rng);
+        let waiting = self.calls[id].queued.as_ref();
+        let can_complete = |planned: &Planned| {
+            waiting.is_none_or(|queued| queued.can_complete(now, planned.first_event()))
+        };
+        let plan = || of.plan(now, rules, &asked, rng).filter(can_complete);
         let planned = queue.try_start(now, ticket, &of.name, plan);
         of.queue = queue;
         let Some(planned) = planned else {
-            if now >= self.calls[id].expires_at {
+            if waiting.is_none_or(|queued| now >= queued.expires_at()) {
                 of.queue.remove(ticket);
                 self.tells(now, box_at);
             } else {
@@ -350,6 +356,9 @@
                 .works
                 .iter()
                 .for_each(|&work| self.boxes[box_at].loads.end(work));
+            let prefill = self.rules.model.prefill_time(asked.prompt.tokens);
+            let groups = &mut self.boxes[box_at].queue.size_groups;
+            groups.record_lost_start(now, prefill);
             self.agenda
                 .put(now + RESERVATION_RETRY_DELAY, Event::Looks(id));
         } else {
