--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -21,6 +21,7 @@
 use badgerferry_lib::relay::engine_plan::EngineState;
 use badgerferry_lib::relay::engine_plan::LatencyTargets;
 use badgerferry_lib::relay::hall_planner::HallPlanner;
+use badgerferry_lib::relay::long_prompt_queue;
 use badgerferry_lib::relay::long_prompt_queue::QUEUE_POLL_INTERVAL;
 use badgerferry_lib::relay::long_prompt_queue::QueuedPrompt;
 use badgerferry_lib::relay::long_prompt_queue::RESERVATION_RETRY_DELAY;
@@ -110,9 +111,8 @@
             loads.prefill_done(id);
         }
         drop(loads);
-        self.load_entries
-            .is_prefilled
-            .store(true, Ordering::Relaxed);
+        let is_prefilled = &self.load_entries.is_prefilled;
+        is_prefilled.store(true, Ordering::Relaxed);
         self.load_entries.notify_peers();
     }
 }
@@ -514,7 +514,7 @@
     let relay = &call.relay;
     let queued = QueuedPrompt {
         prefill: model.prefill_time(prompt.tokens),
-        decode: model.decode_time(prompt.max_output),
+        decode: long_prompt_queue::decode_time(model, prompt.max_output),
         due: call.due(),
         engines: lock(&relay.tracker).of_service(&call.service).count(),
         arrived: call.arrived,
@@ -522,10 +522,8 @@
         is_requeued,
     };
     let expires_at = queued.expires_at();
-    let queue_entry = QueueEntry {
-        relay,
-        ticket: lock(&relay.long_prompt_queue).push(relay.clock.now(), queued),
-    };
+    let ticket = lock(&relay.long_prompt_queue).push(relay.clock.now(), queued);
+    let _queue_entry = QueueEntry { relay, ticket };
     relay.urgent_changed.notify_one();
     loop {
         let now = relay.clock.now();
@@ -533,7 +531,7 @@
         let own_box = &relay.settings.name;
         let ready = {
             let mut queue = lock(&relay.long_prompt_queue);
-            let late_chunk = queue.late_chunk(now, queue_entry.ticket);
+            let late_chunk = queue.late_chunk(now, ticket);
             let planned = || {
                 let all = EngineSet::All { late_chunk };
                 let planned = plan(call, &candidate_query(call, tried), model, prompt, all);
@@ -541,7 +539,7 @@
                 planned
                     .filter(|planned| queued.can_complete(now, planned.plan.expected_first_event))
             };
-            queue.try_start(now, queue_entry.ticket, own_box, planned)
+            queue.try_start(now, ticket, own_box, planned)
         };
         if let Some(planned) = ready {
             return Ok(register(relay, planned));
@@ -559,7 +557,6 @@
         if now >= expires_at {
             let (blocked_polls, priority) = {
                 let queue = lock(&relay.long_prompt_queue);
-                let ticket = queue_entry.ticket;
                 (queue.blocked_polls(ticket), queue.size_priority(ticket))
             };
             call_log::prompt_expired(call, blocked_polls, priority);
--- a/lib/src/relay/engine_plan.rs
+++ b/lib/src/relay/engine_plan.rs
@@ -123,16 +123,6 @@
         Duration::from_secs_f64(millis / 1e3)
     }
 
-    /// Time to decode a response of up to `tokens` on a busy engine. Prefill work in the same passes
-    /// about doubles their duration.
-    pub fn decode_time(&self, tokens: u64) -> Duration {
-        let passes = tokens.div_ceil(u64::from(self.steps_per_pass.max(1)));
-        let passes = u32::try_from(passes).unwrap_or(u32::MAX);
-        self.pass_time(self.slots)
-            .saturating_mul(passes)
-            .saturating_mul(2)
-    }
-
     /// Memory that plans may use, in tokens.
     pub(crate) fn usable_memory(&self) -> u64 {
         (self.memory as f64 * USABLE_MEMORY_FRACTION) as u64
--- a/lib/src/relay/long_prompt_queue.rs
+++ b/lib/src/relay/long_prompt_queue.rs
@@ -22,6 +22,7 @@
 use serde::Serialize;
 
 use crate::ids::HallName;
+use crate::relay::engine_plan::EngineModel;
 use crate::relay::engine_plan::MAX_HELPERS;
 use crate::relay::size_groups::SizeGroups;
 use crate::relay::size_groups::SizePriority;
@@ -82,6 +83,15 @@
     pub is_requeued: bool,
 }
 
+/// Time to decode a response of up to `tokens` on a busy engine. Prefill work in the same passes
+/// about doubles their duration.
+pub fn decode_time(model: &EngineModel, tokens: u64) -> Duration {
+    let passes = tokens.div_ceil(u64::from(model.steps_per_pass.max(1)));
+    let passes = u32::try_from(passes).unwrap_or(u32::MAX);
+    let pass = model.pass_time(model.slots);
+    pass.saturating_mul(passes).saturating_mul(2)
+}
+
 impl QueuedPrompt {
     /// Time from which no engines could complete the response before the deadline.
     ///
--- a/testutils/src/relay_model/run.rs
+++ b/testutils/src/relay_model/run.rs
@@ -12,6 +12,7 @@
 use badgerferry_lib::relay::gossip_topology::MIN_HALL_GOSSIP_INTERVAL;
 use badgerferry_lib::relay::gossip_topology::QUEUED_PROMPT_HEARTBEAT;
 use badgerferry_lib::relay::hall_reachability::HEARTBEAT_INTERVAL;
+use badgerferry_lib::relay::long_prompt_queue;
 use badgerferry_lib::relay::long_prompt_queue::QUEUE_POLL_INTERVAL;
 use badgerferry_lib::relay::long_prompt_queue::QueuedPrompt;
 use badgerferry_lib::relay::long_prompt_queue::RESERVATION_RETRY_DELAY;
@@ -305,7 +306,7 @@
         let deadline = self.calls[id].at + Duration::from_millis(self.kind_of(id).deadline_ms);
         let waiting = QueuedPrompt {
             prefill: self.rules.model.prefill_time(asked.prompt.tokens),
-            decode: self.rules.model.decode_time(asked.prompt.max_output),
+            decode: long_prompt_queue::decode_time(&self.rules.model, asked.prompt.max_output),
             due: asked.due,
             engines: self.engines.len(),
             arrived: self.calls[id].at,
