--- a/lib/tests/test_relay_long_prompt_queue.rs
+++ b/lib/tests/test_relay_long_prompt_queue.rs
@@ -161,6 +161,17 @@
     );
 }
 
+#[test]
+fn late_large_prompts_start_by_prefill_time() {
+    let mut queue = LongPromptQueue::default();
+    let now = Time::from_millis(4_000);
+    let large = queue.push(Time::ZERO, queued(6_000, 3_000));
+    let largest = queue.push(Time::ZERO, queued(40_000, 3_000));
+
+    assert_eq!(queue.turn(now, large, "a"), Turn::First);
+    assert_eq!(queue.turn(now, largest, "a"), Turn::Blocked);
+}
+
 /// Sizes of the prompts that arrived before, and how many of the largest engines took.
 fn queue_after(large_taken: usize) -> LongPromptQueue {
     let mut queue = LongPromptQueue::default();
--- a/lib/tests/test_relay_size_groups_by_load.rs
+++ b/lib/tests/test_relay_size_groups_by_load.rs
@@ -69,6 +69,15 @@
     assert!(starved.is_empty(), "{starved:?}");
 }
 
+#[test]
+fn size_groups_of_few_prompts_keep_half_of_their_share_at_the_highest_load() {
+    let scenario = scenario_18_engines().with_long_prompts(2.5, 1.0);
+
+    let starved = starved_days(&scenario, GossipScope::Fleet, 8);
+
+    assert!(starved.is_empty(), "{starved:?}");
+}
+
 /// Days on which most of the largest prompts arrive in one burst.
 #[test]
 fn size_groups_of_few_prompts_keep_half_of_their_share() {
