--- a/daemon/src/relay/abandoned_run.rs
+++ b/daemon/src/relay/abandoned_run.rs
@@ -140,7 +140,8 @@
         AbandonedEnd::NotWatched
     };
     let took = relay.clock.now().since(abandoned_at);
-    call_log::abandoned_run_ended(&run, end, took);
+    let open = if is_watched { took } else { Duration::ZERO };
+    call_log::abandoned_run_ended(&run, end, took, open);
     if end == AbandonedEnd::ClosedLate {
         let crashed = CrashedRun {
             started: run.sent_at,
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -148,14 +148,18 @@
     );
 }
 
-/// What the server of an abandoned run showed after the call had ended.
-pub fn abandoned_run_ended(run: &SentRun, end: AbandonedEnd, took: Duration) {
+/// What the server of an abandoned run showed after the call had ended. `open`: how long the server could
+/// still write to the connection.
+pub fn abandoned_run_ended(run: &SentRun, end: AbandonedEnd, took: Duration, open: Duration) {
     counter!("badgerferry_abandoned_calls_total", "end" => end.code()).increment(1);
+    histogram!("badgerferry_abandoned_connection_open_seconds").record(open.as_secs_f64());
     tracing::info!(
         call = run.call.id(),
+        service = %run.call.service,
         server = %run.target.name,
         end = end.code(),
         after_ms = took.as_millis() as u64,
+        open_ms = open.as_millis() as u64,
         sent_ms_ago = run.call.relay.clock.now().since(run.sent_at).as_millis() as u64,
         had_responded = run.response_started.is_some(),
         "abandoned call ended"
