relay: reset the connections of calls that have ended, and watch the server's process instead

Cause: the connection of a call that ended first was closed in one direction only, and read on for as long as the route allows a call, to keep what its server shows. To a server that notices only failed writes, or only errors of the connection, such a connection is open: what it writes is accepted. The end of the call was told in a way that only some servers understand, and the watch for evidence outlived what is promised to callers.

Now the connection is closed in one direction for a bounded time, then reset: at once when the server sends something, a tenth of a second after a response that has begun, a quarter of one before it. So the next write of any server fails within the half second. Every connection that is dropped before its response is complete is reset as well. The evidence moves from the connection to the server: a silent server's process is watched by one connection without a request, shared by its calls, and its exit counts as one of the run; a retry there is pending until the server has sent something; and as nobody would receive the pause that it may ask for, other calls prefer servers that have responded since.

The tests of what servers show afterwards stay as they are; new ones ask the same 0.9 s after the call, when the connection has been reset.

--- a/daemon/src/relay/abandoned_run.rs
+++ b/daemon/src/relay/abandoned_run.rs
@@ -1,10 +1,16 @@
 //! Runs whose call has ended while their server may still work on them.
 //!
 //! A call may end first: its caller leaves, its deadline passes, or it is silent for so long that it is
-//! tried elsewhere. What the server shows afterwards still counts: whether and when it read the call,
-//! whether it asks for a pause, or whether it crashes. So the connection of such a run is only closed in
-//! one direction. To the server that is the end of the call. The box reads on until the server sends
-//! something, closes the connection, or has had as long again as a call of the route may take.
+//! tried elsewhere. Its server has to stop within half a second of that, however it notices it; and what
+//! the server shows afterwards still counts: whether and when it read the call, whether it asks for a
+//! pause, or whether it crashes.
+//!
+//! - First the connection is closed in one direction, which most servers read, and then close it. A server
+//!   that responds instead is not waiting for that: the connection is reset at once, so that its next write
+//!   fails. If nothing is received for some tenths of a second, it is reset then.
+//! - From then on the process is watched, as long again as a call of the route may take: if it exits, the
+//!   run may have crashed it. Other calls prefer servers that have responded since, as this one may be
+//!   about to ask for a pause.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -16,20 +22,37 @@
 use badgerferry_lib::time::Time;
 use futures::future::BoxFuture;
 use tokio::runtime::Handle;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::relay::call::Call;
 use crate::relay::call_log;
+use crate::relay::call_retry::PendingSend;
 use crate::relay::connection_end;
 use crate::relay::connection_pool::Via;
-use crate::relay::half_close::HalfClose;
 use crate::relay::request_quarantine;
 use crate::relay::server_gate::Target;
+use crate::relay::server_stream::StreamControl;
+use crate::traffic::lock;
 
-/// Abandoned runs of one box that are watched at a time; further ones are closed at once.
-const MAX_WATCHED: usize = 128;
+/// Time in which a server has to stop after the caller of its call has left.
+const STOP_TIME: Duration = Duration::from_millis(500);
+/// Time for the head of a response to a call that has ended. The rest of [`STOP_TIME`] is left for the
+/// next write of a server that notices only that.
+const HEAD_TIME: Duration = Duration::from_millis(STOP_TIME.as_millis() as u64 / 2);
+/// Time in which a server that has begun to respond reads the end of the connection and closes it: a round
+/// trip between regions, and less than what a stream with rare events leaves of [`STOP_TIME`].
+const END_TIME: Duration = Duration::from_millis(STOP_TIME.as_millis() as u64 / 5);
+/// Time in which the rest of a response head arrives.
+const HEAD_REST_TIME: Duration = Duration::from_millis(20);
 /// Time in which a server that runs notices that a call has ended, and closes its connection.
 const CLOSE_TIME: Duration = Duration::from_millis(150);
+/// Abandoned runs of one box whose connection is read; others are reset at once.
+const MAX_READ_CONNECTIONS: usize = 128;
+/// Abandoned runs of one box whose server is watched.
+const MAX_WATCHED_RUNS: usize = 128;
+/// Interval at which the box checks whether a server has responded to other calls.
+const RESPONSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A call that was sent to a server.
 #[derive(Debug, Clone)]
@@ -64,6 +87,8 @@
     Closed,
     /// It closed the connection later, and may have crashed.
     ClosedLate,
+    /// Its process exited after the connection was reset.
+    Exited,
     /// It showed nothing.
     Silent,
     /// It was not watched.
@@ -77,10 +102,16 @@
             Self::Responded => "responded",
             Self::Closed => "closed",
             Self::ClosedLate => "closed_late",
+            Self::Exited => "exited",
             Self::Silent => "silent",
             Self::NotWatched => "not_watched",
         }
     }
+
+    /// Whether the process has to be examined for a crash.
+    const fn may_be_crash(self) -> bool {
+        matches!(self, Self::ClosedLate | Self::Exited)
+    }
 }
 
 /// A run whose call has ended.
@@ -88,10 +119,12 @@
 pub struct AbandonedRun {
     /// The run.
     pub run: SentRun,
-    /// Closes the sending side of its connection.
-    pub half_close: Arc<HalfClose>,
+    /// Controls its connection.
+    pub control: Arc<StreamControl>,
     /// Who made the connection.
     pub via: Via,
+    /// Tells the retry budget when the call has arrived, unless it has.
+    pub pending: Option<PendingSend>,
 }
 
 impl AbandonedRun {
@@ -104,17 +137,18 @@
     }
 }
 
-/// Counts the abandoned runs that are watched.
-struct WatchedGuard(Arc<AtomicUsize>);
+/// Counts abandoned runs.
+struct CountGuard(Arc<AtomicUsize>);
 
-impl WatchedGuard {
-    fn try_new(watched: &Arc<AtomicUsize>) -> Option<Self> {
-        let guard = Self(Arc::clone(watched));
-        (watched.fetch_add(1, Ordering::Relaxed) < MAX_WATCHED).then_some(guard)
+impl CountGuard {
+    /// `None` if there are `max` already.
+    fn try_new(count: &Arc<AtomicUsize>, max: usize) -> Option<Self> {
+        let guard = Self(Arc::clone(count));
+        (count.fetch_add(1, Ordering::Relaxed) < max).then_some(guard)
     }
 }
 
-impl Drop for WatchedGuard {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
@@ -123,26 +157,24 @@
 async fn watch(abandoned: AbandonedRun, sign: BoxFuture<'static, Sign>) {
     let AbandonedRun {
         run,
-        half_close,
+        control,
         via,
+        pending,
     } = abandoned;
     let relay = &run.call.relay;
     let abandoned_at = relay.clock.now();
-    let watched = WatchedGuard::try_new(&relay.watched_runs);
-    let is_watched = watched.is_some() && via == Via::Own && relay.held_bytes.has_room_for_call();
+    let elapsed = || relay.clock.now().since(abandoned_at);
     // Other runs of a suspect request wait for this one, and until the other boxes know of a crash.
-    let _in_progress = is_watched.then(|| request_quarantine::continue_run(&run.call));
-    let end = if is_watched {
-        half_close.request();
-        wait_for_sign(&run, sign, abandoned_at).await
+    let _in_progress = request_quarantine::continue_run(&run.call);
+    let mut end = read_on(&run, &control, via, sign).await;
+    let open = elapsed();
+    if end == AbandonedEnd::Silent {
+        end = watch_process(&run, pending, abandoned_at).await;
     } else {
-        drop(sign);
-        AbandonedEnd::NotWatched
-    };
-    let took = relay.clock.now().since(abandoned_at);
-    let open = if is_watched { took } else { Duration::ZERO };
-    call_log::abandoned_run_ended(&run, end, took, open);
-    if end == AbandonedEnd::ClosedLate {
+        drop(pending);
+    }
+    call_log::abandoned_run_ended(&run, end, elapsed(), open);
+    if end.may_be_crash() {
         let crashed = CrashedRun {
             started: run.sent_at,
             response_started: run.response_started,
@@ -153,17 +185,72 @@
     }
 }
 
-async fn wait_for_sign(
+/// Closes the connection in one direction and reads on for a short time, after which it is reset.
+async fn read_on(
     run: &SentRun,
+    control: &StreamControl,
+    via: Via,
     sign: BoxFuture<'static, Sign>,
+) -> AbandonedEnd {
+    let relay = &run.call.relay;
+    // A peer resets what it carries.
+    if via == Via::Peer || !relay.held_bytes.has_room_for_call() {
+        return AbandonedEnd::NotWatched;
+    }
+    let counted = CountGuard::try_new(&relay.abandoned_connections, MAX_READ_CONNECTIONS);
+    if counted.is_none() {
+        return AbandonedEnd::Silent;
+    }
+    control.half_close();
+    let half_closed_at = Instant::now();
+    let time = match run.response_started {
+        Some(_) => END_TIME,
+        None => HEAD_TIME,
+    };
+    let received = async {
+        control.received().await;
+        sleep(HEAD_REST_TIME).await;
+    };
+    tokio::select! {
+        biased;
+        sign = sign => match sign {
+            Sign::Sent => AbandonedEnd::Responded,
+            Sign::Closed if half_closed_at.elapsed() < CLOSE_TIME => AbandonedEnd::Closed,
+            Sign::Closed => AbandonedEnd::ClosedLate,
+        },
+        () = received => AbandonedEnd::Responded,
+        () = sleep(time) => AbandonedEnd::Silent,
+    }
+}
+
+/// Watches the process of a server whose connection was reset while it was silent. The call is pending
+/// until the server has responded to anything: one that stands still reads it later.
+async fn watch_process(
+    run: &SentRun,
+    mut pending: Option<PendingSend>,
     abandoned_at: Time,
 ) -> AbandonedEnd {
-    let call = &run.call;
-    let elapsed = || call.relay.clock.now().since(abandoned_at);
-    match timeout(call.route.time_limit, sign).await {
-        Ok(Sign::Sent) => AbandonedEnd::Responded,
-        Ok(Sign::Closed) if elapsed() < CLOSE_TIME => AbandonedEnd::Closed,
-        Ok(Sign::Closed) => AbandonedEnd::ClosedLate,
-        Err(_elapsed) => AbandonedEnd::Silent,
+    let relay = &run.call.relay;
+    let server = &run.target.name;
+    let Some(_counted) = CountGuard::try_new(&relay.abandoned_runs, MAX_WATCHED_RUNS) else {
+        return AbandonedEnd::NotWatched;
+    };
+    let until = abandoned_at + run.call.route.time_limit;
+    if run.response_started.is_none() {
+        lock(&relay.tracker).record_unanswered(abandoned_at, server, until);
+    }
+    let process = relay.process_watches.watch(&run.target, &run.address);
+    loop {
+        tokio::select! {
+            () = process.exited() => return AbandonedEnd::Exited,
+            () = sleep(RESPONSE_CHECK_INTERVAL) => {}
+        }
+        if lock(&relay.tracker).is_heard_since(abandoned_at, server) {
+            pending = None;
+        }
+        if relay.clock.now() >= until {
+            drop(pending);
+            return AbandonedEnd::Silent;
+        }
     }
 }
--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -301,17 +301,20 @@
     }
 }
 
-/// Returns a connection to the pool after a complete response, unless the server closes it.
+/// Returns a connection to the pool after a complete response, or closes it if the server does so.
 pub fn return_connection(
     call: &Call,
     server: &ServerName,
     connection: Connection,
     after: AfterResponse,
 ) {
-    if let AfterResponse::Pool { keep_alive } = after {
-        call.relay
-            .connection_pool
-            .put(server, connection, keep_alive);
+    match after {
+        AfterResponse::Close => connection.control.end_exchange(),
+        AfterResponse::Pool { keep_alive } => {
+            call.relay
+                .connection_pool
+                .put(server, connection, keep_alive);
+        }
     }
 }
 
@@ -382,14 +385,14 @@
     after: AfterResponse,
     body: Incoming,
 ) {
+    if body.is_end_stream() {
+        return_connection(call, server, connection, after);
+        return;
+    }
     let AfterResponse::Pool { keep_alive } = after else {
         return;
     };
     let (relay, server) = (Arc::clone(&call.relay), server.clone());
-    if body.is_end_stream() {
-        relay.connection_pool.put(&server, connection, keep_alive);
-        return;
-    }
     tokio::spawn(async move {
         let body = Limited::new(body, MAX_DISCARDED_BYTES).collect();
         if matches!(timeout(MAX_DISCARD_TIME, body).await, Ok(Ok(_body))) {
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -25,8 +25,6 @@
 
 use crate::relay::abandoned_run::SentRun;
 use crate::relay::call_retry::PendingSend;
-use crate::relay::half_close::HalfClose;
-use crate::relay::half_close::ServerStream;
 use crate::relay::listener::MAX_UNSENT_BYTES;
 use crate::relay::request_body::BodyPermit;
 use crate::relay::request_body::BodyTransfers;
@@ -35,6 +33,8 @@
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_path;
 use crate::relay::server_path::Destination;
+use crate::relay::server_stream::ServerStream;
+use crate::relay::server_stream::StreamControl;
 use crate::traffic::lock;
 
 /// Time after which unacknowledged bytes or unanswered probes end a connection.
@@ -98,15 +98,16 @@
     }
 }
 
-/// A connection to a server, closed when dropped.
+/// A connection to a server. When dropped it is closed, or reset if a request on it was not answered
+/// completely.
 #[derive(Debug)]
 pub struct Connection {
     sender: Option<SendRequest<RequestBody>>,
     task: AbortHandle,
     /// Who made it.
     pub via: Via,
-    /// Closes its sending side.
-    pub half_close: Arc<HalfClose>,
+    /// How it ends.
+    pub control: Arc<StreamControl>,
 }
 
 /// Who made a connection to a server.
@@ -131,6 +132,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         let sender = self.sender.as_mut();
         let sender = sender.ok_or_else(|| SendError::NotSent("closed".to_owned()))?;
+        self.control.begin_exchange();
         let interim = InterimLimit::of(&mut request);
         let response = tokio::select! {
             response = sender.try_send_request(request) => response,
@@ -313,6 +315,7 @@
     /// Returns a connection to the pool. The last response on it must be complete and belong to its
     /// call.
     pub fn put(&self, server: &ServerName, connection: Connection, keep_alive: Option<Duration>) {
+        connection.control.end_exchange();
         let idle_time = match keep_alive {
             Some(advertised) => advertised
                 .saturating_sub(KEEP_ALIVE_MARGIN)
@@ -357,8 +360,8 @@
 ///
 /// [`SendError::NotSent`]: the handshake failed.
 pub async fn open(stream: TcpStream, via: Via) -> Result<Connection, SendError> {
-    let half_close = Arc::<HalfClose>::default();
-    let stream = ServerStream::new(stream, Arc::clone(&half_close));
+    let control = Arc::<StreamControl>::default();
+    let stream = ServerStream::new(stream, Arc::clone(&control));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
@@ -370,7 +373,7 @@
         sender: Some(sender),
         task,
         via,
-        half_close,
+        control,
     })
 }
 
--- a/daemon/src/relay/server_exchange.rs
+++ b/daemon/src/relay/server_exchange.rs
@@ -15,15 +15,19 @@
 use crate::relay::call_retry::PendingSend;
 use crate::relay::connection_pool::Connection;
 use crate::relay::connection_pool::SendError;
+use crate::relay::connection_pool::Via;
 use crate::relay::request_body::RequestBody;
 use crate::relay::server_gate::Admitted;
+use crate::relay::server_stream::StreamControl;
 use crate::traffic::lock;
 
 type Answer = Result<(Response<Incoming>, Connection), SendError>;
 
 struct Running {
     answer: BoxFuture<'static, Answer>,
-    abandoned: AbandonedRun,
+    run: SentRun,
+    control: Arc<StreamControl>,
+    via: Via,
     /// Tells the retry budget when the call has arrived.
     pending: PendingSend,
 }
@@ -39,18 +43,16 @@
         admitted: Admitted,
         (run, pending): (SentRun, PendingSend),
     ) -> Self {
-        let abandoned = AbandonedRun {
-            run,
-            half_close: Arc::clone(&connection.half_close),
-            via: connection.via,
-        };
+        let (control, via) = (Arc::clone(&connection.control), connection.via);
         let answer = async move {
             let response = connection.send(request, admitted).await?;
             Ok((response, connection))
         };
         Self(Some(Running {
             answer: answer.boxed(),
-            abandoned,
+            run,
+            control,
+            via,
             pending,
         }))
     }
@@ -78,7 +80,7 @@
             Err(SendError::NotSent(_)) => self.pending.record_not_sent(),
             // A server that closes a connection runs.
             Err(SendError::Lost(_)) => {
-                let SentRun { call, target, .. } = &self.abandoned.run;
+                let SentRun { call, target, .. } = &self.run;
                 let now = call.relay.clock.now();
                 lock(&call.relay.tracker).record_heard(now, &target.name);
             }
@@ -93,19 +95,26 @@
         let Some(running) = self.0.take() else { return };
         let Running {
             answer,
-            abandoned,
+            run,
+            control,
+            via,
             pending,
         } = running;
-        let run = abandoned.run.clone();
+        let sent = run.clone();
         let sign = async move {
-            let _pending = pending;
             let Ok((response, _connection)) = answer.await else {
                 return Sign::Closed;
             };
             let (parts, _body) = response.into_parts();
-            call_attempt::record_head(&run.call, &run.target, &parts);
+            call_attempt::record_head(&sent.call, &sent.target, &parts);
             Sign::Sent
         };
+        let abandoned = AbandonedRun {
+            run,
+            control,
+            via,
+            pending: Some(pending),
+        };
         abandoned.watch(sign.boxed());
     }
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -54,6 +54,7 @@
 use crate::relay::cluster_view::ClusterView;
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::held_bytes::HeldByteAccount;
+use crate::relay::process_watches::ProcessWatches;
 use crate::relay::server_gate::GateContext;
 use crate::relay::server_gate::ServerGate;
 use crate::relay::unknown_headers::UnknownHeaders;
@@ -131,8 +132,12 @@
     pub unknown_headers: UnknownHeaders,
     /// Bytes held for slow callers and servers.
     pub held_bytes: Arc<HeldByteAccount>,
-    /// Number of abandoned runs that are watched.
-    pub watched_runs: Arc<AtomicUsize>,
+    /// Abandoned runs whose connection is still read.
+    pub abandoned_connections: Arc<AtomicUsize>,
+    /// Abandoned runs whose server is watched.
+    pub abandoned_runs: Arc<AtomicUsize>,
+    /// Server processes that may still run abandoned calls.
+    pub process_watches: ProcessWatches,
     /// Whether the own path to the servers of each service is cut.
     pub server_paths: Mutex<ServerPaths>,
     /// Notifies the task that probes paths that are cut.
@@ -224,7 +229,9 @@
             gate,
             unknown_headers: UnknownHeaders::default(),
             held_bytes,
-            watched_runs: Arc::default(),
+            abandoned_connections: Arc::default(),
+            abandoned_runs: Arc::default(),
+            process_watches: ProcessWatches::default(),
             server_paths,
             server_path_changed: Notify::new(),
             suspension: Mutex::new(SuspensionMonitor::new(clock.now())),
--- a/daemon/src/relay/stream_source.rs
+++ b/daemon/src/relay/stream_source.rs
@@ -64,8 +64,9 @@
         }
         let abandoned = AbandonedRun {
             run: self.run.clone(),
-            half_close: Arc::clone(&connection.half_close),
+            control: Arc::clone(&connection.control),
             via: connection.via,
+            pending: None,
         };
         let sign = async move {
             let _connection = connection;
--- a/daemon/tests/test_relay_abandoned_calls.rs
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -18,6 +18,8 @@
 const CALLER_PATIENCE: Duration = Duration::from_millis(100);
 /// Time after which a server declines, or crashes.
 const SERVER_DELAY: Duration = Duration::from_millis(300);
+/// The same, after the connection of an abandoned call has been reset.
+const LONG_SERVER_DELAY: Duration = Duration::from_millis(900);
 /// How long a crashed server is down.
 const DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Time in which a box learns what happened, and other boxes of it.
@@ -35,18 +37,21 @@
 
 /// Lets callers leave before a server declines, which announces something with it; then makes calls at
 /// once and returns how many of them reach that server.
-async fn calls_after_late_announcement(announce: impl Fn(&Server)) -> anyhow::Result<usize> {
+async fn calls_after_late_announcement(
+    delay: Duration,
+    announce: impl Fn(&Server),
+) -> anyhow::Result<usize> {
     let cluster = TestCluster::start(2).await?;
     let announcing = &cluster.servers[0];
     announcing.set_default_behaviour(Behaviour::Decline);
-    announcing.decline_after(SERVER_DELAY);
+    announcing.decline_after(delay);
     announce(announcing);
     let front = cluster.relay.front();
     let text = |id: &str| call("POST", "/again/a", id, "", "prompt");
     while announcing.received_calls().is_empty() {
         leave(front, &text("left")).await?;
     }
-    tokio::time::sleep(SERVER_DELAY).await;
+    tokio::time::sleep(delay).await;
     let before = announcing.received_calls().len();
 
     for index in 0..30 {
@@ -63,7 +68,17 @@
 
 #[tokio::test]
 async fn pause_requested_after_the_caller_left_is_kept() -> anyhow::Result<()> {
-    let calls = calls_after_late_announcement(|server| server.shed(Some("3"))).await?;
+    let calls =
+        calls_after_late_announcement(SERVER_DELAY, |server| server.shed(Some("3"))).await?;
+
+    assert_eq!(calls, 0, "calls in the pause");
+    Ok(())
+}
+
+#[tokio::test]
+async fn server_that_has_not_responded_to_a_caller_that_left_is_avoided() -> anyhow::Result<()> {
+    let shed = |server: &Server| server.shed(Some("3"));
+    let calls = calls_after_late_announcement(LONG_SERVER_DELAY, shed).await?;
 
     assert_eq!(calls, 0, "calls in the pause");
     Ok(())
@@ -71,7 +86,9 @@
 
 #[tokio::test]
 async fn exit_announced_after_the_caller_left_is_respected() -> anyhow::Result<()> {
-    let calls = calls_after_late_announcement(|server| server.announce_leaving(Some("1"))).await?;
+    let calls =
+        calls_after_late_announcement(SERVER_DELAY, |server| server.announce_leaving(Some("1")))
+            .await?;
 
     assert_eq!(calls, 0, "calls to a leaving server");
     Ok(())
@@ -79,7 +96,9 @@
 
 #[tokio::test]
 async fn limit_announced_after_the_caller_left_is_kept() -> anyhow::Result<()> {
-    let calls = calls_after_late_announcement(|server| server.announce_limit(Some("0"))).await?;
+    let calls =
+        calls_after_late_announcement(SERVER_DELAY, |server| server.announce_limit(Some("0")))
+            .await?;
 
     assert_eq!(calls, 0, "calls to a server that accepts none");
     Ok(())
@@ -89,11 +108,12 @@
 async fn assert_few_crashes_without_callers(
     boxes: usize,
     path: &str,
+    delay: Duration,
     configure: impl Fn(CrashRule) -> CrashRule,
 ) -> anyhow::Result<()> {
     let crash_rule = |store: &Store| {
         let crash_rule = CrashRule::on_body(CRASHING_BODY, DOWNTIME, store);
-        configure(crash_rule.silent_for(SERVER_DELAY))
+        configure(crash_rule.silent_for(delay))
     };
     let fleet = Fleet::start(boxes, 8, "boards", crash_rule).await?;
 
@@ -106,7 +126,7 @@
             CRASHING_BODY,
         );
         leave(fleet.boxes[index % boxes].front(), &text).await?;
-        tokio::time::sleep(REPORT_TIME).await;
+        tokio::time::sleep(delay + REPORT_TIME - SERVER_DELAY).await;
     }
 
     let crashes = fleet.crash_count();
@@ -120,17 +140,30 @@
 
 #[tokio::test]
 async fn request_whose_callers_leave_crashes_few_servers() -> anyhow::Result<()> {
-    assert_few_crashes_without_callers(1, "/stream/a", |rule| rule).await
+    assert_few_crashes_without_callers(1, "/stream/a", SERVER_DELAY, |rule| rule).await
 }
 
 #[tokio::test]
 async fn request_whose_callers_leave_crashes_few_servers_across_boxes() -> anyhow::Result<()> {
-    assert_few_crashes_without_callers(3, "/again/a", |rule| rule).await
+    assert_few_crashes_without_callers(3, "/again/a", SERVER_DELAY, |rule| rule).await
 }
 
 #[tokio::test]
 async fn request_whose_callers_leave_its_response_crashes_few_servers() -> anyhow::Result<()> {
-    assert_few_crashes_without_callers(2, "/stream/a", CrashRule::beginning_response).await
+    assert_few_crashes_without_callers(2, "/stream/a", SERVER_DELAY, CrashRule::beginning_response)
+        .await
+}
+
+#[tokio::test]
+async fn request_crashes_few_servers_long_after_its_callers_left() -> anyhow::Result<()> {
+    assert_few_crashes_without_callers(2, "/stream/a", LONG_SERVER_DELAY, |rule| rule).await
+}
+
+#[tokio::test]
+async fn request_crashes_few_servers_long_after_its_callers_left_the_response() -> anyhow::Result<()>
+{
+    let begins = CrashRule::beginning_response;
+    assert_few_crashes_without_callers(2, "/stream/a", LONG_SERVER_DELAY, begins).await
 }
 
 #[tokio::test]
--- a/edges/src/process_probe.rs
+++ b/edges/src/process_probe.rs
@@ -24,6 +24,8 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(2);
 /// The same, while the server is watched in the background.
 const WATCH_RECONNECT_DELAY: Duration = Duration::from_millis(20);
+/// Delay between two checks of a process that can't be watched by an open connection.
+const REPEATED_CHECK_DELAY: Duration = Duration::from_millis(250);
 
 /// Whether a server process has exited.
 #[derive(Debug)]
@@ -79,6 +81,23 @@
     matches!(state, ProcessState::Exited)
 }
 
+/// Resolves once the process at the address has exited. A process that starts again faster than a
+/// connection can be made is not noticed.
+pub async fn exited(address: &str) {
+    loop {
+        match watch_exit(address, CLOSING_TIMEOUT, RECONNECT_DELAY).await {
+            ProcessState::Exited => return,
+            ProcessState::Open(mut stream) => {
+                // Both a byte and an error mean that the connection no longer shows the process.
+                let _ = stream.read(&mut [0]).await;
+            }
+            ProcessState::Closing | ProcessState::ClosingForLong | ProcessState::Unreachable => {
+                tokio::time::sleep(REPEATED_CHECK_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Checks whether a process that closes its connections exits within the given time.
 ///
 /// An exiting process closes its connections one by one, some before it stops listening. It may
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -92,6 +92,8 @@
     breaker: Breaker,
     /// When it last sent this box anything in response to a call.
     last_heard: Option<Time>,
+    /// When a call was abandoned that it had not responded to, and until when that matters.
+    unanswered: Option<(Time, Time)>,
     /// When another server last reported it at fault to this box.
     last_fault: Option<Time>,
     /// Consecutive exclusions due to reported faults, up to `MAX_FAULT_EXCLUSIONS`.
@@ -111,6 +113,7 @@
             load: ServerLoad::default(),
             breaker: Breaker::Closed,
             last_heard: None,
+            unanswered: None,
             last_fault: None,
             fault_exclusions: 0,
             reported_leaving: None,
@@ -128,6 +131,13 @@
         self.last_heard.is_some_and(|at| now.since(at) <= recent)
     }
 
+    /// Whether it has not sent anything since a call was abandoned that it had not responded to. It may be
+    /// about to ask for a pause, which nobody would receive.
+    fn is_unanswered(&self, now: Time) -> bool {
+        let unanswered = self.unanswered.filter(|(_, until)| now < *until);
+        unanswered.is_some_and(|(since, _)| self.last_heard.is_none_or(|at| at < since))
+    }
+
     /// Whether the server is excluded after failures.
     pub fn is_excluded(&self, now: Time) -> bool {
         !self.breaker.admits(now)
@@ -253,7 +263,8 @@
     /// What a server or the operator states is always respected: leaving servers and those of
     /// evacuated halls are never included.
     /// Exclusions are only preferences: if none of the other servers accepts calls, excluded
-    /// servers are included, and finally also those in `tried`.
+    /// servers are included, and finally also those in `tried`. Servers with an abandoned call that they
+    /// have not responded to are left out as long as most others remain.
     pub fn usable(
         &self,
         now: Time,
@@ -281,7 +292,7 @@
             };
         let best = select(&|record| is_untried(record) && is_healthy(record));
         if accepts_calls(&best) {
-            return best;
+            return without_unanswered(now, best);
         }
         let untried = select(&is_untried);
         if accepts_calls(&untried) {
@@ -352,6 +363,19 @@
         }
     }
 
+    /// Records that a call was abandoned that the server had not responded to; it matters until `until`.
+    pub fn record_unanswered(&mut self, now: Time, name: &ServerName, until: Time) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.unanswered = Some((now, until));
+        }
+    }
+
+    /// Whether a server has sent anything since this time.
+    pub fn is_heard_since(&self, at: Time, name: &ServerName) -> bool {
+        let heard = self.records.get(name).and_then(|record| record.last_heard);
+        heard.is_some_and(|heard| heard >= at)
+    }
+
     /// Records that a server began to respond: a probe succeeds now, not at the end of a long call.
     pub fn call_answered(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
@@ -471,6 +495,23 @@
     if accepts_calls(&heard) { heard } else { usable }
 }
 
+/// The servers without those that have not responded to an abandoned call; all, if fewer than half of them
+/// would remain, or none that accepts calls: the others may not bear the load of all.
+fn without_unanswered(
+    now: Time,
+    usable: Vec<(&ServerRecord, Availability)>,
+) -> Vec<(&ServerRecord, Availability)> {
+    let answered = usable
+        .iter()
+        .filter(|(record, _)| !record.is_unanswered(now));
+    let answered: Vec<_> = answered.copied().collect();
+    if answered.len() * 2 >= usable.len() && accepts_calls(&answered) {
+        answered
+    } else {
+        usable
+    }
+}
+
 fn accepts_calls(servers: &[(&ServerRecord, Availability)]) -> bool {
     servers
         .iter()
--- a/lib/tests/test_relay_server_tracker.rs
+++ b/lib/tests/test_relay_server_tracker.rs
@@ -376,3 +376,41 @@
         .find(|(_, availability)| availability.accepts_calls());
     assert_eq!(accepting.map(|(record, _)| &record.info.name), Some(&b));
 }
+
+/// Time until which abandoned calls matter.
+const UNANSWERED_UNTIL: Time = Time::from_millis(4_000);
+
+#[test]
+fn server_that_has_not_responded_to_an_abandoned_call_is_left_out_until_it_responds() {
+    let mut tracker = tracker(&["a", "b"]);
+    let a = ServerName::new("a");
+    tracker.record_heard(Time::from_millis(10), &a);
+
+    tracker.record_unanswered(Time::from_millis(20), &a, UNANSWERED_UNTIL);
+
+    let without_response = pick_counts(&tracker, Time::from_millis(30), &[]);
+    assert_eq!(without_response.keys().collect::<Vec<_>>(), ["b"]);
+    tracker.call_answered(Time::from_millis(40), &a);
+    assert_eq!(pick_counts(&tracker, Time::from_millis(50), &[]).len(), 2);
+}
+
+#[test]
+fn abandoned_call_without_a_response_matters_for_a_limited_time() {
+    let mut tracker = tracker(&["a", "b"]);
+
+    tracker.record_unanswered(Time::ZERO, &ServerName::new("a"), UNANSWERED_UNTIL);
+
+    assert_eq!(pick_counts(&tracker, UNANSWERED_UNTIL, &[]).len(), 2);
+}
+
+#[test]
+fn calls_do_not_concentrate_on_few_servers_when_most_have_abandoned_calls() {
+    let mut tracker = tracker(&["a", "b", "c"]);
+
+    for name in ["a", "b"] {
+        tracker.record_unanswered(Time::ZERO, &ServerName::new(name), UNANSWERED_UNTIL);
+    }
+
+    let counts = pick_counts(&tracker, Time::from_millis(10), &[]);
+    assert_eq!(counts.len(), 3, "{counts:?}");
+}
