relay: notice callers that leave behind a buffered request or while an attempt is examined

A caller that had sent a second request before it left was not noticed: the HTTP library reads the end of a connection only once its buffer is empty. The box worked on, and so did the server, until the response was complete. Now the box peeks at the socket while a call is in progress and the library does not read.

--- a/daemon/src/relay/caller_io.rs
+++ b/daemon/src/relay/caller_io.rs
@@ -164,6 +164,8 @@
     connection: Arc<Mutex<CallerConnection>>,
     /// Whether the last write had to wait.
     is_blocked: bool,
+    /// Whether HTTP waits for bytes, and so sees the end of the connection.
+    is_reading: bool,
 }
 
 impl CallerIo {
@@ -178,6 +180,7 @@
             relay,
             connection,
             is_blocked: false,
+            is_reading: false,
         }
     }
 
@@ -185,6 +188,17 @@
         self.set_blocked(polled.is_pending());
     }
 
+    /// Whether the caller of a call in progress has left, although HTTP does not read: it has buffered a
+    /// further request.
+    fn has_left_unnoticed(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.is_reading || !matches!(lock(&self.connection).state, ConnectionState::Busy) {
+            return false;
+        }
+        let mut byte = [0];
+        let peeked = self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte));
+        matches!(peeked, Poll::Ready(Ok(0) | Err(_)))
+    }
+
     fn set_blocked(&mut self, is_blocked: bool) {
         if is_blocked == self.is_blocked {
             return;
@@ -218,6 +232,7 @@
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.is_reading = polled.is_pending();
         if buf.filled().len() > filled_before {
             let mut connection = lock(&self.connection);
             if matches!(connection.state, ConnectionState::Idle(_)) {
@@ -240,6 +255,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.has_left_unnoticed(cx) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -228,8 +228,10 @@
             }
             join.discard_partial();
             let result = tokio::select! {
-                result = call_attempt::run_attempt(call, attempts, tried, Some(&join)) => result,
+                // Nothing is sent for a caller that left while the attempt before was examined.
+                biased;
                 () = sink.tx.closed() => return "caller_gone",
+                result = call_attempt::run_attempt(call, attempts, tried, Some(&join)) => result,
             };
             end = match result {
                 AttemptResult::Live(live) => break live,
--- a/daemon/tests/test_relay_departed_callers.rs
+++ b/daemon/tests/test_relay_departed_callers.rs
@@ -11,6 +11,7 @@
 use badgerferry_standin::departure_audit::STOP_TIME;
 use badgerferry_standin::disconnect::DisconnectDetection;
 use badgerferry_standin::relay_box::TestCluster;
+use badgerferry_standin::server::Behaviour;
 use badgerferry_standin::server::Server;
 use futures::future::try_join_all;
 
@@ -140,3 +141,85 @@
     })
     .await
 }
+
+/// Sends all of `text` and leaves; the call with this id counts.
+async fn send_and_leave(
+    front: SocketAddr,
+    text: &str,
+    id: String,
+    patience: Duration,
+) -> anyhow::Result<Departure> {
+    let mut caller = Caller::connect(front).await?;
+    caller.send(text).await?;
+    tokio::time::sleep(patience).await;
+    drop(caller);
+    let at = Instant::now();
+    Ok(Departure { id, at })
+}
+
+#[tokio::test]
+async fn call_ends_though_a_second_request_is_buffered_when_its_caller_leaves() -> anyhow::Result<()>
+{
+    let cluster = TestCluster::start(4).await?;
+    for server in &cluster.servers {
+        server.delay_heads(LONG_WORK, None);
+    }
+    let front = cluster.relay.front();
+
+    let calls = (0..CALLS).map(|index| async move {
+        let text = |id: &str| call("POST", "/again/a", id, "", "prompt");
+        let id = format!("left-{index}");
+        let both = text(&id) + &text(&format!("next-{index}"));
+        send_and_leave(front, &both, id, patience(index)).await
+    });
+    let departures = try_join_all(calls).await?;
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let found = departure_audit::audit(&departures, &cluster.servers);
+    assert!(found.runs >= CALLS as usize / 2, "too few runs: {found}");
+    assert!(!found.violates(), "{found}");
+    let seen = cluster.servers.iter().flat_map(Server::received_calls);
+    let next = seen.filter(|call| call.id().starts_with("next")).count();
+    assert_eq!(next, 0, "second requests sent after their caller left");
+    Ok(())
+}
+
+#[tokio::test]
+async fn stream_ends_when_a_caller_leaves_that_reads_nothing() -> anyhow::Result<()> {
+    assert_servers_stop("/stream/large", true, |server| {
+        server.pad_large_responses(256 << 10);
+        server.slow_down(5.0);
+    })
+    .await
+}
+
+#[tokio::test]
+async fn stream_is_not_resumed_for_a_caller_that_left() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(6).await?;
+    for server in &cluster.servers {
+        server.set_default_behaviour(Behaviour::BreakAfter(1));
+    }
+    let front = cluster.relay.front();
+
+    let mut departures = Vec::new();
+    for index in 0..CALLS {
+        let (id, patience) = (format!("left-{index}"), Duration::from_millis(30));
+        departures.push(make_call(front, "/stream/a", &id, true, patience).await?);
+    }
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    // A call may be on its way as its caller leaves.
+    let in_transit = Duration::from_millis(20);
+    let seen: Vec<_> = (cluster.servers.iter())
+        .flat_map(Server::received_calls)
+        .collect();
+    let late = departures.iter().filter(|departure| {
+        let mut arrivals = seen.iter().filter(|call| call.id() == departure.id);
+        arrivals.any(|call| {
+            call.received_at
+                .is_some_and(|at| at > departure.at + in_transit)
+        })
+    });
+    assert_eq!(late.count(), 0, "resumed; log:\n{}", cluster.relay.log());
+    Ok(())
+}
