soak: kinds of servers, callers that leave at any time, and audits of the work after them

The sheet's servers notice the end of a call in three ways, its callers leave before the response, within it, within their own request or while calls wait, and half of them use kept connections. Each severity audits work after departures (rule GONE) and connections closed without a response after a sound server read the call (LOST) besides the retry rules. New severity departures: busy servers that run six calls at a time, most callers leave, servers crash.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod run;
 mod sheet_callers;
+mod sheet_report;
 mod sheet_run;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
@@ -57,7 +58,8 @@
     /// play the deployment of this site file at its whole size, and audit every retry rule
     #[argh(option)]
     sheet: Option<PathBuf>,
-    /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines
+    /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines,
+    /// departures
     #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
     severity: Severity,
     /// a seed to pass over, since it is known to fail; may be repeated
@@ -74,6 +76,7 @@
         "most-servers-still" => Ok(Severity::MostServersStill),
         "silent-crashes" => Ok(Severity::SilentCrashes),
         "late-declines" => Ok(Severity::LateDeclines),
+        "departures" => Ok(Severity::Departures),
         _ => Err(format!("unknown severity {name}")),
     }
 }
--- a/soak/src/sheet_callers.rs
+++ b/soak/src/sheet_callers.rs
@@ -1,6 +1,7 @@
 //! Callers of a deployment: they make calls of its kinds at their rates, repeat those that failed as their
 //! kinds say, and may leave.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::RawResponse;
+use badgerferry_standin::departure_audit::Departure;
 use badgerferry_standin::retry_audit::SentCall;
 use badgerferry_standin::sheet::CallKind;
 use rand::Rng;
@@ -27,6 +29,12 @@
 const CRASHING_PATIENCE: Duration = Duration::from_secs(3);
 /// Time left below which a call is not repeated.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
+/// Longest time for which a kept connection is used again; boxes close idle ones later.
+const MAX_KEPT_TIME: Duration = Duration::from_secs(2);
+/// Fraction of the calls that use a kept connection if there is one.
+const KEPT_FRACTION: f64 = 0.5;
+/// Fraction of the callers that leave in the middle of their request.
+const CUT_REQUEST_FRACTION: f64 = 0.1;
 /// Body of the request that crashes its servers.
 pub const CRASHING_BODY: &str = "crashes";
 
@@ -45,11 +53,33 @@
     pub sent: Mutex<Vec<Sent>>,
     pub served: Mutex<BTreeSet<u64>>,
     /// Fraction of the callers that leave, and when.
-    pub leaving: Mutex<Option<(f64, Duration)>>,
+    pub leaving: Mutex<Option<Leaving>>,
+    /// Callers that left.
+    pub departures: Mutex<Vec<Departure>>,
+    /// Ids of calls whose connection closed without a response, and when.
+    pub unanswered: Mutex<Vec<(String, Instant)>>,
+    /// Connections kept for further calls, by box, and since when.
+    pub kept: Mutex<BTreeMap<usize, Vec<(Caller, Instant)>>>,
     /// Calls of the request that crashes servers, per second.
     pub crashing_rate: Mutex<f64>,
 }
 
+/// Which callers leave, and when.
+#[derive(Debug, Clone, Copy)]
+pub struct Leaving {
+    pub fraction: f64,
+    pub earliest: Duration,
+    pub latest: Duration,
+}
+
+impl Leaving {
+    /// When a caller leaves, if it does.
+    fn draw(&self, rng: &mut ChaCha8Rng) -> Option<Duration> {
+        let leaves = rng.random_bool(self.fraction);
+        leaves.then(|| rng.random_range(self.earliest..=self.latest))
+    }
+}
+
 /// Makes calls at their rates until the end; waits for all of them.
 pub async fn make_calls(traffic: Arc<Traffic>, lasts: Duration, mut rng: ChaCha8Rng) {
     let rate: f64 = traffic.kinds.iter().map(|kind| kind.rate).sum();
@@ -109,13 +139,22 @@
         let index = rng.random_range(0..traffic.fronts.len());
         let id = format!("c{}-{attempt}-b{index}", one.number);
         let text = request_text(kind, &id, one.is_crashing, left, &mut rng);
-        let leaves = *lock(&traffic.leaving);
-        let patience = match leaves {
-            Some((share, after)) if rng.random_bool(share) => after.min(left),
-            _ => left,
+        let leaves_after = lock(&traffic.leaving).and_then(|leaving| leaving.draw(&mut rng));
+        let leaves_after = leaves_after.filter(|after| *after < left && !one.is_crashing);
+        let is_cut = leaves_after.is_some() && rng.random_bool(CUT_REQUEST_FRACTION);
+        let text = if is_cut {
+            &text[..text.len() - 1]
+        } else {
+            &text
         };
+        let kept = rng
+            .random_bool(KEPT_FRACTION)
+            .then(|| take_kept(&traffic, index));
         let exchange = async {
-            let mut caller = Caller::connect(traffic.fronts[index]).await?;
+            let mut caller = match kept.flatten() {
+                Some(caller) => caller,
+                None => Caller::connect(traffic.fronts[index]).await?,
+            };
             lock(&traffic.sent).push(Sent {
                 call: SentCall {
                     id: id.clone(),
@@ -125,17 +164,33 @@
                 kind: one.kind,
                 is_crashing: one.is_crashing,
             });
-            caller.send(&text).await?;
-            caller.read_response().await
+            caller.send(text).await?;
+            let response = caller.read_response().await?;
+            anyhow::Ok((caller, response))
         };
-        let response: RawResponse = match timeout(patience, exchange).await {
+        let patience = leaves_after.unwrap_or(left);
+        let (caller, response): (Caller, RawResponse) = match timeout(patience, exchange).await {
             Ok(Ok(response)) => response,
             Ok(Err(_refused)) => {
                 sleep(RECONNECT_PAUSE).await;
                 continue;
             }
-            Err(_left) => return,
+            Err(_left) => {
+                if leaves_after.is_some() {
+                    let at = Instant::now();
+                    lock(&traffic.departures).push(Departure { id, at });
+                }
+                return;
+            }
         };
+        if response.status == 0 {
+            lock(&traffic.unanswered).push((id, Instant::now()));
+        } else if response.is_complete && response.header("connection") != Some("close") {
+            let mut kept = lock(&traffic.kept);
+            kept.entry(index)
+                .or_default()
+                .push((caller, Instant::now()));
+        }
         if response.status == 200 && response.is_complete {
             lock(&traffic.served).insert(one.number);
             return;
@@ -156,6 +211,14 @@
     }
 }
 
+/// A connection to this box that was used shortly before.
+fn take_kept(traffic: &Traffic, index: usize) -> Option<Caller> {
+    let mut kept = lock(&traffic.kept);
+    let kept = kept.get_mut(&index)?;
+    kept.retain(|(_, since)| since.elapsed() < MAX_KEPT_TIME);
+    kept.pop().map(|(caller, _)| caller)
+}
+
 fn request_text(
     kind: &CallKind,
     id: &str,
--- /dev/null
+++ b/soak/src/sheet_report.rs
@@ -0,0 +1,76 @@
+//! What the run of a deployment is judged by.
+
+use std::fmt;
+
+use badgerferry_standin::departure_audit::WorkAfterDepartures;
+use badgerferry_standin::retry_audit::LateRepeats;
+use badgerferry_standin::retry_audit::WindowUse;
+
+/// Calls that a server may get from a box in a pause that it asked for.
+const MAX_CALLS_IN_PAUSE: usize = 2;
+/// Runs of a request that may come after its third crash.
+const MAX_RUNS_AFTER_CRASHES: usize = 3;
+/// Calls that may each run on more servers than their route allows.
+const MAX_CALLS_BEYOND_ATTEMPTS: usize = 3;
+/// Connections that a box may close without a response to a call that a sound server has read.
+const MAX_LOST: usize = 3;
+
+/// Result of a run.
+#[derive(Debug)]
+pub struct Report {
+    pub calls: usize,
+    pub served: usize,
+    pub repeats: usize,
+    pub worst: Option<WindowUse>,
+    pub beyond: usize,
+    pub late: LateRepeats,
+    pub crashes: usize,
+    pub runs_after_crashes: usize,
+    pub in_pauses: usize,
+    pub work: WorkAfterDepartures,
+    pub lost: usize,
+}
+
+impl Report {
+    /// The rules that are violated.
+    pub fn violated(&self) -> Vec<&'static str> {
+        let is_over = self.worst.is_some_and(|worst| worst.fraction() > 1.0);
+        let rules = [
+            (is_over, "sum of retries"),
+            (self.beyond > MAX_CALLS_BEYOND_ATTEMPTS, "servers of a call"),
+            (self.late.violate(), "time told"),
+            (
+                self.runs_after_crashes > MAX_RUNS_AFTER_CRASHES,
+                "request that crashes servers",
+            ),
+            (self.in_pauses > MAX_CALLS_IN_PAUSE, "calls in a pause"),
+            (self.work.violates(), "work after departures"),
+            (self.lost > MAX_LOST, "closed without a response"),
+        ];
+        let violated = rules.into_iter().filter(|(is_violated, _)| *is_violated);
+        violated.map(|(_, rule)| rule).collect()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { calls, served, .. } = self;
+        let worst = self.worst.map_or((0, 0.0), |w| (w.retries, w.allowed));
+        write!(
+            f,
+            "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, told too late {} of \
+             {}, beyond attempts {}, crashes {}, runs after them {}, in a pause {}, {}, closed without a response {}",
+            self.repeats,
+            worst.0,
+            worst.1,
+            self.late.too_much,
+            self.late.late,
+            self.beyond,
+            self.crashes,
+            self.runs_after_crashes,
+            self.in_pauses,
+            self.work,
+            self.lost
+        )
+    }
+}
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -5,7 +5,6 @@
 //! are stopped and started again. Troubles overlap and come in series.
 
 use std::collections::BTreeSet;
-use std::fmt;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,15 +13,17 @@
 
 use anyhow::Context;
 use badgerferry_standin::crashes::CrashRule;
+use badgerferry_standin::departure_audit;
+use badgerferry_standin::departure_audit::Departure;
+use badgerferry_standin::departure_audit::STOP_TIME;
+use badgerferry_standin::disconnect::DisconnectDetection;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::random_loopback_ip;
 use badgerferry_standin::relay_box::settings;
 use badgerferry_standin::relay_box::with_retry_slack;
 use badgerferry_standin::retry_audit;
 use badgerferry_standin::retry_audit::BudgetTerms;
-use badgerferry_standin::retry_audit::LateRepeats;
 use badgerferry_standin::retry_audit::SentCall;
-use badgerferry_standin::retry_audit::WindowUse;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::sheet::Sheet;
 use badgerferry_standin::store::Store;
@@ -35,26 +36,27 @@
 use tokio::time::sleep_until;
 
 use crate::sheet_callers::CRASHING_BODY;
+use crate::sheet_callers::Leaving;
 use crate::sheet_callers::Traffic;
 use crate::sheet_callers::lock;
 use crate::sheet_callers::make_calls;
+use crate::sheet_report::Report;
 
 /// Time before the first trouble, in which boxes earn retries.
 const WARM_UP: Duration = Duration::from_secs(11);
-/// Calls that a server may get from a box in a pause that it asked for.
-const MAX_CALLS_IN_PAUSE: usize = 2;
 /// Time after a refusal in which calls that are on the way do not count.
 const PAUSE_TOLERANCE: Duration = Duration::from_millis(500);
-/// Time after the third crash from which on runs of the request count, and how many may.
+/// Time after the third crash from which on runs of the request count.
 const CRASH_TOLERANCE: Duration = Duration::from_secs(4);
-const MAX_RUNS_AFTER_CRASHES: usize = 3;
 /// Time before a pause in which a disturbance of the box excuses what follows.
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
-/// Calls that may each run on more servers than their route allows.
-const MAX_CALLS_BEYOND_ATTEMPTS: usize = 3;
+/// Interval of the interim responses of servers that notice only failed writes.
+const INTERIM_INTERVAL: Duration = Duration::from_millis(150);
+/// Calls that each server runs at a time where [`Severity::Departures`] is played.
+const MAX_RUNNING: usize = 6;
 
 /// What befalls servers and boxes.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy)]
 enum Trouble {
     /// This fraction of the servers stands still.
     ServersStill(f64),
@@ -73,8 +75,10 @@
     BoxesKilled(f64),
     /// One box after the other is told to stop, and started again.
     BoxesStopped,
-    /// This fraction of the callers leaves after the time.
-    CallersLeave(f64, Duration),
+    /// Callers leave.
+    CallersLeave(Leaving),
+    /// Servers need this long until they respond, and run only a few calls at a time.
+    ServersBusy(Duration),
     /// A request crashes its servers, after this silence; the calls of it in a second.
     CrashingRequest(Duration, f64),
 }
@@ -97,6 +101,17 @@
     SilentCrashes,
     /// Servers decline calls whose callers have left.
     LateDeclines,
+    /// Most callers leave at any time while servers are busy and crash.
+    Departures,
+}
+
+/// Callers leave at any time between these.
+const fn leave(fraction: f64, earliest: Duration, latest: Duration) -> Trouble {
+    Trouble::CallersLeave(Leaving {
+        fraction,
+        earliest,
+        latest,
+    })
 }
 
 fn draw(rng: &mut ChaCha8Rng, severity: Severity, lasts: Duration) -> Vec<Scheduled> {
@@ -122,8 +137,25 @@
         }
         Severity::LateDeclines => vec![
             whole(Trouble::ServersShed(0.4, Duration::from_millis(300), 3)),
-            whole(Trouble::CallersLeave(0.7, Duration::from_millis(100))),
+            whole(leave(
+                0.7,
+                Duration::from_millis(100),
+                Duration::from_millis(100),
+            )),
         ],
+        Severity::Departures => {
+            let crashes = (0..turns).map(|turn| Scheduled {
+                at: secs(turn as f64 * 5.0 + 2.0),
+                lasts: secs(1.0),
+                trouble: Trouble::ServersCrash(0.17),
+            });
+            let whole = [
+                whole(Trouble::ServersBusy(Duration::from_millis(700))),
+                whole(leave(0.6, secs(0.05), secs(2.0))),
+                whole(Trouble::CrashingRequest(Duration::from_millis(300), 1.0)),
+            ];
+            crashes.chain(whole).collect()
+        }
         Severity::Usual => (0..rng.random_range(8..16))
             .map(|_| Scheduled {
                 at: lasts.mul_f64(rng.random_range(0.0..0.9)),
@@ -137,7 +169,7 @@
                     7 => Trouble::BoxesStill(0.2),
                     8 => Trouble::BoxesKilled(rng.random_range(0.16..1.0)),
                     9 => Trouble::BoxesStopped,
-                    10 => Trouble::CallersLeave(0.2, secs(rng.random_range(0.05..2.0))),
+                    10 => leave(0.2, secs(0.05), secs(2.0)),
                     _ => Trouble::CrashingRequest(secs(rng.random_range(0.0..3.0)), 1.0),
                 },
             })
@@ -145,60 +177,6 @@
     }
 }
 
-/// Result of a run.
-#[derive(Debug)]
-pub struct Report {
-    calls: usize,
-    served: usize,
-    repeats: usize,
-    worst: Option<WindowUse>,
-    beyond: usize,
-    late: LateRepeats,
-    crashes: usize,
-    runs_after_crashes: usize,
-    in_pauses: usize,
-}
-
-impl Report {
-    /// The rules that are violated.
-    fn violated(&self) -> Vec<&'static str> {
-        let is_over = self.worst.is_some_and(|worst| worst.fraction() > 1.0);
-        let rules = [
-            (is_over, "sum of retries"),
-            (self.beyond > MAX_CALLS_BEYOND_ATTEMPTS, "servers of a call"),
-            (self.late.violate(), "time told"),
-            (
-                self.runs_after_crashes > MAX_RUNS_AFTER_CRASHES,
-                "request that crashes servers",
-            ),
-            (self.in_pauses > MAX_CALLS_IN_PAUSE, "calls in a pause"),
-        ];
-        let violated = rules.into_iter().filter(|(is_violated, _)| *is_violated);
-        violated.map(|(_, rule)| rule).collect()
-    }
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { calls, served, .. } = self;
-        let worst = self.worst.map_or((0, 0.0), |w| (w.retries, w.allowed));
-        write!(
-            f,
-            "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, told too late {} of \
-             {}, beyond attempts {}, crashes {}, runs after them {}, in a pause {}",
-            self.repeats,
-            worst.0,
-            worst.1,
-            self.late.too_much,
-            self.late.late,
-            self.beyond,
-            self.crashes,
-            self.runs_after_crashes,
-            self.in_pauses
-        )
-    }
-}
-
 struct Deployment {
     store: Store,
     servers: Vec<Server>,
@@ -238,7 +216,7 @@
     if violated.is_empty() {
         return Ok(report);
     }
-    let logs = deployment.save_logs(&sheet.name, seed)?;
+    let logs = deployment.save_logs(&sheet.name, seed, &report)?;
     anyhow::bail!("{violated:?}: {report}; logs in {logs}")
 }
 
@@ -254,6 +232,8 @@
                 server.set_prefill_rate(rate);
             }
             server.set_events(plan.events);
+            server.detect_disconnects(detection(servers.len()));
+            server.delay_heads(Duration::ZERO, interim_interval(servers.len()));
             store.put(&server.key(), &server.entry("ready"));
             servers.push(server);
         }
@@ -310,8 +290,10 @@
             | Trouble::ServersCrash(share) => (self.servers.len(), share),
             Trouble::BoxesStill(share) | Trouble::BoxesKilled(share) => (self.boxes.len(), share),
             Trouble::BoxesStopped => (self.boxes.len(), 0.0),
-            Trouble::CallsLost(_) | Trouble::CrashingRequest(..) => (self.servers.len(), 1.0),
-            Trouble::CallersLeave(..) => (0, 0.0),
+            Trouble::CallsLost(_) | Trouble::CrashingRequest(..) | Trouble::ServersBusy(_) => {
+                (self.servers.len(), 1.0)
+            }
+            Trouble::CallersLeave(_) => (0, 0.0),
         };
         let mut all: Vec<usize> = (0..count).collect();
         all.shuffle(rng);
@@ -348,8 +330,15 @@
                 let rate = if begins { per_s } else { 0.0 };
                 *lock(&self.traffic.crashing_rate) = rate;
             }
-            Trouble::CallersLeave(share, after) => {
-                *lock(&self.traffic.leaving) = begins.then_some((share, after));
+            Trouble::CallersLeave(leaving) => {
+                *lock(&self.traffic.leaving) = begins.then_some(leaving);
+            }
+            Trouble::ServersBusy(delay) => {
+                for (index, server) in servers().enumerate() {
+                    let delay = if begins { delay } else { Duration::ZERO };
+                    server.delay_heads(delay, interim_interval(index));
+                    server.limit_running(begins.then_some(MAX_RUNNING));
+                }
             }
             Trouble::BoxesStill(_) => {
                 for index in affected {
@@ -421,9 +410,41 @@
                 CRASH_TOLERANCE,
             ),
             in_pauses: self.calls_in_pauses(),
+            work: departure_audit::audit(&self.undisturbed_departures(), &self.servers),
+            lost: self.lost(),
         }
     }
 
+    /// Whether the box of a call was disturbed shortly before or after this time.
+    fn is_disturbed(&self, id: &str, at: Instant) -> bool {
+        let disturbed = box_of(id).map_or(&[][..], |index| &self.disturbed[index]);
+        disturbed
+            .iter()
+            .any(|disturbed| *disturbed + DISTURBANCE_MARGIN >= at && *disturbed <= at + STOP_TIME)
+    }
+
+    fn undisturbed_departures(&self) -> Vec<Departure> {
+        let mut departures = lock(&self.traffic.departures).clone();
+        departures.retain(|departure| !self.is_disturbed(&departure.id, departure.at));
+        departures
+    }
+
+    /// Calls whose connection was closed without a response although a server read them that did not
+    /// crash then.
+    fn lost(&self) -> usize {
+        let unanswered = lock(&self.traffic.unanswered).clone();
+        let lost = unanswered.iter().filter(|(id, at)| {
+            let mut servers = self.servers.iter();
+            !self.is_disturbed(id, *at)
+                && servers.any(|server| {
+                    let calls = server.received_calls();
+                    let mut read = calls.iter().filter(|call| call.id() == id);
+                    read.any(|call| call.lost_in_crash.is_none())
+                })
+        });
+        lost.count()
+    }
+
     /// The most calls that a server got from one box in a pause that it had asked for. A box that was
     /// disturbed meanwhile is excused.
     fn calls_in_pauses(&self) -> usize {
@@ -476,7 +497,7 @@
         lines
     }
 
-    fn save_logs(&self, name: &str, seed: u64) -> anyhow::Result<String> {
+    fn save_logs(&self, name: &str, seed: u64, report: &Report) -> anyhow::Result<String> {
         let dir = std::env::temp_dir().join(format!("badgerferry-soak-{name}-{seed}"));
         std::fs::create_dir_all(&dir)?;
         for (index, a_box) in self.boxes.iter().enumerate() {
@@ -484,10 +505,26 @@
             std::fs::write(path, a_box.log()).context("failed to save a log")?;
         }
         std::fs::write(dir.join("arrivals.jsonl"), self.arrivals())?;
+        std::fs::write(dir.join("departures.txt"), format!("{:#?}", report.work))?;
         Ok(dir.display().to_string())
     }
 }
 
+/// How the server with this index notices that a caller has left.
+const fn detection(index: usize) -> DisconnectDetection {
+    match index % 4 {
+        0 | 1 => DisconnectDetection::FailedWrite,
+        2 => DisconnectDetection::EndOfInput,
+        _ => DisconnectDetection::ConnectionError,
+    }
+}
+
+/// Servers that notice only failed writes write while they work.
+fn interim_interval(index: usize) -> Option<Duration> {
+    let notices_writes = detection(index) == DisconnectDetection::FailedWrite;
+    notices_writes.then_some(INTERIM_INTERVAL)
+}
+
 /// Index of the box to which a call with this id was sent.
 fn box_of(id: &str) -> Option<usize> {
     id.rsplit_once("-b")?.1.parse().ok()
