relay: reset the connections of abandoned calls even where HTTP closes them in order

A response that nobody reads makes the HTTP library close its connection in order as soon as the body is dropped, which may come before the connection itself is dropped: then it was closed, not reset. Found by reading. Orders and reports of the box itself are closed in order as before: a release that a cut path holds back must arrive.

--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -132,7 +132,6 @@
     ) -> Result<Response<Incoming>, SendError> {
         let sender = self.sender.as_mut();
         let sender = sender.ok_or_else(|| SendError::NotSent("closed".to_owned()))?;
-        self.control.begin_exchange();
         let interim = InterimLimit::of(&mut request);
         let response = tokio::select! {
             response = sender.try_send_request(request) => response,
--- a/daemon/src/relay/server_exchange.rs
+++ b/daemon/src/relay/server_exchange.rs
@@ -44,6 +44,7 @@
         (run, pending): (SentRun, PendingSend),
     ) -> Self {
         let (control, via) = (Arc::clone(&connection.control), connection.via);
+        control.begin_exchange();
         let answer = async move {
             let response = connection.send(request, admitted).await?;
             Ok((response, connection))
@@ -100,6 +101,7 @@
             via,
             pending,
         } = running;
+        control.abandon();
         let sent = run.clone();
         let sign = async move {
             let Ok((response, _connection)) = answer.await else {
--- a/daemon/src/relay/server_stream.rs
+++ b/daemon/src/relay/server_stream.rs
@@ -27,6 +27,8 @@
 pub struct StreamControl {
     /// Whether a request was sent and its response is not complete.
     is_exchanging: AtomicBool,
+    /// Whether the call of that request has ended.
+    is_abandoned: AtomicBool,
     must_half_close: AtomicBool,
     is_half_closed: AtomicBool,
     reader: AtomicWaker,
@@ -44,6 +46,12 @@
         self.is_exchanging.store(false, Ordering::Release);
     }
 
+    /// Records that the call of the request has ended: the stream is reset even if HTTP closes it in order,
+    /// as it does for a response that nobody reads.
+    pub fn abandon(&self) {
+        self.is_abandoned.store(true, Ordering::Release);
+    }
+
     /// Closes the sending side: the server can read the end, and what it still sends is received.
     pub fn half_close(&self) {
         self.must_half_close.store(true, Ordering::Release);
@@ -70,8 +78,10 @@
 pub struct ServerStream {
     stream: TcpStream,
     control: Arc<StreamControl>,
-    /// Whether either side has closed it in order.
-    has_ended: bool,
+    /// Whether the server has closed it.
+    has_server_closed: bool,
+    /// Whether HTTP has closed it in order.
+    is_shut_down: bool,
 }
 
 impl ServerStream {
@@ -80,14 +90,18 @@
         Self {
             stream,
             control,
-            has_ended: false,
+            has_server_closed: false,
+            is_shut_down: false,
         }
     }
 }
 
 impl Drop for ServerStream {
     fn drop(&mut self) {
-        if self.control.is_exchanging.load(Ordering::Acquire) && !self.has_ended {
+        let is_incomplete = self.control.is_exchanging.load(Ordering::Acquire);
+        let is_abandoned = self.control.is_abandoned.load(Ordering::Acquire);
+        let must_reset = is_abandoned || is_incomplete && !self.is_shut_down;
+        if must_reset && !self.has_server_closed {
             // On failure the stream is closed in order, which most servers notice as well.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
@@ -108,7 +122,7 @@
             self.control.received.notify_one();
         }
         if !has_received && matches!(polled, Poll::Ready(Ok(()))) {
-            self.has_ended = true;
+            self.has_server_closed = true;
         }
         polled
     }
@@ -128,7 +142,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.has_ended = true;
+        self.is_shut_down = true;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
--- a/daemon/src/relay/stream_source.rs
+++ b/daemon/src/relay/stream_source.rs
@@ -62,6 +62,7 @@
         if self.has_ended {
             return;
         }
+        connection.control.abandon();
         let abandoned = AbandonedRun {
             run: self.run.clone(),
             control: Arc::clone(&connection.control),
--- a/daemon/tests/test_relay_abandoned_calls.rs
+++ b/daemon/tests/test_relay_abandoned_calls.rs
@@ -126,7 +126,7 @@
             CRASHING_BODY,
         );
         leave(fleet.boxes[index % boxes].front(), &text).await?;
-        tokio::time::sleep(delay + REPORT_TIME - SERVER_DELAY).await;
+        tokio::time::sleep(delay.saturating_sub(SERVER_DELAY) + REPORT_TIME).await;
     }
 
     let crashes = fleet.crash_count();
