--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -334,9 +334,10 @@
                 *lock(&self.traffic.leaving) = begins.then_some(leaving);
             }
             Trouble::ServersBusy(delay) => {
-                for (index, server) in servers().enumerate() {
+                for index in affected {
                     let delay = if begins { delay } else { Duration::ZERO };
-                    server.delay_heads(delay, interim_interval(index));
+                    let server = &self.servers[*index];
+                    server.delay_heads(delay, interim_interval(*index));
                     server.limit_running(begins.then_some(MAX_RUNNING));
                 }
             }
