--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -23,6 +23,7 @@
 mod test_relay_evacuation_pulls;
 mod test_relay_leaving;
 mod test_relay_limits;
+mod test_relay_odd_entries;
 mod test_relay_prompt_parts;
 mod test_relay_refused_connections;
 mod test_relay_reservations;
