selection: take a server's slots from its own responses, if it states them

An entry with 4,294,967,295 slots drew 88 to 91 of 93 calls of a plain service, as its server never seemed loaded. The entry may be another writer's; what the server states with its responses is its own. Until its first response the entry still counts.

Seen failing before: server_whose_entry_states_too_many_slots_does_not_take_all_calls.

--- a/daemon/tests/test_relay_odd_entries.rs
+++ b/daemon/tests/test_relay_odd_entries.rs
@@ -152,3 +152,38 @@
 
     assert_follows(&mut cluster, "added").await
 }
+
+#[tokio::test]
+async fn server_whose_entry_states_too_many_slots_does_not_take_all_calls() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(3).await?;
+    for server in &cluster.servers {
+        server.add_header("Badgerferry-Server-Load", "1,0,16");
+    }
+    let odd = &cluster.servers[0];
+    let mut entry = odd.entry("ready");
+    entry["slots"] = json!(u32::MAX);
+    cluster.store.put(&odd.key(), &entry);
+    tokio::time::sleep(FOLLOW_TIME).await;
+
+    let front = cluster.relay.front();
+    while odd.received_calls().is_empty() {
+        Caller::exchange(front, &call("GET", "/again/a", "first", "", "")).await?;
+    }
+    let calls = (0..90).map(|index| async move {
+        let text = call("GET", "/again/a", &format!("call-{index}"), "", "");
+        Caller::exchange(front, &text).await
+    });
+    let responses = futures::future::try_join_all(calls).await?;
+
+    assert!(responses.iter().all(|response| response.status == 200));
+    let shares = cluster
+        .servers
+        .iter()
+        .map(|server| server.received_calls().len());
+    let shares: Vec<usize> = shares.collect();
+    assert!(
+        shares.iter().all(|calls| *calls >= 10),
+        "calls by server: {shares:?}"
+    );
+    Ok(())
+}
--- a/lib/src/relay/plain_selection.rs
+++ b/lib/src/relay/plain_selection.rs
@@ -103,6 +103,11 @@
         self.was_full = report.decline_cause() == DeclineCause::Full;
     }
 
+    /// Number of calls that the server runs at once, as it said last.
+    pub fn slots(&self) -> Option<u32> {
+        self.report.map(|report| report.slots)
+    }
+
     /// Calls at the server, fading with the age of the report.
     fn calls(&self, now: Time) -> f64 {
         self.report.map_or(0.0, |report| {
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -155,7 +155,8 @@
     fn as_plain(&self, hall: &HallName, availability: Availability) -> PlainServer<'_> {
         PlainServer {
             load: &self.load,
-            slots: self.info.slots,
+            // The entry may be another writer's.
+            slots: self.load.slots().unwrap_or(self.info.slots),
             in_flight: self.in_flight,
             failure_rate: self.failure_rate,
             is_local: self.info.hall == *hall,
