--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -59,7 +59,7 @@
     #[argh(option)]
     sheet: Option<PathBuf>,
     /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines,
-    /// departures
+    /// departures, part-crashes
     #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
     severity: Severity,
     /// a seed to pass over, since it is known to fail; may be repeated
@@ -76,6 +76,7 @@
         "most-servers-still" => Ok(Severity::MostServersStill),
         "silent-crashes" => Ok(Severity::SilentCrashes),
         "late-declines" => Ok(Severity::LateDeclines),
+        "part-crashes" => Ok(Severity::PartCrashes),
         "departures" => Ok(Severity::Departures),
         _ => Err(format!("unknown severity {name}")),
     }
--- a/soak/src/sheet_callers.rs
+++ b/soak/src/sheet_callers.rs
@@ -35,6 +35,11 @@
 const KEPT_FRACTION: f64 = 0.5;
 /// Fraction of the callers that leave in the middle of their request.
 const CUT_REQUEST_FRACTION: f64 = 0.1;
+/// Parts with which prompts begin, and their size in tokens.
+const SHARED_PARTS: u32 = 60;
+const SHARED_TOKENS: f64 = 40.0;
+/// Id of the part that crashes servers.
+pub const CRASHING_PART: &str = "bad0bad0";
 /// Body of the request that crashes its servers.
 pub const CRASHING_BODY: &str = "crashes";
 
@@ -42,7 +47,16 @@
 pub struct Sent {
     pub call: SentCall,
     pub kind: usize,
-    pub is_crashing: bool,
+    pub crashing: Option<Crashing>,
+}
+
+/// What makes a call crash its servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Crashing {
+    /// All of the request.
+    Request,
+    /// A part of its prompt, which it shares with others.
+    Part,
 }
 
 /// What callers share.
@@ -60,8 +74,8 @@
     pub unanswered: Mutex<Vec<(String, Instant)>>,
     /// Connections kept for further calls, by box, and since when.
     pub kept: Mutex<BTreeMap<usize, Vec<(Caller, Instant)>>>,
-    /// Calls of the request that crashes servers, per second.
-    pub crashing_rate: Mutex<f64>,
+    /// What calls that crash their servers do it with, and how many come per second.
+    pub crashing: Mutex<Option<(Crashing, f64)>>,
 }
 
 /// Which callers leave, and when.
@@ -99,16 +113,17 @@
             left > 0.0
         });
         let kind = drawn.count().min(traffic.kinds.len() - 1);
-        let crashing_rate = *lock(&traffic.crashing_rate);
-        let is_crashing = crashing_rate * last_crashing.elapsed().as_secs_f64() >= 1.0;
+        let crashing = lock(&traffic.crashing)
+            .filter(|(_, rate)| rate * last_crashing.elapsed().as_secs_f64() >= 1.0)
+            .map(|(crashing, _)| crashing);
         let caller_rng = ChaCha8Rng::seed_from_u64(rng.random());
-        if is_crashing {
+        if crashing.is_some() {
             last_crashing = Instant::now();
         }
         let one = OneCall {
             number,
-            kind: if is_crashing { 0 } else { kind },
-            is_crashing,
+            kind: if crashing.is_some() { 0 } else { kind },
+            crashing,
         };
         calls.spawn(make_call(Arc::clone(&traffic), one, caller_rng));
     }
@@ -119,13 +134,13 @@
 struct OneCall {
     number: u64,
     kind: usize,
-    is_crashing: bool,
+    crashing: Option<Crashing>,
 }
 
 /// Makes a call, and repeats it as its kind says.
 async fn make_call(traffic: Arc<Traffic>, one: OneCall, mut rng: ChaCha8Rng) {
     let kind = &traffic.kinds[one.kind];
-    let deadline = if one.is_crashing {
+    let deadline = if one.crashing == Some(Crashing::Request) {
         CRASHING_PATIENCE
     } else {
         kind.deadline
@@ -138,9 +153,10 @@
         }
         let index = rng.random_range(0..traffic.fronts.len());
         let id = format!("c{}-{attempt}-b{index}", one.number);
-        let text = request_text(kind, &id, one.is_crashing, left, &mut rng);
+        let text = request_text(kind, &id, one.crashing, left, &mut rng);
         let leaves_after = lock(&traffic.leaving).and_then(|leaving| leaving.draw(&mut rng));
-        let leaves_after = leaves_after.filter(|after| *after < left && !one.is_crashing);
+        let leaves_after =
+            leaves_after.filter(|after| *after < left && one.crashing != Some(Crashing::Request));
         let is_cut = leaves_after.is_some() && rng.random_bool(CUT_REQUEST_FRACTION);
         let text = if is_cut {
             &text[..text.len() - 1]
@@ -162,7 +178,7 @@
                     deadline: left,
                 },
                 kind: one.kind,
-                is_crashing: one.is_crashing,
+                crashing: one.crashing,
             });
             caller.send(text).await?;
             let response = caller.read_response().await?;
@@ -222,21 +238,28 @@
 fn request_text(
     kind: &CallKind,
     id: &str,
-    is_crashing: bool,
+    crashing: Option<Crashing>,
     left: Duration,
     rng: &mut ChaCha8Rng,
 ) -> String {
-    let body = match (is_crashing, kind.method.as_str()) {
-        (true, _) => CRASHING_BODY.to_owned(),
-        (false, "GET") => String::new(),
-        (false, _) => format!("prompt {id}"),
+    let body = match (crashing, kind.method.as_str()) {
+        (Some(Crashing::Request), _) => CRASHING_BODY.to_owned(),
+        (_, "GET") => String::new(),
+        (_, _) => format!("prompt {id}"),
     };
     let (prompt, response) = kind.tokens;
     let counts = if prompt > 0.0 {
         let size = rng.random_range(0.5..1.5);
+        let first = match crashing {
+            Some(Crashing::Part) => CRASHING_PART.to_owned(),
+            _ => format!("{:08x}", rng.random_range(1..SHARED_PARTS)),
+        };
+        let own = rng.random::<u32>();
         format!(
-            "Badgerferry-Token-Counts: {:.0},{response:.0}\r\n",
-            prompt * size
+            "Badgerferry-Token-Counts: {:.0},{response:.0}\r\n\
+             Badgerferry-Prompt-Prefix: {first}:{SHARED_TOKENS},{own:08x}:{:.0}\r\n",
+            prompt * size,
+            prompt * size - SHARED_TOKENS
         )
     } else {
         String::new()
--- a/soak/src/sheet_report.rs
+++ b/soak/src/sheet_report.rs
@@ -8,7 +8,7 @@
 
 /// Calls that a server may get from a box in a pause that it asked for.
 const MAX_CALLS_IN_PAUSE: usize = 2;
-/// Runs of a request that may come after its third crash.
+/// Runs of a request, or with a part, that may come after so many crashes that it must be held back.
 const MAX_RUNS_AFTER_CRASHES: usize = 3;
 /// Calls that may each run on more servers than their route allows.
 const MAX_CALLS_BEYOND_ATTEMPTS: usize = 3;
@@ -26,6 +26,8 @@
     pub late: LateRepeats,
     pub crashes: usize,
     pub runs_after_crashes: usize,
+    pub part_crashes: usize,
+    pub runs_after_part_crashes: usize,
     pub in_pauses: usize,
     pub work: WorkAfterDepartures,
     pub lost: usize,
@@ -43,6 +45,10 @@
                 self.runs_after_crashes > MAX_RUNS_AFTER_CRASHES,
                 "request that crashes servers",
             ),
+            (
+                self.runs_after_part_crashes > MAX_RUNS_AFTER_CRASHES,
+                "prompt part that crashes servers",
+            ),
             (self.in_pauses > MAX_CALLS_IN_PAUSE, "calls in a pause"),
             (self.work.violates(), "work after departures"),
             (self.lost > MAX_LOST, "closed without a response"),
@@ -59,7 +65,7 @@
         write!(
             f,
             "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, told too late {} of \
-             {}, beyond attempts {}, crashes {}, runs after them {}, in a pause {}, {}, closed without a response {}",
+             {}, beyond attempts {}, crashes {}, runs after them {}, crashes by a part {}, runs after them {}, in a pause {}, {}, closed without a response {}",
             self.repeats,
             worst.0,
             worst.1,
@@ -68,6 +74,8 @@
             self.beyond,
             self.crashes,
             self.runs_after_crashes,
+            self.part_crashes,
+            self.runs_after_part_crashes,
             self.in_pauses,
             self.work,
             self.lost
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -36,6 +36,8 @@
 use tokio::time::sleep_until;
 
 use crate::sheet_callers::CRASHING_BODY;
+use crate::sheet_callers::CRASHING_PART;
+use crate::sheet_callers::Crashing;
 use crate::sheet_callers::Leaving;
 use crate::sheet_callers::Traffic;
 use crate::sheet_callers::lock;
@@ -46,8 +48,14 @@
 const WARM_UP: Duration = Duration::from_secs(11);
 /// Time after a refusal in which calls that are on the way do not count.
 const PAUSE_TOLERANCE: Duration = Duration::from_millis(500);
-/// Time after the third crash from which on runs of the request count.
+/// Crashes of a request, and time after the last of them from which on its runs count.
+const REQUEST_CRASHES: usize = 3;
 const CRASH_TOLERANCE: Duration = Duration::from_secs(4);
+/// The same for a part of prompts.
+const PART_CRASHES: usize = 5;
+const PART_CRASH_TOLERANCE: Duration = Duration::from_secs(3);
+/// How long a crashed server is down.
+const DOWNTIME: Duration = Duration::from_secs(3);
 /// Time before a pause in which a disturbance of the box excuses what follows.
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 /// Interval of the interim responses of servers that notice only failed writes.
@@ -81,6 +89,9 @@
     ServersBusy(Duration),
     /// A request crashes its servers, after this silence; the calls of it in a second.
     CrashingRequest(Duration, f64),
+    /// A part of prompts crashes their servers, this long after the response began; the calls with it in a
+    /// second.
+    CrashingPart(Duration, f64),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -103,6 +114,8 @@
     LateDeclines,
     /// Most callers leave at any time while servers are busy and crash.
     Departures,
+    /// A part of prompts crashes servers, and callers leave before that or after.
+    PartCrashes,
 }
 
 /// Callers leave at any time between these.
@@ -149,13 +162,18 @@
                 lasts: secs(1.0),
                 trouble: Trouble::ServersCrash(0.17),
             });
-            let whole = [
+            let throughout = [
                 whole(Trouble::ServersBusy(Duration::from_millis(700))),
+                whole(Trouble::ServersSlow(0.5, 10.0)),
                 whole(leave(0.6, secs(0.05), secs(2.0))),
                 whole(Trouble::CrashingRequest(Duration::from_millis(300), 1.0)),
             ];
-            crashes.chain(whole).collect()
+            crashes.chain(throughout).collect()
         }
+        Severity::PartCrashes => vec![
+            whole(Trouble::CrashingPart(Duration::from_millis(300), 3.0)),
+            whole(leave(0.5, secs(0.05), secs(1.0))),
+        ],
         Severity::Usual => (0..rng.random_range(8..16))
             .map(|_| Scheduled {
                 at: lasts.mul_f64(rng.random_range(0.0..0.9)),
@@ -290,9 +308,10 @@
             | Trouble::ServersCrash(share) => (self.servers.len(), share),
             Trouble::BoxesStill(share) | Trouble::BoxesKilled(share) => (self.boxes.len(), share),
             Trouble::BoxesStopped => (self.boxes.len(), 0.0),
-            Trouble::CallsLost(_) | Trouble::CrashingRequest(..) | Trouble::ServersBusy(_) => {
-                (self.servers.len(), 1.0)
-            }
+            Trouble::CallsLost(_)
+            | Trouble::CrashingRequest(..)
+            | Trouble::CrashingPart(..)
+            | Trouble::ServersBusy(_) => (self.servers.len(), 1.0),
             Trouble::CallersLeave(_) => (0, 0.0),
         };
         let mut all: Vec<usize> = (0..count).collect();
@@ -322,13 +341,13 @@
             }
             Trouble::ServersCrash(_) if begins => servers().for_each(Server::crash),
             Trouble::CrashingRequest(silence, per_s) => {
-                let rule = CrashRule::on_body(CRASHING_BODY, Duration::from_secs(3), &self.store);
-                let rule = rule.silent_for(silence);
-                if begins {
-                    servers().for_each(|server| server.set_crash_rule(rule.clone()));
-                }
-                let rate = if begins { per_s } else { 0.0 };
-                *lock(&self.traffic.crashing_rate) = rate;
+                let rule = CrashRule::on_body(CRASHING_BODY, DOWNTIME, &self.store);
+                self.set_crashing(&rule.silent_for(silence), Crashing::Request, per_s, begins);
+            }
+            Trouble::CrashingPart(silence, per_s) => {
+                let rule = CrashRule::on_part(CRASHING_PART, DOWNTIME, &self.store);
+                let rule = rule.silent_for(silence).beginning_response();
+                self.set_crashing(&rule, Crashing::Part, per_s, begins);
             }
             Trouble::CallersLeave(leaving) => {
                 *lock(&self.traffic.leaving) = begins.then_some(leaving);
@@ -370,6 +389,16 @@
         Ok(())
     }
 
+    /// Lets calls crash their servers, or ends such calls. The servers keep the rule.
+    fn set_crashing(&self, rule: &CrashRule, crashing: Crashing, per_s: f64, begins: bool) {
+        if begins {
+            for server in &self.servers {
+                server.set_crash_rule(rule.clone());
+            }
+        }
+        *lock(&self.traffic.crashing) = begins.then_some((crashing, per_s));
+    }
+
     fn audit(&self) -> Report {
         let sent = lock(&self.traffic.sent).clone();
         let calls: Vec<SentCall> = sent.iter().map(|sent| sent.call.clone()).collect();
@@ -391,11 +420,11 @@
         });
         let worst = worst.max_by(|a, b| a.fraction().total_cmp(&b.fraction()));
         let max_attempts = kinds.iter().map(|kind| kind.max_attempts).max();
-        let crashing: BTreeSet<&str> = sent
-            .iter()
-            .filter(|sent| sent.is_crashing)
-            .map(|sent| sent.call.id.as_str())
-            .collect();
+        let of_crashing = |crashing| -> BTreeSet<&str> {
+            let sent = sent.iter().filter(|sent| sent.crashing == Some(crashing));
+            sent.map(|sent| sent.call.id.as_str()).collect()
+        };
+        let (requests, parts) = (of_crashing(Crashing::Request), of_crashing(Crashing::Part));
         Report {
             calls: sent.len(),
             served: lock(&self.traffic.served).len(),
@@ -404,12 +433,20 @@
             beyond: retry_audit::calls_beyond_attempts(&self.servers, max_attempts.unwrap_or(1))
                 .len(),
             late: retry_audit::late_repeats(&calls, &self.servers),
-            crashes: retry_audit::crashes_of(&crashing, &self.servers).len(),
-            runs_after_crashes: retry_audit::runs_after_third_crash(
-                &crashing,
+            crashes: retry_audit::crashes_of(&requests, &self.servers).len(),
+            runs_after_crashes: retry_audit::runs_after_crash(
+                &requests,
                 &self.servers,
+                REQUEST_CRASHES,
                 CRASH_TOLERANCE,
             ),
+            part_crashes: retry_audit::crashes_of(&parts, &self.servers).len(),
+            runs_after_part_crashes: retry_audit::runs_after_crash(
+                &parts,
+                &self.servers,
+                PART_CRASHES,
+                PART_CRASH_TOLERANCE,
+            ),
             in_pauses: self.calls_in_pauses(),
             work: departure_audit::audit(&self.undisturbed_departures(), &self.servers),
             lost: self.lost(),
