tests: departures beyond what is watched and through peers, and responses cut anywhere

Calls of 300 callers that leave at once, and calls that a peer carries, end at servers that notice only failed writes.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_relay_cold;
 mod test_relay_crashes;
 mod test_relay_crowd;
+mod test_relay_cut_heads;
 mod test_relay_departed_callers;
 mod test_relay_endless_responses;
 mod test_relay_eras;
--- a/daemon/tests/test_relay_departed_callers.rs
+++ b/daemon/tests/test_relay_departed_callers.rs
@@ -142,6 +142,31 @@
     .await
 }
 
+/// More calls than the box watches at a time.
+const MANY_CALLS: u32 = 300;
+
+#[tokio::test]
+async fn calls_end_when_more_callers_leave_at_once_than_are_watched() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(4).await?;
+    cluster.servers.iter().for_each(writes_while_working);
+    let front = cluster.relay.front();
+
+    let calls = (0..MANY_CALLS).map(|index| async move {
+        let id = format!("left-{index}");
+        make_call(front, "/again/a", &id, false, CALL_INTERVAL * 16).await
+    });
+    let departures = try_join_all(calls).await?;
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let found = departure_audit::audit(&departures, &cluster.servers);
+    assert!(
+        found.runs >= MANY_CALLS as usize / 2,
+        "too few runs: {found}"
+    );
+    assert!(!found.violates(), "{found}");
+    Ok(())
+}
+
 /// Sends all of `text` and leaves; the call with this id counts.
 async fn send_and_leave(
     front: SocketAddr,
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -8,6 +8,9 @@
 use badgerferry_standin::caller::RawResponse;
 use badgerferry_standin::caller::call;
 use badgerferry_standin::crashes::CrashRule;
+use badgerferry_standin::departure_audit;
+use badgerferry_standin::departure_audit::Departure;
+use badgerferry_standin::disconnect::DisconnectDetection;
 use badgerferry_standin::proxy::Link;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
@@ -17,6 +20,7 @@
 use badgerferry_standin::server_links::ServerLinks;
 use badgerferry_standin::store::Store;
 use futures::future::join_all;
+use futures::future::try_join_all;
 
 use crate::relay_fleet::CALL_INTERVAL;
 use crate::relay_fleet::count_served;
@@ -406,3 +410,37 @@
     }
     Ok(())
 }
+
+#[tokio::test]
+async fn carried_calls_end_at_servers_that_notice_failed_writes() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    fleet
+        .cut_off_first_box(Link::Dropped, Behaviour::Serve)
+        .await;
+    for server in &fleet.servers {
+        server.detect_disconnects(DisconnectDetection::FailedWrite);
+        server.delay_heads(Duration::from_secs(2), Some(Duration::from_millis(150)));
+    }
+
+    let calls = (0..20).map(|index| {
+        let id = format!("left-{index}");
+        let front = fleet.boxes[0].front();
+        async move {
+            let mut caller = Caller::connect(front).await?;
+            caller
+                .send(&call("POST", "/again/a", &id, "", "prompt"))
+                .await?;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            drop(caller);
+            let at = Instant::now();
+            anyhow::Ok(Departure { id, at })
+        }
+    });
+    let departures = try_join_all(calls).await?;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+
+    let found = departure_audit::audit(&departures, &fleet.servers);
+    assert!(found.runs >= 10, "too few runs: {found}");
+    assert!(!found.violates(), "{found}; {}", fleet.logs());
+    Ok(())
+}
