retries: prefer the servers heard from last where none was heard from recently

A retry at a plain service whose recently heard servers had been tried went to any other, also to one that stands still, which reads it late and is told too much time. Idle servers and still ones differ only by when they were last heard from, and a still one is the longer silent the longer it stands: the half heard from last is preferred now.

--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -482,18 +482,32 @@
     }
 }
 
-/// The usable servers that have sent something within `recent`; all, if none of those accepts calls. A
-/// server that stands still shows the load that it had, so that only its silence tells it from an idle
-/// one.
+/// The usable servers that have sent something within `recent`. If none of those accepts calls, the half that
+/// has sent something last, and otherwise all. A server that stands still shows the load that it had, so that
+/// only its silence tells it from an idle one.
 pub fn heard_recently(
     now: Time,
     recent: Duration,
     usable: Vec<(&ServerRecord, Availability)>,
 ) -> Vec<(&ServerRecord, Availability)> {
-    let heard = usable.iter();
-    let heard = heard.filter(|(record, _)| record.is_heard_within(now, recent));
-    let heard: Vec<_> = heard.copied().collect();
-    if accepts_calls(&heard) { heard } else { usable }
+    let heard_since = |since: Option<Time>| -> Vec<_> {
+        let heard = usable
+            .iter()
+            .filter(|(record, _)| record.last_heard >= since);
+        heard.copied().collect()
+    };
+    let recent: Vec<_> = (usable.iter())
+        .filter(|(record, _)| record.is_heard_within(now, recent))
+        .copied()
+        .collect();
+    if accepts_calls(&recent) {
+        return recent;
+    }
+    let mut times: Vec<Option<Time>> = usable.iter().map(|(record, _)| record.last_heard).collect();
+    times.sort_unstable();
+    let median = times.get(times.len() / 2).copied().flatten();
+    let last = heard_since(median);
+    if accepts_calls(&last) { last } else { usable }
 }
 
 /// The servers without those that have not responded to an abandoned call; all, if fewer than half of them
--- a/lib/tests/test_relay_server_tracker.rs
+++ b/lib/tests/test_relay_server_tracker.rs
@@ -10,6 +10,7 @@
 use badgerferry_lib::relay::plain_selection::PlainDecision;
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_list::ServerEntry;
+use badgerferry_lib::relay::server_tracker;
 use badgerferry_lib::relay::server_tracker::ServerOutcome;
 use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
@@ -414,3 +415,42 @@
     let counts = pick_counts(&tracker, Time::from_millis(10), &[]);
     assert_eq!(counts.len(), 3, "{counts:?}");
 }
+
+/// Names of the servers that a retry prefers.
+fn preferred_for_retry(tracker: &ServerTracker, now: Time) -> Vec<String> {
+    let usable = tracker.usable(now, &ServiceName::new("boards"), &[], always_open);
+    let preferred = server_tracker::heard_recently(now, Duration::from_millis(300), usable);
+    let mut names: Vec<_> = preferred
+        .iter()
+        .map(|(record, _)| record.info.name.to_string())
+        .collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn retry_prefers_servers_heard_from_last_if_none_was_heard_from_recently() {
+    let mut tracker = tracker(&["a", "b", "c", "d"]);
+    for (name, heard) in [("a", 100), ("b", 900), ("c", 800), ("d", 200)] {
+        tracker.record_heard(Time::from_millis(heard), &ServerName::new(name));
+    }
+
+    assert_eq!(
+        preferred_for_retry(&tracker, Time::from_millis(1_150)),
+        ["b", "c"][..1]
+    );
+    assert_eq!(
+        preferred_for_retry(&tracker, Time::from_millis(5_000)),
+        ["b", "c"]
+    );
+}
+
+#[test]
+fn retry_may_go_to_any_server_if_none_was_ever_heard_from() {
+    let tracker = tracker(&["a", "b", "c"]);
+
+    assert_eq!(
+        preferred_for_retry(&tracker, Time::from_millis(5_000)).len(),
+        3
+    );
+}
