--- a/daemon/tests/test_relay_odd_entries.rs
+++ b/daemon/tests/test_relay_odd_entries.rs
@@ -66,6 +66,15 @@
     entries
 }
 
+/// Writes odd entries of servers under keys of their own.
+fn add_odd_servers(cluster: &TestCluster) {
+    let valid = cluster.servers[0].entry("ready");
+    for (index, entry) in odd_fields(&valid).iter().enumerate() {
+        let key = format!("servers/odd-{index}");
+        cluster.store.put_bytes(&key, entry);
+    }
+}
+
 /// Checks that the box serves calls, and follows the list to a new server.
 async fn assert_follows(cluster: &mut TestCluster, name: &str) -> anyhow::Result<()> {
     let added = Server::start(name, "boards", Duration::from_millis(20)).await?;
@@ -91,13 +100,7 @@
 #[tokio::test]
 async fn odd_server_entries_neither_end_a_box_nor_hide_other_servers() -> anyhow::Result<()> {
     let mut cluster = TestCluster::start(3).await?;
-    let valid = cluster.servers[0].entry("ready");
-
-    for (index, entry) in odd_fields(&valid).iter().enumerate() {
-        cluster
-            .store
-            .put_bytes(&format!("servers/odd-{index}"), entry);
-    }
+    add_odd_servers(&cluster);
 
     assert_follows(&mut cluster, "added").await
 }
@@ -140,12 +143,7 @@
 #[tokio::test]
 async fn list_read_at_the_start_with_odd_entries_is_followed() -> anyhow::Result<()> {
     let mut cluster = TestCluster::start(3).await?;
-    let valid = cluster.servers[0].entry("ready");
-    for (index, entry) in odd_fields(&valid).iter().enumerate() {
-        cluster
-            .store
-            .put_bytes(&format!("servers/odd-{index}"), entry);
-    }
+    add_odd_servers(&cluster);
 
     cluster.relay.restart()?;
     cluster.relay.wait_ready().await?;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -13,7 +13,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
-use crate::sheet_run::Severity;
+use crate::sheet_troubles::Severity;
 use argh::FromArgs;
 
 mod callers;
@@ -24,6 +24,7 @@
 mod sheet_callers;
 mod sheet_report;
 mod sheet_run;
+mod sheet_troubles;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
 const REGRESSIONS: &str = include_str!("../regressions.txt");
--- /dev/null
+++ b/soak/src/sheet_troubles.rs
@@ -0,0 +1,141 @@
+//! What befalls a deployment in a run, and when.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::sheet_callers::Leaving;
+
+/// What befalls servers and boxes.
+#[derive(Debug, Clone, Copy)]
+pub enum Trouble {
+    /// This fraction of the servers stands still.
+    ServersStill(f64),
+    /// This fraction of the servers is slower by a factor.
+    ServersSlow(f64, f64),
+    /// All servers lose this fraction of their calls.
+    CallsLost(f64),
+    /// This fraction of the servers declines calls after a delay, and asks for a pause of as many
+    /// seconds.
+    ServersShed(f64, Duration, u64),
+    /// This fraction of the servers crashes.
+    ServersCrash(f64),
+    /// This fraction of the boxes stands still.
+    BoxesStill(f64),
+    /// This fraction of the boxes is killed, and started again at once.
+    BoxesKilled(f64),
+    /// One box after the other is told to stop, and started again.
+    BoxesStopped,
+    /// Callers leave.
+    CallersLeave(Leaving),
+    /// Servers need this long until they respond, and run only a few calls at a time.
+    ServersBusy(Duration),
+    /// A request crashes its servers, after this silence; the calls of it in a second.
+    CrashingRequest(Duration, f64),
+    /// A part of prompts crashes their servers, this long after the response began; the calls with it in a
+    /// second.
+    CrashingPart(Duration, f64),
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Scheduled {
+    pub at: Duration,
+    pub lasts: Duration,
+    pub trouble: Trouble,
+}
+
+/// How hard the troubles are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Severity {
+    /// Shares and times as in site files.
+    Usual,
+    /// Most of the servers stand still in turn, and most calls are lost.
+    MostServersStill,
+    /// A request crashes servers that were silent before, whose callers leave first.
+    SilentCrashes,
+    /// Servers decline calls whose callers have left.
+    LateDeclines,
+    /// Most callers leave at any time while servers are busy and crash.
+    Departures,
+    /// A part of prompts crashes servers, and callers leave before that or after.
+    PartCrashes,
+}
+
+/// Callers leave at any time between these.
+const fn leave(fraction: f64, earliest: Duration, latest: Duration) -> Trouble {
+    Trouble::CallersLeave(Leaving {
+        fraction,
+        earliest,
+        latest,
+    })
+}
+
+/// Draws the troubles of a run.
+pub fn draw(rng: &mut ChaCha8Rng, severity: Severity, lasts: Duration) -> Vec<Scheduled> {
+    let secs = Duration::from_secs_f64;
+    let whole = |trouble| Scheduled {
+        at: Duration::ZERO,
+        lasts,
+        trouble,
+    };
+    let turns = lasts.as_secs() / 5;
+    match severity {
+        Severity::MostServersStill => {
+            let still = (0..turns).map(|turn| Scheduled {
+                at: secs(turn as f64 * 5.0),
+                lasts: secs(4.5),
+                trouble: Trouble::ServersStill(0.6),
+            });
+            still.chain([whole(Trouble::CallsLost(0.6))]).collect()
+        }
+        Severity::SilentCrashes => {
+            let silence = Duration::from_secs(4);
+            vec![whole(Trouble::CrashingRequest(silence, 1.0))]
+        }
+        Severity::LateDeclines => vec![
+            whole(Trouble::ServersShed(0.4, Duration::from_millis(300), 3)),
+            whole(leave(
+                0.7,
+                Duration::from_millis(100),
+                Duration::from_millis(100),
+            )),
+        ],
+        Severity::Departures => {
+            let crashes = (0..turns).map(|turn| Scheduled {
+                at: secs(turn as f64 * 5.0 + 2.0),
+                lasts: secs(1.0),
+                trouble: Trouble::ServersCrash(0.17),
+            });
+            let throughout = [
+                whole(Trouble::ServersBusy(Duration::from_millis(700))),
+                whole(Trouble::ServersSlow(0.5, 10.0)),
+                whole(leave(0.6, secs(0.05), secs(2.0))),
+                whole(Trouble::CrashingRequest(Duration::from_millis(300), 1.0)),
+            ];
+            crashes.chain(throughout).collect()
+        }
+        Severity::PartCrashes => vec![
+            whole(Trouble::CrashingPart(Duration::from_millis(300), 3.0)),
+            whole(leave(0.5, secs(0.05), secs(1.0))),
+        ],
+        Severity::Usual => (0..rng.random_range(8..16))
+            .map(|_| Scheduled {
+                at: lasts.mul_f64(rng.random_range(0.0..0.9)),
+                lasts: secs(rng.random_range(2.0..6.5)),
+                trouble: match rng.random_range(0..12) {
+                    0..3 => Trouble::ServersStill(0.14),
+                    3 => Trouble::ServersSlow(0.14, 7.5),
+                    4 => Trouble::CallsLost(rng.random_range(0.02..0.4)),
+                    5 => Trouble::ServersShed(0.14, Duration::ZERO, rng.random_range(1..4)),
+                    6 => Trouble::ServersCrash(0.17),
+                    7 => Trouble::BoxesStill(0.2),
+                    8 => Trouble::BoxesKilled(rng.random_range(0.16..1.0)),
+                    9 => Trouble::BoxesStopped,
+                    10 => leave(0.2, secs(0.05), secs(2.0)),
+                    _ => Trouble::CrashingRequest(secs(rng.random_range(0.0..3.0)), 1.0),
+                },
+            })
+            .collect(),
+    }
+}
