--- a/daemon/src/relay/abandoned_run.rs
+++ b/daemon/src/relay/abandoned_run.rs
@@ -5,12 +5,12 @@
 //! the server shows afterwards still counts: whether and when it read the call, whether it asks for a
 //! pause, or whether it crashes.
 //!
-//! - First the connection is closed in one direction, which most servers read, and then close it. A server
-//!   that responds instead is not waiting for that: the connection is reset at once, so that its next write
-//!   fails. If nothing is received for some tenths of a second, it is reset then.
-//! - From then on the process is watched, as long again as a call of the route may take: if it exits, the
-//!   run may have crashed it. Other calls prefer servers that have responded since, as this one may be
-//!   about to ask for a pause.
+//! - First the connection is closed in one direction. Most servers read its end and close it. If the server
+//!   sends something instead, or nothing for some tenths of a second, the connection is reset, so that its
+//!   next write fails.
+//! - A server that has sent nothing is watched from then on, as long again as a call of the route may take:
+//!   if its process exits, the run may have crashed it. Other calls prefer servers that have responded
+//!   since, as this one may be about to ask for a pause.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -47,9 +47,9 @@
 const HEAD_REST_TIME: Duration = Duration::from_millis(20);
 /// Time in which a server that runs notices that a call has ended, and closes its connection.
 const CLOSE_TIME: Duration = Duration::from_millis(150);
-/// Abandoned runs of one box whose connection is read; others are reset at once.
+/// Maximum number of abandoned runs whose connection is read; further ones are reset at once.
 const MAX_READ_CONNECTIONS: usize = 128;
-/// Abandoned runs of one box whose server is watched.
+/// Maximum number of abandoned runs whose server is watched.
 const MAX_WATCHED_RUNS: usize = 128;
 /// Interval at which the box checks whether a server has responded to other calls.
 const RESPONSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
