standin, soak: forwarders, and servers that notice only a failed read

Servers of the soak's sheets stand behind forwarders in every severity, some of them slow; forwarders hold bytes back and reset connections.

--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -2,7 +2,8 @@
 //! seed, and audits every retry rule by what the servers read.
 //!
 //! Servers stand still, slow down, lose calls, shed load or crash; boxes stand still, are killed or
-//! are stopped and started again. Troubles overlap and come in series.
+//! are stopped and started again. Some servers and boxes are reached through forwarders, which may be slow,
+//! hold bytes back or reset connections. Troubles overlap and come in series.
 
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -17,6 +18,8 @@
 use badgerferry_standin::departure_audit::Departure;
 use badgerferry_standin::departure_audit::STOP_TIME;
 use badgerferry_standin::disconnect::DisconnectDetection;
+use badgerferry_standin::proxy::Link;
+use badgerferry_standin::proxy::Proxy;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::random_loopback_ip;
 use badgerferry_standin::relay_box::settings;
@@ -62,6 +65,8 @@
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 /// Interval of the interim responses of servers that notice only failed writes.
 const INTERIM_INTERVAL: Duration = Duration::from_millis(150);
+/// Time that slow forwarders take in each direction.
+const FORWARDING_DELAY: Duration = Duration::from_millis(40);
 /// Calls that each server runs at a time where [`Severity::Departures`] is played.
 const MAX_RUNNING: usize = 6;
 
@@ -69,6 +74,8 @@
     store: Store,
     servers: Vec<Server>,
     boxes: Vec<RelayBox>,
+    /// Forwarder in front of each box that has one.
+    box_forwarders: Vec<Option<Proxy>>,
     /// When a box was stopped, killed or continued.
     disturbed: Vec<Vec<Instant>>,
     traffic: Arc<Traffic>,
@@ -120,8 +127,12 @@
                 server.set_prefill_rate(rate);
             }
             server.set_events(plan.events);
-            server.detect_disconnects(detection(servers.len()));
-            server.delay_heads(Duration::ZERO, interim_interval(servers.len()));
+            let kind = ServerKind::of(servers.len());
+            server.detect_disconnects(kind.detection);
+            server.delay_heads(Duration::ZERO, kind.interim_interval());
+            if let Some(link) = kind.link {
+                server.start_forwarder().await?.set(link);
+            }
             store.put(&server.key(), &server.entry("ready"));
             servers.push(server);
         }
@@ -135,12 +146,24 @@
             let text = with_retry_slack(&text, budget.slack);
             boxes.push(RelayBox::start_with_settings(ip, &text)?);
         }
-        for started in &boxes {
+        let (mut fronts, mut box_forwarders) = (Vec::new(), Vec::new());
+        for (index, started) in boxes.iter().enumerate() {
             started.wait_ready().await?;
+            let forwarder = match box_link(index) {
+                Some(link) => {
+                    let forwarder = Proxy::start(started.front()).await?;
+                    forwarder.set(link);
+                    Some(forwarder)
+                }
+                None => None,
+            };
+            let address = forwarder.as_ref().map(|forwarder| forwarder.address);
+            fronts.push(address.unwrap_or_else(|| started.front()));
+            box_forwarders.push(forwarder);
         }
         Ok(Self {
             traffic: Arc::new(Traffic {
-                fronts: boxes.iter().map(RelayBox::front).collect(),
+                fronts,
                 kinds: sheet.call_kinds(),
                 ..Traffic::default()
             }),
@@ -148,6 +171,7 @@
             store,
             servers,
             boxes,
+            box_forwarders,
             budget,
         })
     }
@@ -182,9 +206,25 @@
             | Trouble::CrashingRequest(..)
             | Trouble::CrashingPart(..)
             | Trouble::ServersBusy(_) => (self.servers.len(), 1.0),
+            Trouble::ServerLinksHeld(share)
+            | Trouble::ServerLinksReset(share)
+            | Trouble::BoxLinksReset(share) => (0, share),
             Trouble::CallersLeave(_) => (0, 0.0),
         };
-        let mut all: Vec<usize> = (0..count).collect();
+        let mut all: Vec<usize> = match trouble {
+            Trouble::ServerLinksHeld(_) | Trouble::ServerLinksReset(_) => {
+                let servers = 0..self.servers.len();
+                servers
+                    .filter(|index| ServerKind::of(*index).link.is_some())
+                    .collect()
+            }
+            Trouble::BoxLinksReset(_) => {
+                let boxes = 0..self.boxes.len();
+                boxes.filter(|index| box_link(*index).is_some()).collect()
+            }
+            _ => (0..count).collect(),
+        };
+        let count = all.len();
         all.shuffle(rng);
         all.truncate(((count as f64 * share).ceil() as usize).max(1));
         all
@@ -226,10 +266,23 @@
                 for index in affected {
                     let delay = if begins { delay } else { Duration::ZERO };
                     let server = &self.servers[*index];
-                    server.delay_heads(delay, interim_interval(*index));
+                    let interval = ServerKind::of(*index).interim_interval();
+                    server.delay_heads(delay, interval);
                     server.limit_running(begins.then_some(MAX_RUNNING));
                 }
             }
+            Trouble::ServerLinksHeld(_) => self.set_server_links(Link::Silent, begins, affected),
+            Trouble::ServerLinksReset(_) => self.set_server_links(Link::Reset, begins, affected),
+            Trouble::BoxLinksReset(_) => {
+                for index in affected {
+                    self.disturbed[*index].push(Instant::now());
+                    if let (Some(forwarder), Some(usual)) =
+                        (&self.box_forwarders[*index], box_link(*index))
+                    {
+                        forwarder.set(if begins { Link::Reset } else { usual });
+                    }
+                }
+            }
             Trouble::BoxesStill(_) => {
                 for index in affected {
                     self.disturbed[*index].push(Instant::now());
@@ -259,6 +312,19 @@
         Ok(())
     }
 
+    /// Changes the forwarders of servers, or restores them. Those of servers that are down stay closed.
+    fn set_server_links(&self, link: Link, begins: bool, affected: &[usize]) {
+        for index in affected {
+            let usual = ServerKind::of(*index).link;
+            let forwarder = self.servers[*index].forwarder();
+            if let (Some(forwarder), Some(usual)) = (forwarder, usual)
+                && forwarder.link() != Link::Refused
+            {
+                forwarder.set(if begins { link } else { usual });
+            }
+        }
+    }
+
     /// Lets calls crash their servers, or ends such calls. The servers keep the rule.
     fn set_crashing(&self, rule: &CrashRule, crashing: Crashing, per_s: f64, begins: bool) {
         if begins {
@@ -366,20 +432,23 @@
             };
             let declines = calls.iter().filter_map(|call| {
                 let pause = call.retry_after.as_deref()?.parse().ok()?;
-                Some((
-                    box_of(call.id())?,
-                    call.declined_at?,
-                    Duration::from_secs(pause),
-                ))
+                let declined_at = call.declined_at?;
+                let told = call.received_at?..declined_at + PAUSE_TOLERANCE;
+                let pause = declined_at..declined_at + Duration::from_secs(pause);
+                Some((box_of(call.id())?, told, pause))
             });
-            for (index, at, pause) in declines {
-                let pause = at + PAUSE_TOLERANCE..at + pause;
+            let forwarder = server.forwarder();
+            for (index, told, pause) in declines {
+                let counted = told.end..pause.end;
                 let is_excused = self.disturbed[index].iter().any(|disturbed| {
-                    *disturbed + DISTURBANCE_MARGIN >= at && *disturbed <= pause.end
+                    *disturbed + DISTURBANCE_MARGIN >= pause.start && *disturbed <= pause.end
                 });
+                let is_untold = forwarder
+                    .as_ref()
+                    .is_some_and(|forwarder| forwarder.was_cut(&told));
                 let times = by_box(index).filter_map(|call| call.received_at);
-                let inside = times.filter(|at| pause.contains(at)).count();
-                if !is_excused {
+                let inside = times.filter(|at| counted.contains(at)).count();
+                if !is_excused && !is_untold {
                     most = most.max(inside);
                 }
             }
@@ -418,19 +487,46 @@
     }
 }
 
-/// How the server with this index notices that a caller has left.
-const fn detection(index: usize) -> DisconnectDetection {
-    match index % 4 {
-        0 | 1 => DisconnectDetection::FailedWrite,
-        2 => DisconnectDetection::EndOfInput,
-        _ => DisconnectDetection::ConnectionError,
+/// How a server notices that a caller has left, and how it is reached.
+#[derive(Debug, Clone, Copy)]
+struct ServerKind {
+    detection: DisconnectDetection,
+    /// Its forwarder, if it has one. A forwarder turns a reset into an end, so that no server behind one
+    /// notices only errors.
+    link: Option<Link>,
+}
+
+impl ServerKind {
+    /// Kind of the server with this index.
+    const fn of(index: usize) -> Self {
+        let (detection, link) = match index % 6 {
+            0 => (DisconnectDetection::FailedWrite, None),
+            1 => (DisconnectDetection::FailedWrite, Some(Link::Open)),
+            2 => (DisconnectDetection::EndOfInput, None),
+            3 => (DisconnectDetection::ConnectionError, None),
+            4 => (
+                DisconnectDetection::EndOfInput,
+                Some(Link::Delayed(FORWARDING_DELAY)),
+            ),
+            _ => (DisconnectDetection::FailedRead, None),
+        };
+        Self { detection, link }
+    }
+
+    /// Servers that notice only failed writes write while they work.
+    fn interim_interval(self) -> Option<Duration> {
+        let notices_writes = self.detection == DisconnectDetection::FailedWrite;
+        notices_writes.then_some(INTERIM_INTERVAL)
     }
 }
 
-/// Servers that notice only failed writes write while they work.
-fn interim_interval(index: usize) -> Option<Duration> {
-    let notices_writes = detection(index) == DisconnectDetection::FailedWrite;
-    notices_writes.then_some(INTERIM_INTERVAL)
+/// Forwarder in front of the box with this index, if it has one.
+const fn box_link(index: usize) -> Option<Link> {
+    match index % 3 {
+        0 => None,
+        1 => Some(Link::Open),
+        _ => Some(Link::Delayed(FORWARDING_DELAY)),
+    }
 }
 
 /// Index of the box to which a call with this id was sent.
--- a/soak/src/sheet_troubles.rs
+++ b/soak/src/sheet_troubles.rs
@@ -27,6 +27,12 @@
     BoxesKilled(f64),
     /// One box after the other is told to stop, and started again.
     BoxesStopped,
+    /// This fraction of the forwarders of servers holds all bytes back.
+    ServerLinksHeld(f64),
+    /// This fraction of the forwarders of servers resets connections.
+    ServerLinksReset(f64),
+    /// This fraction of the forwarders of boxes resets connections.
+    BoxLinksReset(f64),
     /// Callers leave.
     CallersLeave(Leaving),
     /// Servers need this long until they respond, and run only a few calls at a time.
@@ -73,6 +79,31 @@
 
 /// Draws the troubles of a run.
 pub fn draw(rng: &mut ChaCha8Rng, severity: Severity, lasts: Duration) -> Vec<Scheduled> {
+    let mut troubles = draw_processes(rng, severity, lasts);
+    troubles.extend(draw_links(rng, lasts));
+    troubles
+}
+
+/// What befalls forwarders in every run.
+fn draw_links(rng: &mut ChaCha8Rng, lasts: Duration) -> Vec<Scheduled> {
+    let mut troubles = Vec::new();
+    for turn in 0..lasts.as_secs() / 5 {
+        let mut befall = |trouble, lasts| {
+            let at = turn as f64 * 5.0 + rng.random_range(0.0..4.0);
+            troubles.push(Scheduled {
+                at: Duration::from_secs_f64(at),
+                lasts: Duration::from_secs_f64(lasts),
+                trouble,
+            });
+        };
+        befall(Trouble::ServerLinksHeld(0.34), 2.0);
+        befall(Trouble::ServerLinksReset(0.34), 0.2);
+        befall(Trouble::BoxLinksReset(0.34), 0.2);
+    }
+    troubles
+}
+
+fn draw_processes(rng: &mut ChaCha8Rng, severity: Severity, lasts: Duration) -> Vec<Scheduled> {
     let secs = Duration::from_secs_f64;
     let whole = |trouble| Scheduled {
         at: Duration::ZERO,
