relay: reset the connections of calls that end first at once

Cause: an abandoned connection was closed in one direction for up to a quarter of a second and then reset. A reader that has taken the end of the input does not see a later reset: read returns 0 again and again, and only a write fails. So servers that take a failed read for the end never noticed, and forwarders, which read the end and pass it on, noticed one event later, and their servers one more. HTTP closed some connections in order as well, before their reset.

Now the connection is reset at once and nothing is closed in order before that; response body and connection end together (response_source.rs), unary responses included. What the half-close kept is had otherwise: the process of the server is watched for as long as the route allows a call, without the body of the request; the run of a suspect request counts as in progress until the server has responded half a second after the reset; a retry is pending until the server has sent anything.

Tests: failed before: calls_end_at_servers_that_notice_only_failed_reads, streams_end_behind_forwarders_at_servers_that_notice_failed_writes, streams_not_begun_end_behind_forwarders, calls_end_behind_forwarders_at_servers_that_notice_failed_writes, streams_end_whose_callers_leave_through_a_forwarder. The streams of servers that notice only failed reads write each 2 s, so that a write does not end them; with each 0.6 s they passed.

--- a/daemon/src/relay/attempt_response.rs
+++ b/daemon/src/relay/attempt_response.rs
@@ -20,11 +20,7 @@
 use bytes::BytesMut;
 use http::Response;
 use http::StatusCode;
-use http_body::Body as _;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
@@ -38,9 +34,9 @@
 use crate::relay::connection_pool::Via;
 use crate::relay::held_bytes::ResponseReader;
 use crate::relay::response_body::ResponseBody;
+use crate::relay::response_source::ResponseSource;
 use crate::relay::server_path;
 use crate::relay::server_selection::Selection;
-use crate::relay::stream_source::StreamSource;
 
 /// Largest body of a unary response, which is read completely before it is forwarded.
 const MAX_UNARY_BODY_BYTES: usize = 4 << 20;
@@ -62,7 +58,7 @@
     /// Whether the stream has already ended.
     pub complete: bool,
     /// Rest of the body.
-    pub source: StreamSource,
+    pub source: ResponseSource,
     /// Joins events over the attempts of the call.
     pub join: EventJoin,
     /// Records the end of the attempt when dropped.
@@ -94,14 +90,12 @@
 pub struct Received {
     /// Registers the attempt.
     pub attempt: AttemptGuard,
-    /// Connection that carries the response.
-    pub connection: Connection,
     /// Head of the response.
     pub parts: http::response::Parts,
     /// Parsed head.
     pub head: ResponseHead,
     /// Body, not read yet.
-    pub body: Incoming,
+    pub source: ResponseSource,
 }
 
 impl Received {
@@ -175,20 +169,10 @@
         return handle_declined(call, tried, received);
     }
     if !head.is_for_call {
-        return handle_unusable(
-            call,
-            received.attempt,
-            status,
-            "response belongs to another call",
-        );
+        return handle_unusable(call, received, "response belongs to another call");
     }
     if status.is_success() && !head.has_proof {
-        return handle_unusable(
-            call,
-            received.attempt,
-            status,
-            "response lacks the server's proof",
-        );
+        return handle_unusable(call, received, "response lacks the server's proof");
     }
     if status.is_success() && call.route.kind.is_stream() {
         let join = match join {
@@ -200,13 +184,15 @@
     receive_unary(call, attempts, received).await
 }
 
-fn handle_unusable(
-    call: &Call,
-    attempt: AttemptGuard,
-    status: StatusCode,
-    why: &str,
-) -> AttemptResult {
-    call_log::unusable_response(call, &attempt.selection, status, why);
+fn handle_unusable(call: &Call, received: Received, why: &str) -> AttemptResult {
+    let Received {
+        attempt,
+        parts,
+        source,
+        ..
+    } = received;
+    source.reset();
+    call_log::unusable_response(call, &attempt.selection, parts.status, why);
     attempt.finish(ServerOutcome::Failure);
     AttemptResult::Ended(AttemptEnd::Lost)
 }
@@ -216,13 +202,12 @@
     let cause = decline_cause(call, &received);
     let Received {
         attempt,
-        connection,
         parts,
         head,
-        body,
+        source,
     } = received;
     call_log::declined(call, &attempt.selection, parts.status, &head);
-    reuse_after_body(call, &attempt.selection.server, connection, after, body);
+    reuse_after_body(call, &attempt.selection.server, source, after);
     attempt.finish(match (head.execution, cause) {
         (ExecutionStatus::Misdirected, _) => ServerOutcome::Unreachable,
         (_, Some(DeclineCause::Faulty)) => ServerOutcome::Failure,
@@ -257,12 +242,11 @@
     let after = received.after();
     let Received {
         mut attempt,
-        connection,
         parts,
-        body,
+        mut source,
         ..
     } = received;
-    let read = match read_unary_body(call, body).await {
+    let read = match read_unary_body(call, &mut source).await {
         Ok(read) if attempt.may_be_cut_unread(read.held_back) => Err(BodyUnusable {
             held_back: read.held_back,
             why: MAYBE_CUT_UNREAD,
@@ -272,6 +256,7 @@
     let UnaryBody { bytes, reader, .. } = match read {
         Ok(read) => read,
         Err(BodyUnusable { held_back, why }) => {
+            source.reset();
             call_log::unusable_response(call, &attempt.selection, parts.status, why);
             if reader_patience::counts_against_server(held_back) {
                 attempt.finish_broken().await;
@@ -281,7 +266,9 @@
             return AttemptResult::Ended(AttemptEnd::Lost);
         }
     };
-    return_connection(call, &attempt.selection.server, connection, after);
+    if let Some(connection) = source.into_connection() {
+        return_connection(call, &attempt.selection.server, connection, after);
+    }
     let body = ResponseBody::full(bytes).with_reader(reader);
     let response = response_to_caller(&parts, body);
     let may_repeat = call.may_resend(attempts);
@@ -336,21 +323,27 @@
 }
 
 /// Reads a unary response. Once it is not small, room for all of it is taken at once.
-async fn read_unary_body(call: &Call, body: Incoming) -> Result<UnaryBody, BodyUnusable> {
+async fn read_unary_body(
+    call: &Call,
+    source: &mut ResponseSource,
+) -> Result<UnaryBody, BodyUnusable> {
     let mut held_back = Duration::ZERO;
-    let len = body.size_hint().exact();
-    let mut body = Limited::new(body, MAX_UNARY_BODY_BYTES);
+    let len = source.size_hint().exact();
     let (mut chunks, mut read) = (Vec::new(), 0);
     let mut counted = None;
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = source.frame().await {
         let frame = frame.map_err(|_cause| BodyUnusable {
             held_back,
-            why: "response body incomplete or too large",
+            why: "response body incomplete",
         })?;
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
         read += chunk.len();
+        if read > MAX_UNARY_BODY_BYTES {
+            let why = "response body too large";
+            return Err(BodyUnusable { held_back, why });
+        }
         chunks.push(chunk);
         if counted.is_none() && read.max(len.unwrap_or(0) as usize) > MAX_UNCOUNTED_BYTES {
             let reader = ResponseReader::open(&call.relay.held_bytes, &call.route);
@@ -381,21 +374,25 @@
 fn reuse_after_body(
     call: &Call,
     server: &ServerName,
-    connection: Connection,
+    mut source: ResponseSource,
     after: AfterResponse,
-    body: Incoming,
 ) {
-    if body.is_end_stream() {
-        return_connection(call, server, connection, after);
+    if source.is_end_stream() {
+        if let Some(connection) = source.into_connection() {
+            return_connection(call, server, connection, after);
+        }
         return;
     }
     let AfterResponse::Pool { keep_alive } = after else {
+        source.reset();
         return;
     };
     let (relay, server) = (Arc::clone(&call.relay), server.clone());
     tokio::spawn(async move {
-        let body = Limited::new(body, MAX_DISCARDED_BYTES).collect();
-        if matches!(timeout(MAX_DISCARD_TIME, body).await, Ok(Ok(_body))) {
+        let discarded = source.discard(MAX_DISCARDED_BYTES);
+        if !matches!(timeout(MAX_DISCARD_TIME, discarded).await, Ok(true)) {
+            source.reset();
+        } else if let Some(connection) = source.into_connection() {
             relay.connection_pool.put(&server, connection, keep_alive);
         }
     });
@@ -522,12 +519,10 @@
     let after = received.after();
     let Received {
         mut attempt,
-        connection,
         parts,
-        body,
+        mut source,
         ..
     } = received;
-    let mut source = StreamSource::new(body, connection, attempt.sent_run());
     let mut silence = Silence::before_first_event(call, &attempt.selection, source.via());
     let events_before = join.event_count();
     let mut received = BytesMut::new();
--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -88,7 +88,7 @@
     /// Fingerprint of the request, computed on first use.
     fingerprint: OnceLock<RequestFingerprint>,
     /// Whether a server crashed during an attempt of this call.
-    pub saw_crash: AtomicBool,
+    pub saw_crash: Arc<AtomicBool>,
     /// Whether the caller has received the response head. From then on the response can only be
     /// continued or aborted.
     pub response_started: AtomicBool,
@@ -135,6 +135,31 @@
         })
     }
 
+    /// The call for what happens after its end, for which its body is not needed.
+    pub fn without_body(&self) -> Self {
+        Self {
+            relay: Arc::clone(&self.relay),
+            routes: Arc::clone(&self.routes),
+            route: self.route.clone(),
+            service: self.service.clone(),
+            workspace: self.workspace.clone(),
+            priority: self.priority,
+            head: self.head.clone(),
+            fingerprint: OnceLock::from(self.fingerprint()),
+            saw_crash: Arc::clone(&self.saw_crash),
+            response_started: AtomicBool::new(self.response_started.load(Ordering::Relaxed)),
+            retry: CallRetry::new(&self.relay, &self.service),
+            host: self.host.clone(),
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            _held_body: HeldBody::new(Arc::clone(&self.relay.held_bytes)),
+            arrived: self.arrived,
+            deadline: self.deadline,
+        }
+    }
+
     /// What crashes during a run of the call are attributed to; without the request if its body
     /// shall not be read for it.
     pub fn keys(&self, with_request: bool) -> CallKeys {
@@ -281,7 +306,7 @@
         route: route.clone(),
         head,
         fingerprint: OnceLock::new(),
-        saw_crash: AtomicBool::new(false),
+        saw_crash: Arc::default(),
         response_started: AtomicBool::new(false),
         retry,
         host,
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -40,6 +40,7 @@
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::Run;
 use crate::relay::response_body::ResponseBody;
+use crate::relay::response_source::ResponseSource;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_gate::MAX_SERVERS_PER_ATTEMPT;
 use crate::relay::server_gate::OWNER_RETRY_DELAY;
@@ -324,12 +325,12 @@
             attempt.response_started = Some(call.relay.clock.now());
         }
     }
+    let source = ResponseSource::new(body, connection, attempt.sent_run());
     let received = Received {
         attempt,
-        connection,
         parts,
         head,
-        body,
+        source,
     };
     attempt_response::classify(call, attempts, tried, received, join).await
 }
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -28,6 +28,7 @@
 use crate::relay::call::Call;
 use crate::relay::call_retry::RetrySource;
 use crate::relay::connection_pool::SendError;
+use crate::relay::connection_pool::Via;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
 use crate::relay::server_selection::Selection;
@@ -148,19 +149,38 @@
     );
 }
 
-/// What the server of an abandoned run showed after the call had ended. `open`: how long the server could
-/// still write to the connection.
-pub fn abandoned_run_ended(run: &SentRun, end: AbandonedEnd, took: Duration, open: Duration) {
+/// The connection of a call that has ended first is reset.
+pub fn connection_reset(run: &SentRun, via: Via) {
+    let had_responded = run.response_started.is_some();
+    let phase = if had_responded {
+        "responding"
+    } else {
+        "waiting"
+    };
+    counter!("badgerferry_connections_reset_total", "phase" => phase).increment(1);
+    tracing::info!(
+        call = run.call.id(),
+        service = %run.call.service,
+        server = %run.target.name,
+        ?via,
+        had_responded,
+        sent_ms_ago = run.call.relay.clock.now().since(run.sent_at).as_millis() as u64,
+        "connection reset: call ended before its response"
+    );
+}
+
+/// What the server of an abandoned run showed after the call had ended.
+pub fn abandoned_run_ended(run: &SentRun, end: AbandonedEnd, took: Duration) {
     counter!("badgerferry_abandoned_calls_total", "end" => end.code()).increment(1);
-    histogram!("badgerferry_abandoned_connection_open_seconds").record(open.as_secs_f64());
+    if end == AbandonedEnd::Responded && !LATE_LINES.allow() {
+        return;
+    }
     tracing::info!(
         call = run.call.id(),
         service = %run.call.service,
         server = %run.target.name,
         end = end.code(),
         after_ms = took.as_millis() as u64,
-        open_ms = open.as_millis() as u64,
-        sent_ms_ago = run.call.relay.clock.now().since(run.sent_at).as_millis() as u64,
         had_responded = run.response_started.is_some(),
         "abandoned call ended"
     );
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -43,6 +43,7 @@
 mod request_quarantine;
 mod reservations;
 mod response_body;
+mod response_source;
 mod running_engines;
 mod server_exchange;
 mod server_gate;
@@ -53,7 +54,6 @@
 mod stop;
 mod store_follower;
 mod stream_relay;
-mod stream_source;
 mod suspension;
 mod unknown_headers;
 
--- a/daemon/src/relay/server_exchange.rs
+++ b/daemon/src/relay/server_exchange.rs
@@ -1,4 +1,4 @@
-//! The exchange of a request for the head of its response, which is watched on if its call ends first.
+//! The exchange of a request for the head of its response. If its call ends first, its connection is reset.
 
 use std::sync::Arc;
 
@@ -10,8 +10,6 @@
 
 use crate::relay::abandoned_run::AbandonedRun;
 use crate::relay::abandoned_run::SentRun;
-use crate::relay::abandoned_run::Sign;
-use crate::relay::call_attempt;
 use crate::relay::call_retry::PendingSend;
 use crate::relay::connection_pool::Connection;
 use crate::relay::connection_pool::SendError;
@@ -102,21 +100,12 @@
             pending,
         } = running;
         control.abandon();
-        let sent = run.clone();
-        let sign = async move {
-            let Ok((response, _connection)) = answer.await else {
-                return Sign::Closed;
-            };
-            let (parts, _body) = response.into_parts();
-            call_attempt::record_head(&sent.call, &sent.target, &parts);
-            Sign::Sent
-        };
+        drop(answer);
         let abandoned = AbandonedRun {
             run,
-            control,
             via,
             pending: Some(pending),
         };
-        abandoned.watch(sign.boxed());
+        abandoned.watch();
     }
 }
--- a/daemon/src/relay/server_stream.rs
+++ b/daemon/src/relay/server_stream.rs
@@ -1,38 +1,34 @@
 //! Streams to servers, and how they end.
 //!
-//! A connection that ends before its response is reset: a server that only notices failed writes then
-//! fails at its next one, and bytes that were not sent yet are discarded. Before that, the sending side
-//! alone can be closed while HTTP still reads.
+//! A connection that ends before its response is reset, without an end of its sending side before that: a
+//! server or forwarder that reads, writes or waits for errors notices a reset, but one that has read an end
+//! notices a reset after it only by a write. Bytes that were not sent yet are discarded.
 
 use std::io;
-use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
-use futures::task::AtomicWaker;
+use metrics::histogram;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 
 /// Controls how a stream ends.
 #[derive(Debug, Default)]
 pub struct StreamControl {
     /// Whether a request was sent and its response is not complete.
     is_exchanging: AtomicBool,
-    /// Whether the call of that request has ended.
-    is_abandoned: AtomicBool,
-    must_half_close: AtomicBool,
-    is_half_closed: AtomicBool,
-    reader: AtomicWaker,
-    received: Notify,
+    /// Since when the response is not read any more, if that is before its end.
+    abandoned_at: OnceLock<Instant>,
 }
 
 impl StreamControl {
@@ -46,30 +42,14 @@
         self.is_exchanging.store(false, Ordering::Release);
     }
 
-    /// Records that the call of the request has ended: the stream is reset even if HTTP closes it in order,
-    /// as it does for a response that nobody reads.
+    /// Records that the response is not read to its end: the stream is reset, although HTTP would close
+    /// it in order.
     pub fn abandon(&self) {
-        self.is_abandoned.store(true, Ordering::Release);
+        self.abandoned_at.get_or_init(Instant::now);
     }
 
-    /// Closes the sending side: the server can read the end, and what it still sends is received.
-    pub fn half_close(&self) {
-        self.must_half_close.store(true, Ordering::Release);
-        self.reader.wake();
-    }
-
-    /// Resolves once the server has sent something since the sending side was closed.
-    pub async fn received(&self) {
-        self.received.notified().await;
-    }
-
-    fn apply(&self, stream: &TcpStream, cx: &Context<'_>) {
-        self.reader.register(cx.waker());
-        if self.must_half_close.swap(false, Ordering::AcqRel) {
-            self.is_half_closed.store(true, Ordering::Release);
-            // It fails only if the connection has ended, which the read shows.
-            let _ = SockRef::from(stream).shutdown(Shutdown::Write);
-        }
+    fn is_abandoned(&self) -> bool {
+        self.abandoned_at.get().is_some()
     }
 }
 
@@ -99,12 +79,15 @@
 impl Drop for ServerStream {
     fn drop(&mut self) {
         let is_incomplete = self.control.is_exchanging.load(Ordering::Acquire);
-        let is_abandoned = self.control.is_abandoned.load(Ordering::Acquire);
-        let must_reset = is_abandoned || is_incomplete && !self.is_shut_down;
+        let must_reset = self.control.is_abandoned() || is_incomplete && !self.is_shut_down;
         if must_reset && !self.has_server_closed {
             // On failure the stream is closed in order, which most servers notice as well.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
+        if let Some(abandoned_at) = self.control.abandoned_at.get() {
+            let open = abandoned_at.elapsed().as_secs_f64();
+            histogram!("badgerferry_abandoned_connection_open_seconds").record(open);
+        }
     }
 }
 
@@ -114,13 +97,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.control.apply(&self.stream, cx);
         let filled_before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let has_received = buf.filled().len() > filled_before;
-        if has_received && self.control.is_half_closed.load(Ordering::Acquire) {
-            self.control.received.notify_one();
-        }
         if !has_received && matches!(polled, Poll::Ready(Ok(()))) {
             self.has_server_closed = true;
         }
@@ -142,6 +121,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.control.is_abandoned() {
+            return Poll::Ready(Ok(()));
+        }
         self.is_shut_down = true;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -132,8 +132,6 @@
     pub unknown_headers: UnknownHeaders,
     /// Bytes held for slow callers and servers.
     pub held_bytes: Arc<HeldByteAccount>,
-    /// Abandoned runs whose connection is still read.
-    pub abandoned_connections: Arc<AtomicUsize>,
     /// Abandoned runs whose server is watched.
     pub abandoned_runs: Arc<AtomicUsize>,
     /// Server processes that may still run abandoned calls.
@@ -229,7 +227,6 @@
             gate,
             unknown_headers: UnknownHeaders::default(),
             held_bytes,
-            abandoned_connections: Arc::default(),
             abandoned_runs: Arc::default(),
             process_watches: ProcessWatches::default(),
             server_paths,
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon in one binary. They start the real programs as processes.
 
 mod crash_fleet;
+mod departures;
 mod engines;
 mod fake_peer;
 mod relay_fleet;
@@ -22,6 +23,7 @@
 mod test_relay_evacuation;
 mod test_relay_evacuation_eras;
 mod test_relay_evacuation_pulls;
+mod test_relay_forwarded_departures;
 mod test_relay_leaving;
 mod test_relay_limits;
 mod test_relay_odd_entries;
--- a/daemon/tests/test_relay_departed_callers.rs
+++ b/daemon/tests/test_relay_departed_callers.rs
@@ -15,84 +15,15 @@
 use badgerferry_standin::server::Server;
 use futures::future::try_join_all;
 
-/// Calls of each test.
-const CALLS: u32 = 40;
-/// Interval between two calls.
-const CALL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time in which servers do what they do after the last caller has left.
-const SETTLING_TIME: Duration = Duration::from_millis(700);
-
-/// Sends a call, and leaves after `patience`, or, if the response is to begin first, as long after that.
-async fn make_call(
-    front: SocketAddr,
-    path: &str,
-    id: &str,
-    awaits_response: bool,
-    patience: Duration,
-) -> anyhow::Result<Departure> {
-    let mut caller = Caller::connect(front).await?;
-    caller.send(&call("POST", path, id, "", "prompt")).await?;
-    if awaits_response {
-        caller.read_some(64).await?;
-    }
-    tokio::time::sleep(patience).await;
-    drop(caller);
-    Ok(Departure {
-        id: id.to_owned(),
-        at: Instant::now(),
-    })
-}
-
-/// Patience of the caller with this number, spread evenly from 150 to 600 ms.
-fn patience(index: u32) -> Duration {
-    Duration::from_millis(150) + Duration::from_millis(450) * (index * 7 % CALLS) / CALLS
-}
-
-/// Lets callers leave, and checks that no server works on for them.
-async fn assert_servers_stop(
-    path: &'static str,
-    awaits_response: bool,
-    configure: impl Fn(&Server),
-) -> anyhow::Result<()> {
-    let mut cluster = TestCluster::start(4).await?;
-    cluster.servers.iter().for_each(configure);
-    let front = cluster.relay.front();
-
-    let calls = (0..CALLS).map(|index| async move {
-        tokio::time::sleep(CALL_INTERVAL * index).await;
-        let id = format!("left-{index}");
-        make_call(front, path, &id, awaits_response, patience(index)).await
-    });
-    let departures = try_join_all(calls).await?;
-    tokio::time::sleep(SETTLING_TIME).await;
-
-    let found = departure_audit::audit(&departures, &cluster.servers);
-    assert!(found.runs >= CALLS as usize / 2, "too few runs: {found}");
-    assert!(
-        !found.violates(),
-        "{found}: {found:?}; log:\n{}",
-        cluster.relay.log()
-    );
-    cluster.relay.kill();
-    Ok(())
-}
-
-/// Time that servers take until they respond.
-const LONG_WORK: Duration = Duration::from_secs(2);
-/// Interval at which they write meanwhile.
-const INTERIM_INTERVAL: Duration = Duration::from_millis(150);
-
-fn writes_while_working(server: &Server) {
-    server.detect_disconnects(DisconnectDetection::FailedWrite);
-    server.delay_heads(LONG_WORK, Some(INTERIM_INTERVAL));
-}
-
-/// Writes an event of a long stream at this interval.
-fn writes_events(server: &Server, interval: Duration) {
-    server.pad_large_responses(1);
-    server.detect_disconnects(DisconnectDetection::FailedWrite);
-    server.slow_down(interval.as_secs_f64() / server.pace.as_secs_f64());
-}
+use crate::departures::CALL_INTERVAL;
+use crate::departures::CALLS;
+use crate::departures::LONG_WORK;
+use crate::departures::SETTLING_TIME;
+use crate::departures::assert_servers_stop;
+use crate::departures::make_call;
+use crate::departures::patience;
+use crate::departures::writes_events;
+use crate::departures::writes_while_working;
 
 #[tokio::test]
 async fn streams_not_begun_end_at_servers_that_notice_failed_writes() -> anyhow::Result<()> {
@@ -134,6 +65,78 @@
     .await
 }
 
+#[tokio::test]
+async fn calls_end_at_servers_that_notice_only_failed_reads() -> anyhow::Result<()> {
+    assert_servers_stop("/again/a", false, |server| {
+        server.detect_disconnects(DisconnectDetection::FailedRead);
+        server.delay_heads(LONG_WORK, None);
+    })
+    .await
+}
+
+#[tokio::test]
+async fn streams_end_at_servers_that_notice_only_failed_reads() -> anyhow::Result<()> {
+    assert_servers_stop("/stream/a", true, |server| {
+        server.detect_disconnects(DisconnectDetection::FailedRead);
+        server.slow_down(100.0);
+    })
+    .await
+}
+
+/// Lets callers leave while their response arrives, and returns how many of its servers go on.
+async fn calls_that_go_on_while_responding(
+    detection: DisconnectDetection,
+) -> anyhow::Result<usize> {
+    let cluster = TestCluster::start(4).await?;
+    for server in &cluster.servers {
+        server.detect_disconnects(detection);
+        server.set_default_behaviour(Behaviour::HoldUnframed(1));
+    }
+    let front = cluster.relay.front();
+
+    let calls = (0..CALLS).map(|index| async move {
+        let id = format!("left-{index}");
+        make_call(front, "/again/a", &id, false, patience(index)).await
+    });
+    let departures = try_join_all(calls).await?;
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let seen: Vec<_> = (cluster.servers.iter())
+        .flat_map(Server::received_calls)
+        .collect();
+    anyhow::ensure!(seen.len() == CALLS as usize, "{} calls arrived", seen.len());
+    let left_at = |id: &str| {
+        departures
+            .iter()
+            .find(|left| left.id == id)
+            .map(|left| left.at)
+    };
+    let goes_on = seen
+        .iter()
+        .filter(|call| match (call.ended_at, left_at(call.id())) {
+            (Some(ended_at), Some(left_at)) => ended_at > left_at + STOP_TIME,
+            _ => true,
+        });
+    Ok(goes_on.count())
+}
+
+#[tokio::test]
+async fn calls_end_while_responding_at_servers_that_notice_only_failed_reads() -> anyhow::Result<()>
+{
+    let goes_on = calls_that_go_on_while_responding(DisconnectDetection::FailedRead).await?;
+
+    assert_eq!(goes_on, 0, "calls go on");
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_end_while_responding_at_servers_that_notice_only_errors() -> anyhow::Result<()> {
+    let goes_on = calls_that_go_on_while_responding(DisconnectDetection::ConnectionError).await?;
+
+    assert_eq!(goes_on, 0, "calls go on");
+    Ok(())
+}
+
 #[tokio::test]
 async fn calls_end_at_servers_that_read_the_end_of_connections() -> anyhow::Result<()> {
     assert_servers_stop("/again/a", false, |server| {
