--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -63,6 +63,9 @@
     /// departures, part-crashes
     #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
     severity: Severity,
+    /// folder for the logs of all runs of a sheet (those that fail: the temporary folder)
+    #[argh(option)]
+    logs: Option<PathBuf>,
     /// a seed to pass over, since it is known to fail; may be repeated
     #[argh(option)]
     pass_over: Vec<u64>,
@@ -128,7 +131,13 @@
         };
         let run = async {
             if let Some(sheet) = &args.sheet {
-                let report = sheet_run::run(*seed, sheet, args.severity, fault_duration).await?;
+                let plan = sheet_run::Plan {
+                    sheet,
+                    severity: args.severity,
+                    lasts: fault_duration,
+                    logs: args.logs.as_deref(),
+                };
+                let report = sheet_run::run(*seed, &plan).await?;
                 Ok(report.to_string())
             } else if args.retries {
                 let summary = retry_budget::run(*seed, args.boxes, fault_duration).await?;
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -82,18 +82,28 @@
     budget: BudgetTerms,
 }
 
+/// What is played.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan<'a> {
+    /// Site file.
+    pub sheet: &'a Path,
+    pub severity: Severity,
+    /// How long troubles come.
+    pub lasts: Duration,
+    /// Folder for the logs of all runs; those that fail are saved in the temporary folder otherwise.
+    pub logs: Option<&'a Path>,
+}
+
 /// Runs a seed.
 ///
 /// # Errors
 ///
 /// A retry rule is violated, or a process could not be started.
-pub async fn run(
-    seed: u64,
-    sheet: &Path,
-    severity: Severity,
-    lasts: Duration,
-) -> anyhow::Result<Report> {
-    let sheet = Sheet::read(sheet)?;
+pub async fn run(seed: u64, plan: &Plan<'_>) -> anyhow::Result<Report> {
+    let Plan {
+        severity, lasts, ..
+    } = *plan;
+    let sheet = Sheet::read(plan.sheet)?;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let troubles = sheet_troubles::draw(&mut rng, severity, lasts);
     println!("{} seed {seed}: {troubles:?}", sheet.name);
@@ -108,10 +118,15 @@
     callers.await?;
     let report = deployment.audit();
     let violated = report.violated();
+    if violated.is_empty() && plan.logs.is_none() {
+        return Ok(report);
+    }
+    let parent = plan.logs.map_or_else(std::env::temp_dir, Path::to_owned);
+    let dir = parent.join(format!("badgerferry-soak-{}-{seed}", sheet.name));
+    let logs = deployment.save_logs(&dir, &report)?;
     if violated.is_empty() {
         return Ok(report);
     }
-    let logs = deployment.save_logs(&sheet.name, seed, &report)?;
     anyhow::bail!("{violated:?}: {report}; logs in {logs}")
 }
 
@@ -474,9 +489,8 @@
         lines
     }
 
-    fn save_logs(&self, name: &str, seed: u64, report: &Report) -> anyhow::Result<String> {
-        let dir = std::env::temp_dir().join(format!("badgerferry-soak-{name}-{seed}"));
-        std::fs::create_dir_all(&dir)?;
+    fn save_logs(&self, dir: &Path, report: &Report) -> anyhow::Result<String> {
+        std::fs::create_dir_all(dir)?;
         for (index, a_box) in self.boxes.iter().enumerate() {
             let path = dir.join(format!("box-{index}.log"));
             std::fs::write(path, a_box.log()).context("failed to save a log")?;
