retries: send only to servers that have just responded to a query

Cause: neither a connection nor a send shows whether a server reads. The kernel takes both for a process that stands still, and a forwarder holds them back. Retries went to engines heard from within 100 ms, and at plain services, and where nobody responded, to any server. What arrives from a server may have been on the way for long: several retries at once went to a server whose forwarder had just let go of old bytes.

Now a retry goes only to a server that has responded to a query within 50 ms: an engine to one for its report, another to a status check. Candidates are asked one after the other each 30 ms, the servers that the call was sent to last, and not if they declined it. Where none responds, the call ends at once: 503 servers_silent if it has not run, else 502; a stream that has begun searches for a second. First sends avoid servers that did not respond to a query, as long as any other remains, until they do (silent_servers.rs); the server of a late call is asked if it has sent nothing since. A server that stays silent after its call was abandoned is asked for its status, which tells the pause that nobody received.

Tests that failed before: retries_avoid_servers_while_most_stand_still, declined_calls_are_refused_at_once_where_no_other_server_responds. paused_stream_whose_first_server_refuses_connections_takes_one_retry: its first server now responds to one query and refuses connections then, since one that refuses from the start is not sent the call any more; it checks the same.

--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -190,6 +190,7 @@
         | RefusalReason::ServersFull
         | RefusalReason::ServersLeaving
         | RefusalReason::ServersUnreachable
+        | RefusalReason::ServersSilent
         | RefusalReason::NoSettings => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -223,6 +224,7 @@
         RefusalReason::ServersFull => "the queues of all servers are full",
         RefusalReason::ServersLeaving => "all servers that could take it leave",
         RefusalReason::ServersUnreachable => "no box can connect to the servers that could take it",
+        RefusalReason::ServersSilent => "the servers that could take it do not respond",
     }
 }
 
--- a/daemon/src/relay/abandoned_run.rs
+++ b/daemon/src/relay/abandoned_run.rs
@@ -9,6 +9,7 @@
 //! - Once the server sends anything else, it has read the call, or never will.
 //! - If its process exits within the time that the route allows a call, the run may have crashed it.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -25,6 +26,7 @@
 use crate::relay::call_retry::PendingSend;
 use crate::relay::connection_end;
 use crate::relay::connection_pool::Via;
+use crate::relay::listed_server::ListedServer;
 use crate::relay::request_quarantine;
 use crate::relay::request_quarantine::Run;
 use crate::relay::server_gate::Target;
@@ -198,7 +200,10 @@
         pending: Option<PendingSend>,
         in_progress: &mut Option<Run>,
     ) -> AbandonedEnd {
-        let has_responded = self.wait_for_response(self.abandoned_at).await;
+        let has_responded = tokio::select! {
+            has_responded = self.wait_for_response(self.abandoned_at) => has_responded,
+            never = self.check_status() => match never {},
+        };
         drop(pending);
         if has_responded {
             self.wait_for_response(self.abandoned_at + STOP_TIME).await;
@@ -213,6 +218,23 @@
         }
     }
 
+    /// Asks a server that stays silent for its status: one that has asked for a pause, which nobody received,
+    /// declines the check as well.
+    async fn check_status(&self) -> Infallible {
+        sleep(STOP_TIME).await;
+        let call = &self.run.call;
+        let service = call.routes.service(&call.service);
+        let path = service.and_then(|service| service.health_path.as_deref());
+        if let Some(path) = path.filter(|_| self.run.response_started.is_none()) {
+            let server = ListedServer::new(&self.run.target, &self.run.address);
+            call.relay
+                .status_checks
+                .check(&call.relay, &server, path)
+                .await;
+        }
+        std::future::pending().await
+    }
+
     /// Waits until the server has sent anything since this time; returns whether it has before the end of the
     /// watch.
     async fn wait_for_response(&self, since: Time) -> bool {
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -41,6 +41,7 @@
 use crate::relay::request_quarantine::Run;
 use crate::relay::response_body::ResponseBody;
 use crate::relay::response_source::ResponseSource;
+use crate::relay::running_servers;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_gate::MAX_SERVERS_PER_ATTEMPT;
 use crate::relay::server_gate::OWNER_RETRY_DELAY;
@@ -49,6 +50,7 @@
 use crate::relay::server_path;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection;
+use crate::relay::server_selection::Requirements;
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
 
@@ -262,7 +264,8 @@
     tried: &mut Vec<ServerName>,
     join: Option<&EventJoin>,
 ) -> AttemptResult {
-    let (run, selection, admitted) = match admit(call, tried).await {
+    let is_retry = attempts.is_retry();
+    let (run, selection, admitted) = match admit(call, attempts, tried).await {
         Ok(started) => started,
         Err((reason, retry_after)) => {
             call_log::no_server_available(call, reason, retry_after);
@@ -291,6 +294,9 @@
         Ok(reserved) => reserved,
         Err(cause) => return handle_send_error(call, tried, attempt, &cause).await,
     };
+    if is_retry && !running_servers::is_running(call, &attempt.selection.listed_server()).await {
+        return handle_send_error(call, tried, attempt, &SendError::Silent).await;
+    }
     let request = ServerRequest {
         request: build_request(call, &attempt.selection, resume_after),
         body_permit,
@@ -385,11 +391,18 @@
 /// before the send.
 async fn admit(
     call: &Arc<Call>,
+    attempts: &Attempts,
     tried: &[ServerName],
 ) -> Result<(Run, Selection, Admitted), (RefusalReason, Duration)> {
     loop {
         let run = request_quarantine::admit(call).await?;
-        let (selection, admitted) = acquire_server(call, tried, run.is_isolated).await?;
+        let requirements = Requirements {
+            tried,
+            is_retry: attempts.is_retry(),
+            is_declined: attempts.is_unsent(),
+            is_isolated: run.is_isolated,
+        };
+        let (selection, admitted) = acquire_server(call, requirements).await?;
         if run.may_send() {
             return Ok((run, selection, admitted));
         }
@@ -400,17 +413,16 @@
 /// for a while, so that it is not selected again at once.
 async fn acquire_server(
     call: &Arc<Call>,
-    tried: &[ServerName],
-    is_isolated: bool,
+    requirements: Requirements<'_>,
 ) -> Result<(Selection, Admitted), (RefusalReason, Duration)> {
     server_path::check_available(call).await?;
     for _ in 0..MAX_SERVERS_PER_ATTEMPT {
-        let selection = server_selection::select(call, tried, is_isolated).await?;
+        let selection = server_selection::select(call, requirements).await?;
         let pending = PendingCall {
             id: call.id(),
             target: &selection.target,
             helpers: &selection.helper_targets,
-            max_wait: call.max_admission_wait(tried.is_empty()),
+            max_wait: call.max_admission_wait(requirements.tried.is_empty()),
         };
         if let Ok(admitted) = call.relay.gate.admit_call(&pending).await {
             return Ok((selection, admitted));
@@ -491,7 +503,7 @@
             attempt.finish(ServerOutcome::ConnectTimeout);
             AttemptResult::Ended(AttemptEnd::NoConnection)
         }
-        SendError::NoPath | SendError::NotAdmitted => {
+        SendError::NoPath | SendError::NotAdmitted | SendError::Silent => {
             attempt.finish(ServerOutcome::Inconclusive);
             AttemptResult::Ended(AttemptEnd::NoConnection)
         }
--- a/daemon/src/relay/candidates.rs
+++ b/daemon/src/relay/candidates.rs
@@ -36,6 +36,8 @@
     AllEvacuated,
     /// Every listed server is leaving.
     AllLeaving,
+    /// No server responds to queries.
+    Silent,
 }
 
 impl NoCandidate {
@@ -49,13 +51,14 @@
                 with_jitter(EVACUATED_RETRY),
             ),
             Self::AllLeaving => (RefusalReason::ServersLeaving, NO_SERVER_RETRY),
+            Self::Silent => (RefusalReason::ServersSilent, with_jitter(NO_SERVER_RETRY)),
         }
     }
 
     /// Whether no server can become available before the time `at`.
     pub fn lasts_until(self, now: Time, at: Time) -> bool {
         match self {
-            Self::NoServers => false,
+            Self::NoServers | Self::Silent => false,
             Self::RetryIn(retry_in, _) => now + retry_in >= at,
             Self::AllEvacuated | Self::AllLeaving => true,
         }
@@ -76,8 +79,19 @@
     pub tried: &'a [ServerName],
     /// Longest time that the call may wait for a server.
     pub max_wait: Duration,
-    /// Whether servers that have sent something within this time are preferred.
-    pub heard_within: Option<Duration>,
+    /// What is known of the servers' responses.
+    pub heard: Heard,
+}
+
+/// Which servers a call may use by whether they are known to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// Any.
+    Any,
+    /// Those that have sent something within this time are preferred.
+    Preferred(Duration),
+    /// Only those that have responded to a query within this time.
+    Verified(Duration),
 }
 
 /// Servers that may take part in a call, with the availability of each. If none accepts calls now,
@@ -97,7 +111,7 @@
         service,
         tried,
         max_wait,
-        heard_within,
+        heard,
     } = *query;
     let notices = lock(&relay.gate.notices);
     let availability = |record: &ServerRecord| {
@@ -109,9 +123,18 @@
         relay.gate.availability_in([&record.info.hall], announced)
     };
     let usable = tracker.usable(now, service, tried, availability);
-    let mut usable = match heard_within {
-        Some(recent) => server_tracker::heard_recently(now, recent, usable),
-        None => usable,
+    let mut usable = match heard {
+        Heard::Any => usable,
+        Heard::Preferred(recent) => server_tracker::heard_recently(now, recent, usable),
+        Heard::Verified(recent) => {
+            let is_verified = |record: &ServerRecord| record.is_verified_within(now, recent);
+            let usable = usable.into_iter();
+            let verified: Vec<_> = usable.filter(|(record, _)| is_verified(record)).collect();
+            if verified.is_empty() {
+                return Err(NoCandidate::Silent);
+            }
+            verified
+        }
     };
     if usable
         .iter()
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -76,6 +76,9 @@
     /// Nothing was sent: the server does not accept the call any more.
     #[error("server no longer accepts the call")]
     NotAdmitted,
+    /// Nothing was sent: the server does not respond to a query.
+    #[error("no response to a query")]
+    Silent,
     /// Nothing was sent: the server has not read the bodies of earlier requests.
     #[error("earlier request bodies are unread")]
     EarlierBodiesUnread,
@@ -93,6 +96,7 @@
             | Self::ConnectTimeout
             | Self::NoPath
             | Self::NotAdmitted
+            | Self::Silent
             | Self::EarlierBodiesUnread => false,
         }
     }
--- a/daemon/src/relay/engine.rs
+++ b/daemon/src/relay/listed_server.rs
@@ -1,4 +1,4 @@
-//! An engine as requests of this box are addressed to it.
+//! A server as requests of this box are addressed to it.
 
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::engine_load::EngineKey;
@@ -8,9 +8,9 @@
 use crate::relay::server_path::Destination;
 use crate::relay::state::Relay;
 
-/// A listed engine.
+/// A listed server.
 #[derive(Debug, Clone)]
-pub struct Engine {
+pub struct ListedServer {
     /// Name of the server entry.
     pub server: ServerName,
     /// Incarnation and hall.
@@ -21,8 +21,8 @@
     pub key: EngineKey,
 }
 
-impl Engine {
-    /// Where connections to the engine lead, for requests of this box itself.
+impl ListedServer {
+    /// Where connections to the server lead, for requests of this box itself.
     pub fn destination<'a>(&'a self, relay: &'a Relay) -> Destination<'a> {
         Destination {
             relay,
@@ -32,7 +32,17 @@
         }
     }
 
-    /// The engine that the record describes.
+    /// The server at this address.
+    pub fn new(target: &Target, address: &str) -> Self {
+        Self {
+            server: target.name.clone(),
+            target: target.clone(),
+            address: address.to_owned(),
+            key: EngineKey::of(&target.name),
+        }
+    }
+
+    /// The server that the record describes.
     pub fn of(record: &ServerRecord) -> Self {
         Self {
             server: record.info.name.clone(),
--- a/daemon/src/relay/reservations.rs
+++ b/daemon/src/relay/reservations.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use badgerferry_platform::orders;
-use badgerferry_platform::orders::EngineCall;
 use badgerferry_platform::orders::ReservationResult;
+use badgerferry_platform::orders::ServerQuery;
 use badgerferry_platform::settings_file::BoxSettings;
 use futures::future::join_all;
 use http::StatusCode;
@@ -18,9 +18,9 @@
 use tokio::time::timeout;
 
 use crate::relay::call::Call;
-use crate::relay::engine::Engine;
-use crate::relay::engine_call;
+use crate::relay::listed_server::ListedServer;
 use crate::relay::server_gate::Admitted;
+use crate::relay::server_query;
 use crate::relay::state::Relay;
 
 /// Time until a reservation expires without renewal; memory held longer counts as leaked.
@@ -42,7 +42,7 @@
 pub struct Reservations {
     id: String,
     relay: Arc<Relay>,
-    engines: Arc<Vec<(Engine, u64)>>,
+    engines: Arc<Vec<(ListedServer, u64)>>,
     renewal: AbortHandle,
 }
 
@@ -54,11 +54,11 @@
     /// Addresses of the engines that did not reserve the memory, each with the cause.
     pub async fn reserve(
         call: &Arc<Call>,
-        requested: Vec<(Engine, u64)>,
+        requested: Vec<(ListedServer, u64)>,
     ) -> Result<Self, Vec<(String, ReserveError)>> {
         // No order is sent, so that none has to be released either.
         let is_evacuated =
-            |(engine, _): &&(Engine, u64)| call.relay.gate.is_evacuated(&engine.target.hall);
+            |(engine, _): &&(ListedServer, u64)| call.relay.gate.is_evacuated(&engine.target.hall);
         let evacuated = requested.iter().filter(is_evacuated);
         let evacuated: Vec<_> = evacuated
             .map(|(engine, _)| (engine.address.clone(), ReserveError::Evacuated))
@@ -164,7 +164,12 @@
     }
 }
 
-async fn renew(relay: Arc<Relay>, id: String, engines: Arc<Vec<(Engine, u64)>>, ttl: Duration) {
+async fn renew(
+    relay: Arc<Relay>,
+    id: String,
+    engines: Arc<Vec<(ListedServer, u64)>>,
+    ttl: Duration,
+) {
     loop {
         tokio::time::sleep(RENEWAL_INTERVAL).await;
         let orders = engines.iter().map(|(engine, tokens)| {
@@ -179,7 +184,7 @@
     }
 }
 
-async fn release(relay: &Relay, engine: &Engine, id: &str) {
+async fn release(relay: &Relay, engine: &ListedServer, id: &str) {
     for _ in 0..RELEASE_ATTEMPTS {
         let status = charge_and_send(relay, engine, orders::release(id)).await;
         if status.is_some() {
@@ -195,25 +200,29 @@
 
 /// Sends a renewal or a release, charged to the engine's quota but never delayed by it: a delayed
 /// release would leave memory reserved, and a delayed renewal would lose memory that is in use.
-async fn charge_and_send(relay: &Relay, engine: &Engine, call: EngineCall) -> Option<StatusCode> {
+async fn charge_and_send(
+    relay: &Relay,
+    engine: &ListedServer,
+    call: ServerQuery,
+) -> Option<StatusCode> {
     send_order(relay, engine, call, relay.gate.charge(&engine.target)).await
 }
 
 /// Sends an order on a connection of its own; `None` if there is no response.
 async fn send_order(
     relay: &Relay,
-    engine: &Engine,
-    call: EngineCall,
+    engine: &ListedServer,
+    call: ServerQuery,
     admitted: Admitted,
 ) -> Option<StatusCode> {
     let address = &engine.address;
     match timeout(
         ORDER_TIMEOUT,
-        engine_call::exchange(&engine.destination(relay), call, admitted),
+        server_query::exchange(&engine.destination(relay), call, admitted),
     )
     .await
     {
-        Ok(Ok((status, _))) => Some(status),
+        Ok(Ok(response)) => Some(response.status()),
         Ok(Err(cause)) => {
             tracing::info!(address, cause = format!("{cause:#}"), "engine order failed");
             None
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -39,13 +39,15 @@
 use crate::relay::call_log;
 use crate::relay::candidates;
 use crate::relay::candidates::CandidateQuery;
+use crate::relay::candidates::Heard;
 use crate::relay::candidates::NO_SERVER_RETRY;
 use crate::relay::candidates::NoCandidate;
-use crate::relay::engine::Engine;
 use crate::relay::first_event_watchdog::FirstEventWatchdog;
+use crate::relay::listed_server::ListedServer;
 use crate::relay::reservations::Reservations;
 use crate::relay::reservations::ReserveError;
-use crate::relay::running_engines;
+use crate::relay::running_servers;
+use crate::relay::running_servers::Search;
 use crate::relay::server_gate::Target;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -79,13 +81,18 @@
     pub waited: Duration,
     /// Work registered in the load table until dropped.
     load_entries: LoadEntries,
-    /// Queries the pace of the engines if the first event is late.
+    /// Queries the servers if the first event is late.
     watchdog: Option<FirstEventWatchdog>,
     /// Memory reserved at the engines until dropped.
     _reservations: Option<Reservations>,
 }
 
 impl Selection {
+    /// The server that runs the call.
+    pub fn listed_server(&self) -> ListedServer {
+        ListedServer::new(&self.target, &self.address)
+    }
+
     /// Addresses of the helpers, for logs; `None` if there are none.
     pub fn helper_addresses(&self) -> Option<String> {
         let addresses: Vec<&str> = self
@@ -156,24 +163,33 @@
     }
 }
 
-/// Selects a server or engines. Servers in `tried` are used again only if there is no other. With
-/// `is_isolated`, a short call goes to one of the least loaded engines.
+/// What an attempt needs of its servers.
+#[derive(Debug, Clone, Copy)]
+pub struct Requirements<'a> {
+    /// Servers that are used again only if there is no other.
+    pub tried: &'a [ServerName],
+    /// Whether a server has received the call before.
+    pub is_retry: bool,
+    /// Whether all servers that received it declined it.
+    pub is_declined: bool,
+    /// Whether a short call goes to one of the least loaded engines.
+    pub is_isolated: bool,
+}
+
+/// Selects a server or engines.
 ///
 /// # Errors
 ///
 /// The reason why no server can take the call now, and the delay before a retry.
 pub async fn select(
     call: &Arc<Call>,
-    tried: &[ServerName],
-    is_isolated: bool,
+    requirements: Requirements<'_>,
 ) -> Result<Selection, (RefusalReason, Duration)> {
     let service = call.routes.service(&call.service);
     let model = service.and_then(|service| service.engine);
     match (model, call.head.prompt) {
-        (Some(model), Some(prompt)) => {
-            select_engines(call, tried, &model, &prompt, is_isolated).await
-        }
-        _ => select_plain(call, tried),
+        (Some(model), Some(prompt)) => select_engines(call, requirements, &model, &prompt).await,
+        _ => select_plain(call, requirements).await,
     }
 }
 
@@ -182,14 +198,53 @@
         service: &call.service,
         tried,
         max_wait: call.max_admission_wait(tried.is_empty()),
-        heard_within: None,
+        heard: Heard::Any,
+    }
+}
+
+/// Servers that an attempt may use; for a retry, only such as run.
+async fn running_candidates<'a>(
+    call: &'a Call,
+    requirements: &Requirements<'a>,
+) -> CandidateQuery<'a> {
+    let query = candidate_query(call, requirements.tried);
+    if !requirements.is_retry {
+        return query;
+    }
+    let until = call.relay.clock.now() + running_servers::max_wait(call);
+    loop {
+        match running_servers::find(call, &query, requirements.is_declined).await {
+            Search::Found { is_untried } => {
+                // One that lost the call and runs is better than one that stands still.
+                let tried = if is_untried { query.tried } else { &[] };
+                return CandidateQuery {
+                    tried,
+                    heard: Heard::Verified(running_servers::RECENT),
+                    ..query
+                };
+            }
+            Search::Unknown => {
+                return CandidateQuery {
+                    heard: Heard::Preferred(call.route.objective),
+                    ..query
+                };
+            }
+            Search::NoneResponds if call.relay.clock.now() < until => {}
+            Search::NoneResponds => {
+                return CandidateQuery {
+                    heard: Heard::Verified(Duration::ZERO),
+                    ..query
+                };
+            }
+        }
     }
 }
 
-fn select_plain(
+async fn select_plain(
     call: &Arc<Call>,
-    tried: &[ServerName],
+    requirements: Requirements<'_>,
 ) -> Result<Selection, (RefusalReason, Duration)> {
+    let query = running_candidates(call, &requirements).await;
     let relay = &call.relay;
     let now = relay.clock.now();
     let plain_call = PlainCall {
@@ -198,11 +253,6 @@
     };
     let tracker = lock(&relay.tracker);
     let hall = &relay.settings.hall;
-    let query = CandidateQuery {
-        // A retry that a server reads late states more time than is left by then.
-        heard_within: (!tried.is_empty()).then_some(call.route.objective),
-        ..candidate_query(call, tried)
-    };
     let candidates = candidates::of_service(relay, now, &tracker, &query);
     let candidates = candidates.map_err(NoCandidate::refusal)?;
     let record =
@@ -234,31 +284,27 @@
             prefill: Duration::ZERO,
             is_prefilled: AtomicBool::new(false),
         },
-        watchdog: None,
+        watchdog: Some(FirstEventWatchdog::start_plain(
+            call,
+            ListedServer::of(record),
+            PLAIN_EXPECTED_RESPONSE,
+        )),
         _reservations: None,
     })
 }
 
 async fn select_engines(
     call: &Arc<Call>,
-    tried: &[ServerName],
+    requirements: Requirements<'_>,
     model: &EngineModel,
     prompt: &PromptSize,
-    is_isolated: bool,
 ) -> Result<Selection, (RefusalReason, Duration)> {
     let gaps = stream_gaps(call, model);
     if !engine_plan::is_long(model, prompt, &gaps) {
-        let mut query = candidate_query(call, tried);
-        if !tried.is_empty() {
-            query.heard_within = Some(running_engines::RECENT);
-            if !running_engines::find(call, &query).await {
-                // One that lost the call and runs is better than one that stands still.
-                query.tried = &[];
-                query.heard_within =
-                    Some(running_engines::RECENT + running_engines::MAX_SEARCH_TIME);
-            }
-        }
-        let isolated = is_isolated.then(|| plan(call, &query, model, prompt, EngineSet::Isolated));
+        let query = running_candidates(call, &requirements).await;
+        let isolated = requirements
+            .is_isolated
+            .then(|| plan(call, &query, model, prompt, EngineSet::Isolated));
         let planned = if let Some(Ok(planned)) = isolated {
             planned
         } else {
@@ -275,6 +321,7 @@
         return Err((RefusalReason::PromptTooLong, NO_SERVER_RETRY));
     }
     let queued_at = call.relay.clock.now();
+    let tried = requirements.tried;
     let mut is_requeued = !tried.is_empty();
     loop {
         let registered = wait_for_engines(call, tried, model, prompt, is_requeued).await?;
@@ -351,14 +398,14 @@
 
 /// A plan whose work is registered in the load table.
 struct RegisteredPlan {
-    engines: Vec<Engine>,
+    engines: Vec<ListedServer>,
     plan: EnginePlan,
     load_entries: LoadEntries,
 }
 
 /// A plan whose work is not registered in the load table yet.
 struct UnregisteredPlan {
-    engines: Vec<Engine>,
+    engines: Vec<ListedServer>,
     /// Work of each engine.
     engine_work: Vec<EngineWork>,
     plan: EnginePlan,
@@ -448,7 +495,7 @@
     let plan = planner
         .plan(prompt, targets, rng)
         .ok_or(NoCandidate::NoServers)?;
-    let engine = |assignment: &Assignment| Engine::of(usable[assignment.engine]);
+    let engine = |assignment: &Assignment| ListedServer::of(usable[assignment.engine]);
     Ok(UnregisteredPlan {
         engines: plan.assignments.iter().map(engine).collect(),
         engine_work: plan.engine_work(&states),
@@ -589,9 +636,9 @@
 
 /// Engines that prefill besides the lead. With reservations, the lead itself comes first, with the
 /// id of the reservation.
-fn helpers(engines: &[Engine], reservations: Option<&Reservations>) -> Vec<Helper> {
+fn helpers(engines: &[ListedServer], reservations: Option<&Reservations>) -> Vec<Helper> {
     let skip = usize::from(reservations.is_none());
-    let helper = |engine: &Engine| Helper {
+    let helper = |engine: &ListedServer| Helper {
         address: engine.address.clone(),
         reservation: reservations.map(|held| held.id().to_owned()),
     };
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -57,6 +57,7 @@
 use crate::relay::process_watches::ProcessWatches;
 use crate::relay::server_gate::GateContext;
 use crate::relay::server_gate::ServerGate;
+use crate::relay::status_checks::StatusChecks;
 use crate::relay::unknown_headers::UnknownHeaders;
 use crate::traffic::lock;
 
@@ -132,6 +133,8 @@
     pub unknown_headers: UnknownHeaders,
     /// Bytes held for slow callers and servers.
     pub held_bytes: Arc<HeldByteAccount>,
+    /// Status checks of servers that have not responded.
+    pub status_checks: StatusChecks,
     /// Abandoned runs whose server is watched.
     pub abandoned_runs: Arc<AtomicUsize>,
     /// Server processes that may still run abandoned calls.
@@ -227,6 +230,7 @@
             gate,
             unknown_headers: UnknownHeaders::default(),
             held_bytes,
+            status_checks: StatusChecks::default(),
             abandoned_runs: Arc::default(),
             process_watches: ProcessWatches::default(),
             server_paths,
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_relay_server_paths;
 mod test_relay_shedding;
 mod test_relay_signals;
+mod test_relay_silent_servers;
 mod test_relay_slow_engines;
 mod test_relay_slow_readers;
 mod test_relay_unframed;
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -93,6 +93,8 @@
     ServersLeaving,
     /// The network paths of this box and of its peers to the servers are cut.
     ServersUnreachable,
+    /// No server that could take a retry responds to a query.
+    ServersSilent,
 }
 
 impl RefusalReason {
@@ -118,6 +120,7 @@
             Self::ServersFull => "servers_full",
             Self::ServersLeaving => "servers_leaving",
             Self::ServersUnreachable => "servers_unreachable",
+            Self::ServersSilent => "servers_silent",
         }
     }
 }
--- a/lib/src/relay/route_table.rs
+++ b/lib/src/relay/route_table.rs
@@ -64,6 +64,8 @@
     pub engine: Option<EngineModel>,
     /// Calls per second that a cold server bears from all boxes together, if that is limited.
     pub cold_rate: Option<CallRate>,
+    /// Path of the status check of its servers, if they have one.
+    pub health_path: Option<String>,
 }
 
 /// Limits on requests and connections of callers.
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -90,8 +90,14 @@
     /// Load and speed according to its responses to this box.
     pub load: ServerLoad,
     breaker: Breaker,
-    /// When it last sent this box anything in response to a call.
+    /// When it last sent this box anything.
     last_heard: Option<Time>,
+    /// When it last sent this box anything in response to a call.
+    last_response: Option<Time>,
+    /// When it last responded to a query. What it sends otherwise may have been on the way for long.
+    last_query_response: Option<Time>,
+    /// When it last did not respond to a query in time.
+    last_silence: Option<Time>,
     /// When a call was abandoned that it had not responded to, and until when that matters.
     unanswered: Option<(Time, Time)>,
     /// When another server last reported it at fault to this box.
@@ -113,6 +119,9 @@
             load: ServerLoad::default(),
             breaker: Breaker::Closed,
             last_heard: None,
+            last_response: None,
+            last_query_response: None,
+            last_silence: None,
             unanswered: None,
             last_fault: None,
             fault_exclusions: 0,
@@ -126,16 +135,28 @@
         reported.is_some_and(|at| now.since(at) < DEPARTURE_TRUST_TIME)
     }
 
+    /// Whether it has responded to a query within this time, and so runs and is reached.
+    pub fn is_verified_within(&self, now: Time, recent: Duration) -> bool {
+        let verified = self.last_query_response;
+        verified.is_some_and(|at| now.since(at) <= recent)
+    }
+
     /// Whether it has sent something within this time.
     pub fn is_heard_within(&self, now: Time, recent: Duration) -> bool {
         self.last_heard.is_some_and(|at| now.since(at) <= recent)
     }
 
-    /// Whether it has not sent anything since a call was abandoned that it had not responded to. It may be
-    /// about to ask for a pause, which nobody would receive.
+    /// Whether it has sent nothing since it did not respond to a query in time: it may stand still.
+    pub fn is_silent(&self) -> bool {
+        self.last_silence
+            .is_some_and(|since| self.last_heard.is_none_or(|at| at < since))
+    }
+
+    /// Whether it has responded to no call since one was abandoned that it had not responded to. It may have
+    /// asked for a pause, which nobody received.
     fn is_unanswered(&self, now: Time) -> bool {
         let unanswered = self.unanswered.filter(|(_, until)| now < *until);
-        unanswered.is_some_and(|(since, _)| self.last_heard.is_none_or(|at| at < since))
+        unanswered.is_some_and(|(since, _)| self.last_response.is_none_or(|at| at < since))
     }
 
     /// Whether the server is excluded after failures.
@@ -264,8 +285,9 @@
     /// What a server or the operator states is always respected: leaving servers and those of
     /// evacuated halls are never included.
     /// Exclusions are only preferences: if none of the other servers accepts calls, excluded
-    /// servers are included, and finally also those in `tried`. Servers with an abandoned call that they
-    /// have not responded to are left out as long as most others remain.
+    /// servers are included, and finally also those in `tried`. Silent servers are left out as long as any
+    /// other remains, and those with an abandoned call that they have not responded to as long as most others
+    /// do.
     pub fn usable(
         &self,
         now: Time,
@@ -293,7 +315,7 @@
             };
         let best = select(&|record| is_untried(record) && is_healthy(record));
         if accepts_calls(&best) {
-            return without_unanswered(now, best);
+            return without_unanswered(now, without_silent(best));
         }
         let untried = select(&is_untried);
         if accepts_calls(&untried) {
@@ -361,9 +383,29 @@
     pub fn record_heard(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
             record.last_heard = Some(now);
+            record.last_response = Some(now);
+        }
+    }
+
+    /// Records that a server responded to a query of this box itself: it runs.
+    pub fn record_running(&mut self, now: Time, name: &ServerName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.last_heard = Some(now);
+            record.last_query_response = Some(now);
         }
     }
 
+    /// Records that a server did not respond to a query in time. Returns whether it counts as silent from now
+    /// on, and did not before.
+    pub fn record_silence(&mut self, now: Time, name: &ServerName) -> bool {
+        let Some(record) = self.records.get_mut(name) else {
+            return false;
+        };
+        let was_silent = record.is_silent();
+        record.last_silence = Some(now);
+        !was_silent
+    }
+
     /// Records that a call was abandoned that the server had not responded to; it matters until `until`.
     pub fn record_unanswered(&mut self, now: Time, name: &ServerName, until: Time) {
         if let Some(record) = self.records.get_mut(name) {
@@ -381,6 +423,7 @@
     pub fn call_answered(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
             record.last_heard = Some(now);
+            record.last_response = Some(now);
             self.reachability.record_answer(now, &record.info.hall);
             record.breaker.on_success();
             self.halls
@@ -510,6 +553,19 @@
     if accepts_calls(&last) { last } else { usable }
 }
 
+/// The servers without the silent ones; all, if none that accepts calls would remain.
+fn without_silent(
+    usable: Vec<(&ServerRecord, Availability)>,
+) -> Vec<(&ServerRecord, Availability)> {
+    let running = usable.iter().filter(|(record, _)| !record.is_silent());
+    let running: Vec<_> = running.copied().collect();
+    if accepts_calls(&running) {
+        running
+    } else {
+        usable
+    }
+}
+
 /// The servers without those that have not responded to an abandoned call; all, if fewer than half of them
 /// would remain, or none that accepts calls: the others may not bear the load of all.
 fn without_unanswered(
