retries, selection: tell other boxes which servers do not respond

Six boxes found a server that stood still one after the other, each by a call of its own that was stuck there. A box now names the servers that do not respond to its queries in its datagrams; others leave them out for a second, or until they hear from them, as long as any other remains. Reports are trusted as those of faults are.

--- a/daemon/src/relay/datagram_receiver.rs
+++ b/daemon/src/relay/datagram_receiver.rs
@@ -307,6 +307,7 @@
     let mut tracker = lock(&relay.tracker);
     tracker.datagram_received(now, own_hall, &hall, &datagram.from);
     tracker.apply_departures(now, &datagram.departures);
+    tracker.apply_silences(now, own_hall, &hall, &datagram.silent);
     let excluded = tracker.apply_faults(now, own_hall, &hall, &datagram.faults);
     drop(tracker);
     for server in excluded {
--- a/daemon/src/relay/gossip.rs
+++ b/daemon/src/relay/gossip.rs
@@ -217,9 +217,14 @@
     source: LoadSource,
     rows: HashMap<EngineKey, EngineLoad>,
 ) -> LoadDatagram {
-    let (faults, departures) = {
+    let (faults, silent, departures) = {
         let mut tracker = lock(&relay.tracker);
-        (tracker.recent_faults(now), tracker.recent_departures(now))
+        let departures = tracker.recent_departures(now);
+        (
+            tracker.recent_faults(now),
+            tracker.silent_servers(),
+            departures,
+        )
     };
     let (slow_engines, run_scope) = match source {
         LoadSource::Box => (
@@ -257,6 +262,7 @@
         queue_head: None,
         size_counts: Vec::new(),
         faults,
+        silent,
         departures,
         cut_off,
         slow_engines,
--- a/daemon/src/relay/silent_servers.rs
+++ b/daemon/src/relay/silent_servers.rs
@@ -1,6 +1,6 @@
 //! Watches servers that do not respond to queries, until they do.
 //!
-//! Calls avoid them meanwhile: a server that stands still reads a call only once it goes on, and then works
+//! Calls avoid them meanwhile, also those of other boxes, which are told: a server that stands still reads a call only once it goes on, and then works
 //! on it although it may have been retried elsewhere.
 
 use std::sync::Arc;
@@ -34,6 +34,7 @@
     if !lock(&relay.tracker).record_silence(now, &server.server) {
         return;
     }
+    relay.urgent_changed.notify_one();
     counter!("badgerferry_silent_servers_total").increment(1);
     tracing::info!(
         server = %server.server,
--- a/daemon/tests/fake_peer.rs
+++ b/daemon/tests/fake_peer.rs
@@ -79,6 +79,7 @@
         queue_head: None,
         size_counts: Vec::new(),
         faults: Vec::new(),
+        silent: Vec::new(),
         cut_off: Vec::new(),
         departures: Vec::new(),
         slow_engines: Vec::new(),
--- a/daemon/tests/test_relay_slow_readers.rs
+++ b/daemon/tests/test_relay_slow_readers.rs
@@ -180,7 +180,10 @@
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await?;
         drop(listener);
-        stream.read(&mut [0; 1_024]).await?;
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            stream.read_buf(&mut request).await?;
+        }
         stream
             .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             .await
--- a/lib/src/relay/load_datagram.rs
+++ b/lib/src/relay/load_datagram.rs
@@ -65,6 +65,8 @@
     pub size_counts: Vec<SizeCount>,
     /// Servers that other servers recently reported to the sender as being at fault.
     pub faults: Vec<EngineKey>,
+    /// Servers that do not respond to the sender's queries.
+    pub silent: Vec<EngineKey>,
     /// Servers that recently began to leave or were removed, according to the store.
     pub departures: Vec<EngineKey>,
     /// Services to whose servers the sender's own path is cut; empty in datagrams for other halls.
@@ -99,6 +101,7 @@
             || self.queue_head.is_some()
             || !self.rows.is_empty()
             || !self.faults.is_empty()
+            || !self.silent.is_empty()
             || !self.departures.is_empty()
             || !self.cut_off.is_empty()
             || !self.slow_engines.is_empty()
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -48,6 +48,10 @@
 const MAX_FAULT_EXCLUSIONS: u32 = 2;
 /// How long a fault is announced to other boxes; several datagrams are sent in that time.
 const FAULT_GOSSIP_TIME: Duration = Duration::from_secs(1);
+/// How long a reported silence is trusted: several datagrams repeat it in that time.
+const SILENCE_TRUST_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of silent servers per datagram.
+const MAX_GOSSIPED_SILENCES: usize = 64;
 /// Maximum number of faults per datagram; the others follow once these are no longer announced.
 const MAX_GOSSIPED_FAULTS: usize = 16;
 /// Consecutive connect timeouts within a hall after which the whole hall is excluded. The network
@@ -98,6 +102,8 @@
     last_query_response: Option<Time>,
     /// When it last did not respond to a query in time.
     last_silence: Option<Time>,
+    /// When another box last reported that it does not respond.
+    reported_silent: Option<Time>,
     /// When a call was abandoned that it had not responded to, and until when that matters.
     unanswered: Option<(Time, Time)>,
     /// When another server last reported it at fault to this box.
@@ -122,6 +128,7 @@
             last_response: None,
             last_query_response: None,
             last_silence: None,
+            reported_silent: None,
             unanswered: None,
             last_fault: None,
             fault_exclusions: 0,
@@ -149,7 +156,17 @@
     /// Whether it has sent nothing since it did not respond to a query in time: it may stand still.
     pub fn is_silent(&self) -> bool {
         self.last_silence
-            .is_some_and(|since| self.last_heard.is_none_or(|at| at < since))
+            .is_some_and(|since| self.is_unheard_since(since))
+    }
+
+    /// Whether another box has recently reported that it does not respond, and it has sent nothing since.
+    fn is_reported_silent(&self, now: Time) -> bool {
+        let reported = self.reported_silent;
+        reported.is_some_and(|at| now.since(at) < SILENCE_TRUST_TIME && self.is_unheard_since(at))
+    }
+
+    fn is_unheard_since(&self, since: Time) -> bool {
+        self.last_heard.is_none_or(|at| at < since)
     }
 
     /// Whether it has responded to no call since one was abandoned that it had not responded to. It may have
@@ -315,7 +332,7 @@
             };
         let best = select(&|record| is_untried(record) && is_healthy(record));
         if accepts_calls(&best) {
-            return without_unanswered(now, without_silent(best));
+            return without_unanswered(now, without_silent(now, best));
         }
         let untried = select(&is_untried);
         if accepts_calls(&untried) {
@@ -406,6 +423,34 @@
         !was_silent
     }
 
+    /// Servers that do not respond to queries of this box, to announce to other boxes.
+    pub fn silent_servers(&self) -> Vec<EngineKey> {
+        let silent = self.records.values().filter(|record| record.is_silent());
+        silent
+            .map(|record| record.key)
+            .take(MAX_GOSSIPED_SILENCES)
+            .collect()
+    }
+
+    /// Applies silences reported by a box in the hall `from`, which are trusted as faults are.
+    pub fn apply_silences(
+        &mut self,
+        now: Time,
+        own_hall: &HallName,
+        from: &HallName,
+        keys: &[EngineKey],
+    ) {
+        if keys.is_empty() {
+            return;
+        }
+        for record in self.records.values_mut() {
+            let is_trusted = from == own_hall || record.info.hall == *from;
+            if is_trusted && keys.contains(&record.key) {
+                record.reported_silent = Some(now);
+            }
+        }
+    }
+
     /// Records that a call was abandoned that the server had not responded to; it matters until `until`.
     pub fn record_unanswered(&mut self, now: Time, name: &ServerName, until: Time) {
         if let Some(record) = self.records.get_mut(name) {
@@ -555,9 +600,12 @@
 
 /// The servers without the silent ones; all, if none that accepts calls would remain.
 fn without_silent(
+    now: Time,
     usable: Vec<(&ServerRecord, Availability)>,
 ) -> Vec<(&ServerRecord, Availability)> {
-    let running = usable.iter().filter(|(record, _)| !record.is_silent());
+    let running = usable
+        .iter()
+        .filter(|(record, _)| !record.is_silent() && !record.is_reported_silent(now));
     let running: Vec<_> = running.copied().collect();
     if accepts_calls(&running) {
         running
--- a/lib/tests/test_relay_engine_load.rs
+++ b/lib/tests/test_relay_engine_load.rs
@@ -210,6 +210,7 @@
         queue_head: None,
         size_counts: Vec::new(),
         faults: Vec::new(),
+        silent: Vec::new(),
         cut_off: Vec::new(),
         departures: Vec::new(),
         slow_engines: Vec::new(),
--- a/lib/tests/test_relay_server_tracker.rs
+++ b/lib/tests/test_relay_server_tracker.rs
@@ -416,6 +416,69 @@
     assert_eq!(counts.len(), 3, "{counts:?}");
 }
 
+#[test]
+fn silent_server_is_avoided_until_it_responds() {
+    let mut tracker = tracker(&["a", "b", "c", "d"]);
+    let silent = ServerName::new("a");
+
+    tracker.record_heard(Time::from_millis(5), &silent);
+    let is_new = tracker.record_silence(Time::from_millis(10), &silent);
+    let counts = pick_counts(&tracker, Time::from_millis(20), &[]);
+    tracker.record_running(Time::from_millis(30), &silent);
+
+    assert!(is_new);
+    assert!(!counts.contains_key("a"), "{counts:?}");
+    assert_eq!(pick_counts(&tracker, Time::from_millis(40), &[]).len(), 4);
+    assert!(tracker.silent_servers().is_empty());
+}
+
+#[test]
+fn silent_servers_are_used_only_if_no_other_is_left() {
+    let mut tracker = tracker(&["a", "b", "c"]);
+
+    for name in ["a", "b"] {
+        tracker.record_silence(Time::ZERO, &ServerName::new(name));
+    }
+    let counts = pick_counts(&tracker, Time::from_millis(10), &[]);
+    tracker.record_silence(Time::ZERO, &ServerName::new("c"));
+
+    assert_eq!(counts.len(), 1, "{counts:?}");
+    assert_eq!(pick_counts(&tracker, Time::from_millis(10), &[]).len(), 3);
+}
+
+#[test]
+fn server_that_a_neighbour_reports_silent_is_avoided_until_it_is_heard_from_or_for_a_second() {
+    let own_hall = HallName::new("hall-a");
+    let servers = ["a", "b", "c", "d"];
+    let mut reporter = tracker(&servers);
+    reporter.record_silence(Time::ZERO, &ServerName::new("a"));
+    let keys = reporter.silent_servers();
+
+    let mut told = tracker(&servers);
+    told.apply_silences(Time::ZERO, &own_hall, &own_hall, &keys);
+    let counts = pick_counts(&told, Time::from_millis(10), &[]);
+    let later = pick_counts(&told, Time::from_millis(1_010), &[]);
+    told.record_heard(Time::from_millis(20), &ServerName::new("a"));
+
+    assert!(!counts.contains_key("a"), "{counts:?}");
+    assert_eq!(later.len(), 4, "{later:?}");
+    assert_eq!(pick_counts(&told, Time::from_millis(30), &[]).len(), 4);
+}
+
+#[test]
+fn silence_reported_from_a_third_hall_is_not_trusted() {
+    let servers = ["a", "b", "c", "d"];
+    let mut reporter = tracker(&servers);
+    reporter.record_silence(Time::ZERO, &ServerName::new("a"));
+    let keys = reporter.silent_servers();
+
+    let mut told = tracker(&servers);
+    let (own_hall, other_hall) = (HallName::new("hall-x"), HallName::new("hall-y"));
+    told.apply_silences(Time::ZERO, &own_hall, &other_hall, &keys);
+
+    assert_eq!(pick_counts(&told, Time::from_millis(10), &[]).len(), 4);
+}
+
 /// Names of the servers that a retry prefers.
 fn preferred_for_retry(tracker: &ServerTracker, now: Time) -> Vec<String> {
     let usable = tracker.usable(now, &ServiceName::new("boards"), &[], always_open);
--- a/testutils/src/gossip_model.rs
+++ b/testutils/src/gossip_model.rs
@@ -410,6 +410,7 @@
             queue_head: None,
             size_counts: Vec::new(),
             faults: Vec::new(),
+            silent: Vec::new(),
             departures: Vec::new(),
             cut_off: Vec::new(),
             slow_engines: Vec::new(),
