--- a/daemon/src/relay/first_event_watchdog.rs
+++ b/daemon/src/relay/first_event_watchdog.rs
@@ -19,8 +19,8 @@
 
 use crate::relay::call::Call;
 use crate::relay::listed_server::ListedServer;
+use crate::relay::running_servers::LivenessProbe;
 use crate::relay::running_servers::RESPONSE_TIMEOUT;
-use crate::relay::running_servers::ServerQuestion;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_query;
 use crate::relay::silent_servers;
@@ -45,7 +45,7 @@
         let watch = async move {
             let started_at = Instant::now();
             if let Some(lead) = engines.first() {
-                ask_if_silent(&call, lead, expected + RESPONSE_SLACK).await;
+                probe_if_silent(&call, lead, expected + RESPONSE_SLACK).await;
             }
             tokio::time::sleep_until(started_at + late_after).await;
             query_engines(&call, engines);
@@ -56,7 +56,7 @@
     /// Starts the timer for a call to a server without an engine model.
     pub fn start_plain(call: &Arc<Call>, server: ListedServer, expected: Duration) -> Self {
         let call = Arc::clone(call);
-        let watch = async move { ask_if_silent(&call, &server, expected).await };
+        let watch = async move { probe_if_silent(&call, &server, expected).await };
         Self(tokio::spawn(watch).abort_handle())
     }
 
@@ -72,14 +72,14 @@
     }
 }
 
-/// Asks a server whether it runs, if it has sent nothing for this time.
-async fn ask_if_silent(call: &Call, server: &ListedServer, after: Duration) {
+/// Queries a server that has sent nothing for this time.
+async fn probe_if_silent(call: &Call, server: &ListedServer, after: Duration) {
     let relay = &call.relay;
     let since = relay.clock.now();
     tokio::time::sleep(after).await;
     let is_heard = lock(&relay.tracker).is_heard_since(since, &server.server);
-    if let Some(question) = ServerQuestion::of(call).filter(|_| !is_heard) {
-        question.ask_in_time(relay, server).await;
+    if let Some(probe) = LivenessProbe::of(call).filter(|_| !is_heard) {
+        probe.send_in_time(relay, server).await;
     }
 }
 
@@ -136,7 +136,7 @@
     if let Ok(pace) = timeout(RESPONSE_TIMEOUT, pace.as_mut()).await {
         return pace;
     }
-    silent_servers::record(relay, engine, &ServerQuestion::Report);
+    silent_servers::record(relay, engine, &LivenessProbe::Report);
     pace.await
 }
 
--- a/daemon/src/relay/running_servers.rs
+++ b/daemon/src/relay/running_servers.rs
@@ -46,17 +46,17 @@
 /// silence, part of which has passed.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
-/// How servers of a service are asked whether they run.
+/// Query that shows whether a server of a service runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ServerQuestion {
-    /// For the report of an engine, which takes no slot.
+pub enum LivenessProbe {
+    /// The report of an engine, which takes no slot.
     Report,
-    /// For the status at this path.
+    /// The status at this path.
     Status(String),
 }
 
-impl ServerQuestion {
-    /// `None` if servers of the call's service can't be asked.
+impl LivenessProbe {
+    /// `None` if servers of the call's service can't be queried.
     pub fn of(call: &Call) -> Option<Self> {
         let service = call.routes.service(&call.service)?;
         match &service.health_path {
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Asks a server, however long it takes.
-    pub async fn ask(&self, relay: &Relay, server: &ListedServer) -> Answer {
+    /// Queries a server, however long it takes.
+    pub async fn send(&self, relay: &Relay, server: &ListedServer) -> Answer {
         let Ok(admitted) = relay.gate.admit_background(&server.target).await else {
             return Answer::NotAdmitted;
         };
@@ -86,9 +86,9 @@
         }
     }
 
-    /// Asks a server; one that does not respond in time counts as silent.
-    pub async fn ask_in_time(&self, relay: &Arc<Relay>, server: &ListedServer) -> Answer {
-        match timeout(RESPONSE_TIMEOUT, self.ask(relay, server)).await {
+    /// Queries a server; one that does not respond in time counts as silent.
+    pub async fn send_in_time(&self, relay: &Arc<Relay>, server: &ListedServer) -> Answer {
+        match timeout(RESPONSE_TIMEOUT, self.send(relay, server)).await {
             Ok(answer) => answer,
             Err(_elapsed) => {
                 silent_servers::record(relay, server, self);
@@ -135,10 +135,10 @@
 /// Queries servers that the call may be sent to, one after the other until one responds, unless enough have
 /// just done so. Those that the call was sent to come last, and do not count if they declined it.
 pub async fn find(call: &Call, query: &CandidateQuery<'_>, is_declined: bool) -> Search {
-    let Some(question) = ServerQuestion::of(call) else {
+    let Some(probe) = LivenessProbe::of(call) else {
         return Search::Unknown;
     };
-    let untried = search(call, &question, query, |_| true).await;
+    let untried = search(call, &probe, query, |_| true).await;
     if untried != Search::NoneResponds || is_declined {
         return untried;
     }
@@ -147,7 +147,7 @@
         ..*query
     };
     let was_tried = |server: &ServerName| query.tried.contains(server);
-    match search(call, &question, &all, was_tried).await {
+    match search(call, &probe, &all, was_tried).await {
         Search::Found { .. } => Search::Found { is_untried: false },
         Search::NoneResponds | Search::Unknown => Search::NoneResponds,
     }
@@ -155,7 +155,7 @@
 
 async fn search(
     call: &Call,
-    question: &ServerQuestion,
+    probe: &LivenessProbe,
     query: &CandidateQuery<'_>,
     filter: impl Fn(&ServerName) -> bool,
 ) -> Search {
@@ -165,7 +165,7 @@
         Some(servers) => servers,
         None => return found,
     };
-    let queried = query_servers(call, question, &servers).await;
+    let queried = query_servers(call, probe, &servers).await;
     log_search(call, &queried);
     match queried {
         Queried {
@@ -184,10 +184,10 @@
     let is_verified = lock(&call.relay.tracker)
         .get(&server.server)
         .is_none_or(|record| record.is_verified_within(now, RECENT));
-    let Some(question) = ServerQuestion::of(call).filter(|_| !is_verified) else {
+    let Some(probe) = LivenessProbe::of(call).filter(|_| !is_verified) else {
         return true;
     };
-    let queried = query_servers(call, &question, std::slice::from_ref(server)).await;
+    let queried = query_servers(call, &probe, std::slice::from_ref(server)).await;
     log_search(call, &queried);
     queried.running.is_some() || queried.is_refused
 }
@@ -205,11 +205,11 @@
 /// Queries servers one after the other until one responds.
 async fn query_servers<'a>(
     call: &Call,
-    question: &ServerQuestion,
+    probe: &LivenessProbe,
     servers: &'a [ListedServer],
 ) -> Queried<'a> {
     let mut left = servers.iter();
-    let mut asked = FuturesUnordered::new();
+    let mut answers = FuturesUnordered::new();
     let mut next_at = Instant::now();
     let mut queried = Queried {
         count: 0,
@@ -218,7 +218,7 @@
     };
     loop {
         tokio::select! {
-            Some((server, answer)) = asked.next() => match answer {
+            Some((server, answer)) = answers.next() => match answer {
                 Answer::Responds => {
                     queried.running = Some(server);
                     return queried;
@@ -230,8 +230,8 @@
                 if let Some(server) = left.next() {
                     queried.count += 1;
                     next_at = Instant::now() + QUERY_INTERVAL;
-                    asked.push(async move {
-                        let answer = question.ask_in_time(&call.relay, server).await;
+                    answers.push(async move {
+                        let answer = probe.send_in_time(&call.relay, server).await;
                         (&server.server, answer)
                      });
                 }
--- a/daemon/src/relay/silent_servers.rs
+++ b/daemon/src/relay/silent_servers.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::relay::listed_server::ListedServer;
-use crate::relay::running_servers::ServerQuestion;
+use crate::relay::running_servers::LivenessProbe;
 use crate::relay::server_path;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -23,7 +23,7 @@
 
 /// Records that a server did not respond in time, and watches it. That says nothing of the server while the
 /// path of this box may be cut.
-pub fn record(relay: &Arc<Relay>, server: &ListedServer, question: &ServerQuestion) {
+pub fn record(relay: &Arc<Relay>, server: &ListedServer, probe: &LivenessProbe) {
     let Some(known) = server_path::known_server(relay, &server.server) else {
         return;
     };
@@ -41,15 +41,15 @@
         service = %known.service,
         "server does not respond: avoided until it does"
     );
-    tokio::spawn(watch(Arc::clone(relay), server.clone(), question.clone()));
+    tokio::spawn(watch(Arc::clone(relay), server.clone(), probe.clone()));
 }
 
 /// Queries a server until it is not silent any more, or not listed.
-async fn watch(relay: Arc<Relay>, server: ListedServer, question: ServerQuestion) {
+async fn watch(relay: Arc<Relay>, server: ListedServer, probe: LivenessProbe) {
     let silent_since = relay.clock.now();
     loop {
         // A response is recorded; so is one to a call.
-        let answer = timeout(QUERY_TIMEOUT, question.ask(&relay, &server)).await;
+        let answer = timeout(QUERY_TIMEOUT, probe.send(&relay, &server)).await;
         {
             let tracker = lock(&relay.tracker);
             let record = tracker.get(&server.server);
