retries: a server that declines a status check takes no retry

Cause: the other shedding server declined the status check, and counted as the server found, while its pause closed it to calls; so no server was left. Now a server is verified by a successful response only; one that declines the check is used last, if it accepts calls by what it announced, since status checks may be wrong.

--- a/daemon/src/relay/first_event_watchdog.rs
+++ b/daemon/src/relay/first_event_watchdog.rs
@@ -79,7 +79,7 @@
     tokio::time::sleep(after).await;
     let is_heard = lock(&relay.tracker).is_heard_since(since, &server.server);
     if let Some(probe) = LivenessProbe::of(call).filter(|_| !is_heard) {
-        probe.send_in_time(relay, server).await;
+        probe.check(relay, server).await;
     }
 }
 
--- a/daemon/src/relay/running_servers.rs
+++ b/daemon/src/relay/running_servers.rs
@@ -6,6 +6,7 @@
 //! goes only to a server that has just responded to a query; where none does, the call is refused. What
 //! else arrives from a server may have been on the way for long.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::relay::call::Call;
 use crate::relay::candidates;
@@ -34,9 +36,13 @@
 /// Time after which another server is queried beside those that have not responded: the round-trip time
 /// between regions.
 const QUERY_INTERVAL: Duration = Duration::from_millis(30);
-/// Response time-out: servers respond to queries at once even when they are busy.
+/// Time after which a server that was queried counts as silent: servers respond to queries at once even
+/// when they are busy.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time after which a search ends. It is longer than [`RESPONSE_TIMEOUT`], since all servers are late where
+/// the box itself is short of processor time.
+const SEARCH_TIME: Duration = Duration::from_millis(500);
 /// Time in which a server that has responded to a query counts as running.
 pub const RECENT: Duration = Duration::from_millis(50);
 /// Running servers with which no more are queried: retries that come at once spread over them.
@@ -71,38 +77,49 @@
         let Ok(admitted) = relay.gate.admit_background(&server.target).await else {
             return Answer::NotAdmitted;
         };
-        let responds = match self {
+        let is_healthy = match self {
             Self::Report => server_query::fetch_pace(relay, server, admitted)
                 .await
-                .is_ok(),
-            Self::Status(path) => server_query::check_status(relay, server, path, admitted)
-                .await
-                .is_ok(),
+                .map(|_pace| true),
+            Self::Status(path) => server_query::check_status(relay, server, path, admitted).await,
         };
-        if responds {
-            Answer::Responds
-        } else {
-            Answer::Failed
+        match is_healthy {
+            Ok(true) => Answer::Healthy,
+            Ok(false) => Answer::Unhealthy,
+            Err(_cause) => Answer::Failed,
         }
     }
 
-    /// Queries a server; one that does not respond in time counts as silent.
-    pub async fn send_in_time(&self, relay: &Arc<Relay>, server: &ListedServer) -> Answer {
-        match timeout(RESPONSE_TIMEOUT, self.send(relay, server)).await {
-            Ok(answer) => answer,
-            Err(_elapsed) => {
-                silent_servers::record(relay, server, self);
-                Answer::Failed
-            }
+    /// Queries a server until then; one that does not respond within [`RESPONSE_TIMEOUT`] counts as silent.
+    async fn send_until(
+        &self,
+        relay: &Arc<Relay>,
+        server: &ListedServer,
+        until: Instant,
+    ) -> Answer {
+        let mut answer = pin!(self.send(relay, server));
+        if let Ok(answer) = timeout(RESPONSE_TIMEOUT, answer.as_mut()).await {
+            return answer;
         }
+        silent_servers::record(relay, server, self);
+        let answer = timeout_at(until, answer).await;
+        answer.unwrap_or(Answer::Failed)
+    }
+
+    /// Queries a server that may be silent.
+    pub async fn check(&self, relay: &Arc<Relay>, server: &ListedServer) {
+        let until = Instant::now() + RESPONSE_TIMEOUT;
+        self.send_until(relay, server, until).await;
     }
 }
 
 /// Outcome of a query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
-    /// The server responded.
-    Responds,
+    /// The server responded, and accepts requests.
+    Healthy,
+    /// The server responded that it does not, which may be wrong.
+    Unhealthy,
     /// No connection or no response.
     Failed,
     /// The server accepts nothing from this box now, which the gate decides on before the send.
@@ -210,7 +227,9 @@
 ) -> Queried<'a> {
     let mut left = servers.iter();
     let mut answers = FuturesUnordered::new();
+    let mut unhealthy: Vec<&ListedServer> = Vec::new();
     let mut next_at = Instant::now();
+    let until = next_at + SEARCH_TIME;
     let mut queried = Queried {
         count: 0,
         running: None,
@@ -218,29 +237,45 @@
     };
     loop {
         tokio::select! {
-            Some((server, answer)) = answers.next() => match answer {
-                Answer::Responds => {
-                    queried.running = Some(server);
+            Some(answered) = answers.next() => {
+                let (server, answer): (&'a ListedServer, Answer) = answered;
+                match answer {
+                Answer::Healthy => {
+                    queried.running = Some(&server.server);
                     return queried;
                 }
+                Answer::Unhealthy => unhealthy.push(server),
                 Answer::NotAdmitted => queried.is_refused = true,
                 Answer::Failed => {}
-            },
+            }},
             () = sleep_until(next_at), if left.len() > 0 => {
                 if let Some(server) = left.next() {
                     queried.count += 1;
                     next_at = Instant::now() + QUERY_INTERVAL;
                     answers.push(async move {
-                        let answer = probe.send_in_time(&call.relay, server).await;
-                        (&server.server, answer)
+                        let answer = probe.send_until(&call.relay, server, until).await;
+                        (server, answer)
                      });
                 }
             }
-            else => return queried,
+            else => {
+                queried.running = first_accepting(call, &unhealthy);
+                return queried;
+            }
         }
     }
 }
 
+/// The first of these servers that accepts calls by what it announced. It counts as verified, as no other
+/// one does.
+fn first_accepting<'a>(call: &Call, servers: &[&'a ListedServer]) -> Option<&'a ServerName> {
+    let relay = &call.relay;
+    let accepts = |server: &&&ListedServer| relay.gate.availability(&server.target).accepts_calls();
+    let server = &servers.iter().find(accepts)?.server;
+    lock(&relay.tracker).record_verified(relay.clock.now(), server);
+    Some(server)
+}
+
 fn log_search(call: &Call, queried: &Queried<'_>) {
     let outcome = if queried.running.is_some() {
         "found"
--- a/daemon/src/relay/server_gate.rs
+++ b/daemon/src/relay/server_gate.rs
@@ -322,7 +322,8 @@
         self.context.evacuated_halls.load().contains(hall)
     }
 
-    fn availability(&self, target: &Target) -> Availability {
+    /// Whether a server accepts calls of this box, by what it announced.
+    pub fn availability(&self, target: &Target) -> Availability {
         let announced = lock(&self.notices).availability(self.now(), target.incarnation);
         self.availability_in([&target.hall], announced)
     }
--- a/daemon/src/relay/server_query.rs
+++ b/daemon/src/relay/server_query.rs
@@ -40,7 +40,14 @@
         .body(RequestBody::new(Bytes::from(query.body)))?;
     let response = connection.send(request, admitted).await?;
     let relay = destination.relay;
-    lock(&relay.tracker).record_running(relay.clock.now(), destination.server);
+    {
+        let (now, mut tracker) = (relay.clock.now(), lock(&relay.tracker));
+        if response.status().is_success() {
+            tracker.record_verified(now, destination.server);
+        } else {
+            tracker.record_running(now, destination.server);
+        }
+    }
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES);
     let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
@@ -62,7 +69,8 @@
     Ok(reports::parse_pace(response.body())?)
 }
 
-/// Checks the status of a server at this path, and records what the response announces.
+/// Checks the status of a server at this path, and records what the response announces. Returns whether the
+/// server states that it is healthy.
 ///
 /// # Errors
 ///
@@ -72,12 +80,12 @@
     server: &ListedServer,
     path: &str,
     admitted: Admitted,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<bool> {
     let check = reports::status_check(path);
     let response = exchange(&server.destination(relay), check, admitted).await?;
     let head = headers::parse_response_head(response.status(), response.headers(), None);
     relay
         .gate
         .record_response("-", &server.target, &head.notice, head.has_proof);
-    Ok(())
+    Ok(response.status().is_success())
 }
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -98,8 +98,9 @@
     last_heard: Option<Time>,
     /// When it last sent this box anything in response to a call.
     last_response: Option<Time>,
-    /// When it last responded to a query. What it sends otherwise may have been on the way for long.
-    last_query_response: Option<Time>,
+    /// When it last responded to a query and did not decline it. What it sends otherwise may have been on
+    /// the way for long.
+    last_verified: Option<Time>,
     /// When it last did not respond to a query in time.
     last_silence: Option<Time>,
     /// When another box last reported that it does not respond.
@@ -126,7 +127,7 @@
             breaker: Breaker::Closed,
             last_heard: None,
             last_response: None,
-            last_query_response: None,
+            last_verified: None,
             last_silence: None,
             reported_silent: None,
             unanswered: None,
@@ -144,7 +145,7 @@
 
     /// Whether it has responded to a query within this time, and so runs and is reached.
     pub fn is_verified_within(&self, now: Time, recent: Duration) -> bool {
-        let verified = self.last_query_response;
+        let verified = self.last_verified;
         verified.is_some_and(|at| now.since(at) <= recent)
     }
 
@@ -404,11 +405,18 @@
         }
     }
 
+    /// Records that a server responded to a query of this box itself, and accepts requests.
+    pub fn record_verified(&mut self, now: Time, name: &ServerName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.last_heard = Some(now);
+            record.last_verified = Some(now);
+        }
+    }
+
     /// Records that a server responded to a query of this box itself: it runs.
     pub fn record_running(&mut self, now: Time, name: &ServerName) {
         if let Some(record) = self.records.get_mut(name) {
             record.last_heard = Some(now);
-            record.last_query_response = Some(now);
         }
     }
 
--- a/lib/tests/test_relay_server_tracker.rs
+++ b/lib/tests/test_relay_server_tracker.rs
@@ -432,6 +432,23 @@
     assert!(tracker.silent_servers().is_empty());
 }
 
+#[test]
+fn only_a_server_that_accepted_a_query_is_verified() {
+    let mut tracker = tracker(&["a", "b"]);
+    let (accepting, declining) = (ServerName::new("a"), ServerName::new("b"));
+
+    tracker.record_verified(Time::ZERO, &accepting);
+    tracker.record_running(Time::ZERO, &declining);
+
+    let is_verified = |name, at| {
+        let record = tracker.get(name).expect("listed");
+        record.is_verified_within(Time::from_millis(at), Duration::from_millis(50))
+    };
+    assert!(is_verified(&accepting, 50));
+    assert!(!is_verified(&accepting, 51));
+    assert!(!is_verified(&declining, 0));
+}
+
 #[test]
 fn silent_servers_are_used_only_if_no_other_is_left() {
     let mut tracker = tracker(&["a", "b", "c"]);
