retries: pause between two searches for a running server

A stream that has begun searches for a second; where all servers refuse connections, a search ends at once and was repeated without a pause.

stream_that_has_begun_does_not_search_without_a_pause failed before with 748 searches in a second.

--- a/daemon/src/relay/running_servers.rs
+++ b/daemon/src/relay/running_servers.rs
@@ -48,6 +48,8 @@
 /// Running servers with which no more are queried: retries that come at once spread over them.
 const ENOUGH_RUNNING: usize = 3;
 
+/// Pause between two searches: servers may refuse connections at once.
+pub const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for which a stream that has begun searches. Callers give a stream up after two seconds of
 /// silence, part of which has passed.
 const MAX_WAIT: Duration = Duration::from_secs(1);
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -229,7 +229,9 @@
                     ..query
                 };
             }
-            Search::NoneResponds if call.relay.clock.now() < until => {}
+            Search::NoneResponds if call.relay.clock.now() < until => {
+                tokio::time::sleep(running_servers::SEARCH_INTERVAL).await;
+            }
             Search::NoneResponds => {
                 return CandidateQuery {
                     heard: Heard::Verified(Duration::ZERO),
--- a/daemon/tests/test_relay_silent_servers.rs
+++ b/daemon/tests/test_relay_silent_servers.rs
@@ -5,6 +5,7 @@
 
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::call;
+use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::proxy::Link;
 use badgerferry_standin::relay_box::TestCluster;
 use badgerferry_standin::server::Behaviour;
@@ -19,6 +20,8 @@
 const LOST_FRACTION: f64 = 0.4;
 /// Time in which servers read what has arrived meanwhile.
 const SETTLING_TIME: Duration = Duration::from_millis(700);
+/// How long crashed servers refuse connections.
+const DOWNTIME: Duration = Duration::from_secs(4);
 /// Time in which a call that can't be served must be refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
@@ -104,6 +107,29 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn stream_that_has_begun_does_not_search_without_a_pause() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(2).await?;
+    for server in &cluster.servers {
+        let crash_rule = CrashRule::on_body("prompt", DOWNTIME, &cluster.store);
+        let crash_rule = crash_rule.silent_for(CALL_INTERVAL);
+        server.set_crash_rule(crash_rule.beginning_response());
+    }
+    cluster.servers[1].crash();
+
+    let text = call("POST", "/stream/a", "id-1", "", "prompt");
+    let response = Caller::exchange(cluster.relay.front(), &text).await?;
+
+    let log = cluster.relay.log();
+    let searches = log.matches("servers queried before a retry").count();
+    assert!(!response.is_complete, "{response:?}");
+    assert!(
+        (2..60).contains(&searches),
+        "{searches} searches; log:\n{log}"
+    );
+    Ok(())
+}
+
 #[tokio::test]
 async fn declined_calls_are_refused_at_once_where_no_other_server_responds() -> anyhow::Result<()> {
     let cluster = TestCluster::start(3).await?;
