--- /dev/null
+++ b/daemon/src/relay/attempt_candidates.rs
@@ -0,0 +1,74 @@
+//! Which servers an attempt may use: for a retry, only such as run.
+
+use std::time::Duration;
+
+use badgerferry_lib::ids::ServerName;
+
+use crate::relay::call::Call;
+use crate::relay::candidates::CandidateQuery;
+use crate::relay::candidates::Heard;
+use crate::relay::running_servers;
+use crate::relay::running_servers::Search;
+
+/// What an attempt needs of its servers.
+#[derive(Debug, Clone, Copy)]
+pub struct Requirements<'a> {
+    /// Servers that are used again only if there is no other.
+    pub tried: &'a [ServerName],
+    /// Whether a server has received the call before.
+    pub is_retry: bool,
+    /// Whether all servers that received it declined it.
+    pub is_declined: bool,
+    /// Whether a short call goes to one of the least loaded engines.
+    pub is_isolated: bool,
+}
+
+/// Servers that an attempt may use.
+pub fn candidate_query<'a>(call: &'a Call, tried: &'a [ServerName]) -> CandidateQuery<'a> {
+    CandidateQuery {
+        service: &call.service,
+        tried,
+        max_wait: call.max_admission_wait(tried.is_empty()),
+        heard: Heard::Any,
+    }
+}
+
+/// Servers that an attempt may use; for a retry, only such as run.
+pub async fn running_candidates<'a>(
+    call: &'a Call,
+    requirements: &Requirements<'a>,
+) -> CandidateQuery<'a> {
+    let query = candidate_query(call, requirements.tried);
+    if !requirements.is_retry {
+        return query;
+    }
+    let until = call.relay.clock.now() + running_servers::max_wait(call);
+    loop {
+        match running_servers::find(call, &query, requirements.is_declined).await {
+            Search::Found { is_untried } => {
+                // One that lost the call and runs is better than one that stands still.
+                let tried = if is_untried { query.tried } else { &[] };
+                return CandidateQuery {
+                    tried,
+                    heard: Heard::Verified(running_servers::RECENT),
+                    ..query
+                };
+            }
+            Search::Unknown => {
+                return CandidateQuery {
+                    heard: Heard::Preferred(call.route.objective),
+                    ..query
+                };
+            }
+            Search::NoneResponds if call.relay.clock.now() < until => {
+                tokio::time::sleep(running_servers::SEARCH_INTERVAL).await;
+            }
+            Search::NoneResponds => {
+                return CandidateQuery {
+                    heard: Heard::Verified(Duration::ZERO),
+                    ..query
+                };
+            }
+        }
+    }
+}
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -25,6 +25,7 @@
 use http::response::Parts;
 
 use crate::relay::abandoned_run::SentRun;
+use crate::relay::attempt_candidates::Requirements;
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::Received;
 use crate::relay::attempt_response::StreamingResponse;
@@ -50,7 +51,6 @@
 use crate::relay::server_path;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection;
-use crate::relay::server_selection::Requirements;
 use crate::relay::server_selection::Selection;
 use crate::traffic::lock;
 
--- a/daemon/src/relay/candidates.rs
+++ b/daemon/src/relay/candidates.rs
@@ -7,7 +7,7 @@
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::availability::Availability;
 use badgerferry_lib::relay::route_table::ServiceName;
-use badgerferry_lib::relay::server_tracker;
+use badgerferry_lib::relay::server_preferences;
 use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
 use badgerferry_lib::time::Time;
@@ -125,7 +125,7 @@
     let usable = tracker.usable(now, service, tried, availability);
     let mut usable = match heard {
         Heard::Any => usable,
-        Heard::Preferred(recent) => server_tracker::heard_recently(now, recent, usable),
+        Heard::Preferred(recent) => server_preferences::heard_recently(now, recent, usable),
         Heard::Verified(recent) => {
             let is_verified = |record: &ServerRecord| record.is_verified_within(now, recent);
             let usable = usable.into_iter();
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -10,6 +10,7 @@
 use badgerferry_platform::settings_file::BoxSettings;
 
 mod abandoned_run;
+mod attempt_candidates;
 mod attempt_response;
 mod call;
 mod call_attempt;
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -35,19 +35,18 @@
 use badgerferry_lib::relay::stream_gaps::StreamGaps;
 use badgerferry_platform::headers::Helper;
 
+use crate::relay::attempt_candidates;
+use crate::relay::attempt_candidates::Requirements;
 use crate::relay::call::Call;
 use crate::relay::call_log;
 use crate::relay::candidates;
 use crate::relay::candidates::CandidateQuery;
-use crate::relay::candidates::Heard;
 use crate::relay::candidates::NO_SERVER_RETRY;
 use crate::relay::candidates::NoCandidate;
 use crate::relay::first_event_watchdog::FirstEventWatchdog;
 use crate::relay::listed_server::ListedServer;
 use crate::relay::reservations::Reservations;
 use crate::relay::reservations::ReserveError;
-use crate::relay::running_servers;
-use crate::relay::running_servers::Search;
 use crate::relay::server_gate::Target;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -163,19 +162,6 @@
     }
 }
 
-/// What an attempt needs of its servers.
-#[derive(Debug, Clone, Copy)]
-pub struct Requirements<'a> {
-    /// Servers that are used again only if there is no other.
-    pub tried: &'a [ServerName],
-    /// Whether a server has received the call before.
-    pub is_retry: bool,
-    /// Whether all servers that received it declined it.
-    pub is_declined: bool,
-    /// Whether a short call goes to one of the least loaded engines.
-    pub is_isolated: bool,
-}
-
 /// Selects a server or engines.
 ///
 /// # Errors
@@ -193,60 +179,11 @@
     }
 }
 
-fn candidate_query<'a>(call: &'a Call, tried: &'a [ServerName]) -> CandidateQuery<'a> {
-    CandidateQuery {
-        service: &call.service,
-        tried,
-        max_wait: call.max_admission_wait(tried.is_empty()),
-        heard: Heard::Any,
-    }
-}
-
-/// Servers that an attempt may use; for a retry, only such as run.
-async fn running_candidates<'a>(
-    call: &'a Call,
-    requirements: &Requirements<'a>,
-) -> CandidateQuery<'a> {
-    let query = candidate_query(call, requirements.tried);
-    if !requirements.is_retry {
-        return query;
-    }
-    let until = call.relay.clock.now() + running_servers::max_wait(call);
-    loop {
-        match running_servers::find(call, &query, requirements.is_declined).await {
-            Search::Found { is_untried } => {
-                // One that lost the call and runs is better than one that stands still.
-                let tried = if is_untried { query.tried } else { &[] };
-                return CandidateQuery {
-                    tried,
-                    heard: Heard::Verified(running_servers::RECENT),
-                    ..query
-                };
-            }
-            Search::Unknown => {
-                return CandidateQuery {
-                    heard: Heard::Preferred(call.route.objective),
-                    ..query
-                };
-            }
-            Search::NoneResponds if call.relay.clock.now() < until => {
-                tokio::time::sleep(running_servers::SEARCH_INTERVAL).await;
-            }
-            Search::NoneResponds => {
-                return CandidateQuery {
-                    heard: Heard::Verified(Duration::ZERO),
-                    ..query
-                };
-            }
-        }
-    }
-}
-
 async fn select_plain(
     call: &Arc<Call>,
     requirements: Requirements<'_>,
 ) -> Result<Selection, (RefusalReason, Duration)> {
-    let query = running_candidates(call, &requirements).await;
+    let query = attempt_candidates::running_candidates(call, &requirements).await;
     let relay = &call.relay;
     let now = relay.clock.now();
     let plain_call = PlainCall {
@@ -303,7 +240,7 @@
 ) -> Result<Selection, (RefusalReason, Duration)> {
     let gaps = stream_gaps(call, model);
     if !engine_plan::is_long(model, prompt, &gaps) {
-        let query = running_candidates(call, &requirements).await;
+        let query = attempt_candidates::running_candidates(call, &requirements).await;
         let isolated = requirements
             .is_isolated
             .then(|| plan(call, &query, model, prompt, EngineSet::Isolated));
@@ -583,7 +520,13 @@
             let late_chunk = queue.late_chunk(now, ticket);
             let planned = || {
                 let all = EngineSet::All { late_chunk };
-                let planned = plan(call, &candidate_query(call, tried), model, prompt, all);
+                let planned = plan(
+                    call,
+                    &attempt_candidates::candidate_query(call, tried),
+                    model,
+                    prompt,
+                    all,
+                );
                 let planned = planned.inspect_err(|why| no_candidate = *why).ok();
                 planned
                     .filter(|planned| queued.can_complete(now, planned.plan.expected_first_event))
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -54,6 +54,7 @@
 pub mod server_list;
 pub mod server_notices;
 pub mod server_paths;
+pub mod server_preferences;
 pub mod server_tracker;
 pub mod shedding_servers;
 pub(crate) mod signed_time;
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -26,6 +26,7 @@
 use crate::relay::request_fingerprint::ServerIncarnation;
 use crate::relay::route_table::ServiceName;
 use crate::relay::server_list::ServerEntry;
+use crate::relay::server_preferences;
 use crate::time::Time;
 
 /// How long a departure is announced to other boxes; several datagrams are sent in that time.
@@ -143,6 +144,11 @@
         reported.is_some_and(|at| now.since(at) < DEPARTURE_TRUST_TIME)
     }
 
+    /// When it last sent this box anything.
+    pub(super) const fn last_heard(&self) -> Option<Time> {
+        self.last_heard
+    }
+
     /// Whether it has responded to a query within this time, and so runs and is reached.
     pub fn is_verified_within(&self, now: Time, recent: Duration) -> bool {
         let verified = self.last_verified;
@@ -161,7 +167,7 @@
     }
 
     /// Whether another box has recently reported that it does not respond, and it has sent nothing since.
-    fn is_reported_silent(&self, now: Time) -> bool {
+    pub(super) fn is_reported_silent(&self, now: Time) -> bool {
         let reported = self.reported_silent;
         reported.is_some_and(|at| now.since(at) < SILENCE_TRUST_TIME && self.is_unheard_since(at))
     }
@@ -172,7 +178,7 @@
 
     /// Whether it has responded to no call since one was abandoned that it had not responded to. It may have
     /// asked for a pause, which nobody received.
-    fn is_unanswered(&self, now: Time) -> bool {
+    pub(super) fn is_unanswered(&self, now: Time) -> bool {
         let unanswered = self.unanswered.filter(|(_, until)| now < *until);
         unanswered.is_some_and(|(since, _)| self.last_response.is_none_or(|at| at < since))
     }
@@ -332,11 +338,14 @@
                 selected.copied().collect()
             };
         let best = select(&|record| is_untried(record) && is_healthy(record));
-        if accepts_calls(&best) {
-            return without_unanswered(now, without_silent(now, best));
+        if server_preferences::accepts_calls(&best) {
+            return server_preferences::without_unanswered(
+                now,
+                server_preferences::without_silent(now, best),
+            );
         }
         let untried = select(&is_untried);
-        if accepts_calls(&untried) {
+        if server_preferences::accepts_calls(&untried) {
             untried
         } else {
             listed
@@ -577,70 +586,3 @@
         self.records.get_mut(name).map(|record| &mut record.load)
     }
 }
-
-/// The usable servers that have sent something within `recent`. If none of those accepts calls, the half that
-/// has sent something last, and otherwise all. A server that stands still shows the load that it had, so that
-/// only its silence tells it from an idle one.
-pub fn heard_recently(
-    now: Time,
-    recent: Duration,
-    usable: Vec<(&ServerRecord, Availability)>,
-) -> Vec<(&ServerRecord, Availability)> {
-    let heard_since = |since: Option<Time>| -> Vec<_> {
-        let heard = usable
-            .iter()
-            .filter(|(record, _)| record.last_heard >= since);
-        heard.copied().collect()
-    };
-    let recent: Vec<_> = (usable.iter())
-        .filter(|(record, _)| record.is_heard_within(now, recent))
-        .copied()
-        .collect();
-    if accepts_calls(&recent) {
-        return recent;
-    }
-    let mut times: Vec<Option<Time>> = usable.iter().map(|(record, _)| record.last_heard).collect();
-    times.sort_unstable();
-    let median = times.get(times.len() / 2).copied().flatten();
-    let last = heard_since(median);
-    if accepts_calls(&last) { last } else { usable }
-}
-
-/// The servers without the silent ones; all, if none that accepts calls would remain.
-fn without_silent(
-    now: Time,
-    usable: Vec<(&ServerRecord, Availability)>,
-) -> Vec<(&ServerRecord, Availability)> {
-    let running = usable
-        .iter()
-        .filter(|(record, _)| !record.is_silent() && !record.is_reported_silent(now));
-    let running: Vec<_> = running.copied().collect();
-    if accepts_calls(&running) {
-        running
-    } else {
-        usable
-    }
-}
-
-/// The servers without those that have not responded to an abandoned call; all, if fewer than half of them
-/// would remain, or none that accepts calls: the others may not bear the load of all.
-fn without_unanswered(
-    now: Time,
-    usable: Vec<(&ServerRecord, Availability)>,
-) -> Vec<(&ServerRecord, Availability)> {
-    let answered = usable
-        .iter()
-        .filter(|(record, _)| !record.is_unanswered(now));
-    let answered: Vec<_> = answered.copied().collect();
-    if answered.len() * 2 >= usable.len() && accepts_calls(&answered) {
-        answered
-    } else {
-        usable
-    }
-}
-
-fn accepts_calls(servers: &[(&ServerRecord, Availability)]) -> bool {
-    servers
-        .iter()
-        .any(|(_, availability)| availability.accepts_calls())
-}
--- a/lib/tests/test_relay_server_tracker.rs
+++ b/lib/tests/test_relay_server_tracker.rs
@@ -10,7 +10,7 @@
 use badgerferry_lib::relay::plain_selection::PlainDecision;
 use badgerferry_lib::relay::route_table::ServiceName;
 use badgerferry_lib::relay::server_list::ServerEntry;
-use badgerferry_lib::relay::server_tracker;
+use badgerferry_lib::relay::server_preferences;
 use badgerferry_lib::relay::server_tracker::ServerOutcome;
 use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::server_tracker::ServerTracker;
@@ -499,7 +499,7 @@
 /// Names of the servers that a retry prefers.
 fn preferred_for_retry(tracker: &ServerTracker, now: Time) -> Vec<String> {
     let usable = tracker.usable(now, &ServiceName::new("boards"), &[], always_open);
-    let preferred = server_tracker::heard_recently(now, Duration::from_millis(300), usable);
+    let preferred = server_preferences::heard_recently(now, Duration::from_millis(300), usable);
     let mut names: Vec<_> = preferred
         .iter()
         .map(|(record, _)| record.info.name.to_string())
