relay: log each caller that leaves, each retry that is sent, and which code runs

No line of the users' record names the calls whose servers worked on, nor the code that wrote it, and none tells a retry that was decided on from one that was sent.

- 'caller left', once for each leaving of a call in progress, with the phase of the call and how the leaving was noticed; a rate limit of its own.
- 'retry sent' with cause, kind and server, and 'retry not sent'.
- badgerferry_calls_without_caller: calls for which something is still done.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -14,6 +14,7 @@
 mod api_error;
 mod box_config;
 mod box_list;
+mod build_info;
 mod caller;
 mod chat;
 mod clock;
@@ -47,10 +48,23 @@
     /// check the box file or the platform settings and exit
     #[argh(switch)]
     check: bool,
+
+    /// print the version and which code was built, and exit
+    #[argh(switch)]
+    version: bool,
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
+    if args.version {
+        let build_info::Build {
+            version,
+            commit,
+            sources,
+        } = build_info::BUILD;
+        println!("badgerferryd {version}, commit {commit}, sources {sources}");
+        return ExitCode::SUCCESS;
+    }
     match (&args.config, args.platform) {
         (Some(path), false) => run_with_box_file(path, args.check),
         (None, true) => run_on_platform(args.check),
--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -48,6 +48,8 @@
 use crate::relay::call_log;
 use crate::relay::call_retry::CallRetry;
 use crate::relay::caller_io::ReaderLimits;
+use crate::relay::caller_presence::CallPhase;
+use crate::relay::caller_presence::CallerPresence;
 use crate::relay::candidates::NO_SERVER_RETRY;
 use crate::relay::error_response;
 use crate::relay::held_bytes::HeldBody;
@@ -106,6 +108,8 @@
     pub body: Bytes,
     /// Counts the body as held.
     _held_body: HeldBody,
+    /// Counts the call once its caller has left. `None` after its end.
+    _caller: Option<Arc<CallerPresence>>,
     /// Time at which the request head was read.
     pub arrived: Time,
     /// Time by which the call must have ended.
@@ -155,6 +159,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             _held_body: HeldBody::new(Arc::clone(&self.relay.held_bytes)),
+            _caller: None,
             arrived: self.arrived,
             deadline: self.deadline,
         }
@@ -216,10 +221,15 @@
 }
 
 /// Handles a request and returns the response to the caller.
-pub async fn handle(relay: Arc<Relay>, req: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn handle(
+    relay: Arc<Relay>,
+    caller: Arc<CallerPresence>,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
     let arrived = relay.clock.now();
-    match read_call(&relay, arrived, req).await {
+    match read_call(&relay, &caller, arrived, req).await {
         Ok(call) => {
+            caller.set_phase(CallPhase::Waiting);
             let call = Arc::new(call);
             let limits = ReaderLimits {
                 call: call.id().to_owned(),
@@ -235,6 +245,7 @@
 
 async fn read_call(
     relay: &Arc<Relay>,
+    caller: &Arc<CallerPresence>,
     arrived: Time,
     req: Request<Incoming>,
 ) -> Result<Call, Response<ResponseBody>> {
@@ -244,6 +255,7 @@
         error_response::invalid_request(StatusCode::BAD_REQUEST, cause.0)
     })?;
     let id = head.id.clone().unwrap_or_else(|| "-".to_owned());
+    caller.set_id(&id);
     if head.parts.omitted() > 0 {
         call_log::prompt_parts_omitted(&id, head.parts.omitted());
     }
@@ -319,6 +331,7 @@
         headers: parts.headers,
         body,
         _held_body: held_body,
+        _caller: Some(Arc::clone(caller)),
         arrived,
         routes: Arc::clone(&routes),
     })
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -314,7 +314,8 @@
             std::future::pending::<()>().await;
         }
     };
-    let begin_run = || (attempt.sent_run(), call.retry.record_sent());
+    let server = &attempt.selection.server;
+    let begin_run = || (attempt.sent_run(), call.retry.record_sent(call, server));
     let sent = connection_pool
         .send(&destination, request, admitted, begin_run, path_cut)
         .await;
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::outcome::RefusalReason;
 use badgerferry_lib::relay::attempts::AttemptEnd;
 use badgerferry_lib::relay::attempts::Attempts;
@@ -22,13 +23,18 @@
 use metrics::counter;
 use metrics::histogram;
 
+use crate::build_info::BUILD;
 use crate::relay::abandoned_run::AbandonedEnd;
 use crate::relay::abandoned_run::SentRun;
 use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call::Call;
+use crate::relay::call_retry::Retry;
 use crate::relay::call_retry::RetrySource;
+use crate::relay::caller_presence::CallerPresence;
+use crate::relay::caller_presence::DepartureSign;
 use crate::relay::connection_pool::SendError;
 use crate::relay::connection_pool::Via;
+use crate::relay::log_rate_limit::DEPARTURE_LINES;
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
 use crate::relay::server_selection::Selection;
@@ -129,10 +135,7 @@
 
 /// A retry was taken from the budget, after an attempt that ended like this.
 pub fn retry_allowed(call: &Call, end: AttemptEnd, source: RetrySource, usage: RetryUsage) {
-    let source = match source {
-        RetrySource::Own => "own",
-        RetrySource::Pool => "pool",
-    };
+    let source = source.name();
     counter!("badgerferry_retries_total", "after" => end.code(), "source" => source).increment(1);
     tracing::info!(
         call = call.id(),
@@ -149,6 +152,48 @@
     );
 }
 
+/// A retry is being sent. It reaches the server unless [`retry_not_sent`] follows.
+pub fn retry_sent(call: &Call, server: &ServerName, retry: Retry) {
+    let (after, kind) = (retry.after.code(), call.route.kind.name());
+    counter!("badgerferry_retries_sent_total", "after" => after, "kind" => kind).increment(1);
+    tracing::info!(
+        call = call.id(),
+        service = %call.service,
+        %server,
+        after,
+        kind,
+        source = retry.source.name(),
+        "retry sent"
+    );
+}
+
+/// Nothing of a retry reached its server.
+pub fn retry_not_sent(id: &str, retry: Retry) {
+    let after = retry.after.code();
+    counter!("badgerferry_retries_not_sent_total", "after" => after).increment(1);
+    tracing::info!(call = id, after, "retry not sent: no connection");
+}
+
+/// The caller left while its call was in progress.
+pub fn caller_left(caller: &CallerPresence, sign: DepartureSign, took: Duration) {
+    let phase = caller.phase().name();
+    let noticed = sign.name();
+    counter!("badgerferry_callers_left_total", "phase" => phase, "noticed" => noticed).increment(1);
+    if !DEPARTURE_LINES.allow() {
+        return;
+    }
+    tracing::info!(
+        call = caller.id(),
+        phase,
+        noticed,
+        took_ms = took.as_millis() as u64,
+        version = BUILD.version,
+        commit = BUILD.commit,
+        sources = BUILD.sources,
+        "caller left"
+    );
+}
+
 /// The connection of a call that has ended first is reset.
 pub fn connection_reset(run: &SentRun, via: Via) {
     let had_responded = run.response_started.is_some();
--- a/daemon/src/relay/call_retry.rs
+++ b/daemon/src/relay/call_retry.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::attempts::AttemptEnd;
 use badgerferry_lib::relay::attempts::Attempts;
 use badgerferry_lib::relay::call_sends::CallSends;
@@ -33,6 +34,25 @@
     Pool,
 }
 
+impl RetrySource {
+    /// Name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Pool => "pool",
+        }
+    }
+}
+
+/// A retry of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retry {
+    /// Where it was taken from.
+    pub source: RetrySource,
+    /// How the attempt before it ended.
+    pub after: AttemptEnd,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     /// No retry is held.
@@ -40,9 +60,9 @@
     /// The pool granted one that the call may not need.
     Granted,
     /// The next attempt is a retry.
-    Reserved(RetrySource),
+    Reserved(Retry),
     /// It was sent.
-    Sent(RetrySource),
+    Sent(Retry),
 }
 
 #[derive(Debug)]
@@ -75,6 +95,8 @@
 #[derive(Debug)]
 pub struct PendingSend {
     shared: Arc<Shared>,
+    /// Id of the call.
+    call: String,
     may_have_arrived: bool,
 }
 
@@ -82,11 +104,12 @@
     /// Records that nothing reached the server.
     pub fn record_not_sent(mut self) {
         self.may_have_arrived = false;
-        let mut call = lock(&self.shared.call);
-        if let State::Sent(source) = call.state {
-            call.state = State::Reserved(source);
-            call.sends.undo_send();
-            call.pending.pop_back();
+        let mut held = lock(&self.shared.call);
+        if let State::Sent(retry) = held.state {
+            held.state = State::Reserved(retry);
+            held.sends.undo_send();
+            held.pending.pop_back();
+            call_log::retry_not_sent(&self.call, retry);
         }
     }
 }
@@ -194,21 +217,23 @@
                 return false;
             }
         };
-        held.state = State::Reserved(source);
+        held.state = State::Reserved(Retry { source, after: end });
         call_log::retry_allowed(call, end, source, self.usage());
         true
     }
 
-    /// Records that the attempt is being sent.
-    pub fn record_sent(&self) -> PendingSend {
-        let mut call = lock(&self.0.call);
-        if let State::Reserved(source) = call.state {
-            call.state = State::Sent(source);
-            call.sends.send_retry();
-            call.pending.push_back(source);
+    /// Records that the attempt of a call is being sent to a server.
+    pub fn record_sent(&self, call: &Call, server: &ServerName) -> PendingSend {
+        let mut held = lock(&self.0.call);
+        if let State::Reserved(retry) = held.state {
+            held.state = State::Sent(retry);
+            held.sends.send_retry();
+            held.pending.push_back(retry.source);
+            call_log::retry_sent(call, server, retry);
         }
         PendingSend {
             shared: Arc::clone(&self.0),
+            call: call.id().to_owned(),
             may_have_arrived: true,
         }
     }
@@ -229,7 +254,8 @@
 impl Drop for CallRetry {
     fn drop(&mut self) {
         let state = lock(&self.0.call).state;
-        if state == State::Reserved(RetrySource::Own) {
+        let is_own = |retry: Retry| retry.source == RetrySource::Own;
+        if matches!(state, State::Reserved(retry) if is_own(retry)) {
             self.0.with_window(|window, _rule| window.release());
         }
     }
--- a/daemon/src/relay/caller_io.rs
+++ b/daemon/src/relay/caller_io.rs
@@ -21,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::relay::caller_presence::CallerPresence;
+use crate::relay::caller_presence::DepartureSign;
 use crate::relay::held_bytes::ResponseReader;
 use crate::relay::state::Relay;
 use crate::traffic::lock;
@@ -67,6 +69,8 @@
     reader: Option<Arc<ResponseReader>>,
     /// Whether to reset the connection when it is closed, which discards what is unread.
     resets: bool,
+    /// Caller of the call in progress.
+    caller: Option<Arc<CallerPresence>>,
 }
 
 impl CallerConnection {
@@ -78,6 +82,14 @@
             limits: None,
             reader: None,
             resets: false,
+            caller: None,
+        }
+    }
+
+    /// Records that the connection ends by its caller, while a call may be in progress.
+    pub fn record_departure(&self, sign: DepartureSign) {
+        if let Some(caller) = &self.caller {
+            caller.record_departure(sign);
         }
     }
 
@@ -135,24 +147,38 @@
 pub struct CallGuard {
     relay: Arc<Relay>,
     connection: Arc<Mutex<CallerConnection>>,
+    caller: Arc<CallerPresence>,
 }
 
 impl CallGuard {
     /// Counts a call as in flight and marks its connection busy.
     pub fn new(relay: &Arc<Relay>, connection: Arc<Mutex<CallerConnection>>) -> Self {
         relay.in_flight.fetch_add(1, Ordering::SeqCst);
-        lock(&connection).state = ConnectionState::Busy;
+        let caller = CallerPresence::new(relay);
+        {
+            let mut connection = lock(&connection);
+            connection.state = ConnectionState::Busy;
+            connection.caller = Some(Arc::clone(&caller));
+        }
         Self {
             relay: Arc::clone(relay),
             connection,
+            caller,
         }
     }
+
+    /// The caller of the call.
+    pub const fn caller(&self) -> &Arc<CallerPresence> {
+        &self.caller
+    }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.relay.in_flight.fetch_sub(1, Ordering::SeqCst);
-        lock(&self.connection).state = ConnectionState::Idle(Instant::now());
+        let mut connection = lock(&self.connection);
+        connection.state = ConnectionState::Idle(Instant::now());
+        connection.caller = None;
     }
 }
 
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -1,6 +1,8 @@
 //! Accepts callers' connections, enforces their time and size limits, and passes requests to
 //! [`super::call`].
 
+use std::io;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -22,6 +24,8 @@
 use crate::relay::caller_io::CallerConnection;
 use crate::relay::caller_io::CallerIo;
 use crate::relay::caller_io::ConnectionState;
+use crate::relay::caller_presence::CallPhase;
+use crate::relay::caller_presence::DepartureSign;
 use crate::relay::listener;
 use crate::relay::response_body::ResponseBody;
 use crate::relay::response_body::ServiceResult;
@@ -79,6 +83,9 @@
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(cause) = ended {
+                    if let Some(sign) = departure_sign(&cause) {
+                        lock(&state).record_departure(sign);
+                    }
                     tracing::debug!(%cause, "caller connection ended with an error");
                 }
                 return;
@@ -102,13 +109,27 @@
     }
 }
 
+/// How an error shows that the caller has left; `None` if the box itself ends the connection.
+fn departure_sign(error: &hyper::Error) -> Option<DepartureSign> {
+    let source = std::error::Error::source(error);
+    let cause = source.and_then(|source| source.downcast_ref::<io::Error>());
+    match cause.map(io::Error::kind) {
+        Some(ErrorKind::ConnectionAborted) => Some(DepartureSign::EndBehindUnread),
+        Some(_) => Some(DepartureSign::ConnectionFailed),
+        None if error.is_incomplete_message() => Some(DepartureSign::EndOfInput),
+        None => None,
+    }
+}
+
 async fn serve_call(
     relay: Arc<Relay>,
     state: Arc<Mutex<CallerConnection>>,
     req: Request<Incoming>,
 ) -> ServiceResult<Response<ResponseBody>> {
     let guard = CallGuard::new(&relay, Arc::clone(&state));
-    let mut response = call::handle(Arc::clone(&relay), req).await;
+    let caller = Arc::clone(guard.caller());
+    let mut response = call::handle(Arc::clone(&relay), Arc::clone(&caller), req).await;
+    caller.set_phase(CallPhase::Responding);
     if relay.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/daemon/src/relay/log_rate_limit.rs
+++ b/daemon/src/relay/log_rate_limit.rs
@@ -14,6 +14,10 @@
 /// reach it only if the box is overloaded.
 const LATE_LINES_PER_SECOND: u32 = 200;
 
+/// Limit of log lines per second of callers that leave. A box is overloaded long before as many calls a
+/// second end that way.
+const DEPARTURE_LINES_PER_SECOND: u32 = 1_000;
+
 /// Rate limit on one kind of log line, in intervals of one second.
 #[derive(Debug)]
 pub struct LogRateLimit {
@@ -26,6 +30,8 @@
 pub static ON_TIME_LINES: LogRateLimit = LogRateLimit::new(ON_TIME_LINES_PER_SECOND);
 /// Rate limit for calls that were late or refused for want of a server, and for denied permits.
 pub static LATE_LINES: LogRateLimit = LogRateLimit::new(LATE_LINES_PER_SECOND);
+/// Rate limit for callers that leave.
+pub static DEPARTURE_LINES: LogRateLimit = LogRateLimit::new(DEPARTURE_LINES_PER_SECOND);
 
 impl LogRateLimit {
     const fn new(max_per_second: u32) -> Self {
--- a/daemon/src/relay/metrics_page.rs
+++ b/daemon/src/relay/metrics_page.rs
@@ -132,5 +132,8 @@
     gauge!("badgerferry_ready").set(f64::from(u8::from(relay.is_ready())));
     let in_flight = relay.in_flight.load(std::sync::atomic::Ordering::SeqCst);
     gauge!("badgerferry_active_requests").set(in_flight as f64);
+    let without_caller = &relay.calls_without_caller;
+    let without_caller = without_caller.load(std::sync::atomic::Ordering::SeqCst);
+    gauge!("badgerferry_calls_without_caller").set(without_caller as f64);
     gauge!("badgerferry_log_lines_dropped").set(crate::telemetry::dropped_lines());
 }
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -9,6 +9,8 @@
 use anyhow::Context;
 use badgerferry_platform::settings_file::BoxSettings;
 
+use crate::build_info::BUILD;
+
 mod abandoned_run;
 mod attempt_candidates;
 mod attempt_response;
@@ -17,6 +19,7 @@
 mod call_log;
 mod call_retry;
 mod caller_io;
+mod caller_presence;
 mod candidates;
 mod carried;
 mod cluster_view;
@@ -85,6 +88,9 @@
             front = %relay.settings.front,
             store = %relay.settings.store,
             lifetime = relay.incarnation,
+            version = BUILD.version,
+            commit = BUILD.commit,
+            sources = BUILD.sources,
             "daemon started"
         );
         tokio::spawn(front::serve(front, Arc::clone(&relay)));
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -175,6 +175,8 @@
     pub in_flight: AtomicUsize,
     /// Connections of callers with bytes that wait to be written.
     pub blocked_callers: AtomicUsize,
+    /// Calls for which something is still done although their caller has left.
+    pub calls_without_caller: AtomicUsize,
 }
 
 impl Relay {
@@ -249,6 +251,7 @@
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             blocked_callers: AtomicUsize::new(0),
+            calls_without_caller: AtomicUsize::new(0),
         }
     }
 
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -37,6 +37,7 @@
 use tokio::sync::mpsc;
 
 use crate::box_config::BoxConfig;
+use crate::build_info::BUILD;
 use crate::clock::Clock;
 use crate::control;
 use crate::routes;
@@ -267,6 +268,9 @@
             name = %traffic.config.name,
             hall = %traffic.config.hall,
             incarnation = %traffic.owner.incarnation,
+            version = BUILD.version,
+            commit = BUILD.commit,
+            sources = BUILD.sources,
             "daemon started"
         );
         tokio::spawn(tick(Arc::clone(&traffic)));
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -38,3 +38,4 @@
 mod test_relay_slow_engines;
 mod test_relay_slow_readers;
 mod test_relay_unframed;
+mod test_relay_unread_bytes;
--- a/lib/src/relay/call.rs
+++ b/lib/src/relay/call.rs
@@ -28,6 +28,16 @@
         }
     }
 
+    /// Name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unary { repeatable: true } => "call",
+            Self::Unary { repeatable: false } => "call_once",
+            Self::Stream { resumable: true } => "stream",
+            Self::Stream { resumable: false } => "stream_once",
+        }
+    }
+
     /// Whether the response is an event stream.
     pub const fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
