relay, edges: see the end of a connection behind unread bytes

Callers saw nothing of it; servers worked on for callers that had left (GONE). While HTTP held bytes of a further request it read no more, and the box peeked for one byte instead: bytes that waited unread hid the end behind them, and nothing woke the task. The same held for whoever stops reading: the own door, and a copy to a server that reads nothing, which went on after the reset of its peer.

The system reports the end apart from the bytes. WatchedStream waits for that and fails the connection once nobody waits for its bytes; both doors use it. A carried connection ends with its peer in the same way.

--- a/daemon/src/relay/caller_io.rs
+++ b/daemon/src/relay/caller_io.rs
@@ -9,6 +9,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use badgerferry_edges::watched_stream::WatchedStream;
 use badgerferry_lib::relay::held_bytes::Side;
 use badgerferry_lib::relay::reader_patience::CallerPatience;
 use badgerferry_lib::relay::reader_patience::MIN_CALLER_STALL;
@@ -185,28 +186,25 @@
 /// A socket that records when a request head begins, and since when the caller reads nothing.
 #[derive(Debug)]
 pub struct CallerIo {
-    stream: TcpStream,
+    stream: WatchedStream,
     relay: Arc<Relay>,
     connection: Arc<Mutex<CallerConnection>>,
     /// Whether the last write had to wait.
     is_blocked: bool,
-    /// Whether HTTP waits for bytes, and so sees the end of the connection.
-    is_reading: bool,
 }
 
 impl CallerIo {
     /// Wraps `stream` and records its state in `connection`.
-    pub const fn new(
+    pub fn new(
         stream: TcpStream,
         relay: Arc<Relay>,
         connection: Arc<Mutex<CallerConnection>>,
     ) -> Self {
         Self {
-            stream,
+            stream: WatchedStream::new(stream),
             relay,
             connection,
             is_blocked: false,
-            is_reading: false,
         }
     }
 
@@ -214,17 +212,6 @@
         self.set_blocked(polled.is_pending());
     }
 
-    /// Whether the caller of a call in progress has left, although HTTP does not read: it has buffered a
-    /// further request.
-    fn has_left_unnoticed(&mut self, cx: &mut Context<'_>) -> bool {
-        if self.is_reading || !matches!(lock(&self.connection).state, ConnectionState::Busy) {
-            return false;
-        }
-        let mut byte = [0];
-        let peeked = self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte));
-        matches!(peeked, Poll::Ready(Ok(0) | Err(_)))
-    }
-
     fn set_blocked(&mut self, is_blocked: bool) {
         if is_blocked == self.is_blocked {
             return;
@@ -245,7 +232,7 @@
         self.set_blocked(false);
         if lock(&self.connection).resets {
             // On failure, the system sends the unread bytes for as long as the caller takes them.
-            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            let _ = SockRef::from(self.stream.as_ref()).set_linger(Some(Duration::ZERO));
         }
     }
 }
@@ -258,7 +245,6 @@
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.is_reading = polled.is_pending();
         if buf.filled().len() > filled_before {
             let mut connection = lock(&self.connection);
             if matches!(connection.state, ConnectionState::Idle(_)) {
@@ -281,9 +267,6 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.has_left_unnoticed(cx) {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/daemon/src/relay/carried.rs
+++ b/daemon/src/relay/carried.rs
@@ -5,10 +5,13 @@
 //! It never asks a further box. A connection that ends before its server has closed it is reset, so
 //! that a response that ends with its connection does not look complete.
 
+use std::io;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use badgerferry_edges::watched_stream::closed_by_peer;
 use badgerferry_lib::relay::carriers::CarryRequest;
 use badgerferry_lib::relay::carriers::CarryResponse;
 use badgerferry_lib::relay::server_paths::ServerPath;
@@ -30,6 +33,8 @@
 use crate::relay::state::Relay;
 use crate::traffic::lock;
 
+/// Bytes of one direction that are passed on at a time.
+const COPY_BUFFER: usize = 8 << 10;
 /// Longest time until the request of a peer has arrived.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for which a connection that its server has closed waits until the peer has read the
@@ -130,16 +135,13 @@
 }
 
 /// Passes bytes on until either side ends. The peer never closes only one direction, so its end
-/// resets the connection to the server: a request that is still unsent, because the path of this box
-/// is cut by now, must not arrive after its caller has left.
-async fn pass_on(mut peer: TcpStream, mut server: TcpStream) {
-    let has_server_closed = {
-        let (mut from_peer, mut to_peer) = peer.split();
-        let (mut from_server, mut to_server) = server.split();
-        tokio::select! {
-            _ended = tokio::io::copy(&mut from_peer, &mut to_server) => false,
-            ended = tokio::io::copy(&mut from_server, &mut to_peer) => ended.is_ok(),
-        }
+/// resets the connection to the server, also behind bytes that the server does not read: a request that is
+/// still unsent must not arrive after its caller has left.
+async fn pass_on(peer: TcpStream, server: TcpStream) {
+    let has_server_closed = tokio::select! {
+        () = closed_by_peer(&peer) => false,
+        _ended = copy(&peer, &server) => false,
+        ended = copy(&server, &peer) => ended.is_ok(),
     };
     if has_server_closed {
         drop(server);
@@ -149,6 +151,36 @@
     }
 }
 
+/// Passes on the bytes of one direction until its end.
+async fn copy(from: &TcpStream, to: &TcpStream) -> io::Result<()> {
+    let mut buf = vec![0; COPY_BUFFER];
+    loop {
+        let read = read_some(from, &mut buf).await?;
+        if read == 0 {
+            return Ok(());
+        }
+        let mut rest = &buf[..read];
+        while !rest.is_empty() {
+            to.writable().await?;
+            match to.try_write(rest) {
+                Ok(written) => rest = &rest[written..],
+                Err(cause) if cause.kind() == ErrorKind::WouldBlock => {}
+                Err(cause) => return Err(cause),
+            }
+        }
+    }
+}
+
+async fn read_some(from: &TcpStream, buf: &mut [u8]) -> io::Result<usize> {
+    loop {
+        from.readable().await?;
+        match from.try_read(buf) {
+            Err(cause) if cause.kind() == ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
+
 /// Closes the connection to a peer in order: it reads the rest, then the end.
 async fn finish(mut peer: TcpStream) {
     if peer.shutdown().await.is_err() {
--- a/daemon/tests/test_invalid_requests.rs
+++ b/daemon/tests/test_invalid_requests.rs
@@ -1,6 +1,8 @@
 //! Invalid requests and box files: each error is reported by a specific code or message, and no
 //! resource stays reserved for a rejected request.
 
+use std::time::Duration;
+
 use badgerferry_testutils::fleet::Fleet;
 use badgerferry_testutils::fleet::FleetPlan;
 use badgerferry_testutils::fleet::WORKSPACE_KEY;
@@ -11,6 +13,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// Pause between segments, so that the box reads each by itself.
+const SEGMENT_PAUSE: Duration = Duration::from_millis(30);
+
 struct Case {
     name: &'static str,
     headers: Vec<(&'static str, &'static str)>,
@@ -161,8 +166,9 @@
     Ok(())
 }
 
-#[tokio::test]
-async fn caller_disconnect_frees_the_engine() -> anyhow::Result<()> {
+/// Lets a caller send a request and these segments after it, and leave while it is in progress; waits until
+/// the engines are free.
+async fn assert_engine_is_freed(is_stream: bool, segments: &[&str]) -> anyhow::Result<()> {
     let engine_args = ["--iteration-ms", "400"];
     let plan = FleetPlan {
         boxes: 1,
@@ -170,16 +176,22 @@
         ..FleetPlan::default()
     };
     let fleet = Fleet::start(&plan).await?;
-    let body = chat_body("hello", true).to_string();
+    let body = chat_body("hello", is_stream).to_string();
     let mut stream = TcpStream::connect(fleet.boxes[0].address).await?;
+    stream.set_nodelay(true)?;
     let head = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {WORKSPACE_KEY}\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(body.as_bytes()).await?;
-    let mut first = [0; 64];
-    stream.read_exact(&mut first).await?;
+    if is_stream {
+        stream.read_exact(&mut [0; 64]).await?;
+    }
+    for segment in segments {
+        stream.write_all(segment.as_bytes()).await?;
+        tokio::time::sleep(SEGMENT_PAUSE).await;
+    }
 
     drop(stream);
 
@@ -195,6 +207,16 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn caller_disconnect_frees_the_engine() -> anyhow::Result<()> {
+    assert_engine_is_freed(true, &[]).await
+}
+
+#[tokio::test]
+async fn caller_disconnect_behind_unread_segments_frees_the_engine() -> anyhow::Result<()> {
+    assert_engine_is_freed(false, &["GET /health HTTP/1.1\r\n", "host:", " x\r\n"]).await
+}
+
 #[tokio::test]
 async fn all_errors_of_a_box_file_are_reported() -> anyhow::Result<()> {
     let path = std::env::temp_dir().join(format!("badgerferry-bad-{}.json", std::process::id()));
--- a/edges/src/lib.rs
+++ b/edges/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod platform;
 pub mod process_probe;
 pub mod service;
+pub mod watched_stream;
--- a/edges/tests/runner.rs
+++ b/edges/tests/runner.rs
@@ -3,3 +3,4 @@
 mod test_http_client;
 mod test_peer;
 mod test_service;
+mod test_watched_stream;
