retries: a share of the slack only for boxes that others can count

Boxes divide the slack by the boxes that they know. While the store takes no writes, a box that is not listed yet knows itself alone and used all of the slack; one that is cut off for longer than entries last kept its share while the others divided it anew.

A box has a share once it is listed, in its first window only while the store or a peer that follows it is heard, and not after being cut off for as long as entries of silent boxes last. It accrues from then on.

--- a/daemon/src/relay/call_retry.rs
+++ b/daemon/src/relay/call_retry.rs
@@ -83,10 +83,12 @@
 
 impl Shared {
     fn with_window<T>(&self, f: impl FnOnce(&mut RetryWindow, &RetryBudgetRule) -> T) -> T {
+        let share_since = self.relay.budget_share_since();
         let mut retries = lock(&self.relay.retries);
         let window = retries.entry(self.service.clone());
         // The clock starts with the process.
         let window = window.or_insert_with(|| RetryWindow::new(Time::ZERO));
+        window.hold_since(share_since.unwrap_or_default());
         f(window, &self.relay.settings.retries)
     }
 }
--- a/daemon/src/relay/cluster_view.rs
+++ b/daemon/src/relay/cluster_view.rs
@@ -1,6 +1,9 @@
 //! The control thread's view of servers, other boxes and contact with the store.
 
+use std::time::Duration;
+
 use badgerferry_lib::ids::HallName;
+use badgerferry_lib::relay::budget_share::BudgetShare;
 use badgerferry_lib::relay::carriers::PeerPaths;
 use badgerferry_lib::relay::gossip_topology::Boxes;
 use badgerferry_lib::relay::gossip_topology::GossipScope;
@@ -33,6 +36,8 @@
     /// Whether the store did not list this box at its start. Then the other boxes are probably
     /// starting for the first time as well, and do not know each other yet.
     pub is_new_box: bool,
+    /// Whether this box has a share of the retry budget's slack.
+    pub budget_share: BudgetShare,
     /// When a pull last requested the list of boxes.
     pub boxes_requested_at: Option<Time>,
 }
@@ -62,12 +67,24 @@
         self.boxes.len() > 1 && 2 * self.boxes.len() < self.most_boxes.most(now)
     }
 
-    /// Number of boxes among which the retry budget is divided: the most that were known recently,
-    /// since boxes that are cut off go on sending. Zero until the list of boxes was read.
+    /// Number of boxes among which the slack of the retry budget is divided: the most that were known
+    /// recently, since boxes that are cut off go on sending. Zero while this box has no share.
     pub fn budget_boxes(&self, now: Time) -> usize {
-        match self.boxes.len() {
-            0 => 0,
-            known => known.max(self.most_boxes.most(now)),
+        match self.budget_share.held_since(now) {
+            Some(_) => self.boxes.len().max(self.most_boxes.most(now)),
+            None => 0,
+        }
+    }
+
+    /// Records contact with the store, or with a peer that follows it. `window` is that of the retry budget.
+    pub fn confirm_share(&mut self, now: Time, window: Duration) {
+        let had_share = self.budget_share.held_since(now).is_some();
+        self.budget_share.confirm(now, window);
+        if !had_share && self.budget_share.held_since(now).is_some() {
+            tracing::info!(
+                boxes = self.budget_boxes(now),
+                "share of the retry budget held"
+            );
         }
     }
 
--- a/daemon/src/relay/datagram_receiver.rs
+++ b/daemon/src/relay/datagram_receiver.rs
@@ -277,6 +277,7 @@
         let mut cluster_view = lock(&relay.cluster_view);
         if datagram.follows_store {
             cluster_view.peer_followed_store_at = Some(now);
+            cluster_view.confirm_share(now, relay.settings.retries.window);
         }
         cluster_view
             .peer_liveness
--- a/daemon/src/relay/pooled_retries.rs
+++ b/daemon/src/relay/pooled_retries.rs
@@ -54,6 +54,9 @@
                 owners,
             }
         };
+        if scope.boxes == 0 {
+            return PermitDecision::Full { retry_in: 0 };
+        }
         let (now, budget) = (self.now(), &self.context.retries);
         if lock(&self.retry_pool).try_grant(now, service, budget, scope) {
             PermitDecision::Granted { after: 0 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -296,7 +296,13 @@
         lock(&self.cluster_view).boxes.len().max(1)
     }
 
-    /// Number of boxes among which the retry budget is divided.
+    /// Since when this box has its share of the retry budget's slack.
+    pub fn budget_share_since(&self) -> Option<Time> {
+        let now = self.clock.now();
+        lock(&self.cluster_view).budget_share.held_since(now)
+    }
+
+    /// Number of boxes among which the retry budget is divided; zero while this box has no share.
     pub fn budget_boxes(&self) -> usize {
         lock(&self.cluster_view).budget_boxes(self.clock.now())
     }
--- a/daemon/src/relay/store_follower.rs
+++ b/daemon/src/relay/store_follower.rs
@@ -197,6 +197,12 @@
         }
         let era = store.put_box(&self.own).await?;
         self.registered_in = Some(era);
+        {
+            let now = self.relay.clock.now();
+            let mut cluster_view = lock(&self.relay.cluster_view);
+            cluster_view.budget_share.set_listed();
+            cluster_view.confirm_share(now, self.relay.settings.retries.window);
+        }
         self.reregister_at = None;
         tracing::info!(
             r#box = self.own.name,
@@ -258,6 +264,7 @@
         // The first read may be old, so that others can't rely on this box yet.
         if self.has_read {
             cluster_view.store_answered_at = Some(now);
+            cluster_view.confirm_share(now, self.relay.settings.retries.window);
         }
     }
 
@@ -366,6 +373,9 @@
             let mut cluster_view = lock(&self.relay.cluster_view);
             cluster_view.is_new_box = is_first && !is_registered;
             cluster_view.merge_boxes(now, boxes);
+            if is_registered {
+                cluster_view.budget_share.set_listed();
+            }
             cluster_view.servers.replace(now, entries);
         }
         self.relay.publish_store_servers();
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_invalid_requests;
 mod test_relay_abandoned_calls;
 mod test_relay_boxes;
+mod test_relay_budget_share;
 mod test_relay_calls;
 mod test_relay_cold;
 mod test_relay_crashes;
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempts;
 pub mod availability;
+pub mod budget_share;
 pub mod call;
 pub mod call_quota;
 pub mod call_rate;
--- a/lib/src/relay/retry_window.rs
+++ b/lib/src/relay/retry_window.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Records since when the box has its share, if that is later than known.
+    pub fn hold_since(&mut self, since: Time) {
+        self.held_since = self.held_since.max(since);
+    }
+
     /// Counts the first send of a call.
     pub fn record_first_send(&mut self, now: Time, budget: &RetryBudgetRule) {
         self.first_sends.record(now, budget.window);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_placement;
 mod test_properties;
 mod test_relay_attempts;
+mod test_relay_budget_share;
 mod test_relay_call_rate;
 mod test_relay_cold_hall;
 mod test_relay_cold_servers;
