soak: callers of each habit, leavers in every severity, retries against arrivals

Callers of the sheets sent one request at once. They now send bodies in chunks and parts, and those that leave also further requests whole and in segments, more than they stated, read nothing, reset or close one direction, in every severity. Each run compares what servers received beyond the first arrival of each call with the retries that its box logged, by kind and cause; an arrival that no box counted fails the run.

--- a/daemon/tests/test_relay_unread_bytes.rs
+++ b/daemon/tests/test_relay_unread_bytes.rs
@@ -51,7 +51,7 @@
     let text = call("POST", path, &id, "", "a prompt in two parts");
     habit.send(&mut caller, &text).await?;
     tokio::time::sleep(patience).await;
-    habit.leave(caller);
+    habit.leave(caller).await;
     let at = Instant::now();
     Ok(Departure { id, at })
 }
--- a/soak/src/sheet_callers.rs
+++ b/soak/src/sheet_callers.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,6 +14,7 @@
 
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::RawResponse;
+use badgerferry_standin::caller_habit::CallerHabit;
 use badgerferry_standin::departure_audit::Departure;
 use badgerferry_standin::retry_audit::SentCall;
 use badgerferry_standin::sheet::CallKind;
@@ -157,20 +159,22 @@
         let leaves_after = lock(&traffic.leaving).and_then(|leaving| leaving.draw(&mut rng));
         let leaves_after =
             leaves_after.filter(|after| *after < left && one.crashing != Some(Crashing::Request));
-        let is_cut = leaves_after.is_some() && rng.random_bool(CUT_REQUEST_FRACTION);
-        let text = if is_cut {
-            &text[..text.len() - 1]
-        } else {
-            &text
-        };
+        let (habit, is_cut) = draw_habit(leaves_after.is_some(), &mut rng);
+        let text = &text[..text.len() - usize::from(is_cut)];
         let kept = rng
             .random_bool(KEPT_FRACTION)
             .then(|| take_kept(&traffic, index));
+        let mut caller = match kept.flatten() {
+            Some(caller) => caller,
+            None => match Caller::connect(traffic.fronts[index]).await {
+                Ok(caller) => caller,
+                Err(_refused) => {
+                    sleep(RECONNECT_PAUSE).await;
+                    continue;
+                }
+            },
+        };
         let exchange = async {
-            let mut caller = match kept.flatten() {
-                Some(caller) => caller,
-                None => Caller::connect(traffic.fronts[index]).await?,
-            };
             lock(&traffic.sent).push(Sent {
                 call: SentCall {
                     id: id.clone(),
@@ -180,12 +184,15 @@
                 kind: one.kind,
                 crashing: one.crashing,
             });
-            caller.send(text).await?;
-            let response = caller.read_response().await?;
-            anyhow::Ok((caller, response))
+            habit.send(&mut caller, text).await?;
+            if habit.reads() {
+                caller.read_response().await
+            } else {
+                pending().await
+            }
         };
         let patience = leaves_after.unwrap_or(left);
-        let (caller, response): (Caller, RawResponse) = match timeout(patience, exchange).await {
+        let response: RawResponse = match timeout(patience, exchange).await {
             Ok(Ok(response)) => response,
             Ok(Err(_refused)) => {
                 sleep(RECONNECT_PAUSE).await;
@@ -193,6 +200,7 @@
             }
             Err(_left) => {
                 if leaves_after.is_some() {
+                    habit.leave(caller).await;
                     let at = Instant::now();
                     lock(&traffic.departures).push(Departure { id, at });
                 }
@@ -227,6 +235,17 @@
     }
 }
 
+/// How a caller uses its connection, and whether it leaves in the middle of its request.
+fn draw_habit(leaves: bool, rng: &mut ChaCha8Rng) -> (CallerHabit, bool) {
+    let is_cut = leaves && rng.random_bool(CUT_REQUEST_FRACTION);
+    let habits = match leaves {
+        true if is_cut => &[CallerHabit::Plain],
+        true => &CallerHabit::ALL[..],
+        false => &CallerHabit::PATIENT,
+    };
+    (habits[rng.random_range(0..habits.len())], is_cut)
+}
+
 /// A connection to this box that was used shortly before.
 fn take_kept(traffic: &Traffic, index: usize) -> Option<Caller> {
     let mut kept = lock(&traffic.kept);
--- a/soak/src/sheet_report.rs
+++ b/soak/src/sheet_report.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use badgerferry_standin::counted_retries::RetryComparison;
 use badgerferry_standin::departure_audit::WorkAfterDepartures;
 use badgerferry_standin::retry_audit::LateRepeats;
 use badgerferry_standin::retry_audit::WindowUse;
@@ -31,6 +32,7 @@
     pub in_pauses: usize,
     pub work: WorkAfterDepartures,
     pub lost: usize,
+    pub retries: RetryComparison,
 }
 
 impl Report {
@@ -52,6 +54,10 @@
             (self.in_pauses > MAX_CALLS_IN_PAUSE, "calls in a pause"),
             (self.work.violates(), "work after departures"),
             (self.lost > MAX_LOST, "closed without a response"),
+            (
+                !self.retries.uncounted.is_empty(),
+                "arrivals that no box counted",
+            ),
         ];
         let violated = rules.into_iter().filter(|(is_violated, _)| *is_violated);
         violated.map(|(_, rule)| rule).collect()
@@ -65,7 +71,7 @@
         write!(
             f,
             "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, told too late {} of \
-             {}, beyond attempts {}, crashes {}, runs after them {}, crashes by a part {}, runs after them {}, in a pause {}, {}, closed without a response {}",
+             {}, beyond attempts {}, crashes {}, runs after them {}, crashes by a part {}, runs after them {}, in a pause {}, {}, closed without a response {}, {}",
             self.repeats,
             worst.0,
             worst.1,
@@ -78,7 +84,8 @@
             self.runs_after_part_crashes,
             self.in_pauses,
             self.work,
-            self.lost
+            self.lost,
+            self.retries
         )
     }
 }
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -13,6 +13,8 @@
 use std::time::SystemTime;
 
 use anyhow::Context;
+use badgerferry_standin::counted_retries;
+use badgerferry_standin::counted_retries::RetryComparison;
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::departure_audit;
 use badgerferry_standin::departure_audit::Departure;
@@ -401,9 +403,28 @@
             in_pauses: self.calls_in_pauses(),
             work: departure_audit::audit(&self.undisturbed_departures(), &self.servers),
             lost: self.lost(),
+            retries: self.compare_retries(),
         }
     }
 
+    /// Compares retries with arrivals, without calls at boxes that were killed: their last lines are missing.
+    fn compare_retries(&self) -> RetryComparison {
+        let logs: Vec<String> = self.boxes.iter().map(RelayBox::log).collect();
+        let killed = lock(&self.traffic.sent)
+            .iter()
+            .filter(|sent| {
+                let until = sent.call.at + sent.call.deadline;
+                let disturbed =
+                    box_of(&sent.call.id).map_or(&[][..], |index| &self.disturbed[index]);
+                disturbed
+                    .iter()
+                    .any(|at| (sent.call.at..until).contains(at))
+            })
+            .map(|sent| sent.call.id.clone())
+            .collect::<BTreeSet<_>>();
+        counted_retries::compare(&self.servers, &logs, |id| !killed.contains(id))
+    }
+
     /// Whether the box of a call was disturbed shortly before or after this time.
     fn is_disturbed(&self, id: &str, at: Instant) -> bool {
         let disturbed = box_of(id).map_or(&[][..], |index| &self.disturbed[index]);
--- a/soak/src/sheet_troubles.rs
+++ b/soak/src/sheet_troubles.rs
@@ -68,6 +68,9 @@
     PartCrashes,
 }
 
+/// Fraction of the callers that leave where a severity does not have its own.
+const FEW_LEAVE: f64 = 0.1;
+
 /// Callers leave at any time between these.
 const fn leave(fraction: f64, earliest: Duration, latest: Duration) -> Trouble {
     Trouble::CallersLeave(Leaving {
@@ -80,6 +83,14 @@
 /// Draws the troubles of a run.
 pub fn draw(rng: &mut ChaCha8Rng, severity: Severity, lasts: Duration) -> Vec<Scheduled> {
     let mut troubles = draw_processes(rng, severity, lasts);
+    let is_leaving = |of: &Scheduled| matches!(of.trouble, Trouble::CallersLeave(_));
+    if !troubles.iter().any(is_leaving) {
+        troubles.push(Scheduled {
+            at: Duration::ZERO,
+            lasts,
+            trouble: leave(FEW_LEAVE, Duration::from_millis(50), Duration::from_secs(2)),
+        });
+    }
     troubles.extend(draw_links(rng, lasts));
     troubles
 }
