--- a/edges/src/watched_stream.rs
+++ b/edges/src/watched_stream.rs
@@ -115,13 +115,9 @@
             let polled = self.stream.poll_read_ready(cx);
             self.is_reading = polled.is_pending();
             ready!(polled)?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(read) => {
-                    buf.advance(read);
-                    return Poll::Ready(Ok(()));
-                }
+            match self.stream.try_read_buf(buf) {
                 Err(cause) if cause.kind() == ErrorKind::WouldBlock => {}
-                Err(cause) => return Poll::Ready(Err(cause)),
+                read => return Poll::Ready(read.map(drop)),
             }
         }
     }
