--- a/daemon/src/relay/call_retry.rs
+++ b/daemon/src/relay/call_retry.rs
@@ -83,7 +83,8 @@
 
 impl Shared {
     fn with_window<T>(&self, f: impl FnOnce(&mut RetryWindow, &RetryBudgetRule) -> T) -> T {
-        let share_since = self.relay.budget_share_since();
+        let now = self.relay.clock.now();
+        let share_since = lock(&self.relay.cluster_view).budget_share.held_since(now);
         let mut retries = lock(&self.relay.retries);
         let window = retries.entry(self.service.clone());
         // The clock starts with the process.
--- a/daemon/src/relay/caller_presence.rs
+++ b/daemon/src/relay/caller_presence.rs
@@ -4,19 +4,19 @@
 //! on the call counts as one without a caller, until nothing is done for it any more.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 
 use badgerferry_lib::time::Time;
 
 use crate::relay::call_log;
 use crate::relay::state::Relay;
+use crate::traffic::lock;
 
 /// How far a call is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
 pub enum CallPhase {
     /// Its request is being read.
     Reading,
@@ -65,7 +65,7 @@
     relay: Arc<Relay>,
     /// Id of the call, once its head is parsed.
     id: OnceLock<String>,
-    phase: AtomicU8,
+    phase: Mutex<CallPhase>,
     /// When the request head was read.
     arrived: Time,
     has_left: AtomicBool,
@@ -77,7 +77,7 @@
         Arc::new(Self {
             relay: Arc::clone(relay),
             id: OnceLock::new(),
-            phase: AtomicU8::new(CallPhase::Reading as u8),
+            phase: Mutex::new(CallPhase::Reading),
             arrived: relay.clock.now(),
             has_left: AtomicBool::new(false),
         })
@@ -95,16 +95,12 @@
 
     /// Records how far the call is.
     pub fn set_phase(&self, phase: CallPhase) {
-        self.phase.store(phase as u8, Ordering::Relaxed);
+        *lock(&self.phase) = phase;
     }
 
     /// How far the call is.
     pub fn phase(&self) -> CallPhase {
-        match self.phase.load(Ordering::Relaxed) {
-            phase if phase == CallPhase::Reading as u8 => CallPhase::Reading,
-            phase if phase == CallPhase::Waiting as u8 => CallPhase::Waiting,
-            _ => CallPhase::Responding,
-        }
+        *lock(&self.phase)
     }
 
     /// Logs that the caller has left, and counts the call as one without a caller.
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwapOption;
 use badgerferry_lib::ids::HallName;
 use badgerferry_lib::ids::ServerName;
+use badgerferry_lib::relay::budget_share::STORE_CONTACT_TIMEOUT;
 use badgerferry_lib::relay::cold_servers;
 use badgerferry_lib::relay::cold_servers::ColdChange;
 use badgerferry_lib::relay::cold_servers::ListedServer;
@@ -61,9 +62,6 @@
 use crate::relay::unknown_headers::UnknownHeaders;
 use crate::traffic::lock;
 
-/// A box follows the store if it had a response from it within this time, which is slightly longer
-/// than a watch takes.
-const STORE_CONTACT_TIMEOUT: Duration = Duration::from_secs(4);
 /// A box follows the store itself if no datagram of a peer that does so has arrived for this long.
 const PEER_FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time from its start in which a box waits for a datagram of a peer that follows the store.
@@ -296,12 +294,6 @@
         lock(&self.cluster_view).boxes.len().max(1)
     }
 
-    /// Since when this box has its share of the retry budget's slack.
-    pub fn budget_share_since(&self) -> Option<Time> {
-        let now = self.clock.now();
-        lock(&self.cluster_view).budget_share.held_since(now)
-    }
-
     /// Number of boxes among which the retry budget is divided; zero while this box has no share.
     pub fn budget_boxes(&self) -> usize {
         lock(&self.cluster_view).budget_boxes(self.clock.now())
--- a/lib/src/relay/budget_share.rs
+++ b/lib/src/relay/budget_share.rs
@@ -15,7 +15,7 @@
 use crate::time::Time;
 
 /// Time without contact after which the list of boxes is not confirmed any more.
-pub const CONTACT_TIMEOUT: Duration = Duration::from_secs(4);
+pub const STORE_CONTACT_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A box's claim to a share.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -75,7 +75,7 @@
                 let max_silence = if is_settled {
                     BOX_EXPIRY
                 } else {
-                    CONTACT_TIMEOUT
+                    STORE_CONTACT_TIMEOUT
                 };
                 (now.since(last) < max_silence).then_some(since)
             }
--- a/lib/tests/test_relay_budget_share.rs
+++ b/lib/tests/test_relay_budget_share.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use badgerferry_lib::relay::budget_share::BudgetShare;
-use badgerferry_lib::relay::budget_share::CONTACT_TIMEOUT;
+use badgerferry_lib::relay::budget_share::STORE_CONTACT_TIMEOUT;
 use badgerferry_lib::relay::gossip_topology::BOX_EXPIRY;
 use badgerferry_lib::time::Time;
 
@@ -41,7 +41,7 @@
     let mut share = BudgetShare::default();
     confirmed(&mut share, 0, 5);
 
-    let cut_off = Time::from_millis(5_000) + CONTACT_TIMEOUT;
+    let cut_off = Time::from_millis(5_000) + STORE_CONTACT_TIMEOUT;
     let lost = share.held_since(cut_off);
     confirmed(&mut share, 20, 20);
 
