soak, relay: late repeats by share and kind, and what a lost server has sent

The verdict on the time that servers are told has two conditions, over 20 and over a fifth, so that short runs pass at any share. Each run now states the share, and how many of the late arrivals were the first send of their call. 'attempt failed' states how long ago the call was sent, and whether its server has sent anything since. No verdict changes.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -487,7 +487,7 @@
     attempt: AttemptGuard,
     cause: &SendError,
 ) -> AttemptResult {
-    call_log::attempt_failed(call, &attempt.selection, cause);
+    call_log::attempt_failed(call, &attempt.selection, attempt.sent_at, cause);
     let patience = reader_patience::server_patience(&call.route);
     match cause {
         SendError::NotSent(_) => {
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -18,6 +18,7 @@
 use badgerferry_lib::relay::retry_window::RetryUsage;
 use badgerferry_lib::relay::route_table::Denied;
 use badgerferry_lib::relay::size_groups::SizePriority;
+use badgerferry_lib::time::Time;
 use badgerferry_platform::headers::ResponseHead;
 use http::StatusCode;
 use metrics::counter;
@@ -38,6 +39,7 @@
 use crate::relay::log_rate_limit::LATE_LINES;
 use crate::relay::log_rate_limit::ON_TIME_LINES;
 use crate::relay::server_selection::Selection;
+use crate::traffic::lock;
 
 /// The call was rejected before it was sent to any server.
 pub fn rejected(id: &str, why: &str) {
@@ -271,15 +273,18 @@
 }
 
 /// An attempt ended without a response head.
-pub fn attempt_failed(call: &Call, selection: &Selection, cause: &SendError) {
+pub fn attempt_failed(call: &Call, selection: &Selection, sent_at: Time, cause: &SendError) {
     counter!("badgerferry_tries_failed_total", "why" => "no_answer").increment(1);
     // The fingerprint is logged only if the call may have run, and so may have crashed its server.
     let fingerprint = cause.may_have_run().then(|| call.fingerprint());
+    let heard_since_send = lock(&call.relay.tracker).is_heard_since(sent_at, &selection.server);
     tracing::info!(
         call = call.id(),
         service = %call.service,
         server = %selection.server,
         address = selection.address,
+        sent_ms_ago = call.relay.clock.now().since(sent_at).as_millis() as u64,
+        heard_since_send,
         work = fingerprint.map(tracing::field::display),
         parts = %call.head.parts,
         %cause,
--- a/soak/src/sheet_report.rs
+++ b/soak/src/sheet_report.rs
@@ -70,13 +70,12 @@
         let worst = self.worst.map_or((0, 0.0), |w| (w.retries, w.allowed));
         write!(
             f,
-            "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, told too late {} of \
-             {}, beyond attempts {}, crashes {}, runs after them {}, crashes by a part {}, runs after them {}, in a pause {}, {}, closed without a response {}, {}",
+            "{calls} calls, {served} served, {} repeats, worst window {} of {:.0}, {}, \
+             beyond attempts {}, crashes {}, runs after them {}, crashes by a part {}, runs after them {}, in a pause {}, {}, closed without a response {}, {}",
             self.repeats,
             worst.0,
             worst.1,
-            self.late.too_much,
-            self.late.late,
+            self.late,
             self.beyond,
             self.crashes,
             self.runs_after_crashes,
