relay: send a lost call again only once its server can't read it later

Cause: the end of a connection was taken for the end of what was sent on it. A reset takes nothing back that already waits in the socket of a server that stands still. The call was retried elsewhere at once; the server read the first send when it went on. The box also took the end for a sign that the server runs, although a forwarder may have closed the connection, and counted the send as over in the retry budget.

Change: after a connection that ended without a response the server is queried. The call is sent again once it responds or refuses connections; if it does neither within half of the time left, the call ends with 502 `server_silent`, so that its caller can still go elsewhere. The send stays pending in the budget until its server has responded to anything, was replaced or exited (lib/relay/unread_sends.rs), also for abandoned calls that are not watched. The end of a connection shows nothing of the server any more.

Half is kept: a server that goes on soon costs its callers no try of their own, and those that have one left keep time for it.

--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -232,6 +232,7 @@
     match reason {
         FailureReason::DeadlineWhileRunning => StatusCode::GATEWAY_TIMEOUT,
         FailureReason::ServerLost
+        | FailureReason::ServerSilent
         | FailureReason::AttemptsUsed
         | FailureReason::NoOtherServer
         | FailureReason::ServerError => StatusCode::BAD_GATEWAY,
@@ -242,6 +243,7 @@
     match reason {
         FailureReason::DeadlineWhileRunning => "the time limit passed while a server worked on it",
         FailureReason::ServerLost => "the server was lost and the request may not be repeated",
+        FailureReason::ServerSilent => "the server was lost and does not respond",
         FailureReason::AttemptsUsed => "every attempt that is allowed was used",
         FailureReason::NoOtherServer => "no other server could take it over",
         FailureReason::ServerError => "the server answered with an error of its own",
--- a/daemon/src/relay/abandoned_run.rs
+++ b/daemon/src/relay/abandoned_run.rs
@@ -6,7 +6,6 @@
 //! still counts:
 //!
 //! - Other calls prefer servers that have responded since, as this one may have asked for a pause.
-//! - Once the server sends anything else, it has read the call, or never will.
 //! - If its process exits within the time that the route allows a call, the run may have crashed it.
 
 use std::convert::Infallible;
@@ -23,7 +22,6 @@
 
 use crate::relay::call::Call;
 use crate::relay::call_log;
-use crate::relay::call_retry::PendingSend;
 use crate::relay::connection_end;
 use crate::relay::connection_pool::Via;
 use crate::relay::listed_server::ListedServer;
@@ -96,8 +94,6 @@
     pub run: SentRun,
     /// Who made the connection.
     pub via: Via,
-    /// Tells the retry budget when the call has arrived, unless it has.
-    pub pending: Option<PendingSend>,
 }
 
 impl AbandonedRun {
@@ -129,7 +125,7 @@
 }
 
 async fn watch(abandoned: AbandonedRun) {
-    let AbandonedRun { run, via, pending } = abandoned;
+    let AbandonedRun { run, via } = abandoned;
     let run = run.without_body();
     let relay = Arc::clone(&run.call.relay);
     let abandoned_at = relay.clock.now();
@@ -142,7 +138,7 @@
     let mut in_progress = Some(request_quarantine::continue_run(&watched.run.call));
     let counted = CountGuard::try_new(&relay.abandoned_runs, MAX_WATCHED_RUNS);
     let end = match counted {
-        Some(_) if via == Via::Own => watched.observe(pending, &mut in_progress).await,
+        Some(_) if via == Via::Own => watched.observe(&mut in_progress).await,
         Some(_) | None => AbandonedEnd::NotWatched,
     };
     let run = &watched.run;
@@ -173,11 +169,7 @@
 
 impl WatchedRun {
     /// Watches the process of the server.
-    async fn observe(
-        &self,
-        pending: Option<PendingSend>,
-        in_progress: &mut Option<Run>,
-    ) -> AbandonedEnd {
+    async fn observe(&self, in_progress: &mut Option<Run>) -> AbandonedEnd {
         let relay = &self.run.call.relay;
         if self.run.response_started.is_none() {
             let server = &self.run.target.name;
@@ -188,23 +180,17 @@
             .watch(&self.run.target, &self.run.address);
         tokio::select! {
             () = process.exited() => AbandonedEnd::Exited,
-            end = self.wait_for_responses(pending, in_progress) => end,
+            end = self.wait_for_responses(in_progress) => end,
         }
     }
 
-    /// Resolves at the end of the watch. The call is pending until the server has responded to anything: one
-    /// that stands still reads it later. A server that responds half a second after the reset runs, and has
+    /// Resolves at the end of the watch. A server that responds half a second after the reset runs, and has
     /// stopped by then: the run is no longer in progress.
-    async fn wait_for_responses(
-        &self,
-        pending: Option<PendingSend>,
-        in_progress: &mut Option<Run>,
-    ) -> AbandonedEnd {
+    async fn wait_for_responses(&self, in_progress: &mut Option<Run>) -> AbandonedEnd {
         let has_responded = tokio::select! {
             has_responded = self.wait_for_response(self.abandoned_at) => has_responded,
             never = self.check_status() => match never {},
         };
-        drop(pending);
         if has_responded {
             self.wait_for_response(self.abandoned_at + STOP_TIME).await;
         }
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -52,6 +52,7 @@
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection;
 use crate::relay::server_selection::Selection;
+use crate::relay::unread_sends;
 use crate::traffic::lock;
 
 /// Added to the estimate of a response after which the path to the server is checked.
@@ -292,10 +293,10 @@
     let patience = reader_patience::server_patience(&call.route);
     let (body_permit, admitted) = match reserve_body(call, &attempt, admitted, patience).await {
         Ok(reserved) => reserved,
-        Err(cause) => return handle_send_error(call, tried, attempt, &cause).await,
+        Err(cause) => return handle_send_error(call, attempts, tried, attempt, &cause).await,
     };
     if is_retry && !running_servers::is_running(call, &attempt.selection.listed_server()).await {
-        return handle_send_error(call, tried, attempt, &SendError::Silent).await;
+        return handle_send_error(call, attempts, tried, attempt, &SendError::Silent).await;
     }
     let request = ServerRequest {
         request: build_request(call, &attempt.selection, resume_after),
@@ -321,7 +322,7 @@
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(cause) => return handle_send_error(call, tried, attempt, &cause).await,
+        Err(cause) => return handle_send_error(call, attempts, tried, attempt, &cause).await,
     };
     let (parts, body) = response.into_parts();
     attempt.is_framed = http_client::is_framed(&parts.headers, &body);
@@ -481,50 +482,67 @@
     request
 }
 
+/// Ends an attempt that got no response head. The call is not sent again while its server may still read it.
 async fn handle_send_error(
     call: &Call,
+    attempts: &Attempts,
     tried: &[ServerName],
     attempt: AttemptGuard,
     cause: &SendError,
 ) -> AttemptResult {
+    let server = attempt.selection.listed_server();
+    let end = end_unsuccessful(call, tried, attempt, cause).await;
+    if end != AttemptEnd::Lost || !attempts.may_retry() {
+        return AttemptResult::Ended(end);
+    }
+    let is_over = unread_sends::wait_until_over(call, &server).await;
+    AttemptResult::Ended(if is_over { end } else { AttemptEnd::Unread })
+}
+
+async fn end_unsuccessful(
+    call: &Call,
+    tried: &[ServerName],
+    attempt: AttemptGuard,
+    cause: &SendError,
+) -> AttemptEnd {
     call_log::attempt_failed(call, &attempt.selection, attempt.sent_at, cause);
     let patience = reader_patience::server_patience(&call.route);
     match cause {
         SendError::NotSent(_) => {
             let took = call.relay.clock.now().since(attempt.sent_at);
             attempt.finish(ServerOutcome::Unreachable);
-            AttemptResult::Ended(if took <= MAX_REFUSAL_TIME {
+            if took <= MAX_REFUSAL_TIME {
                 let has_untried = candidates::has_untried(call, tried);
                 AttemptEnd::ConnectionRefused { has_untried }
             } else {
                 AttemptEnd::NoConnection
-            })
+            }
         }
         SendError::ConnectTimeout => {
             attempt.finish(ServerOutcome::ConnectTimeout);
-            AttemptResult::Ended(AttemptEnd::NoConnection)
+            AttemptEnd::NoConnection
         }
         SendError::NoPath | SendError::NotAdmitted | SendError::Silent => {
             attempt.finish(ServerOutcome::Inconclusive);
-            AttemptResult::Ended(AttemptEnd::NoConnection)
+            AttemptEnd::NoConnection
         }
         SendError::PathCut => {
             attempt.finish(ServerOutcome::Inconclusive);
-            AttemptResult::Ended(AttemptEnd::Lost)
+            AttemptEnd::Lost
         }
         SendError::Lost(_) | SendError::Unacknowledged(_) => {
             attempt.finish_broken().await;
-            AttemptResult::Ended(AttemptEnd::Lost)
+            AttemptEnd::Lost
         }
         SendError::EarlierBodiesUnread => {
             call_log::server_cut(call, &attempt.selection, "earlier_bodies", patience);
             attempt.finish(ServerOutcome::Inconclusive);
-            AttemptResult::Ended(AttemptEnd::NoConnection)
+            AttemptEnd::NoConnection
         }
         SendError::BodyUnread => {
             call_log::server_cut(call, &attempt.selection, "stalled", patience);
             attempt.finish(ServerOutcome::Failure);
-            AttemptResult::Ended(AttemptEnd::Lost)
+            AttemptEnd::Lost
         }
     }
 }
--- a/daemon/src/relay/connection_end.rs
+++ b/daemon/src/relay/connection_end.rs
@@ -25,6 +25,7 @@
 use crate::relay::server_gate::Target;
 use crate::relay::server_path::Destination;
 use crate::relay::server_selection::Selection;
+use crate::relay::unread_sends;
 use crate::traffic::lock;
 
 /// What has to be known about a server.
@@ -193,6 +194,9 @@
         }
         (state, _) => state,
     };
+    if matches!(state, ProcessState::Exited) {
+        unread_sends::record_exit(&call.relay, &server.target);
+    }
     let end = server.conclude(call, standing, question, &state).await;
     match (end, state) {
         (ConnectionEnd::Crashed, _) => record_crash(call, &server, run),
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -62,6 +62,7 @@
 mod stream_relay;
 mod suspension;
 mod unknown_headers;
+mod unread_sends;
 
 /// Runs the daemon until a planned stop completes.
 ///
--- a/daemon/src/relay/response_source.rs
+++ b/daemon/src/relay/response_source.rs
@@ -98,11 +98,7 @@
         connection.control.abandon();
         let via = connection.via;
         drop((body, connection));
-        let abandoned = AbandonedRun {
-            run: self.run.clone(),
-            via,
-            pending: None,
-        };
-        abandoned.watch();
+        let run = self.run.clone();
+        AbandonedRun { run, via }.watch();
     }
 }
--- a/daemon/src/relay/running_servers.rs
+++ b/daemon/src/relay/running_servers.rs
@@ -93,7 +93,7 @@
     }
 
     /// Queries a server until then; one that does not respond within [`RESPONSE_TIMEOUT`] counts as silent.
-    async fn send_until(
+    pub async fn send_until(
         &self,
         relay: &Arc<Relay>,
         server: &ListedServer,
--- a/daemon/src/relay/server_exchange.rs
+++ b/daemon/src/relay/server_exchange.rs
@@ -17,7 +17,7 @@
 use crate::relay::request_body::RequestBody;
 use crate::relay::server_gate::Admitted;
 use crate::relay::server_stream::StreamControl;
-use crate::traffic::lock;
+use crate::relay::unread_sends;
 
 type Answer = Result<(Response<Incoming>, Connection), SendError>;
 
@@ -77,14 +77,10 @@
     fn end(self, answer: &Answer) {
         match answer {
             Err(SendError::NotSent(_)) => self.pending.record_not_sent(),
-            // A server that closes a connection runs.
-            Err(SendError::Lost(_)) => {
-                let SentRun { call, target, .. } = &self.run;
-                let now = call.relay.clock.now();
-                lock(&call.relay.tracker).record_heard(now, &target.name);
-            }
+            // The end shows nothing of the server: a forwarder may have closed the connection.
+            Err(_) => unread_sends::keep(&self.run, self.pending),
             // A response is recorded by those who read it.
-            Ok(_) | Err(_) => {}
+            Ok(_) => {}
         }
     }
 }
@@ -101,11 +97,7 @@
         } = running;
         control.abandon();
         drop(answer);
-        let abandoned = AbandonedRun {
-            run,
-            via,
-            pending: Some(pending),
-        };
-        abandoned.watch();
+        unread_sends::keep(&run, pending);
+        AbandonedRun { run, via }.watch();
     }
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -45,6 +45,7 @@
 use badgerferry_lib::relay::store_position::StorePosition;
 use badgerferry_lib::relay::suspect_key::SuspectKey;
 use badgerferry_lib::relay::suspension::SuspensionMonitor;
+use badgerferry_lib::relay::unread_sends::UnreadSends;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use hyper::body::Bytes;
@@ -52,6 +53,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::relay::call_retry::PendingSend;
 use crate::relay::cluster_view::ClusterView;
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::held_bytes::HeldByteAccount;
@@ -137,6 +139,8 @@
     pub abandoned_runs: Arc<AtomicUsize>,
     /// Server processes that may still run abandoned calls.
     pub process_watches: ProcessWatches,
+    /// Sends whose connection ended before any response.
+    pub unread_sends: Mutex<UnreadSends<PendingSend>>,
     /// Whether the own path to the servers of each service is cut.
     pub server_paths: Mutex<ServerPaths>,
     /// Notifies the task that probes paths that are cut.
@@ -233,6 +237,7 @@
             status_checks: StatusChecks::default(),
             abandoned_runs: Arc::default(),
             process_watches: ProcessWatches::default(),
+            unread_sends: Mutex::default(),
             server_paths,
             server_path_changed: Notify::new(),
             suspension: Mutex::new(SuspensionMonitor::new(clock.now())),
--- a/daemon/tests/test_relay_unread_sends.rs
+++ b/daemon/tests/test_relay_unread_sends.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    fn slow_down(&self, factor: f64) {
+        for server in self.still() {
+            server.slow_down(factor);
+        }
+    }
+
     fn set_links(&self, link: Link) {
         for forwarder in &self.cluster.forwarders[..6] {
             forwarder.set(link);
@@ -146,3 +152,26 @@
     }
     Ok(())
 }
+
+#[tokio::test]
+async fn calls_reset_by_servers_that_run_are_retried_at_once() -> anyhow::Result<()> {
+    let half = HalfStill::start().await?;
+    half.suspend(false);
+    half.slow_down(100.0);
+    // The retries are to be fast.
+    let speed_up = async {
+        tokio::time::sleep(RESET_AT / 2).await;
+        half.slow_down(1.0);
+    };
+
+    let (calls, ()) = tokio::join!(half.play("/again/a", RESET_AT + RESET_TIME), speed_up);
+    let calls = calls?;
+
+    let log = half.cluster.relay.log();
+    for call in &calls {
+        assert_eq!(call.response.status, 200, "{}; {log}", call.sent.id);
+        let is_prompt = call.took < RESET_AT + RESET_TIME + Duration::from_millis(500);
+        assert!(is_prompt, "{} took {:?}; {log}", call.sent.id, call.took);
+    }
+    Ok(())
+}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -138,6 +138,8 @@
     DeadlineWhileRunning,
     /// The server was lost and the request may not be retried.
     ServerLost,
+    /// The server was lost, does not respond, and may run the request at any time.
+    ServerSilent,
     /// All allowed attempts were used.
     AttemptsUsed,
     /// No other server was available for a retry, or the retry budget was used up.
@@ -152,6 +154,7 @@
         match self {
             Self::DeadlineWhileRunning => "deadline_while_running",
             Self::ServerLost => "server_lost",
+            Self::ServerSilent => "server_silent",
             Self::AttemptsUsed => "attempts_used",
             Self::NoOtherServer => "no_other_server",
             Self::ServerError => "server_error",
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -48,6 +48,8 @@
     },
     /// The connection broke or the response is unusable; the call may have run.
     Lost,
+    /// The same, and the server may still read the call: it has not responded to anything since.
+    Unread,
     /// The stream broke off after its caller had left it unread, and the caller reads again.
     LeftUnread,
     /// The server ran the call and responded with an error of its own.
@@ -64,6 +66,7 @@
             Self::Shed => "shed",
             Self::Full { .. } => "full",
             Self::Lost => "lost",
+            Self::Unread => "unread",
             Self::LeftUnread => "left_unread",
             Self::ServerError => "server_error",
         }
@@ -146,6 +149,7 @@
                 (true, self.sent.saturating_sub(1))
             }
             AttemptEnd::Declined | AttemptEnd::Shed | AttemptEnd::Full { .. } => (true, self.sent),
+            AttemptEnd::Unread => return false,
             AttemptEnd::Lost | AttemptEnd::LeftUnread | AttemptEnd::ServerError => {
                 (false, self.sent)
             }
@@ -215,10 +219,16 @@
                 self.times_shed += u32::from(has_untried && !self.has_attempt_left());
                 self.mark_not_started(NotStarted::ServerDeclined);
             }
-            AttemptEnd::Lost | AttemptEnd::LeftUnread | AttemptEnd::ServerError => {
+            AttemptEnd::Lost
+            | AttemptEnd::Unread
+            | AttemptEnd::LeftUnread
+            | AttemptEnd::ServerError => {
                 self.state = Some(Execution::MayHaveRun);
             }
         }
+        if end == AttemptEnd::Unread {
+            return NextStep::Fail(FailureReason::ServerSilent);
+        }
         if end == AttemptEnd::LeftUnread {
             if !self.may_resume_pause() {
                 return NextStep::Fail(FailureReason::AttemptsUsed);
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -69,3 +69,4 @@
 pub mod suspect_key;
 pub mod suspect_record;
 pub mod suspension;
+pub mod unread_sends;
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -145,7 +145,7 @@
     }
 
     /// When it last sent this box anything.
-    pub(super) const fn last_heard(&self) -> Option<Time> {
+    pub const fn last_heard(&self) -> Option<Time> {
         self.last_heard
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -55,6 +55,7 @@
 mod test_relay_stop;
 mod test_relay_stream_gaps;
 mod test_relay_suspension;
+mod test_relay_unread_sends;
 mod test_request_seeds;
 mod test_scenarios;
 mod test_settings_seeds;
