relay: search again when the servers found for a retry are excluded meanwhile

Callers got 502 `no_other_server` although servers ran: a search had found one, but calls that failed there at the same instant excluded it before it was selected, and nothing else counted as running.

--- a/daemon/src/relay/attempt_candidates.rs
+++ b/daemon/src/relay/attempt_candidates.rs
@@ -5,10 +5,15 @@
 use badgerferry_lib::ids::ServerName;
 
 use crate::relay::call::Call;
+use crate::relay::candidates;
 use crate::relay::candidates::CandidateQuery;
 use crate::relay::candidates::Heard;
 use crate::relay::running_servers;
 use crate::relay::running_servers::Search;
+use crate::traffic::lock;
+
+/// Maximum number of searches whose servers are excluded before they are used.
+const MAX_SEARCHES: u32 = 3;
 
 /// What an attempt needs of its servers.
 #[derive(Debug, Clone, Copy)]
@@ -43,16 +48,19 @@
         return query;
     }
     let until = call.relay.clock.now() + running_servers::max_wait(call);
-    loop {
+    for searches in 1.. {
         match running_servers::find(call, &query, requirements.is_declined).await {
             Search::Found { is_untried } => {
                 // One that lost the call and runs is better than one that stands still.
                 let tried = if is_untried { query.tried } else { &[] };
-                return CandidateQuery {
+                let found = CandidateQuery {
                     tried,
                     heard: Heard::Verified(running_servers::RECENT),
                     ..query
                 };
+                if searches >= MAX_SEARCHES || has_candidates(call, &found) {
+                    return found;
+                }
             }
             Search::Unknown => {
                 return CandidateQuery {
@@ -63,12 +71,18 @@
             Search::NoneResponds if call.relay.clock.now() < until => {
                 tokio::time::sleep(running_servers::SEARCH_INTERVAL).await;
             }
-            Search::NoneResponds => {
-                return CandidateQuery {
-                    heard: Heard::Verified(Duration::ZERO),
-                    ..query
-                };
-            }
+            Search::NoneResponds => break,
         }
     }
+    CandidateQuery {
+        heard: Heard::Verified(Duration::ZERO),
+        ..query
+    }
+}
+
+/// Whether servers that were found may still be used: many calls may fail at them at once, and exclude them.
+fn has_candidates(call: &Call, query: &CandidateQuery<'_>) -> bool {
+    let now = call.relay.clock.now();
+    let tracker = lock(&call.relay.tracker);
+    candidates::of_service(&call.relay, now, &tracker, query).is_ok()
 }
--- a/daemon/tests/test_relay_unread_sends.rs
+++ b/daemon/tests/test_relay_unread_sends.rs
@@ -175,3 +175,20 @@
     }
     Ok(())
 }
+
+/// The servers that were found for a retry fail other calls at the same time, and are excluded.
+#[tokio::test]
+async fn reset_calls_are_served_though_found_servers_are_excluded_meanwhile() -> anyhow::Result<()>
+{
+    let half = HalfStill::start().await?;
+    half.suspend(false);
+    half.slow_down(100.0);
+
+    let calls = half.play("/again/a", RESET_AT + RESET_TIME).await?;
+
+    let log = half.cluster.relay.log();
+    for call in &calls {
+        assert_eq!(call.response.status, 200, "{}; {log}", call.sent.id);
+    }
+    Ok(())
+}
