relay: a stopping box answers every call that it has read

Callers of a box that was told to stop saw connections close without an answer, among them calls that may not be repeated: with a stop time of 3 s no call was ever refused, and whatever was in flight at its end was cut, as were calls of 5.5 s in a stop of 8 s.

Cause: the time after which calls are refused was one constant, whatever the stop time and the calls, and nothing answered what was left at the end.

Change: calls in flight are answered 0.6 s before the process would be killed (less in stops under 1.2 s): 503 `box_leaving` if they were sent to no server, else 502 `box_stopping`. A call is refused at once if nine in ten of the latest calls of its route took longer than what is left by then; before any was served the objective of the route stands in. Streams that have begun may go on until the process exits. The plan is in lib/src/stop_plan.rs, for both doors.

All five tests of test_relay_planned_stop.rs failed before: calls without an answer after 0.8 s of a stop of 1 s and 1.5 s of one of 3 s, a stream cut after 5.5 s in one of 8 s, calls accepted that could not end, an incomplete body without an answer.

--- a/daemon/src/api_error.rs
+++ b/daemon/src/api_error.rs
@@ -233,6 +233,7 @@
         FailureReason::DeadlineWhileRunning => StatusCode::GATEWAY_TIMEOUT,
         FailureReason::ServerLost
         | FailureReason::ServerSilent
+        | FailureReason::BoxStopping
         | FailureReason::AttemptsUsed
         | FailureReason::NoOtherServer
         | FailureReason::ServerError => StatusCode::BAD_GATEWAY,
@@ -244,6 +245,7 @@
         FailureReason::DeadlineWhileRunning => "the time limit passed while a server worked on it",
         FailureReason::ServerLost => "the server was lost and the request may not be repeated",
         FailureReason::ServerSilent => "the server was lost and does not respond",
+        FailureReason::BoxStopping => "this box exits before the request has ended",
         FailureReason::AttemptsUsed => "every attempt that is allowed was used",
         FailureReason::NoOtherServer => "no other server could take it over",
         FailureReason::ServerError => "the server answered with an error of its own",
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,6 +11,7 @@
 
 use argh::FromArgs;
 
+mod answers_due;
 mod api_error;
 mod box_config;
 mod box_list;
--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::ids::WorkspaceName;
 use badgerferry_lib::outcome::FailureReason;
 use badgerferry_lib::outcome::RefusalReason;
@@ -43,6 +44,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::relay::attempt_response::StreamingResponse;
 use crate::relay::call_attempt;
 use crate::relay::call_attempt::AttemptResult;
 use crate::relay::call_log;
@@ -57,6 +59,7 @@
 use crate::relay::server_gate::MAX_ADMISSION_WAIT;
 use crate::relay::state::Relay;
 use crate::relay::stream_relay;
+use crate::traffic::lock;
 
 /// Longest wait of a call for the first route table of a box that has just started. A call with a
 /// shorter deadline waits for half of its remaining time.
@@ -65,6 +68,8 @@
 /// retries at another box.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Code of calls refused because the box stops.
+const BOX_LEAVING: &str = RefusalReason::Leaving.code();
 /// Code of calls refused because the box holds too many bytes.
 const MEMORY_FULL: &str = "memory_full";
 /// Longest time for which the body of a refused call is read.
@@ -213,6 +218,12 @@
         max_wait.min(MAX_ADMISSION_WAIT)
     }
 
+    /// Records how long the call took, which is served now.
+    pub fn record_served(&self) {
+        let took = self.relay.clock.now().since(self.arrived);
+        lock(&self.relay.call_durations).record(&self.route.name, took);
+    }
+
     /// Whether the call may be sent again after it may have run, and the retry budget may have a retry
     /// left for it.
     pub fn may_resend(&self, attempts: &Attempts) -> bool {
@@ -227,7 +238,15 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = relay.clock.now();
-    match read_call(&relay, &caller, arrived, req).await {
+    let read = tokio::select! {
+        biased;
+        read = read_call(&relay, &caller, arrived, req) => read,
+        () = relay.answers_due.wait() => {
+            call_log::rejected(caller.id(), BOX_LEAVING);
+            Err(error_response::not_run(BOX_LEAVING, Some(UNAVAILABLE_RETRY_AFTER)))
+        }
+    };
+    match read {
         Ok(call) => {
             caller.set_phase(CallPhase::Waiting);
             let call = Arc::new(call);
@@ -298,10 +317,10 @@
             return Err(reject_for_memory(&id, relay, rest, Side::Servers));
         }
     };
-    if relay.refuses_calls() {
-        call_log::rejected(&id, "box_leaving");
+    if relay.refuses_call(route, relay.clock.now().until(deadline)) {
+        call_log::rejected(&id, BOX_LEAVING);
         return Err(error_response::not_run(
-            "box_leaving",
+            BOX_LEAVING,
             Some(UNAVAILABLE_RETRY_AFTER),
         ));
     }
@@ -401,48 +420,80 @@
     error_response::not_run(MEMORY_FULL, Some(UNAVAILABLE_RETRY_AFTER))
 }
 
+/// Where the response to a call comes from.
+enum Answer {
+    /// It is complete.
+    Response(Box<Response<ResponseBody>>),
+    /// A server streams it.
+    Live(Box<StreamingResponse>),
+}
+
+impl Answer {
+    fn complete(response: Response<ResponseBody>) -> Self {
+        Self::Response(Box::new(response))
+    }
+}
+
+/// Makes attempts until the call is answered, also if the box exits before.
 async fn run_attempts(call: Arc<Call>) -> Response<ResponseBody> {
     let mut attempts = Attempts::new(call.route.kind.is_repeatable(), call.route.max_attempts);
     call.retry.record_first_send(call.arrived);
     let mut tried = Vec::new();
+    let answer = tokio::select! {
+        biased;
+        answer = run_until_answered(&call, &mut attempts, &mut tried) => Some(answer),
+        () = call.relay.answers_due.wait() => None,
+    };
+    match answer {
+        Some(Answer::Response(response)) => *response,
+        Some(Answer::Live(live)) => stream_relay::respond(call, attempts, tried, live),
+        None => {
+            let next = attempts.stop(UNAVAILABLE_RETRY_AFTER);
+            finish(&call, &attempts, next)
+        }
+    }
+}
+
+async fn run_until_answered(
+    call: &Arc<Call>,
+    attempts: &mut Attempts,
+    tried: &mut Vec<ServerName>,
+) -> Answer {
     loop {
-        let result = match timeout(
-            call.time_left(),
-            call_attempt::run_attempt(&call, &mut attempts, &mut tried, None),
-        )
-        .await
-        {
+        let attempt = call_attempt::run_attempt(call, attempts, tried, None);
+        let result = match timeout(call.time_left(), attempt).await {
             Ok(result) => result,
             Err(_elapsed) => {
                 let next = attempts.give_up(RefusalReason::DeadlineWhileWaiting, NO_SERVER_RETRY);
-                return finish(&call, &attempts, next);
+                return Answer::complete(finish(call, attempts, next));
             }
         };
         let (end, server_error) = match result {
             AttemptResult::Complete(response) => {
-                call_log::call_ended(&call, &attempts, "answered", response.status());
-                return response;
+                call.record_served();
+                call_log::call_ended(call, attempts, "answered", response.status());
+                return Answer::complete(response);
             }
-            AttemptResult::Live(live) => return stream_relay::respond(call, attempts, tried, live),
+            AttemptResult::Live(live) => return Answer::Live(live),
             AttemptResult::NoServer(reason, retry_after) => {
                 let next = attempts.give_up(reason, retry_after);
-                return finish(&call, &attempts, next);
+                return Answer::complete(finish(call, attempts, next));
             }
             AttemptResult::ServerError(response) => (AttemptEnd::ServerError, Some(response)),
             AttemptResult::Ended(end) => (end, None),
         };
-        call.retry.prepare(&attempts, end).await;
-        match attempts.on_attempt_end(end, NO_SERVER_RETRY, || call.retry.try_reserve(&call, end)) {
+        call.retry.prepare(attempts, end).await;
+        match attempts.on_attempt_end(end, NO_SERVER_RETRY, || call.retry.try_reserve(call, end)) {
             NextStep::TryElsewhere => {}
             NextStep::PassOn => {
                 let Some(response) = server_error else {
                     let next = NextStep::Fail(FailureReason::ServerError);
-                    return finish(&call, &attempts, next);
+                    return Answer::complete(finish(call, attempts, next));
                 };
-                call_log::call_ended(&call, &attempts, "server_error", response.status());
-                return response;
+                call_log::call_ended(call, attempts, "server_error", response.status());
+                return Answer::complete(response);
             }
-            next => return finish(&call, &attempts, next),
+            next => return Answer::complete(finish(call, attempts, next)),
         }
     }
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -4,9 +4,8 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -14,6 +13,7 @@
 use badgerferry_lib::ids::HallName;
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::budget_share::STORE_CONTACT_TIMEOUT;
+use badgerferry_lib::relay::call_durations::CallDurations;
 use badgerferry_lib::relay::cold_servers;
 use badgerferry_lib::relay::cold_servers::ColdChange;
 use badgerferry_lib::relay::cold_servers::ListedServer;
@@ -29,6 +29,7 @@
 use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::Quarantine;
 use badgerferry_lib::relay::retry_window::RetryWindow;
+use badgerferry_lib::relay::route_table::Route;
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::RouteTable;
 use badgerferry_lib::relay::route_table::ServiceName;
@@ -46,12 +47,14 @@
 use badgerferry_lib::relay::suspect_key::SuspectKey;
 use badgerferry_lib::relay::suspension::SuspensionMonitor;
 use badgerferry_lib::relay::unread_sends::UnreadSends;
+use badgerferry_lib::stop_plan::StopPlan;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use hyper::body::Bytes;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::answers_due::AnswersDue;
 use crate::clock::Clock;
 use crate::relay::call_retry::PendingSend;
 use crate::relay::cluster_view::ClusterView;
@@ -169,10 +172,12 @@
     /// Notifies the sender of the hall's load to other halls: a box of this hall announces one of
     /// the changes of `urgent_changed`.
     pub hall_changed: Arc<Notify>,
-    /// Set when a planned stop begins.
-    pub stopping: AtomicBool,
-    /// Set late in a planned stop, when new calls are refused.
-    pub refusing: AtomicBool,
+    /// When a planned stop began.
+    stop_began: OnceLock<Time>,
+    /// Tells calls in flight that they have to be answered now, late in a planned stop.
+    pub answers_due: AnswersDue,
+    /// How long calls take, by which a stopping box refuses those that would not end in time.
+    pub call_durations: Mutex<CallDurations>,
     /// Calls whose responses are not fully sent yet.
     pub in_flight: AtomicUsize,
     /// Connections of callers with bytes that wait to be written.
@@ -250,8 +255,9 @@
             load_changed,
             urgent_changed,
             hall_changed,
-            stopping: AtomicBool::new(false),
-            refusing: AtomicBool::new(false),
+            stop_began: OnceLock::new(),
+            answers_due: AnswersDue::default(),
+            call_durations: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             blocked_callers: AtomicUsize::new(0),
             calls_without_caller: AtomicUsize::new(0),
@@ -280,7 +286,17 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.stop_began.get().is_some()
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stop_began.get_or_init(|| self.clock.now());
+    }
+
+    /// When the process is stopped, and how.
+    pub const fn stop_plan(&self) -> StopPlan {
+        StopPlan::new(self.settings.stop_time)
     }
 
     /// Rank of an engine in this box's order of preference. Each box has a different order.
@@ -289,9 +305,24 @@
         (engine.0 ^ own.0).wrapping_mul(0x9E37_79B1)
     }
 
-    /// Whether new calls are refused, late in a planned stop.
+    /// Whether all new calls are refused, late in a planned stop.
     pub fn refuses_calls(&self) -> bool {
-        self.refusing.load(Ordering::SeqCst)
+        self.refuses_calls_of(Duration::ZERO)
+    }
+
+    /// Whether a call is refused since the box stops, and would not serve it in time: it has `left` until its
+    /// deadline, at which it is answered in any case.
+    pub fn refuses_call(&self, route: &Route, left: Duration) -> bool {
+        let expected = lock(&self.call_durations).expected(&route.name);
+        self.refuses_calls_of(expected.unwrap_or(route.objective).min(left))
+    }
+
+    fn refuses_calls_of(&self, expected: Duration) -> bool {
+        let since = self.stop_began.get();
+        since.is_some_and(|since| {
+            let elapsed = self.clock.now().since(*since);
+            self.stop_plan().refuses_calls(elapsed, expected)
+        })
     }
 
     /// Number of known boxes, this one included.
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -1,15 +1,16 @@
 //! Planned stops and reloads.
 //!
 //! After SIGTERM the box reports itself as not ready. It keeps serving open and new calls and adds
-//! `Connection: close` to each response. Later it refuses new calls, which might not end in time.
+//! `Connection: close` to each response. It refuses new calls that are not expected to end in time, and later all.
 //! The process exits when new calls have stopped arriving and none is in flight, or just before the
-//! platform kills it. The times are in [`badgerferry_lib::relay::stop_plan`].
+//! platform kills it; calls still in flight are answered before. The times are in
+//! [`badgerferry_lib::stop_plan`].
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use badgerferry_lib::relay::stop_plan::StopPlan;
+use badgerferry_lib::stop_plan::StopStep;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -58,7 +59,7 @@
         }
     }
     let started_at = Instant::now();
-    relay.stopping.store(true, Ordering::SeqCst);
+    relay.begin_stop();
     tracing::info!(in_flight = in_flight(relay), "planned stop begun");
     drain(relay, started_at).await;
     tracing::info!(
@@ -79,19 +80,25 @@
 }
 
 async fn drain(relay: &Arc<Relay>, started_at: Instant) {
-    let plan = StopPlan::new(relay.settings.stop_time);
+    let plan = relay.stop_plan();
     let mut idle_since: Option<Instant> = None;
     loop {
-        let elapsed = started_at.elapsed();
-        if plan.refuses_calls(elapsed) {
-            relay.refusing.store(true, Ordering::SeqCst);
-        }
         idle_since = match in_flight(relay) {
             0 => idle_since.or_else(|| Some(Instant::now())),
             _ => None,
         };
-        if plan.should_exit(elapsed, idle_since.map(|since| since.elapsed())) {
-            return;
+        let idle = idle_since.map(|since| since.elapsed());
+        match plan.step(started_at.elapsed(), idle) {
+            StopStep::Serve => {}
+            StopStep::Answer if relay.answers_due.are_due() => {}
+            StopStep::Answer => {
+                tracing::info!(
+                    in_flight = in_flight(relay),
+                    "planned stop answers calls in flight"
+                );
+                relay.answers_due.announce();
+            }
+            StopStep::Exit => return,
         }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -138,7 +138,9 @@
     let outcome = result.unwrap_or("deadline_while_running");
     timings.longest_gap = gaps.longest;
     call_log::stream_ended(&call, &attempts, outcome, timings);
-    if outcome != COMPLETE {
+    if outcome == COMPLETE {
+        call.record_served();
+    } else {
         drop(call);
         // Without this chunk, dropping the sender would make the response look complete. If the
         // channel is full, the send waits until the caller reads, disconnects or is cut.
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_relay_leaving;
 mod test_relay_limits;
 mod test_relay_odd_entries;
+mod test_relay_planned_stop;
 mod test_relay_prompt_parts;
 mod test_relay_refused_connections;
 mod test_relay_reservations;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod settings_tree;
 pub mod settings_view;
 pub mod status_wire;
+pub mod stop_plan;
 pub mod stream_join;
 pub mod time;
 pub mod token_estimator;
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -140,6 +140,8 @@
     ServerLost,
     /// The server was lost, does not respond, and may run the request at any time.
     ServerSilent,
+    /// The box exits before the request has ended.
+    BoxStopping,
     /// All allowed attempts were used.
     AttemptsUsed,
     /// No other server was available for a retry, or the retry budget was used up.
@@ -155,6 +157,7 @@
             Self::DeadlineWhileRunning => "deadline_while_running",
             Self::ServerLost => "server_lost",
             Self::ServerSilent => "server_silent",
+            Self::BoxStopping => "box_stopping",
             Self::AttemptsUsed => "attempts_used",
             Self::NoOtherServer => "no_other_server",
             Self::ServerError => "server_error",
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -267,6 +267,18 @@
         }
     }
 
+    /// Ends a call because its box exits.
+    pub fn stop(&mut self, retry_after: Duration) -> NextStep {
+        match self.state.take() {
+            Some(Execution::Unsent(proof)) => NextStep::Refuse(Refused::new(
+                proof,
+                RefusalReason::Leaving,
+                Some(retry_after),
+            )),
+            _ => NextStep::Fail(FailureReason::BoxStopping),
+        }
+    }
+
     fn mark_not_started(&mut self, evidence: NotStarted) {
         self.state = match self.state.take() {
             Some(Execution::Sent(in_flight)) => {
