daemon: the own door answers every request before it would be killed

A planned stop waited without a bound for requests in flight. Where the platform kills the process after a time, their callers saw a closed connection, among them calls that may not be repeated.

The box file states that time (`stop_seconds`, 90 by default), and the plan of lib/src/stop_plan.rs holds for this door too: requests that are in flight 0.6 s before are answered, 503 `box_leaving` if they have not run, else 502 `box_stopping`, in a stream as its last event. Requests that arrive during a stop get no later deadline than that, so that those which can't end are refused at once.

planned_stop_answers_requests_that_outlast_it failed before: the last answer came 20 s after the signal of a stop of 3 s.

--- a/daemon/src/box_config.rs
+++ b/daemon/src/box_config.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use badgerferry_lib::ids::BoxName;
 use badgerferry_lib::ids::HallName;
@@ -17,6 +18,9 @@
 /// Maximum number of traffic threads; a small box has only a few cores.
 const MAX_TRAFFIC_THREADS: u64 = 64;
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
+/// Time from the stop signal until the process is killed, if the file does not state it, and the longest.
+const DEFAULT_STOP_SECONDS: u64 = 90;
+const MAX_STOP_SECONDS: u64 = 24 * 60 * 60;
 
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +50,8 @@
     pub peer_key: [u8; PEER_KEY_BYTES],
     /// Number of threads that handle requests.
     pub traffic_threads: usize,
+    /// Time from the stop signal until the process is killed.
+    pub stop_time: Duration,
     /// Format of log lines.
     pub log: LogFormat,
 }
@@ -161,14 +167,14 @@
         bytes
     }
 
-    fn thread_count(&mut self, path: &str) -> usize {
+    /// A whole number from 1 to `max`.
+    fn number(&mut self, path: &str, default: u64, max: u64, unit: &str) -> u64 {
         match self.remaining.remove(path).map(|value| value.as_u64()) {
-            None => DEFAULT_TRAFFIC_THREADS as usize,
-            Some(Some(count)) if (1..=MAX_TRAFFIC_THREADS).contains(&count) => count as usize,
+            None => default,
+            Some(Some(number)) if (1..=max).contains(&number) => number,
             Some(_) => {
-                let problem = format!("a whole number from 1 to {MAX_TRAFFIC_THREADS} (threads)");
-                self.add_error(path, problem);
-                1
+                self.add_error(path, format!("a whole number from 1 to {max} ({unit})"));
+                default
             }
         }
     }
@@ -197,7 +203,18 @@
     let platform = fields.address("platform");
     let peers = fields.addresses("peers");
     let peer_key = fields.key("peer_key");
-    let traffic_threads = fields.thread_count("traffic_threads");
+    let traffic_threads = fields.number(
+        "traffic_threads",
+        DEFAULT_TRAFFIC_THREADS,
+        MAX_TRAFFIC_THREADS,
+        "threads",
+    );
+    let stop_seconds = fields.number(
+        "stop_seconds",
+        DEFAULT_STOP_SECONDS,
+        MAX_STOP_SECONDS,
+        "seconds",
+    );
     let log = fields.log_format("log");
     let unknown: Vec<_> = fields.remaining.keys().cloned().collect();
     for path in unknown {
@@ -219,7 +236,8 @@
             platform,
             peers,
             peer_key,
-            traffic_threads,
+            traffic_threads: traffic_threads as usize,
+            stop_time: Duration::from_secs(stop_seconds),
             log,
         }),
         _ => Err(fields.errors),
--- a/daemon/src/request_driver.rs
+++ b/daemon/src/request_driver.rs
@@ -80,6 +80,7 @@
 /// Input that the driver waits for.
 enum Wakeup {
     CallerDisconnected,
+    BoxStopping,
     Decision(Decision),
     EngineCall(EngineCallResult),
     Frame(Frame),
@@ -155,6 +156,7 @@
         let tick = self.traffic.clock.instant(exchange.next_tick());
         tokio::select! {
             () = self.tx.closed() => Wakeup::CallerDisconnected,
+            () = self.traffic.answers_due.wait() => Wakeup::BoxStopping,
             Some(decision) = self.decisions.recv() => Wakeup::Decision(decision),
             result = engine_call_result(&mut self.engine_call) => {
                 self.engine_call = None;
@@ -169,6 +171,7 @@
         let frame;
         let event = match wakeup {
             Wakeup::CallerDisconnected => Event::CallerDisconnected,
+            Wakeup::BoxStopping => Event::BoxStopping,
             Wakeup::Decision(decision) => {
                 if let Decision::Start(start) = &decision {
                     self.log_start(start);
--- a/daemon/src/routes.rs
+++ b/daemon/src/routes.rs
@@ -187,7 +187,16 @@
         .ok_or_else(|| refusal(RefusalReason::NoSettings))
 }
 
-async fn read_body(req: &mut Request, limit: usize) -> Result<Bytes, ApiError> {
+/// Reads the body of a request, unless the box exits before it has arrived.
+async fn read_body(traffic: &Traffic, req: &mut Request, limit: usize) -> Result<Bytes, ApiError> {
+    tokio::select! {
+        biased;
+        body = read_whole_body(req, limit) => body,
+        () = traffic.answers_due.wait() => Err(refusal(RefusalReason::Leaving)),
+    }
+}
+
+async fn read_whole_body(req: &mut Request, limit: usize) -> Result<Bytes, ApiError> {
     let too_large = || {
         let message = format!("the body is larger than {limit} bytes");
         ApiError::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
@@ -251,7 +260,7 @@
         priority: caller.class.priority,
         ageing: caller.class.ageing,
         arrived: now,
-        deadline: now + caller.time_limit,
+        deadline: traffic.deadline_after(caller.time_limit),
         prefix: None,
     }
 }
@@ -283,7 +292,7 @@
     let guard = InFlightGuard::new(traffic);
     let view = active_settings(traffic)?;
     let caller = caller::identify(&view, req.headers())?;
-    let body = read_body(&mut req, view.max_body).await?;
+    let body = read_body(traffic, &mut req, view.max_body).await?;
     let model_request = chat::parse(endpoint, &body)?;
     drop(body);
     let mut request =
@@ -433,7 +442,7 @@
     let _guard = InFlightGuard::new(traffic);
     let view = active_settings(traffic)?;
     let caller = caller::identify(&view, req.headers())?;
-    let body = read_body(&mut req, view.max_body).await?;
+    let body = read_body(traffic, &mut req, view.max_body).await?;
     let pool = req.param::<String>("pool").unwrap_or_default();
     let request = new_dispatch_request(traffic, &view, &caller, id, ModelName::new(&pool));
     let claim = claim_key(traffic, &caller, id).await?;
--- a/daemon/src/service_driver.rs
+++ b/daemon/src/service_driver.rs
@@ -94,10 +94,12 @@
         let event = match target.take() {
             None => tokio::select! {
                 Some(decision) = decisions.recv() => decision_event(&prepared.request, decision),
+                () = traffic.answers_due.wait() => Event::BoxStopping,
                 () = tokio::time::sleep_until(tick) => Event::Tick,
             },
             Some(server) => tokio::select! {
                 result = call(traffic, &prepared, &server) => call_event(result, &mut response),
+                () = traffic.answers_due.wait() => Event::BoxStopping,
                 () = tokio::time::sleep_until(tick) => Event::Tick,
             },
         };
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -1,11 +1,15 @@
-//! Planned stops: the readiness check fails, requests in flight complete, then the process exits.
+//! Planned stops: the readiness check fails, requests in flight complete, then the process exits. Requests
+//! that are still in flight shortly before the platform kills the process are answered then. The times are in
+//! [`badgerferry_lib::stop_plan`].
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use badgerferry_lib::stop_plan::StopStep;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::time::Instant;
 
 use crate::traffic::Traffic;
 
@@ -13,11 +17,9 @@
 pub const BALANCER_DETECTION_TIME: Duration = Duration::from_secs(2);
 /// Interval at which the number of requests in flight is checked during a stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without requests before the exit, in which the last bytes of the last response are sent.
-const FLUSH_TIME: Duration = Duration::from_millis(300);
 
-/// Waits until the daemon may exit: after SIGTERM or SIGINT and the last response, or after a
-/// second signal.
+/// Waits until the daemon may exit: after SIGTERM or SIGINT and the last response, shortly before it would be
+/// killed, or after a second signal.
 pub async fn wait_for_exit(traffic: &Arc<Traffic>) {
     let (Ok(mut term), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
@@ -31,10 +33,9 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!(in_flight = in_flight(traffic), "planned stop begun");
-    traffic.stop_signalled.store(true, Ordering::SeqCst);
-    traffic.leaving.store(true, Ordering::SeqCst);
+    traffic.begin_stop();
     tokio::select! {
-        () = drain(traffic) => tracing::info!("planned stop done"),
+        () = drain(traffic) => tracing::info!(in_flight = in_flight(traffic), "planned stop done"),
         _ = term.recv() => tracing::warn!(in_flight = in_flight(traffic), "planned stop aborted"),
         _ = interrupt.recv() => tracing::warn!(in_flight = in_flight(traffic), "planned stop aborted"),
     }
@@ -45,15 +46,30 @@
 }
 
 async fn drain(traffic: &Arc<Traffic>) {
-    tokio::time::sleep(BALANCER_DETECTION_TIME).await;
-    traffic.dispatcher().set_stopping(true);
+    let started_at = Instant::now();
+    let plan = traffic.stop_plan();
+    let mut idle_since: Option<Instant> = None;
     loop {
-        while in_flight(traffic) > 0 {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        let elapsed = started_at.elapsed();
+        if elapsed >= BALANCER_DETECTION_TIME.min(plan.answers_after()) {
+            traffic.dispatcher().set_stopping(true);
         }
-        tokio::time::sleep(FLUSH_TIME).await;
-        if in_flight(traffic) == 0 {
-            return;
+        idle_since = match in_flight(traffic) {
+            0 => idle_since.or_else(|| Some(Instant::now())),
+            _ => None,
+        };
+        match plan.step(elapsed, idle_since.map(|since| since.elapsed())) {
+            StopStep::Serve => {}
+            StopStep::Answer if traffic.answers_due.are_due() => {}
+            StopStep::Answer => {
+                tracing::info!(
+                    in_flight = in_flight(traffic),
+                    "planned stop answers requests in flight"
+                );
+                traffic.answers_due.announce();
+            }
+            StopStep::Exit => return,
         }
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -31,11 +32,14 @@
 use badgerferry_lib::settings_follower::SettingsFollower;
 use badgerferry_lib::settings_tree::SettingsTree;
 use badgerferry_lib::settings_view::SettingsView;
+use badgerferry_lib::stop_plan::StopPlan;
+use badgerferry_lib::time::Time;
 use badgerferry_lib::token_estimator::TokenEstimator;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use crate::answers_due::AnswersDue;
 use crate::box_config::BoxConfig;
 use crate::build_info::BUILD;
 use crate::clock::Clock;
@@ -96,6 +100,10 @@
     pub leaving: AtomicBool,
     /// Whether a signal started a planned stop, which can't be cancelled.
     pub stop_signalled: AtomicBool,
+    /// When the process is stopped by the signal, and how.
+    stop_began: OnceLock<Time>,
+    /// Tells requests in flight that they have to be answered now, late in a planned stop.
+    pub answers_due: AnswersDue,
     /// Receives settings from the control thread and the peer listener.
     pub settings_follower: Mutex<SettingsFollower>,
     /// Last state reported by the control thread, for `/status`.
@@ -145,6 +153,8 @@
             in_flight: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             stop_signalled: AtomicBool::new(false),
+            stop_began: OnceLock::new(),
+            answers_due: AnswersDue::default(),
             settings_follower: Mutex::default(),
             status: Mutex::default(),
             metrics,
@@ -154,6 +164,27 @@
         }
     }
 
+    /// When a planned stop ends, and what is due until then.
+    pub const fn stop_plan(&self) -> StopPlan {
+        StopPlan::new(self.config.stop_time)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stop_signalled.store(true, Ordering::SeqCst);
+        self.leaving.store(true, Ordering::SeqCst);
+        self.stop_began.get_or_init(|| self.clock.now());
+    }
+
+    /// Time by which a request must have ended that has this long: earlier if the box stops.
+    pub fn deadline_after(&self, time_limit: Duration) -> Time {
+        let deadline = self.clock.now() + time_limit;
+        match self.stop_began.get() {
+            Some(began) => deadline.min(*began + self.stop_plan().answers_after()),
+            None => deadline,
+        }
+    }
+
     /// Whether the load balancer may send requests to this box.
     pub fn is_ready(&self) -> bool {
         self.settings.load().is_some() && !self.leaving.load(Ordering::SeqCst)
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_end_to_end;
 mod test_failures;
 mod test_invalid_requests;
+mod test_planned_stop;
 mod test_relay_abandoned_calls;
 mod test_relay_boxes;
 mod test_relay_budget_share;
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -141,6 +141,7 @@
                 self.abandon(PlacementEnd::Neutral, &mut out);
                 self.finish(Outcome::Cancelled, &mut out);
             }
+            Event::BoxStopping => self.on_box_stopping(&mut out),
             _ if now >= self.limits.deadline => self.on_deadline(&mut out),
             Event::Placed { placement, prefill } => {
                 self.prefill = *prefill;
@@ -164,6 +165,19 @@
         out
     }
 
+    fn on_box_stopping(&mut self, out: &mut Vec<Action>) {
+        self.abandon(PlacementEnd::Neutral, out);
+        let outcome = match self.execution.take() {
+            Some(Execution::Unsent(proof)) => Outcome::Refused(Refused::new(
+                proof,
+                RefusalReason::Leaving,
+                Some(Duration::from_secs(1)),
+            )),
+            _ => Outcome::Failed(FailureReason::BoxStopping),
+        };
+        self.finish(outcome, out);
+    }
+
     fn on_deadline(&mut self, out: &mut Vec<Action>) {
         let end = match self.current_server() {
             Some(server) if self.join.next_offset() == 0 => PlacementEnd::Failed(server.clone()),
--- a/lib/src/exchange_action.rs
+++ b/lib/src/exchange_action.rs
@@ -61,6 +61,8 @@
     AttemptLost,
     /// The caller disconnected.
     CallerDisconnected,
+    /// The box exits: the outcome must be known now.
+    BoxStopping,
     /// Time passed; see [`Exchange::next_tick`](crate::exchange::Exchange::next_tick).
     Tick,
 }
--- a/lib/tests/test_scenarios.rs
+++ b/lib/tests/test_scenarios.rs
@@ -112,6 +112,7 @@
             "answered" => Event::ResponseComplete,
             "broken" => Event::AttemptLost,
             "gone" => Event::CallerDisconnected,
+            "stopping" => Event::BoxStopping,
             "tick" => Event::Tick,
             "foreign" => {
                 frame = self.frame(&words[1..], false);
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -52,6 +52,8 @@
     pub engine_args: Vec<String>,
     /// Values set at the root, by key.
     pub settings: Vec<(&'static str, Value)>,
+    /// Seconds until the platform kills a daemon that it has told to stop, if stated to it.
+    pub stop_seconds: Option<u64>,
 }
 
 impl Default for FleetPlan {
@@ -61,6 +63,7 @@
             engines: 3,
             engine_args: Vec::new(),
             settings: Vec::new(),
+            stop_seconds: None,
         }
     }
 }
@@ -81,6 +84,7 @@
     /// A caller.
     pub caller: HttpCaller,
     folder: PathBuf,
+    stop_seconds: Option<u64>,
 }
 
 impl Fleet {
@@ -107,6 +111,7 @@
             list: BoxList::default(),
             caller: HttpCaller::default(),
             folder,
+            stop_seconds: plan.stop_seconds,
         };
         fleet.commit_first_settings(plan)?;
         for index in 0..plan.boxes {
@@ -128,7 +133,7 @@
     /// It can't be started.
     pub fn start_box(&self, index: usize) -> anyhow::Result<Process> {
         let path = self.folder.join(format!("box-{index}.json"));
-        let config = json!({
+        let mut config = json!({
             "name": format!("box-{index}"),
             "hall": "hall-a",
             "listen": "127.0.0.1:0",
@@ -137,6 +142,9 @@
             "peers": self.boxes.iter().filter_map(|found| found.peer_address).collect::<Vec<_>>(),
             "peer_key": "11".repeat(32),
         });
+        if let Some(seconds) = self.stop_seconds {
+            config["stop_seconds"] = json!(seconds);
+        }
         std::fs::write(&path, config.to_string())?;
         let args = ["--config".to_owned(), path.display().to_string()];
         Process::start(&program("badgerferryd"), &args, &self.log_of(index))
