edges, lib: bound what servers behind the own door may send

A faulty server that sends without end could exhaust the memory of a box at the own door: 40 calls at a time, each answered without end by a service, took 562 MB; 40 requests whose engines went on with sound frames took 480 MB, since their text was kept for resumption and once more for the response; reports of one engine took 26 MB.

- Responses of plain services share a bound (`response_megabytes` in the box file, 64 by default); one that finds no room fails, short ones always fit.
- A response with more tokens than were asked for, or over 32 bytes for each of them, counts as lost (`StreamJoin`).
- Responses to control calls to engines are limited to 256 KB.

On the users' platform the same was played for sound events and for connections carried for a peer: 40 and 60 at a time stay within the memory limit, nothing was changed there (sound_events_without_end_do_not_exhaust_memory, carried_responses_without_end_do_not_exhaust_memory).

--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -34,6 +34,8 @@
 
 /// Timeout of a single HTTP call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of the status of a box, which lists all servers and boxes.
+const MAX_STATUS_BYTES: usize = 16 << 20;
 /// Number of checkpoints to keep: two days of history at 980 edits a day.
 const KEPT_CHECKPOINTS: usize = 32;
 /// Attempts to read the head and its checkpoint, which may be replaced between the two reads.
@@ -76,7 +78,7 @@
     pub fn new(address: &str, timeout: Duration) -> Self {
         Self {
             platform: HttpPlatform::new(address, CALL_TIMEOUT),
-            boxes: ControlClient::new(CALL_TIMEOUT),
+            boxes: ControlClient::new(CALL_TIMEOUT, MAX_STATUS_BYTES),
             address: address.to_owned(),
             timeout,
             start: Instant::now(),
--- a/daemon/src/box_config.rs
+++ b/daemon/src/box_config.rs
@@ -21,6 +21,9 @@
 /// Time from the stop signal until the process is killed, if the file does not state it, and the longest.
 const DEFAULT_STOP_SECONDS: u64 = 90;
 const MAX_STOP_SECONDS: u64 = 24 * 60 * 60;
+/// Megabytes that responses of plain services may take together, if the file does not state it, and the most.
+const DEFAULT_RESPONSE_MEGABYTES: u64 = 64;
+const MAX_RESPONSE_MEGABYTES: u64 = 64 << 10;
 
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +55,8 @@
     pub traffic_threads: usize,
     /// Time from the stop signal until the process is killed.
     pub stop_time: Duration,
+    /// Bytes that responses of plain services may take together.
+    pub response_bytes: usize,
     /// Format of log lines.
     pub log: LogFormat,
 }
@@ -209,6 +214,12 @@
         MAX_TRAFFIC_THREADS,
         "threads",
     );
+    let response_megabytes = fields.number(
+        "response_megabytes",
+        DEFAULT_RESPONSE_MEGABYTES,
+        MAX_RESPONSE_MEGABYTES,
+        "megabytes",
+    );
     let stop_seconds = fields.number(
         "stop_seconds",
         DEFAULT_STOP_SECONDS,
@@ -237,6 +248,7 @@
             peers,
             peer_key,
             traffic_threads: traffic_threads as usize,
+            response_bytes: (response_megabytes as usize) << 20,
             stop_time: Duration::from_secs(stop_seconds),
             log,
         }),
--- a/daemon/src/request_driver.rs
+++ b/daemon/src/request_driver.rs
@@ -122,6 +122,7 @@
         first_token: class.first_token,
         between_tokens: class.between_tokens,
         max_attempts: class.max_attempts,
+        max_tokens: request.max_output,
         repeatable,
     });
     let mut driver = RequestDriver {
--- a/daemon/src/service_driver.rs
+++ b/daemon/src/service_driver.rs
@@ -82,6 +82,7 @@
         first_token: prepared.class.time_limit,
         between_tokens: prepared.class.between_tokens,
         max_attempts: prepared.class.max_attempts,
+        max_tokens: request.max_output,
         repeatable: prepared.repeatable,
     });
     let now = traffic.clock.now();
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -146,7 +146,7 @@
             },
             settings: ArcSwapOption::empty(),
             engine: HttpEngine::new(CONTROL_TIMEOUT),
-            service: HttpService,
+            service: HttpService::new(config.response_bytes),
             platform: HttpPlatform::new(&config.platform.to_string(), CONTROL_TIMEOUT),
             token_estimator: Mutex::default(),
             holdings: Mutex::default(),
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_boxes;
 mod test_command_line;
 mod test_end_to_end;
+mod test_endless_responses;
 mod test_failures;
 mod test_invalid_requests;
 mod test_planned_stop;
--- a/daemon/tests/test_relay_endless_responses.rs
+++ b/daemon/tests/test_relay_endless_responses.rs
@@ -10,6 +10,7 @@
 use badgerferry_standin::relay_box::TestCluster;
 use badgerferry_standin::relay_box::wait_until;
 use badgerferry_standin::server::Behaviour;
+use futures::future::join_all;
 
 /// Limit of the time that a call takes, of the four seconds that its route allows.
 const MAX_TIME: Duration = Duration::from_millis(2_500);
@@ -90,3 +91,41 @@
 async fn bytes_without_end_after_a_response_reach_no_caller() -> anyhow::Result<()> {
     check_calls_are_served(EndlessPart::Excess, "/again/a").await
 }
+
+/// Streams at a time.
+const STREAMS: usize = 40;
+/// Memory limit of the box, in kilobytes.
+const MEMORY_KB: u64 = 160 << 10;
+
+#[tokio::test]
+async fn sound_events_without_end_do_not_exhaust_memory() -> anyhow::Result<()> {
+    let world = TestCluster::start(2).await?;
+    for server in &world.servers {
+        server.set_default_behaviour(Behaviour::Endless(EndlessPart::SoundEvents));
+    }
+    let streams = (0..STREAMS).map(|number| {
+        let request = call("POST", "/stream/a", &format!("id-{number}"), "", "prompt");
+        let front = world.relay.front();
+        async move {
+            let mut caller = Caller::connect(front).await?;
+            caller.send(&request).await?;
+            // The caller reads little of it, and then nothing.
+            caller.read_some(1_024).await?;
+            tokio::time::sleep(MAX_TIME).await;
+            anyhow::Ok(())
+        }
+    });
+    for stream in join_all(streams).await {
+        stream?;
+    }
+
+    let peak = world.relay.peak_memory_kb()?;
+    assert!(peak < MEMORY_KB, "{peak} kB");
+    for server in &world.servers {
+        server.set_default_behaviour(Behaviour::Serve);
+    }
+    let request = call("POST", "/stream/a", "id-other", "", "prompt");
+    let response = Caller::exchange(world.relay.front(), &request).await?;
+    assert_eq!(response.status, 200, "{}", world.relay.log());
+    Ok(())
+}
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -11,6 +11,7 @@
 use badgerferry_standin::departure_audit;
 use badgerferry_standin::departure_audit::Departure;
 use badgerferry_standin::disconnect::DisconnectDetection;
+use badgerferry_standin::endless::EndlessPart;
 use badgerferry_standin::proxy::Link;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
@@ -138,6 +139,10 @@
     }
 }
 
+/// Calls at a time whose responses have no end, and the memory limit of a box, in kilobytes.
+const ENDLESS_CALLS: usize = 60;
+const MEMORY_KB: u64 = 160 << 10;
+
 /// Three servers of the same service.
 const BOARDS: [&str; 3] = ["boards"; 3];
 
@@ -444,3 +449,27 @@
     assert!(!found.violates(), "{found}; {}", fleet.logs());
     Ok(())
 }
+
+#[tokio::test]
+async fn carried_responses_without_end_do_not_exhaust_memory() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a"], &BOARDS).await?;
+    let endless = Behaviour::Endless(EndlessPart::Body);
+    fleet.cut_off_first_box(Link::Dropped, endless).await;
+
+    let calls = (0..ENDLESS_CALLS).map(|_| fleet.call_box(0, "GET", "/again/a", COUNTED_TIME));
+    let responses = join_all(calls).await.concat();
+
+    for relay_box in &fleet.boxes {
+        let peak = relay_box.peak_memory_kb()?;
+        assert!(peak < MEMORY_KB, "{peak} kB");
+    }
+    let unanswered = responses
+        .iter()
+        .filter(|(response, _)| response.status == 0);
+    assert_eq!(unanswered.count(), 0, "{}", fleet.logs());
+    for server in &fleet.servers {
+        server.set_default_behaviour(Behaviour::Serve);
+    }
+    fleet.check_served(0, "GET", "/again/a").await;
+    Ok(())
+}
--- a/edges/src/engine.rs
+++ b/edges/src/engine.rs
@@ -28,6 +28,8 @@
 
 /// Maximum size of a line of a response stream; a line is one frame, which holds one token.
 const MAX_LINE_BYTES: usize = 64 << 10;
+/// Maximum size of a response to a control call; the largest are reports.
+const MAX_CONTROL_BYTES: usize = 256 << 10;
 /// Maximum size of an error body read from a server.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
@@ -101,7 +103,7 @@
     /// Creates a client whose control calls time out after `call_timeout`.
     pub fn new(call_timeout: Duration) -> Self {
         Self {
-            client: ControlClient::new(call_timeout),
+            client: ControlClient::new(call_timeout, MAX_CONTROL_BYTES),
         }
     }
 }
--- a/edges/src/http_client.rs
+++ b/edges/src/http_client.rs
@@ -31,8 +31,6 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Maximum size of a buffered response body; the largest are values from the platform.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Time after which idle control connections are closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -166,11 +164,12 @@
 pub struct ControlClient {
     client: Client<HttpConnector, Body>,
     call_timeout: Duration,
+    max_response_bytes: usize,
 }
 
 impl ControlClient {
-    /// Creates a client whose calls time out after `call_timeout`.
-    pub fn new(call_timeout: Duration) -> Self {
+    /// Creates a client whose calls time out after `call_timeout`. A response with a longer body is invalid.
+    pub fn new(call_timeout: Duration, max_response_bytes: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(call_timeout));
         connector.set_nodelay(true);
@@ -182,6 +181,7 @@
         Self {
             client,
             call_timeout,
+            max_response_bytes,
         }
     }
 
@@ -211,7 +211,7 @@
             let response = self.client.request(request).await;
             let response = response.map_err(|cause| no_response(cause.to_string()))?;
             let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let body = Limited::new(body, self.max_response_bytes).collect().await;
             let body = body.map_err(|cause| no_response(cause.to_string()))?;
             Ok(BufferedResponse {
                 status: parts.status,
--- a/edges/src/lib.rs
+++ b/edges/src/lib.rs
@@ -4,6 +4,7 @@
 //! `nng`. Another protocol needs only another implementation of the trait. This crate makes no
 //! decisions: it makes each call once and returns the result.
 
+pub mod byte_budget;
 pub mod engine;
 pub mod http_client;
 pub mod no_delay_listener;
--- a/edges/src/platform.rs
+++ b/edges/src/platform.rs
@@ -19,6 +19,8 @@
 use crate::http_client::ControlClient;
 use crate::http_client::parse;
 
+/// Maximum size of a response; the largest are values.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Time by which the timeout of a watch request exceeds its wait time.
 const WATCH_SLACK: Duration = Duration::from_secs(3);
 
@@ -75,7 +77,7 @@
     /// Creates a client for the platform at an address, whose calls time out after `call_timeout`.
     pub fn new(address: &str, call_timeout: Duration) -> Self {
         Self {
-            client: ControlClient::new(call_timeout),
+            client: ControlClient::new(call_timeout, MAX_RESPONSE_BYTES),
             address: address.to_owned(),
         }
     }
--- a/edges/src/service.rs
+++ b/edges/src/service.rs
@@ -4,14 +4,16 @@
 
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Bytes;
+use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 
+use crate::byte_budget::ByteBudget;
+use crate::byte_budget::NoRoom;
 use crate::engine::read_error;
 use crate::http_client;
 use crate::http_client::BufferedResponse;
@@ -62,8 +64,46 @@
 }
 
 /// Client of plain services over HTTP.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct HttpService;
+#[derive(Debug, Clone)]
+pub struct HttpService {
+    budget: ByteBudget,
+}
+
+impl HttpService {
+    /// Creates a client that buffers at most `max_buffered` bytes of all responses together.
+    pub fn new(max_buffered: usize) -> Self {
+        Self {
+            budget: ByteBudget::new(max_buffered),
+        }
+    }
+
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+        let mut buffer = self.budget.buffer();
+        while let Some(frame) = body.frame().await {
+            if let Some(chunk) = frame?.data_ref() {
+                buffer.push(chunk)?;
+            }
+            if buffer.len() > MAX_RESPONSE_BYTES {
+                return Err(BodyError::TooLong);
+            }
+        }
+        Ok(buffer.finish())
+    }
+}
+
+/// Why the body of a response is not used.
+#[derive(Debug, thiserror::Error)]
+enum BodyError {
+    /// The connection ended before it.
+    #[error("response incomplete: {0}")]
+    Incomplete(#[from] hyper::Error),
+    /// It is longer than any response.
+    #[error("response too long")]
+    TooLong,
+    /// There is no room for it.
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
+}
 
 /// Returns whether a header is forwarded.
 pub fn is_end_to_end(name: &HeaderName) -> bool {
@@ -96,7 +136,7 @@
         }
         let (parts, body) = response.into_parts();
         let is_framed = http_client::is_framed(&parts.headers, &body);
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = self.read_body(body).await;
         let body = body.map_err(|cause| SendError::lost(address, &cause))?;
         if !is_framed && !process_probe::is_running(address).await {
             return Err(SendError::lost(address, &MAYBE_CUT));
@@ -104,7 +144,7 @@
         Ok(BufferedResponse {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
         })
     }
 }
--- a/edges/tests/test_service.rs
+++ b/edges/tests/test_service.rs
@@ -39,7 +39,7 @@
         body: Bytes::from_static(b"body"),
     };
     let address = address.to_string();
-    let result = HttpService
+    let result = HttpService::new(1 << 20)
         .call(&address, Duration::from_secs(1), &call)
         .await;
     drop(service.join());
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -97,7 +97,7 @@
             limits,
             phase: Phase::Queued,
             execution: Some(Execution::Unsent(Unsent::new())),
-            join: StreamJoin::new(),
+            join: StreamJoin::new(limits.max_tokens),
             attempts: 0,
             group_placements: 0,
             dispatches: 0,
--- a/lib/src/exchange_action.rs
+++ b/lib/src/exchange_action.rs
@@ -22,6 +22,8 @@
     pub between_tokens: Duration,
     /// Maximum number of attempts.
     pub max_attempts: u32,
+    /// Longest response, in tokens.
+    pub max_tokens: u64,
     /// Whether the request may be retried after it may have run.
     pub repeatable: bool,
 }
--- a/lib/src/stream_join.rs
+++ b/lib/src/stream_join.rs
@@ -4,12 +4,20 @@
 //! A frame below the expected offset is a duplicate and is dropped. A frame above the expected
 //! offset means that a frame was lost, and nothing after it may be forwarded. The response is
 //! complete only if the end marker gives exactly the number of tokens that were forwarded.
+//!
+//! A response is longer than was asked for only if its engine is faulty: nothing beyond its size limit is
+//! kept or forwarded.
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::ids::AttemptId;
 
+/// Longest text of a token, on average over a response; most are a few bytes long.
+const MAX_MEAN_TOKEN_BYTES: u64 = 32;
+/// Bytes that a response of few tokens may have in addition.
+const SIZE_SLACK_BYTES: u64 = 4 << 10;
+
 /// Payload of a frame.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -52,7 +60,7 @@
     },
     /// Drop the frame and continue with the stream.
     Drop(DropReason),
-    /// The stream lost a frame; abort the attempt.
+    /// The stream lost a frame, or is longer than was asked for; abort the attempt.
     Abort,
 }
 
@@ -79,23 +87,32 @@
 }
 
 /// The forwarded part of one request's response.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct StreamJoin {
     text: String,
     next: u64,
+    max_tokens: u64,
     complete: bool,
 }
 
 impl StreamJoin {
-    /// A response of which nothing was forwarded yet.
-    pub const fn new() -> Self {
+    /// A response of at most `max_tokens`, of which nothing was forwarded yet.
+    pub const fn new(max_tokens: u64) -> Self {
         Self {
             text: String::new(),
             next: 0,
+            max_tokens,
             complete: false,
         }
     }
 
+    /// Whether a token with this text is within the size limit.
+    const fn has_room(&self, text: &str) -> bool {
+        let max_bytes = self.max_tokens.saturating_mul(MAX_MEAN_TOKEN_BYTES);
+        let bytes = (self.text.len() + text.len()) as u64;
+        self.next < self.max_tokens && bytes <= max_bytes.saturating_add(SIZE_SLACK_BYTES)
+    }
+
     /// Number of tokens forwarded so far, which is the offset at which another engine resumes.
     pub const fn next_offset(&self) -> u64 {
         self.next
@@ -119,6 +136,7 @@
                 FrameDecision::Drop(DropReason::Duplicate)
             }
             FrameBody::Token { offset, .. } if *offset > self.next => FrameDecision::Abort,
+            FrameBody::Token { text, .. } if !self.has_room(text) => FrameDecision::Abort,
             FrameBody::Token { text, .. } => {
                 self.text.push_str(text);
                 self.next += 1;
--- a/lib/tests/test_scenarios.rs
+++ b/lib/tests/test_scenarios.rs
@@ -62,6 +62,8 @@
             first_token: Duration::from_secs(10),
             between_tokens: Duration::from_secs(5),
             max_attempts: number_arg(case, "attempts") as u32,
+            max_tokens: arg(case, "tokens")
+                .map_or(1_000, |tokens| tokens.parse().expect("a number")),
             repeatable: arg(case, "repeatable") != Some("no"),
         };
         Self {
--- a/testutils/src/bin/standin-engine.rs
+++ b/testutils/src/bin/standin-engine.rs
@@ -99,8 +99,15 @@
     skip: bool,
     /// Says that it is leaving.
     leaving: bool,
+    /// Each stream goes on with sound frames without end.
+    endless: bool,
+    /// Its report has no end.
+    endless_report: bool,
 }
 
+/// Text of the frames of a stream without end.
+const FILLER: &str = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+
 #[derive(Default)]
 struct Sent {
     tokens: u64,
@@ -245,6 +252,14 @@
     (standin, mut rx, sent): LineState,
     attempt: AttemptId,
 ) -> Option<(Result<String, Infallible>, LineState)> {
+    if standin.with(|inner| inner.faults.endless) {
+        let body = FrameBody::Token {
+            offset: sent,
+            text: FILLER.repeat(16),
+        };
+        let line = line_of(&Frame { attempt, body }, Faults::default(), attempt);
+        return Some((Ok(line), (standin, rx, sent + 1)));
+    }
     let frame = rx.recv().await?;
     let faults = standin.with(|inner| {
         inner.sent.tokens += 1;
@@ -372,6 +387,10 @@
 
 async fn report(req: Request) -> viz::Result<Response> {
     let standin = standin(&req);
+    if standin.with(|inner| inner.faults.endless_report) {
+        let chunks = futures::stream::repeat_with(|| Ok::<_, Infallible>(FILLER));
+        return Ok(Response::stream(chunks));
+    }
     let answer = standin.with(|inner| {
         if inner.reported.0.elapsed() >= REPORT_EVERY || inner.reported.1.memory_total == 0 {
             inner.reported = (Instant::now(), inner.engine.report());
--- a/testutils/src/bin/standin-service.rs
+++ b/testutils/src/bin/standin-service.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a plain service: counts each call that it runs, by its `x-call` header.
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -18,6 +19,7 @@
 use viz::Request;
 use viz::RequestExt;
 use viz::Response;
+use viz::ResponseExt;
 use viz::Router;
 use viz::types::State;
 
@@ -30,6 +32,9 @@
 }
 
 /// How it misbehaves.
+/// Bytes of a response without end.
+const FILLER: &str = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Faults {
@@ -39,6 +44,8 @@
     die_after_run: bool,
     /// Calls run and are answered this much later, in milliseconds.
     slow_ms: u64,
+    /// Calls whose name begins with `endless` run, and their response has no end.
+    endless: bool,
 }
 
 #[derive(Default)]
@@ -84,6 +91,10 @@
         std::process::exit(3);
     }
     tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.endless && call.starts_with("endless") {
+        let chunks = futures::stream::repeat_with(|| Ok::<_, Infallible>(FILLER.repeat(256)));
+        return Ok(Response::stream(chunks));
+    }
     let answer = serde_json::json!({
         "path": path,
         "call": call,
--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -101,6 +101,18 @@
     }
 }
 
+/// Peak memory use of a process so far, in kilobytes.
+///
+/// # Errors
+///
+/// The process has exited.
+pub fn peak_memory_kb(id: u32) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.context("the process has exited")?;
+    Ok(peak.trim().trim_end_matches(" kB").parse()?)
+}
+
 /// The folder of the programs that this build made.
 ///
 /// # Panics
--- a/testutils/src/world/boxes.rs
+++ b/testutils/src/world/boxes.rs
@@ -68,6 +68,7 @@
             first_token: Duration::from_secs(10),
             between_tokens: Duration::from_secs(2),
             max_attempts: 3,
+            max_tokens: asked.answer_tokens,
             repeatable: asked.repeatable,
         });
         let request = asked.request.clone();
