soak: boxes killed in series while the store fails or shows old content

The sum of BUDGET was not played with a store that is slow, away or old while boxes start, the last hypothesis on it that a sheet could play without new callers.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -60,7 +60,7 @@
     #[argh(option)]
     sheet: Option<PathBuf>,
     /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines,
-    /// departures, part-crashes
+    /// departures, part-crashes, store-faults
     #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
     severity: Severity,
     /// folder for the logs of all runs of a sheet (those that fail: the temporary folder)
@@ -82,6 +82,7 @@
         "late-declines" => Ok(Severity::LateDeclines),
         "part-crashes" => Ok(Severity::PartCrashes),
         "departures" => Ok(Severity::Departures),
+        "store-faults" => Ok(Severity::StoreFaults),
         _ => Err(format!("unknown severity {name}")),
     }
 }
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -31,6 +31,7 @@
 use badgerferry_standin::retry_audit::SentCall;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::sheet::Sheet;
+use badgerferry_standin::store::Mode;
 use badgerferry_standin::store::Store;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
@@ -220,6 +221,8 @@
             Trouble::BoxesStill(share) | Trouble::BoxesKilled(share) => (self.boxes.len(), share),
             Trouble::BoxesStopped => (self.boxes.len(), 0.0),
             Trouble::CallsLost(_)
+            | Trouble::StoreFails(_)
+            | Trouble::StoreReadsOld
             | Trouble::CrashingRequest(..)
             | Trouble::CrashingPart(..)
             | Trouble::ServersBusy(_) => (self.servers.len(), 1.0),
@@ -276,6 +279,12 @@
                 let rule = rule.silent_for(silence).beginning_response();
                 self.set_crashing(&rule, Crashing::Part, per_s, begins);
             }
+            Trouble::StoreFails(mode) => {
+                self.store
+                    .set_mode(if begins { mode } else { Mode::Serving });
+            }
+            Trouble::StoreReadsOld if begins => self.store.hold_old_reads(),
+            Trouble::StoreReadsOld => {}
             Trouble::CallersLeave(leaving) => {
                 *lock(&self.traffic.leaving) = begins.then_some(leaving);
             }
--- a/soak/src/sheet_troubles.rs
+++ b/soak/src/sheet_troubles.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use badgerferry_standin::store::Mode;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::sheet_callers::Leaving;
@@ -33,6 +35,10 @@
     ServerLinksReset(f64),
     /// This fraction of the forwarders of boxes resets connections.
     BoxLinksReset(f64),
+    /// The store handles requests in this way.
+    StoreFails(Mode),
+    /// Reads of the store that may be old show its present content until the end of the run.
+    StoreReadsOld,
     /// Callers leave.
     CallersLeave(Leaving),
     /// Servers need this long until they respond, and run only a few calls at a time.
@@ -66,6 +72,8 @@
     Departures,
     /// A part of prompts crashes servers, and callers leave before that or after.
     PartCrashes,
+    /// Boxes are killed in series while the store fails or shows old content, and most calls are lost.
+    StoreFaults,
 }
 
 /// Fraction of the callers that leave where a severity does not have its own.
@@ -161,6 +169,9 @@
             whole(Trouble::CrashingPart(Duration::from_millis(300), 3.0)),
             whole(leave(0.5, secs(0.05), secs(1.0))),
         ],
+        Severity::StoreFaults => draw_store_faults(rng, turns)
+            .chain([whole(Trouble::CallsLost(0.6))])
+            .collect(),
         Severity::Usual => (0..rng.random_range(8..16))
             .map(|_| Scheduled {
                 at: lasts.mul_f64(rng.random_range(0.0..0.9)),
@@ -181,3 +192,33 @@
             .collect(),
     }
 }
+
+/// In each turn the store fails, and boxes are killed meanwhile.
+fn draw_store_faults(rng: &mut ChaCha8Rng, turns: u64) -> impl Iterator<Item = Scheduled> {
+    const MODES: [Mode; 5] = [
+        Mode::ReadOnly,
+        Mode::Busy,
+        Mode::TooMany,
+        Mode::Reset,
+        Mode::Silent,
+    ];
+    (0..turns).flat_map(move |turn| {
+        let turn_at = Duration::from_secs(turn * 5);
+        let scheduled = |after: f64, lasts: f64, trouble| Scheduled {
+            at: turn_at + Duration::from_secs_f64(after),
+            lasts: Duration::from_secs_f64(lasts),
+            trouble,
+        };
+        let mode = *MODES.choose(rng).expect("there are modes");
+        let killed = rng.random_range(0.34..1.0);
+        [
+            scheduled(rng.random_range(0.0..1.0), 0.0, Trouble::StoreReadsOld),
+            scheduled(rng.random_range(0.0..1.0), 3.5, Trouble::StoreFails(mode)),
+            scheduled(
+                rng.random_range(1.0..3.0),
+                0.0,
+                Trouble::BoxesKilled(killed),
+            ),
+        ]
+    })
+}
