daemon, relay: one drain for both doors, and names of settled sends

The two doors had a drain loop each (daemon/src/drain.rs now), and every call computed the expected time of its route although the box did not stop. Sends are settled, not over; the liveness of a process is called so.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,7 +11,6 @@
 
 use argh::FromArgs;
 
-mod answers_due;
 mod api_error;
 mod box_config;
 mod box_list;
@@ -20,6 +19,7 @@
 mod chat;
 mod clock;
 mod control;
+mod drain;
 mod engine_reports;
 mod peers;
 mod placement_control;
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -491,15 +491,16 @@
     cause: &SendError,
 ) -> AttemptResult {
     let server = attempt.selection.listed_server();
-    let end = end_unsuccessful(call, tried, attempt, cause).await;
+    let end = finish_failed_send(call, tried, attempt, cause).await;
     if end != AttemptEnd::Lost || !attempts.may_retry() {
         return AttemptResult::Ended(end);
     }
-    let is_over = unread_sends::wait_until_over(call, &server).await;
-    AttemptResult::Ended(if is_over { end } else { AttemptEnd::Unread })
+    let is_settled = unread_sends::wait_until_settled(call, &server).await;
+    AttemptResult::Ended(if is_settled { end } else { AttemptEnd::Unread })
 }
 
-async fn end_unsuccessful(
+/// Records the end of an attempt that got no response head.
+async fn finish_failed_send(
     call: &Call,
     tried: &[ServerName],
     attempt: AttemptGuard,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -54,8 +54,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::answers_due::AnswersDue;
 use crate::clock::Clock;
+use crate::drain::AnswersDue;
 use crate::relay::call_retry::PendingSend;
 use crate::relay::cluster_view::ClusterView;
 use crate::relay::connection_pool::ConnectionPool;
@@ -307,21 +307,24 @@
 
     /// Whether all new calls are refused, late in a planned stop.
     pub fn refuses_calls(&self) -> bool {
-        self.refuses_calls_of(Duration::ZERO)
+        self.refuses_calls_of(|| Duration::ZERO)
     }
 
     /// Whether a call is refused since the box stops, and would not serve it in time: it has `left` until its
     /// deadline, at which it is answered in any case.
     pub fn refuses_call(&self, route: &Route, left: Duration) -> bool {
-        let expected = lock(&self.call_durations).expected(&route.name);
-        self.refuses_calls_of(expected.unwrap_or(route.objective).min(left))
+        let expected = || {
+            let observed = lock(&self.call_durations).expected(&route.name);
+            observed.unwrap_or(route.objective).min(left)
+        };
+        self.refuses_calls_of(expected)
     }
 
-    fn refuses_calls_of(&self, expected: Duration) -> bool {
+    fn refuses_calls_of(&self, expected: impl FnOnce() -> Duration) -> bool {
         let since = self.stop_began.get();
         since.is_some_and(|since| {
             let elapsed = self.clock.now().since(*since);
-            self.stop_plan().refuses_calls(elapsed, expected)
+            self.stop_plan().refuses_calls(elapsed, expected())
         })
     }
 
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -10,16 +10,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use badgerferry_lib::stop_plan::StopStep;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::time::Instant;
 
+use crate::drain;
 use crate::relay::state::Relay;
 
-/// Interval at which the number of calls in flight is checked during a stop.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which expired idle connections to servers are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -58,15 +55,10 @@
             _ = sweep.tick() => relay.connection_pool.close_expired(),
         }
     }
-    let started_at = Instant::now();
     relay.begin_stop();
     tracing::info!(in_flight = in_flight(relay), "planned stop begun");
-    drain(relay, started_at).await;
-    tracing::info!(
-        in_flight = in_flight(relay),
-        took_ms = started_at.elapsed().as_millis() as u64,
-        "planned stop done"
-    );
+    let plan = relay.stop_plan();
+    drain::drain(plan, &relay.answers_due, || in_flight(relay), |_| {}).await;
 }
 
 /// Reads the settings file again and logs whether it has changed. No setting is applied while the
@@ -79,31 +71,6 @@
     }
 }
 
-async fn drain(relay: &Arc<Relay>, started_at: Instant) {
-    let plan = relay.stop_plan();
-    let mut idle_since: Option<Instant> = None;
-    loop {
-        idle_since = match in_flight(relay) {
-            0 => idle_since.or_else(|| Some(Instant::now())),
-            _ => None,
-        };
-        let idle = idle_since.map(|since| since.elapsed());
-        match plan.step(started_at.elapsed(), idle) {
-            StopStep::Serve => {}
-            StopStep::Answer if relay.answers_due.are_due() => {}
-            StopStep::Answer => {
-                tracing::info!(
-                    in_flight = in_flight(relay),
-                    "planned stop answers calls in flight"
-                );
-                relay.answers_due.announce();
-            }
-            StopStep::Exit => return,
-        }
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
-}
-
 /// Calls of this box, connections that it carries for peers, and responses whose ends callers have
 /// not read: a call counts as ended once the HTTP library holds its response.
 fn in_flight(relay: &Relay) -> usize {
--- a/daemon/src/relay/unread_sends.rs
+++ b/daemon/src/relay/unread_sends.rs
@@ -1,15 +1,16 @@
 //! Sends whose connection ended before any response, see [`badgerferry_lib::relay::unread_sends`].
 //!
-//! Each stays pending in the retry budget until it is over, and its call is sent again only then: a retry
-//! that is read first would make the first send a late arrival, with more time than is left by then. Whether
-//! the server runs is asked by a query on a connection of its own.
+//! Each stays pending in the retry budget until it is settled, and its call is sent again only then: a retry
+//! that is read first would make the first send a late arrival, with more time than is left by then. A send is
+//! settled once its server has responded to a query on another connection, has exited, or was replaced.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use badgerferry_edges::process_probe;
 use badgerferry_edges::process_probe::ProcessState;
-use badgerferry_lib::relay::unread_sends::ProcessNews;
+use badgerferry_lib::relay::unread_sends::ProcessLiveness;
 use badgerferry_lib::relay::unread_sends::ServerProcess;
 use metrics::counter;
 use metrics::gauge;
@@ -31,7 +32,7 @@
 
 /// Interval at which the box checks whether a process has responded to anything.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Fraction of the time left for which a call waits until its first send is over. The rest is left to a
+/// Fraction of the time left for which a call waits until its first send is settled. The rest is left to a
 /// retry, of the box or of its caller.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 
@@ -66,7 +67,7 @@
     }
 }
 
-/// Keeps a send pending until it is over.
+/// Keeps a send pending until it is settled.
 pub fn keep(run: &SentRun, pending: PendingSend) {
     let relay = &run.call.relay;
     let process = process_of(&run.target);
@@ -81,42 +82,39 @@
     }
 }
 
-/// Ends the sends of a process that has exited.
+/// Settles the sends of a process that has exited.
 pub fn record_exit(relay: &Relay, target: &Target) {
-    take_over(relay, &process_of(target), ProcessNews::Exited);
+    settle(relay, &process_of(target), ProcessLiveness::Exited);
 }
 
-/// Ends the sends of a process as it responds, until none is left.
+/// Settles the sends of a process as it responds, until none is left.
 async fn watch(relay: Arc<Relay>, process: ServerProcess) {
     while lock(&relay.unread_sends).has_unread(&process) {
         sleep(CHECK_INTERVAL).await;
-        let news = match lock(&relay.tracker).get(&process.name) {
-            Some(record) if record.incarnation != process.incarnation => ProcessNews::Exited,
-            Some(record) => ProcessNews::HeardAt(record.last_heard()),
-            None => ProcessNews::HeardAt(None),
+        let liveness = match lock(&relay.tracker).get(&process.name) {
+            Some(record) if record.incarnation != process.incarnation => ProcessLiveness::Exited,
+            Some(record) => ProcessLiveness::HeardAt(record.last_heard()),
+            None => ProcessLiveness::HeardAt(None),
         };
-        take_over(&relay, &process, news);
+        settle(&relay, &process, liveness);
     }
 }
 
-fn take_over(relay: &Relay, process: &ServerProcess, news: ProcessNews) {
+fn settle(relay: &Relay, process: &ServerProcess, liveness: ProcessLiveness) {
     let now = relay.clock.now();
     // Dropped without the lock: each records its arrival.
-    let (_over, left) = {
+    let (_settled, left) = {
         let mut sends = lock(&relay.unread_sends);
-        (sends.take_over(now, process, news), sends.len())
+        (sends.remove_settled(now, process, liveness), sends.len())
     };
     gauge!("badgerferry_unread_sends").set(left as f64);
 }
 
-/// Waits until a send whose connection ended is over, for as long as that helps the caller. Returns whether
+/// Waits until a send whose connection ended is settled, for as long as that helps the caller. Returns whether
 /// the call may be sent again.
-pub async fn wait_until_over(call: &Call, server: &ListedServer) -> bool {
+pub async fn wait_until_settled(call: &Call, server: &ListedServer) -> bool {
     let started_at = Instant::now();
-    let max_wait = match running_servers::max_wait(call) {
-        Duration::ZERO => call.time_left().mul_f64(MAX_WAIT_FRACTION),
-        max_wait => max_wait,
-    };
+    let max_wait = max_wait(call);
     let fate = match LivenessProbe::of(call) {
         Some(probe) => timeout(max_wait, find_fate(call, server, &probe, max_wait))
             .await
@@ -135,6 +133,15 @@
     fate != Fate::Unread
 }
 
+/// A stream that has begun waits for as long as it may search for a running server.
+fn max_wait(call: &Call) -> Duration {
+    if call.response_started.load(Ordering::Relaxed) {
+        running_servers::max_wait(call)
+    } else {
+        call.time_left().mul_f64(MAX_WAIT_FRACTION)
+    }
+}
+
 async fn find_fate(
     call: &Call,
     server: &ListedServer,
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -6,17 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use badgerferry_lib::stop_plan::StopStep;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::time::Instant;
 
+use crate::drain;
 use crate::traffic::Traffic;
 
 /// Time for the load balancer to see the failed readiness check before new requests are refused.
 pub const BALANCER_DETECTION_TIME: Duration = Duration::from_secs(2);
-/// Interval at which the number of requests in flight is checked during a stop.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Waits until the daemon may exit: after SIGTERM or SIGINT and the last response, shortly before it would be
 /// killed, or after a second signal.
@@ -35,7 +32,7 @@
     tracing::info!(in_flight = in_flight(traffic), "planned stop begun");
     traffic.begin_stop();
     tokio::select! {
-        () = drain(traffic) => tracing::info!(in_flight = in_flight(traffic), "planned stop done"),
+        () = drain(traffic) => {}
         _ = term.recv() => tracing::warn!(in_flight = in_flight(traffic), "planned stop aborted"),
         _ = interrupt.recv() => tracing::warn!(in_flight = in_flight(traffic), "planned stop aborted"),
     }
@@ -45,31 +42,14 @@
     traffic.in_flight.load(Ordering::SeqCst)
 }
 
-async fn drain(traffic: &Arc<Traffic>) {
-    let started_at = Instant::now();
+/// Refuses new requests once the load balancer has had time to notice, and waits until the process may exit.
+async fn drain(traffic: &Traffic) {
     let plan = traffic.stop_plan();
-    let mut idle_since: Option<Instant> = None;
-    loop {
-        let elapsed = started_at.elapsed();
-        if elapsed >= BALANCER_DETECTION_TIME.min(plan.answers_after()) {
+    let refuse_after = BALANCER_DETECTION_TIME.min(plan.answers_after());
+    let refuse = |elapsed| {
+        if elapsed >= refuse_after {
             traffic.dispatcher().set_stopping(true);
         }
-        idle_since = match in_flight(traffic) {
-            0 => idle_since.or_else(|| Some(Instant::now())),
-            _ => None,
-        };
-        match plan.step(elapsed, idle_since.map(|since| since.elapsed())) {
-            StopStep::Serve => {}
-            StopStep::Answer if traffic.answers_due.are_due() => {}
-            StopStep::Answer => {
-                tracing::info!(
-                    in_flight = in_flight(traffic),
-                    "planned stop answers requests in flight"
-                );
-                traffic.answers_due.announce();
-            }
-            StopStep::Exit => return,
-        }
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
+    };
+    drain::drain(plan, &traffic.answers_due, || in_flight(traffic), refuse).await;
 }
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -39,11 +39,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use crate::answers_due::AnswersDue;
 use crate::box_config::BoxConfig;
 use crate::build_info::BUILD;
 use crate::clock::Clock;
 use crate::control;
+use crate::drain::AnswersDue;
 use crate::routes;
 use crate::stop;
 use crate::telemetry;
--- a/lib/src/relay/unread_sends.rs
+++ b/lib/src/relay/unread_sends.rs
@@ -10,7 +10,7 @@
 use crate::relay::request_fingerprint::ServerIncarnation;
 use crate::time::Time;
 
-/// Maximum number of unread sends. Any beyond that count as over at once.
+/// Maximum number of unread sends. Any beyond that count as settled at once.
 pub const MAX_UNREAD_SENDS: usize = 4_096;
 
 /// One life of a server.
@@ -22,9 +22,9 @@
     pub incarnation: ServerIncarnation,
 }
 
-/// What is known of a process that has unread sends.
+/// Whether a process that has unread sends is known to run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProcessNews {
+pub enum ProcessLiveness {
     /// It has last sent anything at this time, if at all.
     HeardAt(Option<Time>),
     /// It has exited: what it had not read is lost.
@@ -39,7 +39,7 @@
     send: T,
 }
 
-/// Unread sends by process; `T` is what is kept until a send is over.
+/// Unread sends by process; `T` is what is kept until a send is settled.
 #[derive(Debug)]
 pub struct UnreadSends<T> {
     by_process: HashMap<ServerProcess, Vec<UnreadSend<T>>>,
@@ -74,23 +74,28 @@
         sends.len() == 1
     }
 
-    /// Removes the sends of a process that are over, and returns them.
-    pub fn take_over(&mut self, now: Time, process: &ServerProcess, news: ProcessNews) -> Vec<T> {
+    /// Removes the settled sends of a process, and returns them.
+    pub fn remove_settled(
+        &mut self,
+        now: Time,
+        process: &ServerProcess,
+        liveness: ProcessLiveness,
+    ) -> Vec<T> {
         let Some(sends) = self.by_process.remove(process) else {
             return Vec::new();
         };
-        let is_over = |send: &UnreadSend<T>| match news {
-            ProcessNews::Exited => true,
-            ProcessNews::HeardAt(heard) => {
+        let is_settled = |send: &UnreadSend<T>| match liveness {
+            ProcessLiveness::Exited => true,
+            ProcessLiveness::HeardAt(heard) => {
                 now >= send.until || heard.is_some_and(|heard| heard >= send.ended_at)
             }
         };
-        let (over, unread): (Vec<_>, Vec<_>) = sends.into_iter().partition(is_over);
-        self.count -= over.len();
+        let (settled, unread): (Vec<_>, Vec<_>) = sends.into_iter().partition(is_settled);
+        self.count -= settled.len();
         if !unread.is_empty() {
             self.by_process.insert(process.clone(), unread);
         }
-        over.into_iter().map(|over| over.send).collect()
+        settled.into_iter().map(|settled| settled.send).collect()
     }
 
     /// Whether a process has unread sends.
--- a/lib/tests/test_relay_unread_sends.rs
+++ b/lib/tests/test_relay_unread_sends.rs
@@ -5,7 +5,7 @@
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::request_fingerprint::ServerIncarnation;
 use badgerferry_lib::relay::unread_sends::MAX_UNREAD_SENDS;
-use badgerferry_lib::relay::unread_sends::ProcessNews;
+use badgerferry_lib::relay::unread_sends::ProcessLiveness;
 use badgerferry_lib::relay::unread_sends::ServerProcess;
 use badgerferry_lib::relay::unread_sends::UnreadSends;
 use badgerferry_lib::time::Time;
@@ -33,41 +33,45 @@
     let before = Time::from_micros(1_999_999);
 
     for heard in [None, Some(before)] {
-        let over = sends.take_over(now, &process(1), ProcessNews::HeardAt(heard));
+        let settled = sends.remove_settled(now, &process(1), ProcessLiveness::HeardAt(heard));
 
-        assert!(over.is_empty(), "heard {heard:?}");
+        assert!(settled.is_empty(), "heard {heard:?}");
     }
     assert!(sends.has_unread(&process(1)));
 }
 
 #[test]
-fn send_is_over_once_its_server_was_heard_since() {
+fn send_is_settled_once_its_server_was_heard_since() {
     let mut sends = one_unread();
 
-    let over = sends.take_over(ENDED_AT, &process(1), ProcessNews::HeardAt(Some(ENDED_AT)));
+    let settled = sends.remove_settled(
+        ENDED_AT,
+        &process(1),
+        ProcessLiveness::HeardAt(Some(ENDED_AT)),
+    );
 
-    assert_eq!(over, ["first"]);
+    assert_eq!(settled, ["first"]);
     assert!(sends.is_empty());
 }
 
 #[test]
-fn sends_are_over_with_their_process_and_not_with_another() {
+fn sends_are_settled_with_their_process_and_not_with_another() {
     let mut sends = one_unread();
     sends.keep(&process(2), ENDED_AT, UNTIL, "second");
 
-    let over = sends.take_over(ENDED_AT, &process(1), ProcessNews::Exited);
+    let settled = sends.remove_settled(ENDED_AT, &process(1), ProcessLiveness::Exited);
 
-    assert_eq!(over, ["first"]);
+    assert_eq!(settled, ["first"]);
     assert!(sends.has_unread(&process(2)));
 }
 
 #[test]
-fn send_is_over_when_its_route_allows_no_call_any_more() {
+fn send_is_settled_when_its_route_allows_no_call_any_more() {
     let mut sends = one_unread();
 
-    let over = sends.take_over(UNTIL, &process(1), ProcessNews::HeardAt(None));
+    let settled = sends.remove_settled(UNTIL, &process(1), ProcessLiveness::HeardAt(None));
 
-    assert_eq!(over, ["first"]);
+    assert_eq!(settled, ["first"]);
 }
 
 #[test]
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -284,7 +284,6 @@
                     .set_mode(if begins { mode } else { Mode::Serving });
             }
             Trouble::StoreReadsOld if begins => self.store.hold_old_reads(),
-            Trouble::StoreReadsOld => {}
             Trouble::CallersLeave(leaving) => {
                 *lock(&self.traffic.leaving) = begins.then_some(leaving);
             }
@@ -333,7 +332,7 @@
                     self.boxes[*index].restart()?;
                 }
             }
-            Trouble::ServersCrash(_) | Trouble::BoxesKilled(_) => {}
+            Trouble::ServersCrash(_) | Trouble::BoxesKilled(_) | Trouble::StoreReadsOld => {}
         }
         Ok(())
     }
