relay: which streams a stop cuts, and which sends were unread for long

An on-call engineer could not tell from the logs which calls a planned stop cut, nor when a server went on that may have read calls late. A stream that is still in progress when the other calls are answered has a line now, and so have sends that were settled half a second or more after their connection ended.

The audit of planned stops is stricter: every call that was sent 0.1 s before the last answer counts as read, where calls of the last quarter of a stop counted only if a server had received them; bodies in chunks and in parts, and connections that are open from the beginning, are played as well.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -59,7 +59,6 @@
 use crate::relay::server_gate::MAX_ADMISSION_WAIT;
 use crate::relay::state::Relay;
 use crate::relay::stream_relay;
-use crate::traffic::lock;
 
 /// Longest wait of a call for the first route table of a box that has just started. A call with a
 /// shorter deadline waits for half of its remaining time.
@@ -221,7 +220,7 @@
     /// Records how long the call took, which is served now.
     pub fn record_served(&self) {
         let took = self.relay.clock.now().since(self.arrived);
-        lock(&self.relay.call_durations).record(&self.route.name, took);
+        self.relay.stop.record_served(&self.route, took);
     }
 
     /// Whether the call may be sent again after it may have run, and the retry budget may have a retry
@@ -241,7 +240,7 @@
     let read = tokio::select! {
         biased;
         read = read_call(&relay, &caller, arrived, req) => read,
-        () = relay.answers_due.wait() => {
+        () = relay.stop.answers_due.wait() => {
             call_log::rejected(caller.id(), BOX_LEAVING);
             Err(error_response::not_run(BOX_LEAVING, Some(UNAVAILABLE_RETRY_AFTER)))
         }
@@ -317,7 +316,10 @@
             return Err(reject_for_memory(&id, relay, rest, Side::Servers));
         }
     };
-    if relay.refuses_call(route, relay.clock.now().until(deadline)) {
+    if relay
+        .stop
+        .refuses_call(route, relay.clock.now().until(deadline))
+    {
         call_log::rejected(&id, BOX_LEAVING);
         return Err(error_response::not_run(
             BOX_LEAVING,
@@ -442,7 +444,7 @@
     let answer = tokio::select! {
         biased;
         answer = run_until_answered(&call, &mut attempts, &mut tried) => Some(answer),
-        () = call.relay.answers_due.wait() => None,
+        () = call.relay.stop.answers_due.wait() => None,
     };
     match answer {
         Some(Answer::Response(response)) => *response,
--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -434,6 +434,16 @@
     }
 }
 
+/// The stream of a call is still in progress when a stopping box answers the other calls.
+pub fn stream_outlasts_stop(call: &Call) {
+    tracing::warn!(
+        call = call.id(),
+        route = call.route.name,
+        took_ms = call.relay.clock.now().since(call.arrived).as_millis() as u64,
+        "stream outlasts the planned stop: cut when the process exits, unless it ends before"
+    );
+}
+
 /// The stream of a call ended with `outcome`.
 pub fn stream_ended(call: &Call, attempts: &Attempts, outcome: &'static str, times: StreamTimings) {
     record_outcome(call, attempts, outcome, StatusCode::OK, Some(times));
--- a/daemon/src/relay/call_retry.rs
+++ b/daemon/src/relay/call_retry.rs
@@ -104,6 +104,11 @@
 }
 
 impl PendingSend {
+    /// Id of the call.
+    pub fn call(&self) -> &str {
+        &self.call
+    }
+
     /// Records that nothing reached the server.
     pub fn record_not_sent(mut self) {
         self.may_have_arrived = false;
--- a/daemon/src/relay/carried.rs
+++ b/daemon/src/relay/carried.rs
@@ -54,7 +54,7 @@
     fn begin(relay: &Arc<Relay>) -> Option<Self> {
         let guard = Self(Arc::clone(relay));
         let carried = relay.carried.fetch_add(1, Ordering::SeqCst);
-        (carried < relay.settings.max_carried && !relay.refuses_calls()).then_some(guard)
+        (carried < relay.settings.max_carried && !relay.stop.refuses_calls()).then_some(guard)
     }
 }
 
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -39,6 +39,7 @@
 mod notice_log;
 mod peer_connections;
 mod permit_transport;
+mod planned_stop;
 mod pooled_retries;
 mod process_watches;
 mod pulls;
--- a/daemon/src/relay/server_selection.rs
+++ b/daemon/src/relay/server_selection.rs
@@ -543,7 +543,7 @@
         if no_candidate.lasts_until(now, expires_at) {
             return Err(no_candidate.refusal());
         }
-        if relay.refuses_call(&call.route, call.time_left()) {
+        if relay.stop.refuses_call(&call.route, call.time_left()) {
             return Err((RefusalReason::Leaving, NO_SERVER_RETRY));
         }
         if now >= expires_at {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -4,7 +4,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::OnceLock;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -13,7 +12,6 @@
 use badgerferry_lib::ids::HallName;
 use badgerferry_lib::ids::ServerName;
 use badgerferry_lib::relay::budget_share::STORE_CONTACT_TIMEOUT;
-use badgerferry_lib::relay::call_durations::CallDurations;
 use badgerferry_lib::relay::cold_servers;
 use badgerferry_lib::relay::cold_servers::ColdChange;
 use badgerferry_lib::relay::cold_servers::ListedServer;
@@ -29,7 +27,6 @@
 use badgerferry_lib::relay::quarantine;
 use badgerferry_lib::relay::quarantine::Quarantine;
 use badgerferry_lib::relay::retry_window::RetryWindow;
-use badgerferry_lib::relay::route_table::Route;
 use badgerferry_lib::relay::route_table::RouteIndex;
 use badgerferry_lib::relay::route_table::RouteTable;
 use badgerferry_lib::relay::route_table::ServiceName;
@@ -47,7 +44,6 @@
 use badgerferry_lib::relay::suspect_key::SuspectKey;
 use badgerferry_lib::relay::suspension::SuspensionMonitor;
 use badgerferry_lib::relay::unread_sends::UnreadSends;
-use badgerferry_lib::stop_plan::StopPlan;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::settings_file::BoxSettings;
 use hyper::body::Bytes;
@@ -55,11 +51,11 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
-use crate::drain::AnswersDue;
 use crate::relay::call_retry::PendingSend;
 use crate::relay::cluster_view::ClusterView;
 use crate::relay::connection_pool::ConnectionPool;
 use crate::relay::held_bytes::HeldByteAccount;
+use crate::relay::planned_stop::PlannedStop;
 use crate::relay::process_watches::ProcessWatches;
 use crate::relay::server_gate::GateContext;
 use crate::relay::server_gate::ServerGate;
@@ -172,12 +168,8 @@
     /// Notifies the sender of the hall's load to other halls: a box of this hall announces one of
     /// the changes of `urgent_changed`.
     pub hall_changed: Arc<Notify>,
-    /// When a planned stop began.
-    stop_began: OnceLock<Time>,
-    /// Tells calls in flight that they have to be answered now, late in a planned stop.
-    pub answers_due: AnswersDue,
-    /// How long calls take, by which a stopping box refuses those that would not end in time.
-    pub call_durations: Mutex<CallDurations>,
+    /// The planned stop of this process.
+    pub stop: PlannedStop,
     /// Calls whose responses are not fully sent yet.
     pub in_flight: AtomicUsize,
     /// Connections of callers with bytes that wait to be written.
@@ -202,6 +194,7 @@
         let urgent_changed: Arc<Notify> = Arc::default();
         let hall_changed: Arc<Notify> = Arc::default();
         let clock = Clock::start();
+        let stop = PlannedStop::new(clock, settings.stop_time);
         let gate = ServerGate::new(GateContext {
             own: settings.name.clone(),
             cold_tolerance: settings.cold_tolerance,
@@ -255,9 +248,7 @@
             load_changed,
             urgent_changed,
             hall_changed,
-            stop_began: OnceLock::new(),
-            answers_due: AnswersDue::default(),
-            call_durations: Mutex::default(),
+            stop,
             in_flight: AtomicUsize::new(0),
             blocked_callers: AtomicUsize::new(0),
             calls_without_caller: AtomicUsize::new(0),
@@ -286,17 +277,7 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stop_began.get().is_some()
-    }
-
-    /// Begins a planned stop.
-    pub fn begin_stop(&self) {
-        self.stop_began.get_or_init(|| self.clock.now());
-    }
-
-    /// When the process is stopped, and how.
-    pub const fn stop_plan(&self) -> StopPlan {
-        StopPlan::new(self.settings.stop_time)
+        self.stop.has_begun()
     }
 
     /// Rank of an engine in this box's order of preference. Each box has a different order.
@@ -305,29 +286,6 @@
         (engine.0 ^ own.0).wrapping_mul(0x9E37_79B1)
     }
 
-    /// Whether all new calls are refused, late in a planned stop.
-    pub fn refuses_calls(&self) -> bool {
-        self.refuses_calls_of(|| Duration::ZERO)
-    }
-
-    /// Whether a call is refused since the box stops, and would not serve it in time: it has `left` until its
-    /// deadline, at which it is answered in any case.
-    pub fn refuses_call(&self, route: &Route, left: Duration) -> bool {
-        let expected = || {
-            let observed = lock(&self.call_durations).expected(&route.name);
-            observed.unwrap_or(route.objective).min(left)
-        };
-        self.refuses_calls_of(expected)
-    }
-
-    fn refuses_calls_of(&self, expected: impl FnOnce() -> Duration) -> bool {
-        let since = self.stop_began.get();
-        since.is_some_and(|since| {
-            let elapsed = self.clock.now().since(*since);
-            self.stop_plan().refuses_calls(elapsed, expected())
-        })
-    }
-
     /// Number of known boxes, this one included.
     pub fn box_count(&self) -> usize {
         lock(&self.cluster_view).boxes.len().max(1)
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -55,10 +55,10 @@
             _ = sweep.tick() => relay.connection_pool.close_expired(),
         }
     }
-    relay.begin_stop();
+    relay.stop.begin();
     tracing::info!(in_flight = in_flight(relay), "planned stop begun");
-    let plan = relay.stop_plan();
-    drain::drain(plan, &relay.answers_due, || in_flight(relay), |_| {}).await;
+    let plan = relay.stop.plan;
+    drain::drain(plan, &relay.stop.answers_due, || in_flight(relay), |_| {}).await;
 }
 
 /// Reads the settings file again and logs whether it has changed. No setting is applied while the
--- a/daemon/src/relay/stream_relay.rs
+++ b/daemon/src/relay/stream_relay.rs
@@ -1,6 +1,8 @@
 //! Forwards a stream to the caller and resumes it on another server when its server fails, or when
 //! its server cut it because the caller paused.
 
+use std::convert::Infallible;
+use std::future::pending;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -130,11 +132,14 @@
 ) {
     let mut timings = StreamTimings::start(&call, &live);
     let mut gaps = EventGaps::start();
-    let result = timeout(
+    let forwarded = timeout(
         call.time_left(),
         forward_until_end(&call, &mut attempts, &mut tried, live, &mut sink, &mut gaps),
-    )
-    .await;
+    );
+    let result = tokio::select! {
+        result = forwarded => result,
+        never = log_if_cut_by_stop(&call) => match never {},
+    };
     let outcome = result.unwrap_or("deadline_while_running");
     timings.longest_gap = gaps.longest;
     call_log::stream_ended(&call, &attempts, outcome, timings);
@@ -148,6 +153,13 @@
     }
 }
 
+/// Logs a stream that is still in progress late in a planned stop: it goes on until the process exits.
+async fn log_if_cut_by_stop(call: &Call) -> Infallible {
+    call.relay.stop.answers_due.wait().await;
+    call_log::stream_outlasts_stop(call);
+    pending().await
+}
+
 /// Tracks the longest gap between events.
 #[derive(Debug)]
 struct EventGaps {
--- a/daemon/src/relay/unread_sends.rs
+++ b/daemon/src/relay/unread_sends.rs
@@ -32,6 +32,8 @@
 
 /// Interval at which the box checks whether a process has responded to anything.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a send that is read counts as late.
+const LATE: Duration = Duration::from_millis(500);
 /// Fraction of the time left for which a call waits until its first send is settled. The rest is left to a
 /// retry, of the box or of its caller.
 const MAX_WAIT_FRACTION: f64 = 0.5;
@@ -103,11 +105,23 @@
 fn settle(relay: &Relay, process: &ServerProcess, liveness: ProcessLiveness) {
     let now = relay.clock.now();
     // Dropped without the lock: each records its arrival.
-    let (_settled, left) = {
+    let (settled, left) = {
         let mut sends = lock(&relay.unread_sends);
         (sends.remove_settled(now, process, liveness), sends.len())
     };
     gauge!("badgerferry_unread_sends").set(left as f64);
+    let first = settled.iter().min_by_key(|settled| settled.ended_at);
+    let unread = first.map_or(Duration::ZERO, |first| now.since(first.ended_at));
+    if unread >= LATE {
+        tracing::info!(
+            server = %process.name,
+            sends = settled.len(),
+            first_call = first.map(|first| first.send.call()),
+            unread_ms = unread.as_millis() as u64,
+            exited = liveness == ProcessLiveness::Exited,
+            "unread sends settled: the server may have read them late"
+        );
+    }
 }
 
 /// Waits until a send whose connection ended is settled, for as long as that helps the caller. Returns whether
--- a/daemon/tests/test_relay_planned_stop.rs
+++ b/daemon/tests/test_relay_planned_stop.rs
@@ -7,6 +7,7 @@
 use badgerferry_standin::caller::Caller;
 use badgerferry_standin::caller::RawResponse;
 use badgerferry_standin::caller::call;
+use badgerferry_standin::caller_habit::CallerHabit;
 use badgerferry_standin::relay_box::RelayBox;
 use badgerferry_standin::relay_box::desired_state;
 use badgerferry_standin::relay_box::random_loopback_ip;
@@ -21,6 +22,8 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which a call that was sent has been read.
 const READ_TIME: Duration = Duration::from_millis(100);
+/// Time for which the box keeps an idle connection, less the time that a body in parts takes.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(2_500);
 /// Time in which a call that can't be served must be refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// Paths of calls that may be repeated, calls that may not, and streams.
@@ -69,14 +72,25 @@
         })
     }
 
-    /// Sends calls of each kind at this time, on new connections. Those that the box refuses are left out.
+    /// Sends calls of each kind at this time, on new connections and, while the box keeps idle ones, on one
+    /// that is open from the beginning. Those whose connection the box refuses are left out.
     async fn call_all(&self, at: Duration) -> Vec<Exchanged> {
-        tokio::time::sleep(at).await;
-        let calls = PATHS.iter().enumerate().map(|(kind, path)| {
-            let id = format!("id-{}-{kind}", at.as_millis());
-            exchange(&self.relay, path, id)
+        let opened = [Some(at), (at < MAX_IDLE_TIME).then_some(Duration::ZERO)];
+        let opened = opened.into_iter().flatten();
+        let calls = opened.flat_map(|opened_at| {
+            PATHS
+                .iter()
+                .enumerate()
+                .map(move |(kind, path)| PlannedCall {
+                    path,
+                    id: format!("id-{}-{}-{kind}", at.as_millis(), opened_at.as_millis()),
+                    habit: CallerHabit::PATIENT[(at.as_millis() / 100) as usize % 3],
+                    opened_at,
+                    at,
+                })
         });
-        join_all(calls).await.into_iter().flatten().collect()
+        let calls = join_all(calls.map(|call| call.exchange(&self.relay))).await;
+        calls.into_iter().flatten().collect()
     }
 
     fn received(&self) -> BTreeSet<String> {
@@ -85,18 +99,33 @@
     }
 }
 
-async fn exchange(relay: &RelayBox, path: &str, id: String) -> Option<Exchanged> {
-    let text = call("POST", path, &id, "", "").replace("Ms: 5000", "Ms: 20000");
-    let mut caller = Caller::connect(relay.front()).await.ok()?;
-    let sent_at = Instant::now();
-    caller.send(&text).await.ok()?;
-    let response = caller.read_response().await.unwrap_or_default();
-    Some(Exchanged {
-        id,
-        sent_at,
-        took: sent_at.elapsed(),
-        response,
-    })
+/// A call, and when its connection is opened and it is sent.
+struct PlannedCall<'a> {
+    path: &'a str,
+    id: String,
+    habit: CallerHabit,
+    opened_at: Duration,
+    at: Duration,
+}
+
+impl PlannedCall<'_> {
+    async fn exchange(self, relay: &RelayBox) -> Option<Exchanged> {
+        let text = call("POST", self.path, &self.id, "", "a prompt");
+        let text = text.replace("Ms: 5000", "Ms: 20000");
+        tokio::time::sleep(self.opened_at).await;
+        let mut caller = Caller::connect(relay.front()).await.ok()?;
+        tokio::time::sleep(self.at.saturating_sub(self.opened_at)).await;
+        let started_at = Instant::now();
+        self.habit.send(&mut caller, &text).await.ok()?;
+        let sent_at = Instant::now();
+        let response = caller.read_response().await.unwrap_or_default();
+        Some(Exchanged {
+            id: self.id,
+            sent_at,
+            took: started_at.elapsed(),
+            response,
+        })
+    }
 }
 
 /// Stops the box while calls come throughout, each of which takes `work`.
@@ -117,6 +146,11 @@
     wait_until(|| relay.exit_code().is_ok_and(|code| code == Some(0))).await?;
 
     let (received, log) = (stopped.received(), stopped.relay.log());
+    let answered = calls
+        .iter()
+        .flatten()
+        .filter(|call| call.response.status != 0);
+    let last_answer = answered.map(|call| call.sent_at + call.took).max();
     for Exchanged {
         id,
         sent_at,
@@ -126,7 +160,7 @@
     {
         let (status, body) = (response.status, &response.body);
         let is_answered = status != 0 && response.is_complete;
-        let was_read = received.contains(id) || *sent_at + stop_time / 4 < killed_at;
+        let was_read = received.contains(id) || Some(*sent_at + READ_TIME) < last_answer;
         assert!(
             is_answered || !was_read,
             "{id}: {status} after {took:?}; {log}"
@@ -167,7 +201,7 @@
     let calls = stopped.call_all(Duration::from_millis(1_200)).await;
 
     let log = stopped.relay.log();
-    assert_eq!(calls.len(), PATHS.len(), "{log}");
+    assert_eq!(calls.len(), 2 * PATHS.len(), "{log}");
     for Exchanged {
         id, took, response, ..
     } in &calls
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -473,3 +473,42 @@
     fleet.check_served(0, "GET", "/again/a").await;
     Ok(())
 }
+
+/// Time in which a box that is told to stop has exited, in these fleets.
+const STOP_TIME: Duration = Duration::from_secs(8);
+/// Time that servers take before each response.
+const LONG_WORK: Duration = Duration::from_millis(2_500);
+
+#[tokio::test]
+async fn calls_through_a_box_that_stops_are_answered() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-a", "hall-a"], &BOARDS).await?;
+    fleet
+        .cut_off_first_box(Link::Dropped, Behaviour::Serve)
+        .await;
+    for server in &fleet.servers {
+        server.delay_heads(LONG_WORK, None);
+    }
+    let paths = ["/again/a", "/once/a", "/stream/a"].into_iter().cycle();
+    let callers = paths
+        .take(12)
+        .map(|path| fleet.call_box(0, "POST", path, STOP_TIME));
+    let stop = async {
+        tokio::time::sleep(LONG_WORK / 2).await;
+        fleet.boxes[1].signal("TERM")
+    };
+
+    let (responses, stopped) = futures::join!(join_all(callers), stop);
+
+    stopped?;
+    let log = fleet.boxes[1].log();
+    assert!(
+        log.contains("connection requested by a peer"),
+        "nothing was carried; {log}"
+    );
+    let responses = responses.concat();
+    let unanswered = responses
+        .iter()
+        .filter(|(response, _)| response.status == 0);
+    assert_eq!(unanswered.count(), 0, "{}", fleet.logs());
+    Ok(())
+}
--- a/lib/src/relay/unread_sends.rs
+++ b/lib/src/relay/unread_sends.rs
@@ -31,6 +31,15 @@
     Exited,
 }
 
+/// A send that its server can't read any more.
+#[derive(Debug, PartialEq, Eq)]
+pub struct SettledSend<T> {
+    /// When its connection ended.
+    pub ended_at: Time,
+    /// What was kept of it.
+    pub send: T,
+}
+
 #[derive(Debug)]
 struct UnreadSend<T> {
     ended_at: Time,
@@ -80,7 +89,7 @@
         now: Time,
         process: &ServerProcess,
         liveness: ProcessLiveness,
-    ) -> Vec<T> {
+    ) -> Vec<SettledSend<T>> {
         let Some(sends) = self.by_process.remove(process) else {
             return Vec::new();
         };
@@ -95,7 +104,11 @@
         if !unread.is_empty() {
             self.by_process.insert(process.clone(), unread);
         }
-        settled.into_iter().map(|settled| settled.send).collect()
+        let settled = settled.into_iter().map(|settled| SettledSend {
+            ended_at: settled.ended_at,
+            send: settled.send,
+        });
+        settled.collect()
     }
 
     /// Whether a process has unread sends.
--- a/lib/tests/test_relay_unread_sends.rs
+++ b/lib/tests/test_relay_unread_sends.rs
@@ -7,6 +7,7 @@
 use badgerferry_lib::relay::unread_sends::MAX_UNREAD_SENDS;
 use badgerferry_lib::relay::unread_sends::ProcessLiveness;
 use badgerferry_lib::relay::unread_sends::ServerProcess;
+use badgerferry_lib::relay::unread_sends::SettledSend;
 use badgerferry_lib::relay::unread_sends::UnreadSends;
 use badgerferry_lib::time::Time;
 
@@ -20,6 +21,11 @@
     }
 }
 
+const FIRST: SettledSend<&str> = SettledSend {
+    ended_at: ENDED_AT,
+    send: "first",
+};
+
 fn one_unread() -> UnreadSends<&'static str> {
     let mut sends = UnreadSends::default();
     assert!(sends.keep(&process(1), ENDED_AT, UNTIL, "first"));
@@ -50,7 +56,7 @@
         ProcessLiveness::HeardAt(Some(ENDED_AT)),
     );
 
-    assert_eq!(settled, ["first"]);
+    assert_eq!(settled, [FIRST]);
     assert!(sends.is_empty());
 }
 
@@ -61,7 +67,7 @@
 
     let settled = sends.remove_settled(ENDED_AT, &process(1), ProcessLiveness::Exited);
 
-    assert_eq!(settled, ["first"]);
+    assert_eq!(settled, [FIRST]);
     assert!(sends.has_unread(&process(2)));
 }
 
@@ -71,7 +77,7 @@
 
     let settled = sends.remove_settled(UNTIL, &process(1), ProcessLiveness::HeardAt(None));
 
-    assert_eq!(settled, ["first"]);
+    assert_eq!(settled, [FIRST]);
 }
 
 #[test]
