relay: query a server before a first send while others of its service are silent

What callers saw: calls went to servers that stood still, and their callers got nothing until they gave up. The servers read the calls once they went on, and worked for callers that had left (rule GONE).

Cause: retries go only to servers that have just responded to a query, first sends go to any. A server that stands still looks idle, so each box sent it calls until a call of its own was late; what another box had found was trusted only within a hall. The kernel accepts such calls, and no reset takes them back.

Change: once any box has found a server of a service silent, within the window of the retry budget, a server that has not sent anything for 10 ms is queried before it gets a first send. If it does not respond within 30 ms, another one that runs is searched, as for retries; where none responds, the call is refused at once, and has not run. Reports of boxes in other halls exclude no server, but they start this.

--- a/daemon/src/relay/attempt_candidates.rs
+++ b/daemon/src/relay/attempt_candidates.rs
@@ -1,4 +1,4 @@
-//! Which servers an attempt may use: for a retry, only such as run.
+//! Which servers an attempt may use: for a retry, and while servers are silent, only such as run.
 
 use std::time::Duration;
 
@@ -15,13 +15,24 @@
 /// Maximum number of searches whose servers are excluded before they are used.
 const MAX_SEARCHES: u32 = 3;
 
+/// Which send of a call an attempt is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendKind {
+    /// The first one.
+    First,
+    /// The first one, after a server did not respond that was selected for it.
+    FirstAfterSilence,
+    /// A server may have received the call before.
+    Retry,
+}
+
 /// What an attempt needs of its servers.
 #[derive(Debug, Clone, Copy)]
 pub struct Requirements<'a> {
     /// Servers that are used again only if there is no other.
     pub tried: &'a [ServerName],
-    /// Whether a server has received the call before.
-    pub is_retry: bool,
+    /// Which send of the call it is.
+    pub send: SendKind,
     /// Whether all servers that received it declined it.
     pub is_declined: bool,
     /// Whether a short call goes to one of the least loaded engines.
@@ -38,13 +49,13 @@
     }
 }
 
-/// Servers that an attempt may use; for a retry, only such as run.
+/// Servers that an attempt may use; only such as run, if that is required.
 pub async fn running_candidates<'a>(
     call: &'a Call,
     requirements: &Requirements<'a>,
 ) -> CandidateQuery<'a> {
     let query = candidate_query(call, requirements.tried);
-    if !requirements.is_retry {
+    if requirements.send == SendKind::First {
         return query;
     }
     let until = call.relay.clock.now() + running_servers::max_wait(call);
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -26,6 +26,7 @@
 
 use crate::relay::abandoned_run::SentRun;
 use crate::relay::attempt_candidates::Requirements;
+use crate::relay::attempt_candidates::SendKind;
 use crate::relay::attempt_response;
 use crate::relay::attempt_response::Received;
 use crate::relay::attempt_response::StreamingResponse;
@@ -36,6 +37,7 @@
 use crate::relay::connection_pool::Reuse;
 use crate::relay::connection_pool::SendError;
 use crate::relay::connection_pool::ServerRequest;
+use crate::relay::first_sends;
 use crate::relay::request_body::BodyPermit;
 use crate::relay::request_body::RequestBody;
 use crate::relay::request_quarantine;
@@ -400,7 +402,11 @@
         let run = request_quarantine::admit(call).await?;
         let requirements = Requirements {
             tried,
-            is_retry: attempts.is_retry(),
+            send: if attempts.is_retry() {
+                SendKind::Retry
+            } else {
+                SendKind::First
+            },
             is_declined: attempts.is_unsent(),
             is_isolated: run.is_isolated,
         };
@@ -412,14 +418,20 @@
 }
 
 /// Selects servers until one admits the call. A server that does not admit it is closed to this box
-/// for a while, so that it is not selected again at once.
+/// for a while, so that it is not selected again at once. While servers of the service are silent, one that may
+/// be silent as well gets no first send.
 async fn acquire_server(
     call: &Arc<Call>,
-    requirements: Requirements<'_>,
+    mut requirements: Requirements<'_>,
 ) -> Result<(Selection, Admitted), (RefusalReason, Duration)> {
     server_path::check_available(call).await?;
     for _ in 0..MAX_SERVERS_PER_ATTEMPT {
         let selection = server_selection::select(call, requirements).await?;
+        let is_first = requirements.send != SendKind::Retry;
+        if is_first && !first_sends::may_send(call, &selection).await {
+            requirements.send = SendKind::FirstAfterSilence;
+            continue;
+        }
         let pending = PendingCall {
             id: call.id(),
             target: &selection.target,
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -28,6 +28,7 @@
 mod datagram_receiver;
 mod error_response;
 mod first_event_watchdog;
+mod first_sends;
 mod front;
 mod gossip;
 mod held_bytes;
--- a/daemon/src/relay/running_servers.rs
+++ b/daemon/src/relay/running_servers.rs
@@ -35,7 +35,7 @@
 const MAX_QUERIED: usize = 10;
 /// Time after which another server is queried beside those that have not responded: the round-trip time
 /// between regions.
-const QUERY_INTERVAL: Duration = Duration::from_millis(30);
+pub const QUERY_INTERVAL: Duration = Duration::from_millis(30);
 /// Time after which a server that was queried counts as silent: servers respond to queries at once even
 /// when they are busy.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
--- a/daemon/tests/test_relay_silent_servers.rs
+++ b/daemon/tests/test_relay_silent_servers.rs
@@ -85,6 +85,55 @@
     Ok(())
 }
 
+/// Makes calls while half of twelve servers stand still, one of which is known to be silent. Returns how many
+/// calls the others of them read once they go on, and how many are answered with success.
+async fn first_sends_at_servers_that_stand_still(path: &str) -> anyhow::Result<(usize, usize)> {
+    let cluster = TestCluster::start(12).await?;
+    let (still, _moving) = cluster.servers.split_at(6);
+    still[0].suspend(true);
+    make_calls(&cluster, path).await?;
+    let silent = ["server does not respond", still[0].name.as_str()];
+    cluster.relay.wait_for_log_line(&silent).await?;
+    let read_before: usize = still[1..].iter().map(|of| of.received_calls().len()).sum();
+    for server in still {
+        server.suspend(true);
+    }
+
+    let responses = make_calls(&cluster, path).await?;
+    for server in still {
+        server.suspend(false);
+    }
+    tokio::time::sleep(SETTLING_TIME).await;
+
+    let read: usize = still[1..].iter().map(|of| of.received_calls().len()).sum();
+    let served = responses.iter().filter(|(_, _, status)| *status == 200);
+    Ok((read - read_before, served.count()))
+}
+
+#[tokio::test]
+async fn calls_are_not_first_sent_to_servers_that_stand_still() -> anyhow::Result<()> {
+    let (read_late, served) = first_sends_at_servers_that_stand_still("/again/a").await?;
+
+    assert!(
+        read_late <= 1,
+        "{read_late} calls were read once servers went on"
+    );
+    assert_eq!(served, CALLS as usize, "calls that were answered");
+    Ok(())
+}
+
+#[tokio::test]
+async fn streams_are_not_first_sent_to_servers_that_stand_still() -> anyhow::Result<()> {
+    let (read_late, served) = first_sends_at_servers_that_stand_still("/stream/a").await?;
+
+    assert!(
+        read_late <= 1,
+        "{read_late} calls were read once servers went on"
+    );
+    assert_eq!(served, CALLS as usize, "calls that were answered");
+    Ok(())
+}
+
 #[tokio::test]
 async fn retries_avoid_forwarders_that_hold_bytes_back() -> anyhow::Result<()> {
     let cluster = TestCluster::start_forwarded(12).await?;
--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -217,6 +217,8 @@
     by_service: HashMap<ServiceName, Vec<ServerName>>,
     halls: HashMap<HallName, Breaker>,
     reachability: HallReachability,
+    /// When any box last found a server of a service silent.
+    silences: HashMap<ServiceName, Time>,
     /// Servers that the store showed to be leaving or gone, and when this box learned of it.
     departed: Vec<(EngineKey, Time)>,
 }
@@ -437,9 +439,16 @@
         };
         let was_silent = record.is_silent();
         record.last_silence = Some(now);
+        self.silences.insert(record.info.service.clone(), now);
         !was_silent
     }
 
+    /// Whether any box has found a server of this service silent within this time. Others may be as well.
+    pub fn has_silence_within(&self, now: Time, service: &ServiceName, recent: Duration) -> bool {
+        let last = self.silences.get(service);
+        last.is_some_and(|at| now.since(*at) <= recent)
+    }
+
     /// Servers that do not respond to queries of this box, to announce to other boxes.
     pub fn silent_servers(&self) -> Vec<EngineKey> {
         let silent = self.records.values().filter(|record| record.is_silent());
@@ -449,7 +458,8 @@
             .collect()
     }
 
-    /// Applies silences reported by a box in the hall `from`, which are trusted as faults are.
+    /// Applies silences reported by a box in the hall `from`, which are trusted as faults are. Any of them shows
+    /// that servers of the service may be silent.
     pub fn apply_silences(
         &mut self,
         now: Time,
@@ -461,8 +471,11 @@
             return;
         }
         for record in self.records.values_mut() {
-            let is_trusted = from == own_hall || record.info.hall == *from;
-            if is_trusted && keys.contains(&record.key) {
+            if !keys.contains(&record.key) {
+                continue;
+            }
+            self.silences.insert(record.info.service.clone(), now);
+            if from == own_hall || record.info.hall == *from {
                 record.reported_silent = Some(now);
             }
         }
