--- a/lib/tests/test_relay_server_tracker.rs
+++ b/lib/tests/test_relay_server_tracker.rs
@@ -534,3 +534,25 @@
         3
     );
 }
+
+#[test]
+fn silence_that_any_box_reports_shows_that_servers_of_the_service_may_be_silent() {
+    let mut tracker = tracker(&["a", "b"]);
+    let service = ServiceName::new("boards");
+    let (own, other) = (HallName::new("hall-z"), HallName::new("hall-y"));
+    let key = tracker.get(&ServerName::new("a")).unwrap().key;
+    let window = Duration::from_secs(10);
+    let before = tracker.has_silence_within(Time::from_millis(1), &service, window);
+
+    tracker.apply_silences(Time::from_millis(5), &own, &other, &[key]);
+
+    let after = tracker.has_silence_within(Time::from_millis(6), &service, window);
+    let later = tracker.has_silence_within(Time::from_millis(10_006), &service, window);
+    assert_eq!((before, after, later), (false, true, false));
+    let usable = tracker.usable(Time::from_millis(6), &service, &[], always_open);
+    assert_eq!(
+        usable.len(),
+        2,
+        "a report from another hall excludes no server"
+    );
+}
