relay: state how long a server was silent when the connection of a call is reset

From the lines of a call in the users' record, cut short as they were, it could not be told whether its server ran when the caller left: one that works on between rare events and one that stands still look alike.

reset_states_how_long_its_server_was_silent failed before, without the field.

--- a/daemon/src/relay/call_log.rs
+++ b/daemon/src/relay/call_log.rs
@@ -17,6 +17,7 @@
 use badgerferry_lib::relay::long_prompt_queue::BlockedPolls;
 use badgerferry_lib::relay::retry_window::RetryUsage;
 use badgerferry_lib::relay::route_table::Denied;
+use badgerferry_lib::relay::server_tracker::ServerRecord;
 use badgerferry_lib::relay::size_groups::SizePriority;
 use badgerferry_lib::time::Time;
 use badgerferry_platform::headers::ResponseHead;
@@ -205,13 +206,19 @@
         "waiting"
     };
     counter!("badgerferry_connections_reset_total", "phase" => phase).increment(1);
+    let relay = &run.call.relay;
+    let now = relay.clock.now();
+    let heard_at = lock(&relay.tracker)
+        .get(&run.target.name)
+        .and_then(ServerRecord::last_heard);
     tracing::info!(
         call = run.call.id(),
         service = %run.call.service,
         server = %run.target.name,
         ?via,
         had_responded,
-        sent_ms_ago = run.call.relay.clock.now().since(run.sent_at).as_millis() as u64,
+        sent_ms_ago = now.since(run.sent_at).as_millis() as u64,
+        server_silent_ms = heard_at.map(|at| now.since(at).as_millis() as u64),
         "connection reset: call ended before its response"
     );
 }
--- a/daemon/tests/test_relay_silent_servers.rs
+++ b/daemon/tests/test_relay_silent_servers.rs
@@ -207,3 +207,29 @@
     assert_eq!(repeats_at(still, declining), 0, "retries to silent servers");
     Ok(())
 }
+
+#[tokio::test]
+async fn reset_states_how_long_its_server_was_silent() -> anyhow::Result<()> {
+    let cluster = TestCluster::start(1).await?;
+    cluster.servers[0].pad_large_responses(1);
+    let mut caller = Caller::connect(cluster.relay.front()).await?;
+    caller
+        .send(&call("POST", "/stream/large", "id-1", "", "prompt"))
+        .await?;
+    caller.read_some(64).await?;
+
+    cluster.servers[0].suspend(true);
+    tokio::time::sleep(SETTLING_TIME).await;
+    caller.reset();
+
+    let reset = ["connection reset: call ended before its response", "id-1"];
+    cluster.relay.wait_for_log_line(&reset).await?;
+    let log = cluster.relay.log();
+    let line = log
+        .lines()
+        .find(|line| reset.iter().all(|part| line.contains(part)));
+    let line: serde_json::Value = serde_json::from_str(line.unwrap_or_default())?;
+    let silent_ms = line["server_silent_ms"].as_u64();
+    assert!((500..2_000).contains(&silent_ms.unwrap_or(0)), "{line}");
+    Ok(())
+}
