lib: forget the silences of services that are not listed; soak: links in a module

The time of the last silence of a service stayed for as long as the box ran, also once its last server was gone.

--- a/lib/src/relay/server_tracker.rs
+++ b/lib/src/relay/server_tracker.rs
@@ -276,6 +276,8 @@
             };
             self.records.insert(record.info.name.clone(), record);
         }
+        self.silences
+            .retain(|service, _| self.by_service.contains_key(service));
         let records = &self.records;
         for names in self.by_service.values_mut() {
             names.sort_by_key(|name| records[name].key);
@@ -445,8 +447,7 @@
 
     /// Whether any box has found a server of this service silent within this time. Others may be as well.
     pub fn has_silence_within(&self, now: Time, service: &ServiceName, recent: Duration) -> bool {
-        let last = self.silences.get(service);
-        last.is_some_and(|at| now.since(*at) <= recent)
+        (self.silences.get(service)).is_some_and(|at| now.since(*at) <= recent)
     }
 
     /// Servers that do not respond to queries of this box, to announce to other boxes.
@@ -458,8 +459,7 @@
             .collect()
     }
 
-    /// Applies silences reported by a box in the hall `from`, which are trusted as faults are. Any of them shows
-    /// that servers of the service may be silent.
+    /// Applies silences reported by a box in the hall `from`, which exclude servers if faults would.
     pub fn apply_silences(
         &mut self,
         now: Time,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod run;
 mod sheet_callers;
+mod sheet_links;
 mod sheet_report;
 mod sheet_run;
 mod sheet_troubles;
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -20,7 +20,6 @@
 use badgerferry_standin::departure_audit;
 use badgerferry_standin::departure_audit::Departure;
 use badgerferry_standin::departure_audit::STOP_TIME;
-use badgerferry_standin::disconnect::DisconnectDetection;
 use badgerferry_standin::proxy::Link;
 use badgerferry_standin::proxy::Proxy;
 use badgerferry_standin::relay_box::RelayBox;
@@ -47,6 +46,9 @@
 use crate::sheet_callers::Traffic;
 use crate::sheet_callers::lock;
 use crate::sheet_callers::make_calls;
+use crate::sheet_links::ServerKind;
+use crate::sheet_links::box_link;
+use crate::sheet_links::box_of;
 use crate::sheet_report::Report;
 use crate::sheet_troubles;
 use crate::sheet_troubles::Scheduled;
@@ -65,10 +67,6 @@
 const PART_CRASH_TOLERANCE: Duration = Duration::from_secs(3);
 /// How long a crashed server is down.
 const DOWNTIME: Duration = Duration::from_secs(3);
-/// Interval of the interim responses of servers that notice only failed writes.
-const INTERIM_INTERVAL: Duration = Duration::from_millis(150);
-/// Time that slow forwarders take in each direction.
-const FORWARDING_DELAY: Duration = Duration::from_millis(40);
 /// Calls that each server runs at a time where [`Severity::Departures`] is played.
 const MAX_RUNNING: usize = 6;
 
@@ -600,50 +598,3 @@
         Ok(dir.display().to_string())
     }
 }
-
-/// How a server notices that a caller has left, and how it is reached.
-#[derive(Debug, Clone, Copy)]
-struct ServerKind {
-    detection: DisconnectDetection,
-    /// Its forwarder, if it has one. A forwarder turns a reset into an end, so that no server behind one
-    /// notices only errors.
-    link: Option<Link>,
-}
-
-impl ServerKind {
-    /// Kind of the server with this index.
-    const fn of(index: usize) -> Self {
-        let (detection, link) = match index % 6 {
-            0 => (DisconnectDetection::FailedWrite, None),
-            1 => (DisconnectDetection::FailedWrite, Some(Link::Open)),
-            2 => (DisconnectDetection::EndOfInput, None),
-            3 => (DisconnectDetection::ConnectionError, None),
-            4 => (
-                DisconnectDetection::EndOfInput,
-                Some(Link::Delayed(FORWARDING_DELAY)),
-            ),
-            _ => (DisconnectDetection::FailedRead, None),
-        };
-        Self { detection, link }
-    }
-
-    /// Servers that notice only failed writes write while they work.
-    fn interim_interval(self) -> Option<Duration> {
-        let notices_writes = self.detection == DisconnectDetection::FailedWrite;
-        notices_writes.then_some(INTERIM_INTERVAL)
-    }
-}
-
-/// Forwarder in front of the box with this index, if it has one.
-const fn box_link(index: usize) -> Option<Link> {
-    match index % 3 {
-        0 => None,
-        1 => Some(Link::Open),
-        _ => Some(Link::Delayed(FORWARDING_DELAY)),
-    }
-}
-
-/// Index of the box to which a call with this id was sent.
-fn box_of(id: &str) -> Option<usize> {
-    id.rsplit_once("-b")?.1.parse().ok()
-}
