soak, standin: boxes that are killed, replaced and added in series, and calls that crash servers at any time

The soak played requests and prompt parts that crash servers one at a time, without any other trouble, and parts only 300 ms after a response had begun. Boxes never got another name.

Severity churn plays both through a whole run, soon after the head of the response, long after it or before it, while boxes are killed, kept down, frozen, stopped, replaced by others and added in series. Severity usual plays them as well. Logs of replaced boxes are kept. The model of crashes takes the same times, and no longer crashes a server twice in one life.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -21,6 +21,7 @@
 mod ledger;
 mod retry_budget;
 mod run;
+mod sheet_boxes;
 mod sheet_callers;
 mod sheet_links;
 mod sheet_report;
@@ -61,7 +62,7 @@
     #[argh(option)]
     sheet: Option<PathBuf>,
     /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines,
-    /// departures, part-crashes, store-faults
+    /// departures, part-crashes, store-faults, churn
     #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
     severity: Severity,
     /// folder for the logs of all runs of a sheet (those that fail: the temporary folder)
@@ -88,6 +89,7 @@
         "part-crashes" => Ok(Severity::PartCrashes),
         "departures" => Ok(Severity::Departures),
         "store-faults" => Ok(Severity::StoreFaults),
+        "churn" => Ok(Severity::Churn),
         _ => Err(format!("unknown severity {name}")),
     }
 }
--- a/soak/src/sheet_callers.rs
+++ b/soak/src/sheet_callers.rs
@@ -61,10 +61,20 @@
     Part,
 }
 
+/// Calls that crash their servers, and come at a steady rate.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashingCalls {
+    pub crashing: Crashing,
+    pub interval: Duration,
+    /// When the next one is due.
+    pub next_at: Instant,
+}
+
 /// What callers share.
 #[derive(Debug, Default)]
 pub struct Traffic {
-    pub fronts: Vec<SocketAddr>,
+    /// Address of each box for callers.
+    pub fronts: Mutex<Vec<SocketAddr>>,
     pub kinds: Vec<CallKind>,
     pub sent: Mutex<Vec<Sent>>,
     pub served: Mutex<BTreeSet<u64>>,
@@ -80,8 +90,8 @@
     pub unanswered: Mutex<Vec<(String, Instant)>>,
     /// Connections kept for further calls, by box, and since when.
     pub kept: Mutex<BTreeMap<usize, Vec<(Caller, Instant)>>>,
-    /// What calls that crash their servers do it with, and how many come per second.
-    pub crashing: Mutex<Option<(Crashing, f64)>>,
+    /// Calls that crash their servers.
+    pub crashing: Mutex<Vec<CrashingCalls>>,
 }
 
 /// Which callers leave, and when.
@@ -119,7 +129,6 @@
     let mut calls = tokio::task::JoinSet::new();
     let mut number = 0;
     let mut next = tokio::time::Instant::now();
-    let mut last_crashing = Instant::now();
     while Instant::now() < until {
         let present_rate = rate * (1.0 + *lock(&traffic.burst));
         next += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / present_rate);
@@ -132,13 +141,8 @@
             left > 0.0
         });
         let kind = drawn.count().min(traffic.kinds.len() - 1);
-        let crashing = lock(&traffic.crashing)
-            .filter(|(_, rate)| rate * last_crashing.elapsed().as_secs_f64() >= 1.0)
-            .map(|(crashing, _)| crashing);
+        let crashing = take_due(&mut lock(&traffic.crashing));
         let caller_rng = ChaCha8Rng::seed_from_u64(rng.random());
-        if crashing.is_some() {
-            last_crashing = Instant::now();
-        }
         let one = OneCall {
             number,
             kind: if crashing.is_some() { 0 } else { kind },
@@ -149,6 +153,14 @@
     while calls.join_next().await.is_some() {}
 }
 
+/// The first kind of crashing calls of which one is due.
+fn take_due(all: &mut [CrashingCalls]) -> Option<Crashing> {
+    let now = Instant::now();
+    let due = all.iter_mut().find(|calls| calls.next_at <= now)?;
+    due.next_at = now + due.interval;
+    Some(due.crashing)
+}
+
 #[derive(Debug, Clone, Copy)]
 struct OneCall {
     number: u64,
@@ -174,7 +186,7 @@
         if left < MIN_TIME_LEFT {
             return;
         }
-        let index = rng.random_range(0..traffic.fronts.len());
+        let index = rng.random_range(0..lock(&traffic.fronts).len());
         let id = format!("c{}-{attempt}-b{index}", one.number);
         let text = request_text(kind, &id, one.crashing, left, &mut rng);
         let leaves_after = {
@@ -281,10 +293,11 @@
     let kept = rng
         .random_bool(KEPT_FRACTION)
         .then(|| take_kept(traffic, index));
-    match kept.flatten() {
-        Some(caller) => Some(caller),
-        None => Caller::connect(traffic.fronts[index]).await.ok(),
+    if let Some(caller) = kept.flatten() {
+        return Some(caller);
     }
+    let front = lock(&traffic.fronts)[index];
+    Caller::connect(front).await.ok()
 }
 
 /// A connection to this box that was used shortly before.
--- a/soak/src/sheet_report.rs
+++ b/soak/src/sheet_report.rs
@@ -94,6 +94,11 @@
             Severity::LateDeclines => {
                 vec![departures, (self.pauses < MIN_DECLINES, "too few pauses")]
             }
+            Severity::Churn => vec![
+                repeats,
+                (self.crashes < MIN_CRASHES, "too few crashes by a request"),
+                (self.part_crashes < MIN_CRASHES, "too few crashes by a part"),
+            ],
             Severity::PartCrashes => vec![
                 departures,
                 (self.part_crashes < MIN_CRASHES, "too few crashes by a part"),
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -23,9 +23,6 @@
 use badgerferry_standin::proxy::Link;
 use badgerferry_standin::proxy::Proxy;
 use badgerferry_standin::relay_box::RelayBox;
-use badgerferry_standin::relay_box::random_loopback_ip;
-use badgerferry_standin::relay_box::settings;
-use badgerferry_standin::relay_box::with_retry_slack;
 use badgerferry_standin::retry_audit;
 use badgerferry_standin::retry_audit::BudgetTerms;
 use badgerferry_standin::retry_audit::SentCall;
@@ -43,6 +40,7 @@
 use crate::sheet_callers::CRASHING_BODY;
 use crate::sheet_callers::CRASHING_PART;
 use crate::sheet_callers::Crashing;
+use crate::sheet_callers::CrashingCalls;
 use crate::sheet_callers::Traffic;
 use crate::sheet_callers::lock;
 use crate::sheet_callers::make_calls;
@@ -70,20 +68,27 @@
 /// Calls that each server runs at a time where [`Severity::Departures`] is played.
 const MAX_RUNNING: usize = 6;
 
-struct Deployment {
-    store: Store,
-    servers: Vec<Server>,
-    boxes: Vec<RelayBox>,
+/// A deployment that runs.
+pub struct Deployment {
+    pub store: Store,
+    pub servers: Vec<Server>,
+    pub boxes: Vec<RelayBox>,
+    /// Logs of boxes that were replaced.
+    pub replaced_logs: Vec<String>,
     /// Forwarder in front of each box that has one.
-    box_forwarders: Vec<Option<Proxy>>,
+    pub box_forwarders: Vec<Option<Proxy>>,
     /// When a box was stopped, killed or continued.
-    disturbed: Vec<Vec<Instant>>,
+    pub disturbed: Vec<Vec<Instant>>,
+    /// Data hall of each box.
+    pub halls: Vec<String>,
+    /// Boxes that were started under a name of their own.
+    pub named: usize,
     /// Indexes of the boxes that are killed and not started again yet.
-    down: BTreeSet<usize>,
+    pub down: BTreeSet<usize>,
     /// Time after a disturbance in which a box is not in touch.
     contact_time: Duration,
-    traffic: Arc<Traffic>,
-    budget: BudgetTerms,
+    pub traffic: Arc<Traffic>,
+    pub budget: BudgetTerms,
 }
 
 /// What is played.
@@ -168,47 +173,32 @@
             store.put(&server.key(), &server.entry("ready"));
             servers.push(server);
         }
-        let budget = sheet.budget();
-        let mut boxes: Vec<RelayBox> = Vec::new();
-        for (index, hall) in sheet.box_halls().iter().enumerate() {
-            let ip = random_loopback_ip();
-            let seeds: Vec<_> = boxes.iter().take(3).map(|seed| seed.ip).collect();
-            let text = settings(&format!("box-{index}"), ip, store.address, &seeds);
-            let text = text.replace("zone = \"hall-a\"", &format!("zone = \"{hall}\""));
-            let text = with_retry_slack(&text, budget.slack);
-            boxes.push(RelayBox::start_with_settings(ip, &text)?);
-        }
-        let (mut fronts, mut box_forwarders) = (Vec::new(), Vec::new());
-        for (index, started) in boxes.iter().enumerate() {
-            started.wait_ready().await?;
-            let forwarder = match box_link(index) {
-                Some(link) => {
-                    let forwarder = Proxy::start(started.front()).await?;
-                    forwarder.set(link);
-                    Some(forwarder)
-                }
-                None => None,
-            };
-            let address = forwarder.as_ref().map(|forwarder| forwarder.address);
-            fronts.push(address.unwrap_or_else(|| started.front()));
-            box_forwarders.push(forwarder);
-        }
-        Ok(Self {
+        let mut deployment = Self {
             traffic: Arc::new(Traffic {
-                fronts,
                 kinds: sheet.call_kinds(),
                 leaving: Mutex::new(vec![sheet_troubles::USUAL_LEAVING]),
                 ..Traffic::default()
             }),
-            disturbed: vec![Vec::new(); boxes.len()],
+            disturbed: Vec::new(),
+            halls: Vec::new(),
+            named: 0,
             down: BTreeSet::new(),
             contact_time: sheet.contact_time(),
             store,
             servers,
-            boxes,
-            box_forwarders,
-            budget,
-        })
+            boxes: Vec::new(),
+            replaced_logs: Vec::new(),
+            box_forwarders: Vec::new(),
+            budget: sheet.budget(),
+        };
+        for hall in sheet.box_halls() {
+            deployment.add_box(&hall)?;
+        }
+        for index in 0..deployment.boxes.len() {
+            deployment.boxes[index].wait_ready().await?;
+            deployment.open_front(index).await?;
+        }
+        Ok(deployment)
     }
 
     /// Begins and ends the troubles in the order of their times.
@@ -223,7 +213,11 @@
         steps.sort_by_key(|(at, ..)| *at);
         for (at, begins, trouble, affected) in steps {
             sleep_until(started + at).await;
-            self.change(trouble, begins, &affected)?;
+            match trouble {
+                Trouble::BoxesReplaced(_) if begins => self.replace_boxes(&affected).await?,
+                Trouble::BoxesAdded(_) if begins => self.add_boxes_beside(&affected)?,
+                _ => self.change(trouble, begins, &affected)?,
+            }
         }
         Ok(())
     }
@@ -239,6 +233,8 @@
             | Trouble::ServersCrash(share) => (self.servers.len(), share),
             Trouble::BoxesStill(share)
             | Trouble::BoxesKilled(share)
+            | Trouble::BoxesReplaced(share)
+            | Trouble::BoxesAdded(share)
             | Trouble::BoxesDown(share) => (self.boxes.len(), share),
             Trouble::BoxesStopped => (self.boxes.len(), 0.0),
             Trouble::CallsLost(_)
@@ -246,6 +242,7 @@
             | Trouble::StoreReadsOld
             | Trouble::CrashingRequest(..)
             | Trouble::CrashingPart(..)
+            | Trouble::CrashingBoth(..)
             | Trouble::ServersBusy(_) => (self.servers.len(), 1.0),
             Trouble::ServerLinksHeld(share)
             | Trouble::ServerLinksReset(share)
@@ -319,6 +316,17 @@
                 let rule = rule.silent_for(silence).beginning_response();
                 self.set_crashing(&rule, Crashing::Part, per_s, begins);
             }
+            Trouble::CrashingBoth(timing, per_s) => {
+                let rule = CrashRule::on_body(CRASHING_BODY, DOWNTIME, &self.store);
+                let rule = rule.or_on_part(CRASHING_PART).silent_for(timing.delay);
+                let rule = if timing.begins_response {
+                    rule.beginning_response()
+                } else {
+                    rule
+                };
+                self.set_crashing(&rule, Crashing::Request, per_s, begins);
+                self.set_crashing(&rule, Crashing::Part, per_s, begins);
+            }
             Trouble::StoreFails(mode) => {
                 self.store
                     .set_mode(if begins { mode } else { Mode::Serving });
@@ -348,45 +356,10 @@
             | Trouble::BoxesStill(_)
             | Trouble::BoxesKilled(_)
             | Trouble::BoxesStopped => self.change_boxes(trouble, begins, affected)?,
-            Trouble::ServersCrash(_) | Trouble::StoreReadsOld => {}
-        }
-        Ok(())
-    }
-
-    /// Disturbs boxes, or ends that. Those that are down are left alone until they are started again.
-    fn change_boxes(
-        &mut self,
-        trouble: Trouble,
-        begins: bool,
-        affected: &[usize],
-    ) -> anyhow::Result<()> {
-        for index in affected {
-            let is_down = self.down.contains(index);
-            let a_box = &mut self.boxes[*index];
-            match trouble {
-                Trouble::BoxLinksReset(_) => {
-                    if let (Some(forwarder), Some(usual)) =
-                        (&self.box_forwarders[*index], box_link(*index))
-                    {
-                        forwarder.set(if begins { Link::Reset } else { usual });
-                    }
-                }
-                Trouble::BoxesDown(_) if begins => {
-                    a_box.kill();
-                    self.down.insert(*index);
-                }
-                Trouble::BoxesDown(_) if is_down => {
-                    a_box.restart()?;
-                    self.down.remove(index);
-                }
-                _ if is_down => continue,
-                Trouble::BoxesStill(_) => a_box.signal(if begins { "STOP" } else { "CONT" })?,
-                Trouble::BoxesKilled(_) if begins => a_box.restart()?,
-                Trouble::BoxesStopped if begins => a_box.signal("TERM")?,
-                Trouble::BoxesStopped => a_box.restart()?,
-                _ => continue,
-            }
-            self.disturbed[*index].push(Instant::now());
+            Trouble::ServersCrash(_)
+            | Trouble::StoreReadsOld
+            | Trouble::BoxesReplaced(_)
+            | Trouble::BoxesAdded(_) => {}
         }
         Ok(())
     }
@@ -411,7 +384,15 @@
                 server.set_crash_rule(rule.clone());
             }
         }
-        *lock(&self.traffic.crashing) = begins.then_some((crashing, per_s));
+        let mut all = lock(&self.traffic.crashing);
+        all.retain(|calls| calls.crashing != crashing);
+        if begins {
+            all.push(CrashingCalls {
+                crashing,
+                interval: Duration::from_secs_f64(1.0 / per_s),
+                next_at: Instant::now(),
+            });
+        }
     }
 
     fn audit(&self, severity: Severity) -> Report {
@@ -440,6 +421,7 @@
             sent.map(|sent| sent.call.id.as_str()).collect()
         };
         let (requests, parts) = (of_crashing(Crashing::Request), of_crashing(Crashing::Part));
+        let is_in_touch = |id: &str, at| !self.is_disturbed(id, at);
         Report {
             severity,
             calls: sent.len(),
@@ -456,6 +438,7 @@
                 &self.servers,
                 REQUEST_CRASHES,
                 CRASH_TOLERANCE,
+                is_in_touch,
             ),
             part_crashes: retry_audit::crashes_of(&parts, &self.servers).len(),
             runs_after_part_crashes: retry_audit::runs_after_crash(
@@ -463,6 +446,7 @@
                 &self.servers,
                 PART_CRASHES,
                 PART_CRASH_TOLERANCE,
+                is_in_touch,
             ),
             in_pauses: self.calls_in_pauses(),
             pauses: self.pauses(),
@@ -478,7 +462,8 @@
 
     /// Compares retries with arrivals, without calls at boxes that were killed: their last lines are missing.
     fn compare_retries(&self) -> RetryComparison {
-        let logs: Vec<String> = self.boxes.iter().map(RelayBox::log).collect();
+        let mut logs: Vec<String> = self.boxes.iter().map(RelayBox::log).collect();
+        logs.extend_from_slice(&self.replaced_logs);
         let killed = lock(&self.traffic.sent)
             .iter()
             .filter(|sent| {
@@ -593,6 +578,9 @@
             let path = dir.join(format!("box-{index}.log"));
             std::fs::write(path, a_box.log()).context("failed to save a log")?;
         }
+        for (index, log) in self.replaced_logs.iter().enumerate() {
+            std::fs::write(dir.join(format!("replaced-{index}.log")), log)?;
+        }
         std::fs::write(dir.join("arrivals.jsonl"), self.arrivals())?;
         std::fs::write(dir.join("departures.txt"), format!("{:#?}", report.work))?;
         Ok(dir.display().to_string())
--- a/soak/src/sheet_troubles.rs
+++ b/soak/src/sheet_troubles.rs
@@ -39,6 +39,10 @@
     BoxesDown(f64),
     /// One box after the other is told to stop, and started again.
     BoxesStopped,
+    /// This fraction of the boxes is killed for good, and others take their places.
+    BoxesReplaced(f64),
+    /// As many boxes are added as this fraction of those that are there.
+    BoxesAdded(f64),
     /// This fraction of the forwarders of servers holds all bytes back.
     ServerLinksHeld(f64),
     /// This fraction of the forwarders of servers resets connections.
@@ -62,6 +66,32 @@
     /// A part of prompts crashes their servers, this long after the response began; the calls with it in a
     /// second.
     CrashingPart(Duration, f64),
+    /// A request and a part crash servers; the calls of each in a second.
+    CrashingBoth(CrashTiming, f64),
+}
+
+/// When calls crash their servers.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashTiming {
+    /// Whether the head of the response and an event are sent before.
+    pub begins_response: bool,
+    /// Time from then, or from the arrival of the call.
+    pub delay: Duration,
+}
+
+impl CrashTiming {
+    /// Soon after the response began, long after it, or before it.
+    fn draw(rng: &mut ChaCha8Rng) -> Self {
+        let (begins_response, ms) = match rng.random_range(0..3) {
+            0 => (true, 30..120),
+            1 => (true, 300..900),
+            _ => (false, 30..300),
+        };
+        Self {
+            begins_response,
+            delay: Duration::from_millis(rng.random_range(ms)),
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -88,6 +118,8 @@
     PartCrashes,
     /// Boxes are killed in series while the store fails or shows old content, and most calls are lost.
     StoreFaults,
+    /// Boxes are killed, replaced, added and stopped in series, while a request and a part crash servers.
+    Churn,
 }
 
 /// Callers that leave where a trouble does not say otherwise.
@@ -267,6 +299,12 @@
         Severity::StoreFaults => draw_store_faults(rng, turns)
             .chain([whole(Trouble::CallsLost(0.6))])
             .collect(),
+        Severity::Churn => {
+            let crashing = Trouble::CrashingBoth(CrashTiming::draw(rng), 2.0);
+            let boxes = draw_churn(rng, turns);
+            let throughout = [whole(crashing), whole(Trouble::CallsLost(0.1))];
+            boxes.chain(throughout).collect()
+        }
         Severity::Usual => (0..rng.random_range(8..16))
             .map(|_| Scheduled {
                 at: lasts.mul_f64(rng.random_range(0.0..0.9)),
@@ -281,6 +319,7 @@
                     8 => Trouble::BoxesKilled(rng.random_range(0.16..1.0)),
                     9 => Trouble::BoxesStopped,
                     10 => leave(0.2, secs(0.05), secs(2.0)),
+                    _ if rng.random_bool(0.5) => Trouble::CrashingBoth(CrashTiming::draw(rng), 2.0),
                     _ => Trouble::CrashingRequest(secs(rng.random_range(0.0..3.0)), 1.0),
                 },
             })
@@ -317,3 +356,28 @@
         ]
     })
 }
+
+/// In each turn boxes are killed, replaced, stopped, frozen or added, several of it at a time.
+fn draw_churn(rng: &mut ChaCha8Rng, turns: u64) -> impl Iterator<Item = Scheduled> {
+    (0..turns).flat_map(move |turn| {
+        let turn_at = Duration::from_secs(turn * 5);
+        let mut scheduled = |lasts: f64, trouble| Scheduled {
+            at: turn_at + Duration::from_secs_f64(rng.random_range(0.0..5.0)),
+            lasts: Duration::from_secs_f64(lasts),
+            trouble,
+        };
+        let mut troubles = vec![
+            scheduled(0.0, Trouble::BoxesReplaced(0.16)),
+            scheduled(0.0, Trouble::BoxesKilled(0.34)),
+            scheduled(2.0, Trouble::BoxesDown(0.34)),
+            scheduled(2.5, Trouble::BoxesStill(0.16)),
+            scheduled(1.0, Trouble::BoxesStopped),
+            scheduled(0.0, Trouble::ServersCrash(0.1)),
+        ];
+        if turn % 3 == 1 {
+            troubles.push(scheduled(0.0, Trouble::BoxesKilled(1.0)));
+            troubles.push(scheduled(0.0, Trouble::BoxesAdded(0.17)));
+        }
+        troubles
+    })
+}
--- a/testutils/src/bin/emulate/crashes.rs
+++ b/testutils/src/bin/emulate/crashes.rs
@@ -7,6 +7,7 @@
 use badgerferry_testutils::crash_model::Bound;
 use badgerferry_testutils::crash_model::CrashCounts;
 use badgerferry_testutils::crash_model::CrashPlan;
+use badgerferry_testutils::crash_model::PartTiming;
 use badgerferry_testutils::seeds::run_seeds;
 
 /// Play calls that end the servers which run them, under each way of bounding them.
@@ -46,6 +47,9 @@
     /// calls in each second with a part that ends servers (0)
     #[argh(option, default = "0.0")]
     deadly_parts: f64,
+    /// when these end their servers: soon, before or late, by the beginning of the response (soon)
+    #[argh(option, default = "\"soon\".to_owned()")]
+    part_timing: String,
     /// first parts that calls share; with them, all calls are streams with parts (0)
     #[argh(option, default = "0")]
     first_parts: u64,
@@ -83,6 +87,11 @@
         waves: args.waves,
         spread_ms: args.spread,
         deadly_parts: args.deadly_parts,
+        part_timing: match args.part_timing.as_str() {
+            "before" => PartTiming::Before,
+            "late" => PartTiming::Late,
+            _ => PartTiming::Soon,
+        },
         first_parts: args.first_parts,
         lasts: Duration::from_secs(args.seconds),
     };
--- a/testutils/src/crash_model.rs
+++ b/testutils/src/crash_model.rs
@@ -81,6 +81,18 @@
     WholeRequests,
 }
 
+/// When a call with a part that ends servers does so.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PartTiming {
+    /// Some 60 ms after its response began.
+    #[default]
+    Soon,
+    /// Before its response begins.
+    Before,
+    /// Between 0.3 and 0.9 s after its response began.
+    Late,
+}
+
 /// What is played.
 #[derive(Debug, Clone, Copy)]
 pub struct CrashPlan {
@@ -106,6 +118,8 @@
     pub spread_ms: u64,
     /// Calls in each second with a part that ends servers, no two of them alike.
     pub deadly_parts: f64,
+    /// When these end their servers.
+    pub part_timing: PartTiming,
     /// First parts that calls share; without any, calls have no parts.
     pub first_parts: u64,
     /// How long it goes on.
@@ -288,7 +302,7 @@
             Event::GoesOn(call, life) => self.goes_on(now, call, life),
             Event::RunEnds(call, life) => self.run_ends(now, call, life),
             Event::Crashes(server, life) => {
-                if self.servers[server].life == life {
+                if self.servers[server].life == life && self.servers[server].lives {
                     self.server_ends(now, server);
                 }
             }
@@ -468,7 +482,11 @@
                 let is_late = |fifth: Time| now.since(fifth) > NEWS_IN_FORCE;
                 self.counts.part_late_sends +=
                     usize::from(self.fifth_part_end.is_some_and(is_late));
-                let ends = responds + self.millis(40, 80);
+                let ends = match self.plan.part_timing {
+                    PartTiming::Soon => responds + self.millis(40, 80),
+                    PartTiming::Before => Time::from_micros(responds.as_micros() - 1),
+                    PartTiming::Late => responds + self.millis(300, 900),
+                };
                 self.agenda.put(ends, Event::Crashes(server, life));
             } else {
                 let ends = responds + self.millis(400, 1_800);
