quarantine: prompt parts that crash servers before or long after their responses begin

Callers saw one server after the other crash, with all calls that ran there: a crash counted against a part of a prompt only if a run with it had begun to respond at most 500 ms before. A run of 500 ms also cleared its part before the crash.

Other crashes during runs with a part are uncertain evidence now. Three make it suspect, five quarantine it, unless a run with it succeeds meanwhile; they don't count in other workspaces. Each box reports them at once, also while the status stays the same. For ten seconds after such a crash a run has to respond for four times as long to clear its part.

--- a/daemon/src/relay/request_quarantine.rs
+++ b/daemon/src/relay/request_quarantine.rs
@@ -220,6 +220,8 @@
     let (now, keys) = (relay.clock.now(), call.keys(true));
     let changes = lock(&relay.quarantine).record_crash(now, &keys, crash.incarnation, crash.run);
     announce(relay, changes, "a run here");
+    // Uncertain evidence changes no status, and still has to be added up with that of other boxes.
+    relay.urgent_changed.notify_one();
 }
 
 /// Merges the quarantine rows reported by another box or hall. Changes are announced only to other
--- a/daemon/tests/test_relay_prompt_parts.rs
+++ b/daemon/tests/test_relay_prompt_parts.rs
@@ -1,5 +1,6 @@
 //! Quarantine of prompt parts that crash the servers which answer prompts with them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,8 +9,10 @@
 use badgerferry_standin::caller::call;
 use badgerferry_standin::crashes::CrashRule;
 use badgerferry_standin::relay_box::RelayBox;
+use badgerferry_standin::retry_audit::runs_after_crash;
 use badgerferry_standin::server::Server;
 use badgerferry_standin::store::Store;
+use tokio::time::sleep;
 
 use crate::crash_fleet::BOX_ENTRIES;
 use crate::crash_fleet::Fleet;
@@ -25,6 +28,10 @@
 const SHARED_PART: &str = "5afe0001";
 /// Maximum number of servers that prompts with one part may crash, if they are sent one by one.
 const MAX_CRASHES: usize = 3;
+/// Time after the fifth crash from which on no call with the part may reach a server.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// How long calls come that are no certain evidence against the part.
+const UNCERTAIN_CALLS_TIME: Duration = Duration::from_secs(8);
 /// The same, if they are sent concurrently: five, and three requests that are sent after the fifth.
 const MAX_CONCURRENT_CRASHES: usize = 8;
 /// Refusal reason for a prompt with a quarantined part.
@@ -91,6 +98,42 @@
     Ok(())
 }
 
+/// Guards against servers that crash before the head of their response arrives, or long after it.
+#[tokio::test]
+async fn prompt_part_that_crashes_servers_at_another_time_is_contained() -> anyhow::Result<()> {
+    let crash_rule = |store: &Store| CrashRule::on_part(CRASHING_PART, RESTART_DELAY, store);
+    let before_head = |store: &Store| crash_rule(store).silent_for(Duration::from_millis(50));
+    let long_after = |store: &Store| {
+        let rule = crash_rule(store).silent_for(Duration::from_millis(700));
+        rule.beginning_response()
+    };
+    let fleets = [
+        Fleet::start(4, 12, SERVICE, before_head).await?,
+        Fleet::start(4, 12, SERVICE, long_after).await?,
+    ];
+
+    for fleet in &fleets {
+        let until = Instant::now() + UNCERTAIN_CALLS_TIME;
+        let mut ids = Vec::new();
+        while Instant::now() < until {
+            let id = format!("crashing-{}", ids.len());
+            let relay_box = &fleet.boxes[ids.len() % fleet.boxes.len()];
+            stream(relay_box, &id, &[SHARED_PART, CRASHING_PART]).await?;
+            ids.push(id);
+            sleep(CALL_INTERVAL).await;
+        }
+
+        let ids: BTreeSet<&str> = ids.iter().map(String::as_str).collect();
+        let late = runs_after_crash(&ids, &fleet.servers, 5, CONTACT_TIME, |_id, _at| true);
+        assert_eq!(late, 0, "logs:\n{}", fleet.logs());
+        for relay_box in &fleet.boxes {
+            let last = stream(relay_box, "last", &["07e30001", CRASHING_PART]).await?;
+            assert_refused(&last, fleet);
+        }
+    }
+    Ok(())
+}
+
 /// Guards against a first part that crashes servers, with other parts after it that do not.
 #[tokio::test]
 async fn first_prompt_part_crashes_at_most_three_servers() -> anyhow::Result<()> {
--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -15,8 +15,11 @@
 //! Sound requests share parts with those that crash servers, so that parts need more evidence, and
 //! less to be cleared:
 //!
-//! - A crash counts against a part only if a run with the part had begun to respond at most
+//! - A crash counts fully against a part only if a run with the part had begun to respond at most
 //!   [`Quarantine::with_crash_delay`] before. A run that responds for longer clears its parts at once.
+//! - Any other crash during a run with the part is uncertain evidence: its response may have been lost with
+//!   the server, or a slow server may crash late. Three of these make a part suspect, and five quarantine
+//!   it, unless a run with it succeeds meanwhile. They do not count in other workspaces.
 //! - Of the crashes of one request at most two count: it may crash servers by itself.
 //! - Once a part is quarantined, crashes that it accounts for don't count against anything else. Of
 //!   several parts with equal crashes, the last one of the prompt is quarantined: fewer requests
@@ -330,14 +333,14 @@
         };
         let mut changes = Vec::new();
         let has_just_responded = (run.response_time()).is_some_and(|time| time <= self.crash_delay);
-        let parts = keys.parts().iter().filter(|_| has_just_responded);
-        for (position, part) in parts.enumerate() {
+        for (position, part) in keys.parts().iter().enumerate() {
             changes.extend(self.change(now, SuspectKey::Part(*part), |record| {
                 record.position = record.position.max(position as u8);
                 add(
                     record,
                     Crash {
                         request_digest,
+                        needs_store: has_just_responded,
                         ..crash
                     },
                 );
@@ -432,12 +435,15 @@
     /// How long a run with a part has to respond until it clears the part: some times as long as
     /// runs with it have responded before crashes.
     fn proof_time(&self, now: Time, part: SuspectKey) -> Duration {
-        let record = self.records.get(&part);
-        let longest = record.and_then(|record| record.longest_response(now, &self.explained));
-        longest.map_or(self.crash_delay, |longest| {
-            let least = self.crash_delay / MIN_PROOF_FRACTION;
-            (longest * PROOF_FACTOR).max(least).min(self.crash_delay)
-        })
+        let Some(record) = self.records.get(&part) else {
+            return self.crash_delay;
+        };
+        let least = self.crash_delay / MIN_PROOF_FRACTION;
+        let longest = record.longest_response(now, &self.explained);
+        let certain = longest.map(|longest| (longest * PROOF_FACTOR).max(least));
+        let certain = certain.map_or(self.crash_delay, |time| time.min(self.crash_delay));
+        let uncertain = record.shortest_uncertain_response(now);
+        uncertain.map_or(certain, |shortest| certain.max(shortest * PROOF_FACTOR))
     }
 
     /// Applies a fact read from the store or written to it.
@@ -489,6 +495,7 @@
     ) -> Option<QuarantineChange> {
         self.record(now, key);
         let before = (self.status(now, key), self.crash_count(now, key));
+        let evidence_before = self.counted(now, key);
         let record = self.record(now, key);
         let was_quarantined = record.quarantined_at(now).is_some();
         let success_before = record.success;
@@ -512,11 +519,19 @@
         if is_quarantined {
             self.update_explained(now);
         }
-        if before == (self.status(now, key), self.crash_count(now, key)) {
-            return None;
+        let is_unchanged = before == (self.status(now, key), self.crash_count(now, key));
+        if !is_unchanged || evidence_before != self.counted(now, key) {
+            self.record(now, key).mark_changed(now);
         }
-        self.record(now, key).mark_changed(now);
-        Some(self.change_of(now, key))
+        (!is_unchanged).then(|| self.change_of(now, key))
+    }
+
+    /// Number of crashes that count, certain or not.
+    fn counted(&self, now: Time, key: SuspectKey) -> usize {
+        let record = self.records.get(&key);
+        record.map_or(0, |record| {
+            record.counted_crashes(now, &self.explained).count()
+        })
     }
 
     /// Tells the records of a part in all workspaces of the latest successful run in any.
@@ -551,8 +566,10 @@
             let records = self.records.range(part);
             records.filter_map(|(_, record)| record.success).max()
         });
+        let crash_delay = self.crash_delay;
         self.records.entry(key).or_insert_with(|| SuspectRecord {
             kind: key.kind(),
+            crash_delay,
             part_success,
             ..SuspectRecord::default()
         })
--- a/lib/src/relay/quarantine_evidence.rs
+++ b/lib/src/relay/quarantine_evidence.rs
@@ -56,7 +56,7 @@
         suspect_record::count_separate(crashes.filter(|it| !own.contains(&it.incarnation)))
     }
 
-    /// The last crash of each other workspace, in order of time. Only those count that came after
+    /// The last certain crash of each other workspace, in order of time. Only those count that came after
     /// the last successful run with the part in any workspace.
     fn crashes_elsewhere(&self, now: Time, key: SuspectKey) -> Vec<&Crash> {
         let Some(part) = same_part(key) else {
@@ -69,7 +69,7 @@
             .max();
         let others = records.filter(|(other, _)| **other != key);
         let last = others.filter_map(|(_, record)| {
-            let crashes = record.counted_crashes(now, &self.explained);
+            let crashes = record.certain_crashes(now, &self.explained);
             crashes.max_by_key(|crash| crash.at)
         });
         let mut crashes: Vec<&Crash> = last.filter(|crash| Some(crash.at) > success).collect();
--- a/lib/src/relay/suspect_record.rs
+++ b/lib/src/relay/suspect_record.rs
@@ -1,8 +1,9 @@
 //! Crash record of one suspect request or prompt part, and the status that follows from it.
 //!
 //! Requests and parts differ in how crashes count. A crash counts against a request whenever a run
-//! of it was in progress. It counts against a part only if a run with the part had just begun to
-//! respond, since many sound runs share parts: see [`crate::relay::quarantine`].
+//! of it was in progress. It counts fully against a part only if a run with the part had just begun to
+//! respond, since many sound runs share parts; other crashes during runs with it are uncertain, and it takes
+//! more of them: see [`crate::relay::quarantine`].
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -21,6 +22,11 @@
 /// request that lost its run twice while many servers crash would be quarantined; with four, each
 /// request that crashes servers would crash one more.
 pub const QUARANTINE_MIN_CRASHES: usize = 3;
+/// Number of crashes from which on a part is quarantined if it is uncertain that it caused them.
+const QUARANTINE_MIN_UNCERTAIN: usize = 5;
+/// Number of such crashes from which on a part is suspect. Most servers that crash for other reasons leave
+/// fewer, since the next run with a sound part succeeds.
+const SUSPECT_MIN_UNCERTAIN: usize = 3;
 /// Crashes within this time of each other count as one, unless the later run started after the
 /// earlier crash. Servers that crash together have a common cause other than the request, and
 /// identical calls of one caller may be running on many of them.
@@ -35,6 +41,8 @@
 /// How long after a successful run of a request crashes are ignored. Reports of servers that crashed together
 /// keep arriving for some seconds, while identical calls succeed elsewhere.
 const SUCCESS_GRACE: Duration = Duration::from_secs(10);
+/// How long after an uncertain crash a run has to respond for longer to clear its part.
+const DOUBT_PERIOD: Duration = Duration::from_secs(10);
 /// How long a reported run of another box is assumed to continue: two heartbeats, and one that may
 /// be lost.
 pub(super) const RUN_REPORT_TTL: Duration = Duration::from_millis(1_200);
@@ -162,6 +170,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct SuspectRecord {
     pub(super) kind: SuspectKind,
+    /// Longest time from the beginning of a response to a crash that a part certainly caused.
+    pub(super) crash_delay: Duration,
     /// Position of the part in its prompts, the highest one seen.
     pub(super) position: u8,
     pub(super) crashes: Vec<Crash>,
@@ -228,19 +238,41 @@
     /// Whether the crashes of the own workspace alone are enough for a quarantine.
     fn has_enough_crashes(&self, now: Time) -> bool {
         let crashes = self.crashes.iter();
-        count_separate(crashes.filter(|crash| self.counts(now, crash.at))) >= QUARANTINE_MIN_CRASHES
+        let counted = crashes.filter(|crash| self.counts(now, crash.at));
+        let certain = counted.clone().filter(|crash| self.is_certain(crash));
+        count_separate(certain) >= QUARANTINE_MIN_CRASHES
+            || count_separate(counted) >= QUARANTINE_MIN_UNCERTAIN
     }
 
-    /// Number of crashes that count; simultaneous ones count as one.
+    /// Whether a run had just begun to respond, as far as this is known: the store keeps no times, and holds
+    /// certain crashes only. All crashes during runs of a request are certain.
+    fn is_certain(&self, crash: &Crash) -> bool {
+        let has_just_responded = || {
+            let response_ms = crash.response_ms.map(u128::from);
+            response_ms.is_some_and(|ms| ms <= self.crash_delay.as_millis())
+        };
+        self.kind == SuspectKind::Request || crash.run_started.is_none() || has_just_responded()
+    }
+
+    /// Crashes that count and are certain.
+    pub(super) fn certain_crashes(
+        &self,
+        now: Time,
+        explained: &ExplainedCrashes,
+    ) -> impl Iterator<Item = &Crash> + Clone {
+        let crashes = self.counted_crashes(now, explained);
+        crashes.filter(|crash| self.is_certain(crash))
+    }
+
+    /// Number of crashes that count; simultaneous ones count as one. If few of them are certain, some count as
+    /// one, and as many as a quarantine takes count as that.
     pub(super) fn crash_count(&self, now: Time, explained: &ExplainedCrashes) -> usize {
-        let mut of_requests: BTreeMap<u32, usize> = BTreeMap::new();
-        let separate = separate_crashes(self.counted_crashes(now, explained));
-        let counted = separate.filter(|crash| {
-            let of_request = of_requests.entry(crash.request_digest).or_default();
-            *of_request += 1;
-            *of_request <= MAX_CRASHES_PER_REQUEST || crash.request_digest == 0
-        });
-        counted.count()
+        let certain = count_of_requests(self.certain_crashes(now, explained));
+        match count_of_requests(self.counted_crashes(now, explained)) {
+            QUARANTINE_MIN_UNCERTAIN.. => certain.max(QUARANTINE_MIN_CRASHES),
+            SUSPECT_MIN_UNCERTAIN.. => certain.max(1),
+            _ => certain,
+        }
     }
 
     /// Time of the last crash that counts.
@@ -257,17 +289,26 @@
         self.quarantine = self.quarantine.max(span);
     }
 
-    /// Longest time from the beginning of a response to a crash that counts.
+    /// Longest time from the beginning of a response to a crash that counts and is certain.
     pub(super) fn longest_response(
         &self,
         now: Time,
         explained: &ExplainedCrashes,
     ) -> Option<Duration> {
-        let crashes = self.counted_crashes(now, explained);
+        let crashes = self.certain_crashes(now, explained);
         let longest = crashes.filter_map(|crash| crash.response_ms).max();
         longest.map(|millis| Duration::from_millis(millis.into()))
     }
 
+    /// Shortest time from the beginning of a response to an uncertain crash of the last seconds. It holds although
+    /// a later run succeeded: that run may have been taken for a success too soon.
+    pub(super) fn shortest_uncertain_response(&self, now: Time) -> Option<Duration> {
+        let recent = |crash: &&Crash| crash.at.age(now) < DOUBT_PERIOD && !self.is_certain(crash);
+        let crashes = self.crashes.iter().filter(recent);
+        let shortest = crashes.filter_map(|crash| crash.response_ms).min();
+        shortest.map(|millis| Duration::from_millis(millis.into()))
+    }
+
     /// Marks the record as changed, so that it is reported again.
     pub(super) const fn mark_changed(&mut self, now: Time) {
         self.changed = now;
@@ -354,6 +395,17 @@
     })
 }
 
+/// The same number, of which at most [`MAX_CRASHES_PER_REQUEST`] are of one request.
+fn count_of_requests<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let mut of_requests: BTreeMap<u32, usize> = BTreeMap::new();
+    let counted = separate_crashes(crashes).filter(|crash| {
+        let of_request = of_requests.entry(crash.request_digest).or_default();
+        *of_request += 1;
+        *of_request <= MAX_CRASHES_PER_REQUEST || crash.request_digest == 0
+    });
+    counted.count()
+}
+
 /// Number of crashes, given in order of time; simultaneous ones count as one.
 pub(super) fn count_separate<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
     separate_crashes(crashes).count()
--- a/lib/tests/test_relay_crash_model.rs
+++ b/lib/tests/test_relay_crash_model.rs
@@ -7,6 +7,7 @@
 use badgerferry_testutils::crash_model::Bound;
 use badgerferry_testutils::crash_model::CrashCounts;
 use badgerferry_testutils::crash_model::CrashPlan;
+use badgerferry_testutils::crash_model::PartTiming;
 
 const SEEDS: u64 = 12;
 
@@ -24,6 +25,7 @@
         waves: 0.0,
         spread_ms: 0,
         deadly_parts: 0.0,
+        part_timing: PartTiming::Soon,
         first_parts: 0,
         lasts: Duration::from_secs(15),
     }
@@ -117,6 +119,27 @@
     }
 }
 
+/// Guards against evidence that counts only if the response has just begun.
+#[test]
+fn part_that_crashes_servers_before_or_long_after_the_head_is_contained() {
+    for part_timing in [PartTiming::Before, PartTiming::Late] {
+        let plan = CrashPlan {
+            part_timing,
+            ..part_plan(6, 18, 3.0)
+        };
+
+        let runs = run_seeds(&plan, Bound::Shared);
+
+        let sum = sum(&runs);
+        assert_eq!(sum.part_late_sends, 0, "{part_timing:?}: {sum:?}");
+        assert!(
+            sum.part_ended <= 12 * runs.len(),
+            "{part_timing:?}: {sum:?}"
+        );
+        assert!(sum.others_refused * 100 <= sum.others, "{sum:?}");
+    }
+}
+
 /// Checks the model itself: evidence on whole requests does not contain a part.
 #[test]
 fn whole_requests_alone_do_not_contain_a_crashing_part() {
--- a/lib/tests/test_relay_quarantine_parts.rs
+++ b/lib/tests/test_relay_quarantine_parts.rs
@@ -179,6 +179,96 @@
     assert_eq!(status, SuspectStatus::Cleared);
 }
 
+/// Crashes servers with unlike requests that share a part, `response_ms` after each response began.
+fn crash_in_series(quarantine: &mut Quarantine, crashes: u64, response_ms: Option<u64>) {
+    for request in 1..=crashes {
+        let now = 2_000 * request;
+        let run = CrashedRun {
+            started: at(now - 1_500),
+            response_started: response_ms.map(|ms| at(now - ms)),
+            ended: at(now),
+        };
+        let call = keys(request, &[SHARED + request, CRASHING], "w");
+        quarantine.record_crash(at(now), &call, ServerIncarnation(now), run);
+    }
+}
+
+/// Guards against a part that crashes servers before their responses arrive, or long after they began.
+#[test]
+fn part_that_crashes_servers_at_any_time_is_quarantined_after_five_crashes() {
+    for response_ms in [None, Some(900)] {
+        let mut quarantine = Quarantine::default();
+        crash_in_series(&mut quarantine, 5, response_ms);
+
+        let crashing = is_quarantined(&mut quarantine, 11_000, &keys(9, &[1, CRASHING], "w"));
+        let sound = admit(&mut quarantine, 11_000, &keys(10, &[SHARED + 1], "w"));
+
+        assert!(crashing, "{response_ms:?}");
+        assert_eq!(sound, Admission::Run { crashes: 0 }, "{response_ms:?}");
+    }
+}
+
+/// Guards against sound parts that run at servers which crash for other reasons.
+#[test]
+fn run_of_a_part_ends_evidence_that_is_not_certain() {
+    let mut quarantine = Quarantine::default();
+    crash_in_series(&mut quarantine, 4, None);
+    let call = keys(9, &[CRASHING], "w");
+
+    let suspect = admit(&mut quarantine, 8_500, &call);
+    quarantine.record_success(at(9_000), &call);
+    let run = CrashedRun {
+        started: at(9_100),
+        response_started: None,
+        ended: at(10_000),
+    };
+    quarantine.record_crash(at(10_000), &call, ServerIncarnation(99), run);
+
+    assert_eq!(suspect, Admission::Run { crashes: 1 });
+    let after = quarantine.status(at(10_100), part_key(CRASHING, "w"));
+    assert_eq!(after, SuspectStatus::Cleared);
+}
+
+/// Guards against a run that clears its part before the time at which it crashes its server.
+#[test]
+fn run_that_responds_no_longer_than_before_a_crash_does_not_clear_its_part() {
+    let mut quarantine = Quarantine::default();
+    crash_in_series(&mut quarantine, 3, Some(900));
+    let call = keys(9, &[CRASHING], "w");
+
+    let early = quarantine.record_progress(at(7_000), &call, Duration::from_millis(900));
+
+    assert_eq!(early, []);
+    let status = quarantine.status(at(7_000), part_key(CRASHING, "w"));
+    assert_eq!(status, SuspectStatus::Suspect);
+}
+
+/// Guards against boxes that each see a few of the crashes of a part, and never add them up.
+#[test]
+fn crashes_that_are_not_certain_add_up_over_boxes() {
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    crash_in_series(&mut here, 3, None);
+    let rows = here.rows(at(6_010), RunScope::Box);
+    there.merge_rows(at(6_011), RunScope::Box, "box-1", &rows);
+
+    for request in 7..=8 {
+        let now = 1_000 * request;
+        let run = CrashedRun {
+            started: at(now - 900),
+            response_started: None,
+            ended: at(now),
+        };
+        let call = keys(request, &[CRASHING], "w");
+        there.record_crash(at(now), &call, ServerIncarnation(now), run);
+    }
+
+    assert!(is_quarantined(
+        &mut there,
+        9_000,
+        &keys(9, &[CRASHING], "w")
+    ));
+}
+
 #[test]
 fn suspect_part_runs_once_at_a_time_over_boxes_and_workspaces() {
     let mut here = Quarantine::default();
