relay: state the time that is left when the connection is there

A server was told the time that had been left before its connection was made: up to 0.2 s more for a connection of the box, and up to 0.56 s with one through a peer after it. Of the half second by which a late repeat may outlast its caller, that left nothing to a slow reader.

The deadline is written again once there is a connection. The test failed before: 4.208 s stated of 4 s, after 0.41 s.

--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -19,6 +19,7 @@
 use badgerferry_platform::headers::Dispatch;
 use badgerferry_platform::headers::ExecutionStatus;
 use badgerferry_platform::headers::ResponseHead;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -318,7 +319,11 @@
         }
     };
     let server = &attempt.selection.server;
-    let begin_run = || (attempt.sent_run(), call.retry.record_sent(call, server));
+    let begin_run = |headers: &mut HeaderMap| {
+        // Time has passed since the request was built, if the connection took long.
+        headers::set_time_left(headers, call.time_left());
+        (attempt.sent_run(), call.retry.record_sent(call, server))
+    };
     let sent = connection_pool
         .send(&destination, request, admitted, begin_run, path_cut)
         .await;
--- a/daemon/src/relay/connection_pool.rs
+++ b/daemon/src/relay/connection_pool.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use badgerferry_lib::ids::ServerName;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -253,7 +254,7 @@
     }
 
     /// Sends a call once on an idle or a new connection and waits for the response head.
-    /// `begin_run` is called once there is a connection. `path_cut` resolves if a connection made
+    /// `begin_run` is called once there is a connection, and may change the headers. `path_cut` resolves if a connection made
     /// by this box is no longer worth waiting for.
     ///
     /// # Errors
@@ -264,7 +265,7 @@
         destination: &Destination<'_>,
         request: ServerRequest,
         admitted: Admitted,
-        begin_run: impl FnOnce() -> (SentRun, PendingSend),
+        begin_run: impl FnOnce(&mut HeaderMap) -> (SentRun, PendingSend),
         path_cut: impl Future<Output = ()>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let server = destination.server;
@@ -290,7 +291,8 @@
                 None => std::future::pending().await,
             }
         };
-        let mut exchange = Exchange::start(connection, request, admitted, begin_run());
+        let begun = begin_run(request.headers_mut());
+        let mut exchange = Exchange::start(connection, request, admitted, begun);
         tokio::select! {
             answer = exchange.answer() => answer,
             () = stalled => Err(SendError::BodyUnread),
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -41,6 +41,11 @@
 /// Time in which a call that can't be served must be refused.
 const PROMPT: Duration = Duration::from_millis(200);
 
+/// Time limit of the route of these calls.
+const TIME_LIMIT: Duration = Duration::from_secs(4);
+/// Time from a send until its server has read it.
+const MAX_DELAY: Duration = Duration::from_millis(100);
+
 /// Boxes, each with links of its own to all servers.
 struct LinkedFleet {
     _store: Store,
@@ -512,3 +517,36 @@
     assert_eq!(unanswered.count(), 0, "{}", fleet.logs());
     Ok(())
 }
+
+/// Guards against a deadline that was computed before a connection that took long to be made.
+#[tokio::test]
+async fn call_whose_connection_took_long_states_the_time_that_is_left() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a", "hall-b"], &["boards"; 3]).await?;
+    fleet.links[0].set(Link::Dropped);
+    let request = call("GET", "/again/a", "call-1", "", "");
+    let sent_at = Instant::now();
+
+    let response = Caller::exchange(fleet.boxes[0].front(), &request).await?;
+
+    let received = fleet.servers.iter().flat_map(Server::received_calls);
+    let received: Vec<_> = received.filter(|call| call.id() == "call-1").collect();
+    assert_eq!(
+        (response.status, received.len()),
+        (200, 1),
+        "{}",
+        fleet.logs()
+    );
+    let received_at = received[0].received_at.expect("it was received");
+    let told = received[0].headers["badgerferry-deadline-ms"].parse()?;
+    let waited = received_at - sent_at;
+    let stated = waited + Duration::from_millis(told);
+    assert!(
+        waited > Duration::from_millis(150),
+        "it did not wait: {waited:?}"
+    );
+    assert!(
+        stated <= TIME_LIMIT + MAX_DELAY,
+        "{stated:?} after {waited:?}"
+    );
+    Ok(())
+}
