quarantine: uncertain evidence survives boxes that are killed

A part whose crashes are uncertain was sent on while all boxes were killed again and again: a started box got only suspect records from its peers, and the store held none of them.

The first pull holds records that are not suspect yet, and crashes of suspect parts go to the store like others. What only the store tells has no times, so that it can't shorten the time after which a run clears its part, nor replace what a box knows of the run. The new test failed before.

--- a/lib/src/relay/quarantine.rs
+++ b/lib/src/relay/quarantine.rs
@@ -332,7 +332,6 @@
             record.add_crash(crash);
         };
         let mut changes = Vec::new();
-        let has_just_responded = (run.response_time()).is_some_and(|time| time <= self.crash_delay);
         for (position, part) in keys.parts().iter().enumerate() {
             changes.extend(self.change(now, SuspectKey::Part(*part), |record| {
                 record.position = record.position.max(position as u8);
@@ -340,7 +339,6 @@
                     record,
                     Crash {
                         request_digest,
-                        needs_store: has_just_responded,
                         ..crash
                     },
                 );
@@ -527,7 +525,7 @@
     }
 
     /// Number of crashes that count, certain or not.
-    fn counted(&self, now: Time, key: SuspectKey) -> usize {
+    pub(super) fn counted(&self, now: Time, key: SuspectKey) -> usize {
         let record = self.records.get(&key);
         record.map_or(0, |record| {
             record.counted_crashes(now, &self.explained).count()
@@ -626,7 +624,7 @@
     }
 
     /// Facts observed by this box that the store should hold but does not yet: quarantines, and the
-    /// crashes of each request or part that has more than one. If no other box is live
+    /// crashes of each suspect request or part that has more than one. If no other box is live
     /// (`is_alone`), single crashes are included too; otherwise they are reported by datagram only,
     /// and most of them are cleared within a second.
     pub fn unstored_facts(&self, now: Time, is_alone: bool) -> Vec<(SuspectKey, StoredFact)> {
@@ -634,7 +632,7 @@
         let facts = own.flat_map(|(&key, record)| {
             let status = self.status(now, key);
             let is_due =
-                status != SuspectStatus::Cleared && (is_alone || self.crash_count(now, key) > 1);
+                status != SuspectStatus::Cleared && (is_alone || self.counted(now, key) > 1);
             let crashes = record
                 .crashes
                 .iter()
--- a/lib/src/relay/quarantine_report.rs
+++ b/lib/src/relay/quarantine_report.rs
@@ -168,9 +168,13 @@
     pub fn initial_rows(&self, now: Time) -> Vec<QuarantineRow> {
         let records = self.records.iter();
         let mut suspects: Vec<_> = records
-            .filter(|(key, _)| self.status(now, **key) != SuspectStatus::Cleared)
+            .filter(|(key, _)| {
+                self.status(now, **key) != SuspectStatus::Cleared || self.counted(now, **key) > 0
+            })
             .collect();
-        suspects.sort_by_cached_key(|(key, _)| Reverse(self.crash_count(now, **key)));
+        suspects.sort_by_cached_key(|(key, _)| {
+            Reverse((self.crash_count(now, **key), self.counted(now, **key)))
+        });
         suspects.truncate(MAX_INITIAL_ROWS);
         let rows = suspects.into_iter();
         rows.map(|(key, record)| self.row(now, RunScope::Box, *key, record))
--- a/lib/src/relay/suspect_record.rs
+++ b/lib/src/relay/suspect_record.rs
@@ -244,8 +244,8 @@
             || count_separate(counted) >= QUARANTINE_MIN_UNCERTAIN
     }
 
-    /// Whether a run had just begun to respond, as far as this is known: the store keeps no times, and holds
-    /// certain crashes only. All crashes during runs of a request are certain.
+    /// Whether a run had just begun to respond. Crashes that only the store told of count as if one had: they
+    /// have no times, and count as one. All crashes during runs of a request are certain.
     fn is_certain(&self, crash: &Crash) -> bool {
         let has_just_responded = || {
             let response_ms = crash.response_ms.map(u128::from);
@@ -300,13 +300,22 @@
         longest.map(|millis| Duration::from_millis(millis.into()))
     }
 
-    /// Shortest time from the beginning of a response to an uncertain crash of the last seconds. It holds although
-    /// a later run succeeded: that run may have been taken for a success too soon.
+    /// Shortest time from the beginning of a response to an uncertain crash of the last seconds, or to one of
+    /// which only the store told. It holds although a later run succeeded: that run may have been taken for a
+    /// success too soon.
     pub(super) fn shortest_uncertain_response(&self, now: Time) -> Option<Duration> {
-        let recent = |crash: &&Crash| crash.at.age(now) < DOUBT_PERIOD && !self.is_certain(crash);
-        let crashes = self.crashes.iter().filter(recent);
-        let shortest = crashes.filter_map(|crash| crash.response_ms).min();
-        shortest.map(|millis| Duration::from_millis(millis.into()))
+        let recent = self
+            .crashes
+            .iter()
+            .filter(|crash| crash.at.age(now) < DOUBT_PERIOD);
+        let responses = recent.filter_map(|crash| match (crash.run_started, crash.response_ms) {
+            (None, _) => Some(self.crash_delay),
+            (Some(_), Some(ms)) if !self.is_certain(crash) => {
+                Some(Duration::from_millis(ms.into()))
+            }
+            (Some(_), _) => None,
+        });
+        responses.min()
     }
 
     /// Marks the record as changed, so that it is reported again.
@@ -334,6 +343,10 @@
             .iter_mut()
             .find(|known| known.incarnation == crash.incarnation)
         {
+            // The store keeps no times: it tells nothing of a run that is known.
+            Some(known) if known.run_started.is_some() && crash.run_started.is_none() => {
+                known.at = known.at.min(crash.at);
+            }
             Some(known) => {
                 known.at = known.at.min(crash.at);
                 let run = |crash: &Crash| {
--- a/lib/tests/test_relay_quarantine_parts.rs
+++ b/lib/tests/test_relay_quarantine_parts.rs
@@ -1,5 +1,6 @@
 //! Quarantine of prompt parts that crash servers.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use badgerferry_lib::ids::WorkspaceName;
@@ -180,8 +181,12 @@
 }
 
 /// Crashes servers with unlike requests that share a part, `response_ms` after each response began.
-fn crash_in_series(quarantine: &mut Quarantine, crashes: u64, response_ms: Option<u64>) {
-    for request in 1..=crashes {
+fn crash_in_series(
+    quarantine: &mut Quarantine,
+    requests: RangeInclusive<u64>,
+    response_ms: Option<u64>,
+) {
+    for request in requests {
         let now = 2_000 * request;
         let run = CrashedRun {
             started: at(now - 1_500),
@@ -198,7 +203,7 @@
 fn part_that_crashes_servers_at_any_time_is_quarantined_after_five_crashes() {
     for response_ms in [None, Some(900)] {
         let mut quarantine = Quarantine::default();
-        crash_in_series(&mut quarantine, 5, response_ms);
+        crash_in_series(&mut quarantine, 1..=5, response_ms);
 
         let crashing = is_quarantined(&mut quarantine, 11_000, &keys(9, &[1, CRASHING], "w"));
         let sound = admit(&mut quarantine, 11_000, &keys(10, &[SHARED + 1], "w"));
@@ -212,7 +217,7 @@
 #[test]
 fn run_of_a_part_ends_evidence_that_is_not_certain() {
     let mut quarantine = Quarantine::default();
-    crash_in_series(&mut quarantine, 4, None);
+    crash_in_series(&mut quarantine, 1..=4, None);
     let call = keys(9, &[CRASHING], "w");
 
     let suspect = admit(&mut quarantine, 8_500, &call);
@@ -229,11 +234,44 @@
     assert_eq!(after, SuspectStatus::Cleared);
 }
 
+/// Guards against evidence that is lost when all boxes are killed.
+#[test]
+fn evidence_that_is_not_certain_reaches_started_boxes() {
+    let mut quarantine = Quarantine::default();
+    crash_in_series(&mut quarantine, 1..=2, None);
+    let mut by_pull = Quarantine::default();
+    by_pull.merge_rows(
+        at(50),
+        RunScope::Box,
+        "a pull",
+        &quarantine.initial_rows(at(4_010)),
+    );
+    crash_in_series(&mut by_pull, 3..=3, None);
+    crash_in_series(&mut quarantine, 3..=3, None);
+    let mut by_store = Quarantine::default();
+    for (key, fact) in quarantine.unstored_facts(at(6_010), false) {
+        by_store.apply_fact(at(50), key, fact);
+    }
+    let facts = quarantine.unstored_facts(at(6_010), false);
+    for (key, fact) in facts {
+        quarantine.apply_fact(at(6_020), key, fact);
+    }
+
+    let key = part_key(CRASHING, "w");
+    assert_eq!(by_pull.status(at(6_100), key), SuspectStatus::Suspect);
+    assert_eq!(by_store.status(at(100), key), SuspectStatus::Suspect);
+    let call = keys(9, &[CRASHING], "w");
+    assert_eq!(
+        admit(&mut quarantine, 7_000, &call),
+        Admission::Run { crashes: 1 }
+    );
+}
+
 /// Guards against a run that clears its part before the time at which it crashes its server.
 #[test]
 fn run_that_responds_no_longer_than_before_a_crash_does_not_clear_its_part() {
     let mut quarantine = Quarantine::default();
-    crash_in_series(&mut quarantine, 3, Some(900));
+    crash_in_series(&mut quarantine, 1..=3, Some(900));
     let call = keys(9, &[CRASHING], "w");
 
     let early = quarantine.record_progress(at(7_000), &call, Duration::from_millis(900));
@@ -247,7 +285,7 @@
 #[test]
 fn crashes_that_are_not_certain_add_up_over_boxes() {
     let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
-    crash_in_series(&mut here, 3, None);
+    crash_in_series(&mut here, 1..=3, None);
     let rows = here.rows(at(6_010), RunScope::Box);
     there.merge_rows(at(6_011), RunScope::Box, "box-1", &rows);
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,6 +26,7 @@
 mod sheet_links;
 mod sheet_report;
 mod sheet_run;
+mod sheet_settings;
 mod sheet_troubles;
 
 /// Seeds that failed before, one a line, each followed by its cause. They run before all others.
@@ -62,7 +63,7 @@
     #[argh(option)]
     sheet: Option<PathBuf>,
     /// what befalls the deployment: usual (default), most-servers-still, silent-crashes, late-declines,
-    /// departures, part-crashes, store-faults, churn
+    /// departures, part-crashes, store-faults, churn, settings
     #[argh(option, default = "Severity::Usual", from_str_fn(parse_severity))]
     severity: Severity,
     /// folder for the logs of all runs of a sheet (those that fail: the temporary folder)
@@ -90,6 +91,7 @@
         "departures" => Ok(Severity::Departures),
         "store-faults" => Ok(Severity::StoreFaults),
         "churn" => Ok(Severity::Churn),
+        "settings" => Ok(Severity::Settings),
         _ => Err(format!("unknown severity {name}")),
     }
 }
--- a/soak/src/sheet_report.rs
+++ b/soak/src/sheet_report.rs
@@ -84,7 +84,7 @@
         let repeats = (self.repeats < MIN_REPEATS, "too few retries");
         let late = (self.late.late < MIN_LATE_REPEATS, "too few late retries");
         match self.severity {
-            Severity::Usual | Severity::Departures | Severity::StoreFaults => {
+            Severity::Usual | Severity::Departures | Severity::StoreFaults | Severity::Settings => {
                 vec![departures, repeats]
             }
             Severity::MostServersStill => vec![departures, repeats, late],
--- a/soak/src/sheet_run.rs
+++ b/soak/src/sheet_run.rs
@@ -14,6 +14,7 @@
 use std::time::SystemTime;
 
 use anyhow::Context;
+use badgerferry_standin::caller_habit;
 use badgerferry_standin::counted_retries;
 use badgerferry_standin::counted_retries::RetryComparison;
 use badgerferry_standin::crashes::CrashRule;
@@ -48,6 +49,7 @@
 use crate::sheet_links::box_link;
 use crate::sheet_links::box_of;
 use crate::sheet_report::Report;
+use crate::sheet_settings::Settings;
 use crate::sheet_troubles;
 use crate::sheet_troubles::Scheduled;
 use crate::sheet_troubles::Severity;
@@ -75,6 +77,7 @@
     pub boxes: Vec<RelayBox>,
     /// Logs of boxes that were replaced.
     pub replaced_logs: Vec<String>,
+    settings: Settings,
     /// Forwarder in front of each box that has one.
     pub box_forwarders: Vec<Option<Proxy>>,
     /// When a box was stopped, killed or continued.
@@ -151,7 +154,8 @@
 impl Deployment {
     async fn start(sheet: &Sheet) -> anyhow::Result<Self> {
         let store = Store::start().await?;
-        store.put_routes(&sheet.desired_state("key-1"));
+        let settings = Settings::new(sheet.desired_state("key-1"), &sheet.call_kinds());
+        store.put_routes(settings.state());
         let mut servers = Vec::new();
         for plan in sheet.servers() {
             let server = Server::start(&plan.name, &plan.service, plan.pace).await?;
@@ -179,6 +183,7 @@
                 leaving: Mutex::new(vec![sheet_troubles::USUAL_LEAVING]),
                 ..Traffic::default()
             }),
+            settings,
             disturbed: Vec::new(),
             halls: Vec::new(),
             named: 0,
@@ -216,6 +221,10 @@
             match trouble {
                 Trouble::BoxesReplaced(_) if begins => self.replace_boxes(&affected).await?,
                 Trouble::BoxesAdded(_) if begins => self.add_boxes_beside(&affected)?,
+                Trouble::SettingsChange if begins => {
+                    self.settings.change(rng);
+                    self.store.put_routes(self.settings.state());
+                }
                 _ => self.change(trouble, begins, &affected)?,
             }
         }
@@ -247,7 +256,10 @@
             Trouble::ServerLinksHeld(share)
             | Trouble::ServerLinksReset(share)
             | Trouble::BoxLinksReset(share) => (0, share),
-            Trouble::CallersLeave(_) | Trouble::CallersRepeat(..) | Trouble::Burst(_) => (0, 0.0),
+            Trouble::CallersLeave(_)
+            | Trouble::CallersRepeat(..)
+            | Trouble::Burst(_)
+            | Trouble::SettingsChange => (0, 0.0),
         };
         let mut all: Vec<usize> = match trouble {
             Trouble::ServerLinksHeld(_) | Trouble::ServerLinksReset(_) => {
@@ -358,6 +370,7 @@
             | Trouble::BoxesStopped => self.change_boxes(trouble, begins, affected)?,
             Trouble::ServersCrash(_)
             | Trouble::StoreReadsOld
+            | Trouble::SettingsChange
             | Trouble::BoxesReplaced(_)
             | Trouble::BoxesAdded(_) => {}
         }
@@ -403,7 +416,7 @@
         let of_service = |service: &str| -> (Vec<SentCall>, Vec<Server>) {
             let calls = sent
                 .iter()
-                .filter(|sent| kinds[sent.kind].service == service);
+                .filter(|sent| self.settings.may_send(sent.kind, service, sent.call.at));
             let servers = self.servers.iter().filter(|of| of.service == service);
             (
                 calls.map(|sent| sent.call.clone()).collect(),
@@ -476,7 +489,9 @@
             })
             .map(|sent| sent.call.id.clone())
             .collect::<BTreeSet<_>>();
-        counted_retries::compare(&self.servers, &logs, |id| !killed.contains(id))
+        counted_retries::compare(&self.servers, &logs, |id| {
+            !killed.contains(caller_habit::first_id(id))
+        })
     }
 
     /// Whether the box of a call was disturbed shortly before or after this time.
--- a/soak/src/sheet_troubles.rs
+++ b/soak/src/sheet_troubles.rs
@@ -49,6 +49,8 @@
     ServerLinksReset(f64),
     /// This fraction of the forwarders of boxes resets connections.
     BoxLinksReset(f64),
+    /// A route of the desired state changes.
+    SettingsChange,
     /// The store handles requests in this way.
     StoreFails(Mode),
     /// Reads of the store that may be old show its present content until the end of the run.
@@ -120,6 +122,8 @@
     StoreFaults,
     /// Boxes are killed, replaced, added and stopped in series, while a request and a part crash servers.
     Churn,
+    /// The desired state changes in series while boxes are killed and many calls are lost.
+    Settings,
 }
 
 /// Callers that leave where a trouble does not say otherwise.
@@ -305,6 +309,9 @@
             let throughout = [whole(crashing), whole(Trouble::CallsLost(0.1))];
             boxes.chain(throughout).collect()
         }
+        Severity::Settings => draw_settings(rng, turns)
+            .chain([whole(Trouble::CallsLost(0.4))])
+            .collect(),
         Severity::Usual => (0..rng.random_range(8..16))
             .map(|_| Scheduled {
                 at: lasts.mul_f64(rng.random_range(0.0..0.9)),
@@ -381,3 +388,29 @@
         troubles
     })
 }
+
+/// In each turn the desired state changes in quick succession while boxes are killed and servers stand still.
+fn draw_settings(rng: &mut ChaCha8Rng, turns: u64) -> impl Iterator<Item = Scheduled> {
+    const CHANGES: u32 = 12;
+    const CHANGE_INTERVAL: Duration = Duration::from_millis(330);
+    (0..turns).flat_map(move |turn| {
+        let turn_at = Duration::from_secs(turn * 5);
+        let mut scheduled = |lasts: f64, trouble| Scheduled {
+            at: turn_at + Duration::from_secs_f64(rng.random_range(0.0..5.0)),
+            lasts: Duration::from_secs_f64(lasts),
+            trouble,
+        };
+        let others = vec![
+            scheduled(0.0, Trouble::BoxesKilled(0.16)),
+            scheduled(2.5, Trouble::BoxesStill(0.16)),
+            scheduled(3.0, Trouble::ServersStill(0.2)),
+            scheduled(0.0, Trouble::ServersCrash(0.1)),
+        ];
+        let changes = (0..CHANGES).map(move |index| Scheduled {
+            at: turn_at + CHANGE_INTERVAL * index,
+            lasts: Duration::ZERO,
+            trouble: Trouble::SettingsChange,
+        });
+        changes.chain(others)
+    })
+}
