relay: a retry states less than the time that is left

A late repeat stated all the time that was left, so that a server that reads it over half a second late works for longer than the caller waits.

A retry states a quarter less, at most half a second. The new test failed before.

--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -60,6 +60,9 @@
 use crate::relay::state::Relay;
 use crate::relay::stream_relay;
 
+/// Fraction of the time left, and longest time, by which a retry states less.
+const RETRY_RESERVE_FRACTION: f64 = 0.25;
+const MAX_RETRY_RESERVE: Duration = Duration::from_millis(500);
 /// Longest wait of a call for the first route table of a box that has just started. A call with a
 /// shorter deadline waits for half of its remaining time.
 const MAX_ROUTES_WAIT: Duration = Duration::from_secs(2);
@@ -185,6 +188,17 @@
         self.relay.clock.now().until(self.deadline)
     }
 
+    /// Time that a server is told to have. A server may read a retry late, and would then work for longer than
+    /// the caller waits: retries state less than is left.
+    pub fn time_to_state(&self, is_retry: bool) -> Duration {
+        let left = self.time_left();
+        if is_retry {
+            left - left.mul_f64(RETRY_RESERVE_FRACTION).min(MAX_RETRY_RESERVE)
+        } else {
+            left
+        }
+    }
+
     /// Time by which the response, or the first event of a stream, is due under the objective of
     /// the route.
     pub fn due(&self) -> Time {
--- a/daemon/src/relay/call_attempt.rs
+++ b/daemon/src/relay/call_attempt.rs
@@ -321,7 +321,7 @@
     let server = &attempt.selection.server;
     let begin_run = |headers: &mut HeaderMap| {
         // Time has passed since the request was built, if the connection took long.
-        headers::set_time_left(headers, call.time_left());
+        headers::set_time_left(headers, call.time_to_state(is_retry));
         (attempt.sent_run(), call.retry.record_sent(call, server))
     };
     let sent = connection_pool
--- a/daemon/tests/test_relay_server_paths.rs
+++ b/daemon/tests/test_relay_server_paths.rs
@@ -43,6 +43,8 @@
 
 /// Time limit of the route of these calls.
 const TIME_LIMIT: Duration = Duration::from_secs(4);
+/// Time after which a server may read a retry without working for longer than the caller waits.
+const MAX_READ_DELAY: Duration = Duration::from_millis(500);
 /// Time from a send until its server has read it.
 const MAX_DELAY: Duration = Duration::from_millis(100);
 
@@ -550,3 +552,31 @@
     );
     Ok(())
 }
+
+/// Guards against a retry that outlasts its caller because its server reads it late.
+#[tokio::test]
+async fn retry_that_is_read_late_does_not_outlast_its_caller() -> anyhow::Result<()> {
+    let fleet = LinkedFleet::start(&["hall-a"], &["boards"; 2]).await?;
+    for server in &fleet.servers {
+        server.queue_behaviours(&[Behaviour::CloseUnanswered]);
+    }
+    let request = call("GET", "/again/a", "call-1", "", "");
+    let sent_at = Instant::now();
+
+    Caller::exchange(fleet.boxes[0].front(), &request).await?;
+
+    let received = fleet.servers.iter().flat_map(Server::received_calls);
+    let stated = received.filter_map(|call| {
+        let told = call.headers["badgerferry-deadline-ms"].parse().ok()?;
+        Some(call.received_at? - sent_at + Duration::from_millis(told))
+    });
+    let mut stated: Vec<Duration> = stated.collect();
+    stated.sort();
+    assert_eq!(stated.len(), 2, "{}", fleet.logs());
+    assert!(
+        stated[0] + MAX_READ_DELAY <= TIME_LIMIT + MAX_DELAY,
+        "{stated:?}"
+    );
+    assert!(stated[1] + MAX_DELAY >= TIME_LIMIT, "{stated:?}");
+    Ok(())
+}
