--- a/daemon/src/relay/call.rs
+++ b/daemon/src/relay/call.rs
@@ -193,7 +193,8 @@
     pub fn time_to_state(&self, is_retry: bool) -> Duration {
         let left = self.time_left();
         if is_retry {
-            left - left.mul_f64(RETRY_RESERVE_FRACTION).min(MAX_RETRY_RESERVE)
+            let reserve = left.mul_f64(RETRY_RESERVE_FRACTION).min(MAX_RETRY_RESERVE);
+            left.saturating_sub(reserve)
         } else {
             left
         }
