--- a/lib/src/relay/state_pull.rs
+++ b/lib/src/relay/state_pull.rs
@@ -15,7 +15,7 @@
 use crate::relay::store_position::StorePosition;
 
 /// Version of the frames between boxes. Frames of other versions are dropped.
-pub const FRAME_VERSION: u8 = 16;
+pub const FRAME_VERSION: u8 = 17;
 /// Maximum frame size. Route tables in the store are at most one megabyte.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
